--- a/daemon/main.go
+++ b/daemon/main.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -31,14 +32,38 @@
 		Usage:   "serve callers of language models and plain services on this VM",
 		Version: version,
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "settings", Usage: "settings `FILE` of this VM", Required: true},
+			&cli.StringFlag{Name: "settings", Usage: "settings `FILE` of this VM"},
 			&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
 		},
 		Action: run,
+		Commands: []*cli.Command{{
+			Name:  "relay",
+			Usage: "relay opaque requests on a platform that gives the document and the upstreams",
+			Flags: []cli.Flag{
+				&cli.StringFlag{Name: "settings", Usage: "settings `FILE` of this VM", Required: true},
+				&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
+			},
+			Action: runRelayCommand,
+		}},
 	}
 }
 
+func runRelayCommand(ctx context.Context, c *cli.Command) error {
+	s, err := settings.ReadRelay(c.String("settings"))
+	if err != nil || c.Bool("check") {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	// The settings are read at the start alone; a hangup must not end the process.
+	signal.Ignore(syscall.SIGHUP)
+	return runRelay(ctx, s)
+}
+
 func run(ctx context.Context, c *cli.Command) error {
+	if c.String("settings") == "" {
+		return errors.New("--settings FILE is needed")
+	}
 	s, err := settings.Read(c.String("settings"))
 	if err != nil {
 		return err
--- /dev/null
+++ b/daemon/placer/owner.go
@@ -0,0 +1,204 @@
+package placer
+
+import (
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"snipeshift.example/daemon/registry"
+	"snipeshift.example/lib/clock"
+	"snipeshift.example/lib/decide"
+	"snipeshift.example/lib/decide/gate"
+	"snipeshift.example/lib/decide/span"
+	"snipeshift.example/lib/peer"
+	"snipeshift.example/lib/route"
+)
+
+// Clock reads a clock that goes on while the VM is suspended.
+type Clock interface{ Now() clock.Milli }
+
+// Knowledge is what is known of services and upstreams.
+type Knowledge interface{ View() *registry.View }
+
+const (
+	// askWait is how long a question waits for its decision. Gates take an
+	// unanswered question for a dead owner, so it is short beside the 300 ms in
+	// which short requests are due.
+	askWait = 120 * clock.Milli(1)
+	// tickEvery is the time between two looks at a queue: estimates run out and
+	// aims pass without any message.
+	tickEvery = 10 * time.Millisecond
+	// keptDecisions bounds the answers that wait for their gates to ask again.
+	keptDecisions = 4096
+)
+
+// Budget bounds the sends beyond the first of each request.
+type Budget struct {
+	// Share is the part of the requests that may be sent again, and Floor how
+	// many more, within Window.
+	Share, Floor float64
+	Window       clock.Milli
+}
+
+// Owner holds the pools of all services that gates ask for here. Any VM may
+// become the owner of any service.
+type Owner struct {
+	clock     Clock
+	knowledge Knowledge
+	log       *log.Logger
+	budget    Budget
+
+	mu    sync.Mutex
+	pools map[route.ServiceID]*hosted
+}
+
+// hosted is one pool with those who wait for its decisions.
+type hosted struct {
+	mu   sync.Mutex
+	pool *span.Pool
+	// generation is that of the knowledge which the pool was told.
+	generation uint64
+	waiters    map[decide.RequestID]chan span.Decision
+	// kept holds refusals that came while no question was waiting.
+	kept map[decide.RequestID]span.Decision
+	// ticking is set while a goroutine looks at the queue.
+	ticking bool
+}
+
+// NewOwner returns an owner without pools.
+func NewOwner(k Clock, n Knowledge, l *log.Logger, b Budget) *Owner {
+	return &Owner{clock: k, knowledge: n, log: l, budget: b, pools: map[route.ServiceID]*hosted{}}
+}
+
+// host returns a service's pool, told of what is known now, locked.
+func (o *Owner) host(s route.ServiceID) *hosted {
+	o.mu.Lock()
+	h := o.pools[s]
+	if h == nil {
+		h = &hosted{
+			pool:    span.New(span.DefaultRules, gate.NewBudget(o.budget.Share, o.budget.Floor, o.budget.Window)),
+			waiters: map[decide.RequestID]chan span.Decision{}, kept: map[decide.RequestID]span.Decision{},
+		}
+		o.pools[s] = h
+	}
+	o.mu.Unlock()
+	h.mu.Lock()
+	if v := o.knowledge.View(); v.Generation != h.generation && v.Table != nil {
+		h.generation = v.Generation
+		h.pool.Serve(v.Table.Service(s), v.Upstreams[s])
+	}
+	return h
+}
+
+// Ask implements Placer.Ask.
+func (o *Owner) Ask(args *AskArgs, reply *AskReply) error {
+	now := o.clock.Now()
+	a := args.Ask
+	a.Aim += now
+	a.Deadline += now
+	h := o.host(args.Service)
+	if d, ok := h.kept[a.ID]; ok {
+		delete(h.kept, a.ID)
+		h.mu.Unlock()
+		reply.decided(d)
+		return nil
+	}
+	g, granted := h.pool.Ask(now, a)
+	if granted {
+		h.mu.Unlock()
+		reply.decided(span.Decision{Action: span.Granted, Request: a.ID, Grant: g, Reason: "again"})
+		return nil
+	}
+	c := make(chan span.Decision, 1)
+	h.waiters[a.ID] = c
+	o.tick(h, now)
+	o.keepTicking(h)
+	counts := h.pool.Counts()
+	h.mu.Unlock()
+	reply.Queued, reply.Granted = counts.Queued, counts.Granted
+	t := time.NewTimer(askWait.Duration())
+	defer t.Stop()
+	select {
+	case d := <-c:
+		reply.decided(d)
+	case <-t.C:
+		h.mu.Lock()
+		if h.waiters[a.ID] == c {
+			delete(h.waiters, a.ID)
+		}
+		h.mu.Unlock()
+		select {
+		case d := <-c:
+			reply.decided(d)
+		default:
+		}
+	}
+	return nil
+}
+
+func (r *AskReply) decided(d span.Decision) {
+	r.Decided = true
+	r.Grant, r.Fault, r.Retry, r.Reason = d.Grant, d.Fault, d.Retry, d.Reason
+}
+
+// tick decides what can be decided and hands it out. The pool's lock is held.
+func (o *Owner) tick(h *hosted, now clock.Milli) {
+	for _, d := range h.pool.Tick(now) {
+		if c := h.waiters[d.Request]; c != nil {
+			delete(h.waiters, d.Request)
+			c <- d
+			continue
+		}
+		// A grant stays in the books and is given when its gate asks again.
+		if d.Action == span.Refused {
+			if len(h.kept) >= keptDecisions {
+				clear(h.kept)
+			}
+			h.kept[d.Request] = d
+		}
+	}
+}
+
+// keepTicking looks at the queue again and again while something waits there.
+// The pool's lock is held.
+func (o *Owner) keepTicking(h *hosted) {
+	if h.ticking || h.pool.Counts().Queued == 0 {
+		return
+	}
+	h.ticking = true
+	time.AfterFunc(tickEvery, func() {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.ticking = false
+		o.tick(h, o.clock.Now())
+		o.keepTicking(h)
+	})
+}
+
+// Note implements Placer.Note.
+func (o *Owner) Note(args *NoteArgs, _ *peer.Empty) error {
+	now := o.clock.Now()
+	h := o.host(args.Service)
+	defer h.mu.Unlock()
+	switch args.Event {
+	case First:
+		h.pool.First(now, args.Request)
+	case Ended:
+		h.pool.End(now, args.Request, args.Outcome, args.Culprit)
+	case Withdraw:
+		h.pool.Withdraw(now, args.Request)
+	}
+	o.tick(h, now)
+	return nil
+}
+
+// Present implements Placer.Present.
+func (o *Owner) Present(args *PresentArgs, _ *peer.Empty) error {
+	now := o.clock.Now()
+	h := o.host(args.Service)
+	defer h.mu.Unlock()
+	h.pool.Present(now, args.Gate, args.Live)
+	o.tick(h, now)
+	return nil
+}
--- /dev/null
+++ b/daemon/platform.go
@@ -0,0 +1,257 @@
+package main
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"runtime/debug"
+	"time"
+
+	"github.com/phuslu/log"
+	"golang.org/x/sync/errgroup"
+
+	"snipeshift.example/daemon/guard"
+	"snipeshift.example/daemon/member"
+	"snipeshift.example/daemon/placer"
+	"snipeshift.example/daemon/quarantine"
+	"snipeshift.example/daemon/registry"
+	"snipeshift.example/daemon/relay"
+	"snipeshift.example/daemon/settings"
+	"snipeshift.example/lib/clock"
+	"snipeshift.example/lib/peer"
+	"snipeshift.example/platform"
+)
+
+// Sizes and times of a relaying VM.
+const (
+	// memoryShare of the VM's memory is what the runtime may fill before it
+	// collects at any cost: bytes that the kernel holds for connections count too.
+	memoryShare = 0.6
+	// upstreamDial bounds a connect to an upstream, which is 3 ms away. The first lost
+	// packet of a connect costs a second; another upstream is asked before.
+	upstreamDial = 300 * time.Millisecond
+	// upstreamIdle closes connections to upstreams that nobody uses.
+	upstreamIdle = 20 * time.Second
+	// keptEach bounds the idle connections to one upstream: it takes some hundred from all VMs.
+	keptEach = 16
+	// relayHeader bounds a caller's header; the document may say less.
+	relayHeader = 64 << 10
+	// closing is what remains of the grace once the last answers must be out.
+	closing = 700 * clock.Milli(1)
+	// turnedAway is how long the balancer goes on sending new callers to a
+	// VM that says no: it asks each second and believes the second no.
+	turnedAway = 2500 * clock.Milli(1)
+	// logQueue bounds the lines that wait for whoever reads them.
+	logQueue = 4096
+)
+
+// budgetShare is the part of the fleet's budget of repeats that one owner gives
+// out: two owners of a service may overlap, and a window may straddle the change.
+const budgetShare = 0.4
+
+// relayRules are the heartbeats of VMs a few milliseconds from each other. A dead
+// owner costs each gate one unanswered question, so the table may be quicker to
+// doubt than among domains that lose each other.
+var relayRules = func() member.Rules {
+	r := member.DefaultRules
+	r.Near, r.Misses, r.Doubt, r.Seeds = 400, 2, 2, 2*clock.Second
+	return r
+}()
+
+// relayed is one life of a VM that relays opaque requests.
+type relayed struct {
+	settings *settings.Relay
+	log      *log.Logger
+	clock    clock.Boot
+	dialer   *peer.Dialer
+	members  *member.Members
+	registry *registry.Registry
+	owner    *placer.Owner
+	placer   *placer.Client
+	gate     *relay.Gate
+	peers    *peer.Server
+	store    *platform.Store
+	stopping chan struct{}
+}
+
+// runRelay serves until ctx ends, then stops gracefully.
+func runRelay(ctx context.Context, s *settings.Relay) error {
+	debug.SetMemoryLimit(int64(memoryShare * float64(s.Memory) * (1 << 20)))
+	d, err := newRelayed(s)
+	if err != nil {
+		return err
+	}
+	return d.run(ctx)
+}
+
+func newRelayed(s *settings.Relay) (*relayed, error) {
+	d := &relayed{
+		settings: s, log: relayLogger(s), dialer: peer.NewDialer(peer.DialTCP), peers: peer.NewServer(),
+		store: platform.NewStore(s.Store), stopping: make(chan struct{}),
+	}
+	incarnation := peer.Incarnation(time.Now().UnixMilli())
+	self := peer.Member{VM: s.Name, Incarnation: incarnation, Domain: s.Domain, Address: s.Peer}
+	d.members = member.New(self, relayRules, d.dialer, seeds(s.Peers), d.clock)
+	d.registry = registry.New(d.store, d.dialer, d.clock, d.log)
+	q := quarantine.New(d.clock, d.members, d.dialer)
+	d.members.Add(d.registry, q)
+	d.owner = placer.NewOwner(d.clock, d.registry, d.log, placer.Budget{
+		Share: budgetShare * s.Budget.Share, Floor: budgetShare * s.Budget.Floor, Window: s.Budget.Window,
+	})
+	id := peer.Gate(s.Name, incarnation)
+	d.placer = placer.NewClient(d.clock, d.log, d.members, d.dialer, d.owner, id)
+	kept := upstreamTransport()
+	fresh := upstreamTransport()
+	fresh.DisableKeepAlives = true
+	d.gate = relay.New(relay.Needs{
+		Clock: d.clock, Log: d.log, Codec: platform.Codec{}, Placer: d.placer, Knowledge: d.registry,
+		Suspects: q, Memory: platform.NewEngines(kept), Kept: kept, Fresh: fresh,
+	}, relay.Bounds{Revoke: s.Bounds.Revoke, Config: s.Bounds.Config}, id)
+	var g errs
+	g.add(d.peers.Register(member.Name, member.NewReceiver(d.members, noDocuments{})))
+	g.add(d.peers.Register(quarantine.Name, quarantine.NewReceiver(q)))
+	g.add(d.peers.Register(registry.Name, registry.NewReceiver(d.registry)))
+	g.add(d.peers.Register(placer.Name, d.owner))
+	return d, g.err
+}
+
+// seeds are the addresses of the settings.
+type seeds []string
+
+// Seeds implements member.Seeds.
+func (s seeds) Seeds(context.Context) []string { return s }
+
+// noDocuments says that documents are fetched from the registry's receiver.
+type noDocuments struct{}
+
+// Newest implements member.Documents.
+func (noDocuments) Newest() (peer.Revision, []byte) { return 0, nil }
+
+func upstreamTransport() *http.Transport {
+	return &http.Transport{
+		DialContext:        (&net.Dialer{Timeout: upstreamDial}).DialContext,
+		DisableCompression: true, MaxIdleConnsPerHost: keptEach, IdleConnTimeout: upstreamIdle,
+		WriteBufferSize: 16 << 10,
+	}
+}
+
+// run opens the doors and serves.
+func (d *relayed) run(ctx context.Context) error {
+	work, end := context.WithCancel(context.Background())
+	defer end()
+	s := d.settings
+	var c net.ListenConfig
+	peerDoor, err := c.Listen(ctx, "tcp", s.Peer)
+	if err != nil {
+		return err
+	}
+	callers := d.server(d.gate)
+	ready := d.server(d.readiness())
+	var g errgroup.Group
+	part := func(name string, f func() error) {
+		g.Go(func() error {
+			defer guard.Report(d.log, name)
+			err := f()
+			if err != nil {
+				d.log.Error().Str("event", "failed").Str("part", name).Err(err).Msg("part failed")
+				end()
+			}
+			return err
+		})
+	}
+	part("peer door", func() error { return d.peers.Serve(peerDoor) })
+	part("caller door", func() error { return listenAndServe(ctx, callers, s.Caller) })
+	part("ready door", func() error { return listenAndServe(ctx, ready, s.Ready) })
+	servers := []*http.Server{ready}
+	if s.Metrics != "" {
+		m := d.server(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { d.gate.WriteMetrics(w) }))
+		part("metrics door", func() error { return listenAndServe(ctx, m, s.Metrics) })
+		servers = append(servers, m)
+	}
+	part("registry", func() error { return d.registry.Run(work) })
+	part("heartbeats", func() error { return d.members.Run(work) })
+	part("placer", func() error { return d.placer.Run(work) })
+	d.log.Info().Str("event", "started").Str("caller", s.Caller).Str("peer", s.Peer).Strs("peers", s.Peers).Msg("started")
+	select {
+	case <-ctx.Done():
+	case <-work.Done():
+	}
+	d.stop(callers)
+	end()
+	for _, h := range servers {
+		_ = h.Close()
+	}
+	_ = peerDoor.Close()
+	d.peers.Close()
+	d.dialer.Close()
+	d.log.Info().Str("event", "stopped").Msg("stopped")
+	return g.Wait()
+}
+
+// stop is the planned stop: it says that it is not ready, asks callers to go elsewhere
+// with each answer, and closes once the balancer has noticed and all are served.
+func (d *relayed) stop(callers *http.Server) {
+	d.log.Info().Str("event", "stopping").Msg("stopping")
+	close(d.stopping)
+	d.members.Stop()
+	d.gate.Stop()
+	time.Sleep(turnedAway.Duration())
+	left := max(d.settings.Bounds.Grace-turnedAway-closing, 0)
+	ctx, cancel := context.WithTimeout(context.Background(), left.Duration())
+	defer cancel()
+	if err := callers.Shutdown(ctx); err != nil {
+		d.log.Warn().Str("event", "stopping").Err(err).Msg("some answers are cut off at the end of the grace")
+	}
+}
+
+// readiness answers the balancer: this VM takes callers while it knows where to
+// send them and is not about to stop.
+func (d *relayed) readiness() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != platform.ReadyPath {
+			http.NotFound(w, r)
+			return
+		}
+		if !d.ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+}
+
+func (d *relayed) ready() bool {
+	select {
+	case <-d.stopping:
+		return false
+	default:
+	}
+	v := d.registry.View()
+	return v.Table != nil && v.UpstreamsAt > 0 && d.clock.Now()-v.TableAt < d.settings.Bounds.Revoke
+}
+
+func (d *relayed) server(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler: h, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: relayHeader, IdleTimeout: idleTimeout,
+		ErrorLog: d.log.Std("", 0),
+	}
+}
+
+func listenAndServe(ctx context.Context, s *http.Server, address string) error {
+	var c net.ListenConfig
+	l, err := c.Listen(ctx, "tcp", address)
+	if err != nil {
+		return err
+	}
+	return served(s.Serve(l))
+}
+
+// relayLogger writes JSON lines to standard output. A reader that is stuck must not
+// hold up requests: lines that find the queue full are dropped.
+func relayLogger(s *settings.Relay) *log.Logger {
+	return &log.Logger{
+		Level:      log.ParseLevel(s.Level),
+		TimeFormat: "2006-01-02T15:04:05.000Z07:00",
+		Context:    log.NewContext(nil).Str("vm", string(s.Name)).Value(),
+		Writer:     &log.AsyncWriter{Writer: &log.IOWriter{Writer: os.Stdout}, ChannelSize: logQueue, DiscardOnFull: true},
+	}
+}
--- /dev/null
+++ b/daemon/registry/follow.go
@@ -0,0 +1,139 @@
+package registry
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"snipeshift.example/lib/clock"
+	"snipeshift.example/lib/route"
+)
+
+// Run follows the store until ctx ends.
+func (r *Registry) Run(ctx context.Context) error {
+	var g errgroup.Group
+	g.Go(func() error { r.follow(ctx, "routes", r.listDocument, r.watchDocument); return nil })
+	g.Go(func() error { r.follow(ctx, "upstreams", r.listUpstreams, r.watchUpstreams); return nil })
+	g.Go(func() error { r.sweep(ctx); return nil })
+	return g.Wait()
+}
+
+// follow lists once and then watches from there; after an error it lists anew,
+// since events may have been lost with the answer.
+func (r *Registry) follow(ctx context.Context, what string, list func(context.Context) (route.Mark, error),
+	watch func(context.Context, route.Mark) (route.Mark, error),
+) {
+	var mark route.Mark
+	for ctx.Err() == nil {
+		var err error
+		if mark == 0 {
+			mark, err = list(ctx)
+		} else {
+			mark, err = watch(ctx, mark)
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		r.reach(what, err)
+		if err != nil {
+			mark = 0
+			pause(ctx, retryWait/2+rand.N(retryWait))
+		}
+	}
+}
+
+func (r *Registry) listDocument(ctx context.Context) (route.Mark, error) {
+	sent := r.clock.Now()
+	d, mark, err := r.store.Document(ctx)
+	if err != nil {
+		return 0, err
+	}
+	r.learnDocument(d, sent, "store")
+	return mark, nil
+}
+
+func (r *Registry) watchDocument(ctx context.Context, after route.Mark) (route.Mark, error) {
+	sent := r.clock.Now()
+	d, mark, err := r.store.WatchDocument(ctx, after, watchWait)
+	if err != nil {
+		return 0, err
+	}
+	if d != nil {
+		r.learnDocument(d, sent, "store")
+		return mark, nil
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.confirmDocument(r.asOf(sent))
+	return mark, nil
+}
+
+func (r *Registry) listUpstreams(ctx context.Context) (route.Mark, error) {
+	sent := r.clock.Now()
+	us, mark, err := r.store.Upstreams(ctx)
+	if err != nil {
+		return 0, err
+	}
+	r.learnUpstreams(us, sent)
+	return mark, nil
+}
+
+func (r *Registry) watchUpstreams(ctx context.Context, after route.Mark) (route.Mark, error) {
+	sent := r.clock.Now()
+	us, gone, mark, err := r.store.WatchUpstreams(ctx, after, watchWait)
+	if err != nil {
+		return 0, err
+	}
+	at := sent
+	if len(us) == 0 && len(gone) == 0 {
+		at = r.asOf(sent)
+	}
+	r.changeUpstreams(us, gone, at)
+	return mark, nil
+}
+
+// asOf is the instant that the end of a watch without news speaks of: the store
+// waited from the arrival of the question, which was after it was sent. The
+// answer itself may have been held up for any time.
+func (r *Registry) asOf(sent clock.Milli) clock.Milli { return min(sent+watchWait, r.clock.Now()) }
+
+// reach notes whether the store answers.
+func (r *Registry) reach(what string, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case err != nil && !r.lost:
+		r.lost = true
+		r.log.Warn().Str("event", "unreachable").Str("dependency", "store").Str("call", what).Err(err).Msg("the store does not answer")
+	case err == nil && r.lost:
+		r.lost = false
+		r.back = r.clock.Now()
+		r.log.Info().Str("event", "reached").Str("dependency", "store").Str("call", what).Msg("the store answers again")
+	}
+}
+
+// Lost tells whether the last call of the store failed.
+func (r *Registry) Lost() bool { r.mu.Lock(); defer r.mu.Unlock(); return r.lost }
+
+// sweep ends upstreams whose hold is over although no news comes.
+func (r *Registry) sweep(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause(ctx, 200*time.Millisecond)
+		r.mu.Lock()
+		if len(r.gone) > 0 {
+			r.settle(0)
+		}
+		r.mu.Unlock()
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/daemon/registry/registry.go
@@ -0,0 +1,265 @@
+// Package registry follows what the platform's store says of routes and
+// upstreams, and knows how old that word is.
+//
+// The word of the store is in force within bounds that a VM must keep although the
+// way to the store may be silent, refused or slow. So each piece of knowledge
+// carries the instant at which it was certainly the newest. A VM whose own way
+// is shut takes the word of a peer whose way is open.
+package registry
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/phuslu/log"
+
+	"snipeshift.example/lib/clock"
+	"snipeshift.example/lib/decide"
+	"snipeshift.example/lib/route"
+)
+
+// Store is the platform's store.
+type Store interface {
+	Document(ctx context.Context) (*route.Document, route.Mark, error)
+	WatchDocument(ctx context.Context, after route.Mark, wait clock.Milli) (*route.Document, route.Mark, error)
+	Upstreams(ctx context.Context) ([]route.Upstream, route.Mark, error)
+	WatchUpstreams(ctx context.Context, after route.Mark, wait clock.Milli) ([]route.Upstream, []decide.UpstreamID, route.Mark, error)
+}
+
+// Peers calls methods of other daemons.
+type Peers interface {
+	Call(ctx context.Context, address, method string, args, reply any) error
+}
+
+// Clock reads a clock that goes on while the VM is suspended.
+type Clock interface{ Now() clock.Milli }
+
+// Times of following.
+const (
+	// watchWait is how long a watch waits for news. Its end without news is
+	// proof that nothing has changed; the wait bounds how old our knowledge
+	// grows, and how long a watch that went silent goes unnoticed, on a calm day.
+	watchWait = clock.Second
+	// retryWait is the pause after a failed call, long enough that nine VMs
+	// make some forty calls a second of the two thousand that the store bears.
+	retryWait = 250 * time.Millisecond
+	// holdGone is how long upstreams that are missing are kept after the store
+	// was away. Their entries lapse meanwhile though they live, and are back
+	// within two seconds of its return; all would be taken for gone at once.
+	holdGone = 2200 * clock.Milli(1)
+)
+
+// View is one state of knowledge. It never changes.
+type View struct {
+	// Table is nil until a document is known.
+	Table *route.Table
+	// TableAt is the instant at which Table was certainly the newest.
+	TableAt clock.Milli
+	// Upstreams are those that are there, by service.
+	Upstreams map[route.ServiceID][]route.Upstream
+	// UpstreamsAt is the instant at which Upstreams were certainly right; zero
+	// until a list is known.
+	UpstreamsAt clock.Milli
+	// Generation rises when Upstreams or Table change.
+	Generation uint64
+}
+
+// Upstream finds an upstream of a service by its address or id; nil if there is none.
+func (v *View) Upstream(s route.ServiceID, match func(*route.Upstream) bool) *route.Upstream {
+	us := v.Upstreams[s]
+	for i := range us {
+		if match(&us[i]) {
+			return &us[i]
+		}
+	}
+	return nil
+}
+
+// Registry is safe for concurrent use.
+type Registry struct {
+	store Store
+	peers Peers
+	clock Clock
+	log   *log.Logger
+	view  atomic.Pointer[View]
+	// fetching is set while a peer's knowledge is being fetched.
+	fetching atomic.Bool
+
+	mu        sync.Mutex
+	table     *route.Table
+	tableAt   clock.Milli
+	upstreams map[decide.UpstreamID]route.Upstream
+	// gone holds upstreams that the store no longer lists and that are kept for
+	// a while, with the instant of their end.
+	gone        map[decide.UpstreamID]clock.Milli
+	upstreamsAt clock.Milli
+	digest      uint64
+	generation  uint64
+	// lost is set while the store fails, back is when it answered again.
+	lost bool
+	back clock.Milli
+	// known is closed once both a document and a list are known.
+	known     chan struct{}
+	knownOnce sync.Once
+}
+
+// New returns a registry that knows nothing yet; Run follows the store.
+func New(s Store, p Peers, k Clock, l *log.Logger) *Registry {
+	r := &Registry{
+		store: s, peers: p, clock: k, log: l, known: make(chan struct{}),
+		upstreams: map[decide.UpstreamID]route.Upstream{}, gone: map[decide.UpstreamID]clock.Milli{},
+	}
+	r.view.Store(&View{})
+	return r
+}
+
+// View returns what is known now.
+func (r *Registry) View() *View { return r.view.Load() }
+
+// Known is closed once a document and a list of upstreams are known.
+func (r *Registry) Known() <-chan struct{} { return r.known }
+
+// publish makes a view of the state. The lock is held.
+func (r *Registry) publish() {
+	v := &View{
+		Table: r.table, TableAt: r.tableAt, UpstreamsAt: r.upstreamsAt, Generation: r.generation,
+		Upstreams: map[route.ServiceID][]route.Upstream{},
+	}
+	if old := r.view.Load(); old.Generation == r.generation {
+		v.Upstreams = old.Upstreams
+	} else {
+		for _, u := range r.upstreams {
+			v.Upstreams[u.Service] = append(v.Upstreams[u.Service], u)
+		}
+	}
+	r.view.Store(v)
+	if v.Table != nil && v.UpstreamsAt > 0 {
+		r.knownOnce.Do(func() { close(r.known) })
+	}
+}
+
+// learnDocument takes a document that was the newest at an instant. One below
+// what is known already is never taken: whoever saw a revision in force must not
+// see it taken back.
+func (r *Registry) learnDocument(d *route.Document, at clock.Milli, from string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.table != nil && d.Revision <= r.table.Revision() {
+		if d.Revision == r.table.Revision() {
+			r.confirmDocument(at)
+		}
+		return
+	}
+	t, err := route.Index(d)
+	if err != nil {
+		r.log.Error().Str("event", "rejected").Uint64("revision", uint64(d.Revision)).Err(err).Msg("document is not taken")
+		return
+	}
+	r.log.Info().Str("event", "applied").Uint64("revision", uint64(d.Revision)).Str("from", from).
+		Int64("age", int64(r.clock.Now()-at)).Int("routes", len(d.Routes)).Msg("document is in force")
+	r.table, r.tableAt = t, max(at, r.tableAt)
+	r.generation++
+	r.publish()
+}
+
+// confirmDocument notes that the document was still the newest. The lock is held.
+func (r *Registry) confirmDocument(at clock.Milli) {
+	if at > r.tableAt {
+		r.tableAt = at
+		r.publish()
+	}
+}
+
+// learnUpstreams takes a whole list that was right at an instant.
+func (r *Registry) learnUpstreams(us []route.Upstream, at clock.Milli) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	listed := make(map[decide.UpstreamID]bool, len(us))
+	for _, u := range us {
+		listed[u.ID] = true
+		r.put(u)
+	}
+	for id := range r.upstreams {
+		if !listed[id] {
+			r.remove(id)
+		}
+	}
+	r.settle(at)
+}
+
+// changeUpstreams takes changes that were right at an instant.
+func (r *Registry) changeUpstreams(us []route.Upstream, gone []decide.UpstreamID, at clock.Milli) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, u := range us {
+		r.put(u)
+	}
+	for _, id := range gone {
+		r.remove(id)
+	}
+	r.settle(at)
+}
+
+// put enters an upstream. The lock is held.
+func (r *Registry) put(u route.Upstream) {
+	delete(r.gone, u.ID)
+	old, ok := r.upstreams[u.ID]
+	if ok && old == u {
+		return
+	}
+	r.log.Info().Str("event", "upstream").Str("upstream", string(u.ID)).Str("service", string(u.Service)).
+		Str("address", u.Address).Bool("leaving", u.Leaving).Bool("new", !ok).Msg("upstream changed")
+	r.upstreams[u.ID] = u
+	r.generation++
+}
+
+// remove takes an upstream out, at once or, shortly after the store was away, a
+// while later. The lock is held.
+func (r *Registry) remove(id decide.UpstreamID) {
+	if _, ok := r.upstreams[id]; !ok {
+		return
+	}
+	if _, held := r.gone[id]; !held {
+		r.gone[id] = max(r.clock.Now(), r.back+holdGone)
+	}
+}
+
+// settle ends those whose time is over and publishes. The lock is held.
+func (r *Registry) settle(at clock.Milli) {
+	now := r.clock.Now()
+	for id, until := range r.gone {
+		if now < until {
+			continue
+		}
+		delete(r.gone, id)
+		delete(r.upstreams, id)
+		r.generation++
+		r.log.Info().Str("event", "upstream").Str("upstream", string(id)).Bool("gone", true).Msg("upstream is gone")
+	}
+	r.upstreamsAt = max(r.upstreamsAt, at)
+	r.digest = digest(r.upstreams)
+	r.publish()
+}
+
+// digest is equal for equal sets of upstreams.
+func digest(us map[decide.UpstreamID]route.Upstream) uint64 {
+	ids := make([]decide.UpstreamID, 0, len(us))
+	for id := range us {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	var d xxhash.Digest
+	d.Reset()
+	for _, id := range ids {
+		_, _ = d.WriteString(string(id))
+		if us[id].Leaving {
+			_, _ = d.WriteString("!")
+		}
+		_, _ = d.Write([]byte{0})
+	}
+	return d.Sum64()
+}
--- /dev/null
+++ b/daemon/relay/gate.go
@@ -0,0 +1,280 @@
+// Package relay is the gate for requests of opaque bytes: it admits a request,
+// asks its service's owner for a place, sends it there, judges the answer, and
+// sends it once more elsewhere where its route allows. What the bytes mean is the
+// callers' and upstreams' matter; a Codec reads what a gate must know from the header.
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/phuslu/log"
+
+	"snipeshift.example/daemon/placer"
+	"snipeshift.example/daemon/registry"
+	"snipeshift.example/lib/clock"
+	"snipeshift.example/lib/decide"
+	"snipeshift.example/lib/decide/gate"
+	"snipeshift.example/lib/decide/span"
+	"snipeshift.example/lib/exchange"
+	"snipeshift.example/lib/fault"
+	"snipeshift.example/lib/route"
+)
+
+// Codec reads and writes the headers of one protocol.
+type Codec interface {
+	// Head reads a caller's header.
+	Head(h http.Header) (exchange.Head, error)
+	// Forward makes the header that an upstream is sent.
+	Forward(from http.Header, s exchange.Send) http.Header
+	// Word reads what an answer to the request id says of itself.
+	Word(resp *http.Response, id string) exchange.Word
+	// Answer copies the header of an upstream's answer for the caller.
+	Answer(to, from http.Header)
+	// Refuse writes the header of an answer of our own.
+	Refuse(to http.Header, id string, retry clock.Milli)
+}
+
+// Placer asks owners for places.
+type Placer interface {
+	Ask(ctx context.Context, s route.ServiceID, a span.Ask) (placer.AskReply, error)
+	First(id decide.RequestID)
+	End(id decide.RequestID, o span.Outcome, culprit decide.UpstreamID)
+	Withdraw(s route.ServiceID, id decide.RequestID)
+}
+
+// Knowledge is what is known of routes and upstreams.
+type Knowledge interface{ View() *registry.View }
+
+// Suspects remembers requests that were on an upstream when it died.
+type Suspects interface {
+	Check(fingerprint uint64) gate.Verdict
+	Begin(fingerprint uint64) bool
+	End(fingerprint uint64, whole bool)
+	Died(fingerprint uint64, u decide.UpstreamID)
+}
+
+// Memory reserves KV memory on engines.
+type Memory interface {
+	Reserve(ctx context.Context, address, id string, tokens decide.Tokens, hold clock.Milli) (bool, error)
+	Release(ctx context.Context, address, id string) error
+}
+
+// Clock reads a clock that goes on while the VM is suspended.
+type Clock interface{ Now() clock.Milli }
+
+// Needs are what a Gate works with.
+type Needs struct {
+	Clock     Clock
+	Log       *log.Logger
+	Codec     Codec
+	Placer    Placer
+	Knowledge Knowledge
+	Suspects  Suspects
+	Memory    Memory
+	// Kept keeps connections to upstreams between requests; Fresh opens one for each.
+	Kept, Fresh http.RoundTripper
+}
+
+// Bounds are the deployment's, in milliseconds.
+type Bounds struct {
+	// Revoke is the time within which a withdrawn key must be refused, whatever
+	// the way to the store does.
+	Revoke clock.Milli
+	// Config is the time within which a document must be in force.
+	Config clock.Milli
+}
+
+// Gate serves callers.
+type Gate struct {
+	Needs
+	bounds Bounds
+	id     decide.GateID
+	serial atomic.Uint64
+	// stopping asks callers to open their next connection elsewhere.
+	stopping atomic.Bool
+	metrics  *metrics
+}
+
+// New returns a gate; id names this VM in this life.
+func New(n Needs, b Bounds, id decide.GateID) *Gate {
+	return &Gate{Needs: n, bounds: b, id: id, metrics: newMetrics()}
+}
+
+// Stop asks callers to open their next connection elsewhere.
+func (g *Gate) Stop() { g.stopping.Store(true) }
+
+// bodyLimit is the largest body where the document sets no limit.
+const bodyLimit = 4 << 20
+
+// keyShare is the share of Bounds.Revoke up to which the word of the store may be
+// old: what is left is for the request to reach its upstream.
+const keyShare = 0.8
+
+// flight is one request on its way.
+type flight struct {
+	gate    *Gate
+	w       http.ResponseWriter
+	r       *http.Request
+	head    exchange.Head
+	route   *route.Route
+	holder  *route.Workspace
+	service route.ServiceID
+	body    []byte
+	// keyed is set where callers prove themselves by a key.
+	keyed   bool
+	arrived clock.Milli
+	// deadline is when the final answer is due.
+	deadline    clock.Milli
+	fingerprint uint64
+	// story is what the log line at the end tells.
+	story story
+	// begun is set once a byte of the answer went to the caller.
+	begun bool
+	// last is the id of the last event that the caller has whole.
+	last  string
+	avoid []decide.UpstreamID
+}
+
+// ServeHTTP serves one request.
+func (g *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	x := &flight{gate: g, w: w, r: r, arrived: g.Clock.Now()}
+	if g.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	err := x.serve()
+	if err != nil && !x.begun {
+		x.refuse(err)
+	}
+	x.tell(err)
+	if err != nil && x.begun {
+		// Only a broken connection tells the caller that its answer is not whole.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// serve admits and runs the request. An error has not been answered yet.
+func (x *flight) serve() *fault.Error {
+	if err := x.admit(); err != nil {
+		return err
+	}
+	if err := x.read(); err != nil {
+		return err
+	}
+	x.fingerprint = x.hash()
+	ctx, cancel := context.WithDeadlineCause(x.r.Context(), x.clockDeadline(), errDeadline)
+	defer cancel()
+	return x.run(ctx)
+}
+
+// admit finds the route and proves the workspace.
+func (x *flight) admit() *fault.Error {
+	g := x.gate
+	v := g.Knowledge.View()
+	if v.Table == nil || v.UpstreamsAt == 0 {
+		return fault.New(fault.Unavailable, "no document is known yet").WithRetry(startRetry)
+	}
+	x.story.revision, x.story.age = uint64(v.Table.Revision()), x.arrived-v.TableAt
+	head, err := g.Codec.Head(x.r.Header)
+	x.head = head
+	if err != nil {
+		return fault.New(fault.Malformed, "%v", err)
+	}
+	stale := x.story.age > g.bounds.Config
+	path, _, _ := strings.Cut(x.r.RequestURI, "?")
+	x.route = v.Table.Find(x.r.Host, path)
+	if x.route == nil {
+		return x.absent(stale, fault.New(fault.Unknown, "no route for %s%s", x.r.Host, path))
+	}
+	x.service = x.route.Pick(xxhash.Sum64String(head.ID))
+	x.deadline = x.arrived + x.route.Timeout
+	if head.Left > 0 {
+		x.deadline = min(x.deadline, x.arrived+head.Left)
+	}
+	x.keyed = v.Table.Keyed()
+	if !x.keyed {
+		return nil
+	}
+	x.holder = v.Table.Holder(head.Key)
+	if x.route.Public {
+		return nil
+	}
+	if x.holder == nil {
+		return x.absent(stale, fault.New(fault.Unauthorized, "no workspace holds this key"))
+	}
+	return x.fresh(v)
+}
+
+// absent answers what the document does not hold. A document that may be out of date proves nothing:
+// the operator may have added the route or key since.
+func (x *flight) absent(stale bool, err *fault.Error) *fault.Error {
+	if stale {
+		return fault.New(fault.Unavailable, "the document is too old to tell: %s", err.Text).WithRetry(startRetry)
+	}
+	return err
+}
+
+// fresh refuses a key that may have been withdrawn without our knowledge.
+//
+// What goes wrong: the way to the store is silent, the operator takes a key away, and
+// this VM goes on serving it. One would notice work charged to a workspace after it
+// was shut out. So what is known must be young enough each time that a key is used.
+func (x *flight) fresh(v *registry.View) *fault.Error {
+	if !x.keyed || x.route.Public {
+		return nil
+	}
+	age := x.gate.Clock.Now() - v.TableAt
+	if float64(age) > keyShare*float64(x.gate.bounds.Revoke) {
+		return fault.New(fault.Unavailable, "the keys known here are %d ms old", age).WithRetry(startRetry)
+	}
+	if x.holder != nil && v.Table.Holder(x.head.Key) != x.holder {
+		if x.holder = v.Table.Holder(x.head.Key); x.holder == nil {
+			return fault.New(fault.Unauthorized, "the key was withdrawn")
+		}
+	}
+	return nil
+}
+
+// read takes the whole body, so that it can be sent again and the caller's
+// leaving is noticed.
+func (x *flight) read() *fault.Error {
+	limit := int64(bodyLimit)
+	if t := x.gate.Knowledge.View().Table; t != nil && t.Document().Limits.Body > 0 {
+		limit = int64(t.Document().Limits.Body)
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return fault.New(fault.Large, "the body is over %d bytes", limit)
+	case err != nil:
+		return fault.New(fault.Canceled, "the body did not come whole: %v", err)
+	}
+	x.body = body
+	return nil
+}
+
+// hash is equal for requests with the same content.
+func (x *flight) hash() uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	for _, s := range []string{x.r.Method, x.r.Host, x.r.RequestURI, string(x.workspace())} {
+		_, _ = d.WriteString(s)
+		_, _ = d.Write([]byte{0})
+	}
+	_, _ = d.Write(x.body)
+	return d.Sum64()
+}
+
+// workspace is the team that is charged; empty on routes that need no key.
+func (x *flight) workspace() decide.WorkspaceID {
+	if x.holder == nil {
+		return ""
+	}
+	return x.holder.ID
+}
--- /dev/null
+++ b/daemon/relay/metrics.go
@@ -0,0 +1,28 @@
+package relay
+
+import (
+	"fmt"
+	"io"
+
+	vm "github.com/VictoriaMetrics/metrics"
+
+	"snipeshift.example/lib/clock"
+)
+
+// metrics are the counters and histograms of a gate.
+type metrics struct{ set *vm.Set }
+
+func newMetrics() *metrics { return &metrics{set: vm.NewSet()} }
+
+// request counts one request.
+func (m *metrics) request(route, outcome string, first, queued, total clock.Milli) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`snipeshift_requests_total{outcome=%q}`, outcome)).Inc()
+	if first > 0 {
+		m.set.GetOrCreateHistogram(fmt.Sprintf(`snipeshift_first_byte_seconds{route=%q}`, route)).Update(first.Duration().Seconds())
+	}
+	m.set.GetOrCreateHistogram(`snipeshift_queue_seconds`).Update(queued.Duration().Seconds())
+	m.set.GetOrCreateHistogram(`snipeshift_request_seconds`).Update(total.Duration().Seconds())
+}
+
+// WriteMetrics writes all metrics in the text format of Prometheus.
+func (g *Gate) WriteMetrics(w io.Writer) { g.metrics.set.WritePrometheus(w) }
--- /dev/null
+++ b/daemon/relay/run.go
@@ -0,0 +1,154 @@
+package relay
+
+import (
+	"context"
+	"strconv"
+
+	"snipeshift.example/lib/clock"
+	"snipeshift.example/lib/decide"
+	"snipeshift.example/lib/decide/gate"
+	"snipeshift.example/lib/decide/span"
+	"snipeshift.example/lib/fault"
+	"snipeshift.example/lib/route"
+)
+
+// idleSends is how many upstreams may turn a request away without running it
+// before it is refused: each one costs the caller a way there and back.
+const idleSends = 4
+
+// verdict is what becomes of a request after one send.
+type verdict uint8
+
+const (
+	// answered: the caller has its final answer, whole.
+	answered verdict = iota
+	// idle: it certainly did not run and will not.
+	idle
+	// ran: it may have run, and the caller has not got an answer.
+	ran
+)
+
+// result is the end of one send.
+type result struct {
+	verdict verdict
+	outcome span.Outcome
+	// culprit is the upstream at fault if it is not the leader.
+	culprit decide.UpstreamID
+	// failure is the upstream's own answer that tells of its failure, kept for
+	// the case that nothing better comes.
+	failure *answer
+	// err says what was seen.
+	err error
+	// suspicious is set if the upstream may have died of the request.
+	suspicious bool
+}
+
+// run sends the request until it is answered or may not be sent again.
+func (x *flight) run(ctx context.Context) *fault.Error {
+	var failure *answer
+	sent, turned := 0, 0
+	for {
+		grant, err := x.place(ctx, sent+turned > 0, sent > 0)
+		if err != nil {
+			if failure != nil {
+				x.deliver(failure)
+				return nil
+			}
+			if sent > 0 && !x.begun && err.Kind != fault.Canceled {
+				return x.spent(ctx, err)
+			}
+			return err
+		}
+		res := x.send(ctx, grant)
+		x.gate.Placer.End(grant.Request, res.outcome, res.culprit)
+		x.story.send(grant, res)
+		if res.failure != nil {
+			failure = res.failure
+		}
+		x.avoid = append(x.avoid, grant.Leader.Upstream)
+		if res.culprit != "" {
+			x.avoid = append(x.avoid, res.culprit)
+		}
+		switch res.verdict {
+		case answered:
+			return nil
+		case idle:
+			turned++
+		case ran:
+			sent++
+		}
+		if ctx.Err() != nil {
+			return x.ended(ctx, sent > 0)
+		}
+		if !x.again(sent, turned) {
+			if failure != nil {
+				x.deliver(failure)
+				return nil
+			}
+			return x.exhausted(sent, res)
+		}
+	}
+}
+
+// again tells whether the request may be sent once more.
+func (x *flight) again(sent, turned int) bool {
+	if sent > 0 && x.route.Repeat == route.Once {
+		return false
+	}
+	if x.begun && x.route.Repeat != route.Resumable {
+		return false
+	}
+	return sent < x.route.Attempts && turned < idleSends
+}
+
+// exhausted is the answer after the last send.
+func (x *flight) exhausted(sent int, res result) *fault.Error {
+	if sent == 0 {
+		return fault.New(fault.Overloaded, "every upstream that was asked turned it away: %v", res.err).WithRetry(busyRetry)
+	}
+	return fault.New(fault.Upstream, "upstream failed: %v", res.err)
+}
+
+// spent is the answer to a request that may have run and finds no further place.
+func (x *flight) spent(ctx context.Context, err *fault.Error) *fault.Error {
+	if ctx.Err() != nil {
+		return x.ended(ctx, true)
+	}
+	return fault.New(fault.Upstream, "upstream failed, and there is no other: %s", err.Text)
+}
+
+// place asks for the next place.
+func (x *flight) place(ctx context.Context, again, after bool) (span.Grant, *fault.Error) {
+	g := x.gate
+	check := g.Suspects.Check(x.fingerprint)
+	if check == gate.Quarantined {
+		return span.Grant{}, fault.New(fault.Quarantined, "upstreams died running this request; it is not run again")
+	}
+	now := g.Clock.Now()
+	a := span.Ask{
+		ID:   decide.RequestID(string(g.id) + "#" + strconv.FormatUint(g.serial.Add(1), 36)),
+		Gate: g.id, Workspace: x.workspace(), Urgency: route.Urgency(x.route, x.holder),
+		Prompt: x.head.Prompt, Output: x.head.Output, Aim: x.aim(now), Deadline: x.deadline, Gap: x.route.Gap,
+		Stream: x.route.Stream, Avoid: x.avoid, Suspect: check == gate.Suspected, Again: again,
+	}
+	reply, err := g.Placer.Ask(ctx, x.service, a)
+	x.story.queued += g.Clock.Now() - now
+	if err != nil {
+		g.Placer.Withdraw(x.service, a.ID)
+		return span.Grant{}, x.ended(ctx, after)
+	}
+	x.story.reason, x.story.waiting, x.story.running = reply.Reason, reply.Queued, reply.Granted
+	if reply.Fault != "" {
+		return span.Grant{}, fault.New(reply.Fault, "no place: %s", reply.Reason).WithRetry(max(reply.Retry, busyRetry))
+	}
+	return reply.Grant, nil
+}
+
+// aim is when the first byte should come. For a stream that is continued it is now: its
+// caller is looking at a pause already.
+func (x *flight) aim(now clock.Milli) clock.Milli {
+	if x.begun {
+		return now + x.route.Gap
+	}
+	return x.arrived + x.route.Aim
+}
--- /dev/null
+++ b/daemon/relay/send.go
@@ -0,0 +1,337 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"snipeshift.example/daemon/registry"
+	"snipeshift.example/lib/clock"
+	"snipeshift.example/lib/decide"
+	"snipeshift.example/lib/decide/span"
+	"snipeshift.example/lib/exchange"
+	"snipeshift.example/lib/route"
+)
+
+// What is seen of sends that go wrong.
+var (
+	errForeign  = errs.New("the answer belongs to another request")
+	errForged   = errs.New("the answer bears no upstream's mark")
+	errTurned   = errs.New("the upstream turned it away")
+	errStranger = errs.New("the address belongs to another upstream")
+	errReserve  = errs.New("no memory could be reserved")
+	errTorn     = errs.New("the answer stopped in the middle")
+	errStale    = errs.New("the upstream is leaving")
+)
+
+// wholeLimit is the largest answer that is held back until it is whole, so that a
+// broken one can be replaced. Larger ones are passed on as they come.
+const wholeLimit = 1 << 20
+
+// answer is a whole answer of an upstream.
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// send sends the request to where the grant says, once.
+func (x *flight) send(ctx context.Context, grant span.Grant) result {
+	g := x.gate
+	v := g.Knowledge.View()
+	if err := x.fresh(v); err != nil {
+		return result{verdict: idle, outcome: span.Left, err: err}
+	}
+	u := v.Upstream(x.service, func(u *route.Upstream) bool { return u.ID == grant.Leader.Upstream })
+	if u == nil || u.Leaving {
+		// The owner's knowledge is older than ours. What left must not get new work.
+		return result{verdict: idle, outcome: span.Left, err: errStale}
+	}
+	if !g.Suspects.Begin(x.fingerprint) {
+		return result{verdict: idle, outcome: span.Left, err: errs.New("a copy of this suspect runs")}
+	}
+	var res result
+	defer func() { g.Suspects.End(x.fingerprint, res.verdict == answered) }()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	helpers, free, ok := x.reserve(ctx, grant)
+	defer free()
+	if !ok {
+		res = result{verdict: idle, outcome: span.Full, err: errReserve}
+		return res
+	}
+	res = x.exchange(ctx, cancel, grant, helpers, v)
+	if res.suspicious && g.died(grant.Leader.Address) {
+		g.Suspects.Died(x.fingerprint, grant.Leader.Upstream)
+		res.outcome = span.Unreachable
+	}
+	return res
+}
+
+// exchange is one request and its answer on one connection.
+func (x *flight) exchange(ctx context.Context, cancel context.CancelCauseFunc, grant span.Grant, helpers []exchange.Helper, v *registry.View) result {
+	w := newWatchdog(x.patience(grant), func() { cancel(errSilent) })
+	defer w.stop()
+	var wrote atomic.Bool
+	trace := &httptrace.ClientTrace{WroteHeaders: func() { wrote.Store(true) }, GotConn: func(httptrace.GotConnInfo) { wrote.Store(true) }}
+	r := x.outgoing(httptrace.WithClientTrace(ctx, trace), grant, helpers)
+	resp, err := x.transport().RoundTrip(r)
+	if err != nil {
+		return x.broken(ctx, err, wrote.Load())
+	}
+	defer resp.Body.Close()
+	word := x.gate.Codec.Word(resp, x.head.ID)
+	if culprit := v.Upstream(x.service, func(u *route.Upstream) bool { return u.Address == word.Culprit }); culprit != nil {
+		res := x.judge(ctx, resp, word, grant, w)
+		res.culprit = culprit.ID
+		return res
+	}
+	return x.judge(ctx, resp, word, grant, w)
+}
+
+// judge decides what an answer is worth by its header, and passes it on.
+func (x *flight) judge(ctx context.Context, resp *http.Response, word exchange.Word, grant span.Grant, w *watchdog) result {
+	switch {
+	case word.Stranger:
+		return result{verdict: idle, outcome: span.Unreachable, err: errStranger}
+	case word.Idle:
+		drain(resp.Body)
+		return result{verdict: idle, outcome: span.Full, err: errTurned}
+	case !word.Mine:
+		return result{verdict: ran, outcome: span.Broken, err: errForeign}
+	case !word.Genuine:
+		return result{verdict: ran, outcome: span.Broken, err: errForged}
+	}
+	if resp.StatusCode == http.StatusOK && x.route.Stream {
+		return x.stream(ctx, resp, grant, w)
+	}
+	return x.whole(ctx, resp, grant, w)
+}
+
+// whole takes an answer to its end before any of it is passed on.
+func (x *flight) whole(ctx context.Context, resp *http.Response, grant span.Grant, w *watchdog) result {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, wholeLimit+1))
+	if err != nil {
+		return x.broken(ctx, err, true)
+	}
+	a := &answer{status: resp.StatusCode, header: resp.Header, body: body}
+	if resp.StatusCode >= http.StatusInternalServerError {
+		res := result{verdict: ran, outcome: span.Failed, err: errs.New("the upstream answered %d", resp.StatusCode)}
+		if !x.begun {
+			res.failure = a
+		}
+		return res
+	}
+	x.gate.Placer.First(grant.Request)
+	if x.begun {
+		return result{verdict: ran, outcome: span.Broken, err: errs.New("a stream was continued with status %d", resp.StatusCode)}
+	}
+	if len(body) <= wholeLimit {
+		x.deliver(a)
+		return result{verdict: answered, outcome: span.Done}
+	}
+	return x.rest(ctx, a, resp.Body, w)
+}
+
+// rest passes on an answer that is too large to be held back.
+func (x *flight) rest(ctx context.Context, a *answer, rest io.Reader, w *watchdog) result {
+	x.start(a.status, a.header)
+	_, _ = x.w.Write(a.body)
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := rest.Read(buffer)
+		w.touch(x.silence())
+		if _, werr := x.w.Write(buffer[:n]); werr != nil {
+			return result{verdict: ran, outcome: span.Left, err: werr}
+		}
+		if errors.Is(err, io.EOF) {
+			return result{verdict: answered, outcome: span.Done}
+		}
+		if err != nil {
+			return x.broken(ctx, err, true)
+		}
+	}
+}
+
+// deliver gives the caller a whole answer.
+func (x *flight) deliver(a *answer) {
+	x.start(a.status, a.header)
+	_, _ = x.w.Write(a.body) // a caller that went away has nobody to tell
+}
+
+// start writes the header of an upstream's answer.
+func (x *flight) start(status int, from http.Header) {
+	x.begun = true
+	x.story.begin(x.gate.Clock.Now()-x.arrived, status)
+	x.gate.Codec.Answer(x.w.Header(), from)
+	x.w.WriteHeader(status)
+}
+
+// broken judges an exchange that ended without an answer.
+func (x *flight) broken(ctx context.Context, err error, wrote bool) result {
+	var dial *net.OpError
+	switch {
+	case errors.Is(context.Cause(ctx), errSilent):
+		return result{verdict: ran, outcome: span.Silent, err: errSilent, suspicious: true}
+	case ctx.Err() != nil:
+		return result{verdict: ran, outcome: span.Left, err: context.Cause(ctx)}
+	case !wrote && errors.As(err, &dial) && dial.Op == "dial":
+		return result{verdict: idle, outcome: span.Unreachable, err: err}
+	case !wrote:
+		return result{verdict: idle, outcome: span.Silent, err: err}
+	default:
+		return result{verdict: ran, outcome: span.Broken, err: err, suspicious: true}
+	}
+}
+
+// outgoing is the request for an upstream. Its body cannot be rewound, so that
+// http.Transport never sends it a second time by itself when a kept connection
+// turns out closed: only the flight decides on a second send.
+func (x *flight) outgoing(ctx context.Context, grant span.Grant, helpers []exchange.Helper) *http.Request {
+	u := &url.URL{Scheme: "http", Host: grant.Leader.Address, Opaque: x.r.RequestURI}
+	if strings.HasPrefix(x.r.RequestURI, "//") {
+		path, query, has := strings.Cut(x.r.RequestURI, "?")
+		plain, err := url.PathUnescape(path)
+		if err != nil {
+			plain = path
+		}
+		u = &url.URL{Scheme: "http", Host: grant.Leader.Address, Path: plain, RawPath: path, RawQuery: query, ForceQuery: has}
+	}
+	send := exchange.Send{
+		Upstream: grant.Leader.Upstream, Workspace: x.workspace(), Left: x.left(), Keyed: x.keyed, Helpers: helpers, Last: x.last,
+	}
+	r := &http.Request{
+		Method: x.r.Method, URL: u, Host: x.r.Host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		Header:        x.gate.Codec.Forward(x.r.Header, send),
+		Body:          io.NopCloser(bytes.NewReader(x.body)),
+		ContentLength: int64(len(x.body)),
+	}
+	if len(x.body) == 0 {
+		r.Body = io.NopCloser(strings.NewReader(""))
+	}
+	return r.WithContext(ctx)
+}
+
+// transport chooses the connection. A request that must not run twice gets a
+// fresh one: a kept one that turns out closed leaves open whether it ran.
+func (x *flight) transport() http.RoundTripper {
+	if x.route.Repeat == route.Once {
+		return x.gate.Fresh
+	}
+	return x.gate.Kept
+}
+
+// Patience with silent upstreams.
+const (
+	// firstFactor times the expected time, and firstSlack more, is how long the
+	// first byte of a stream may take: engines themselves need 1.5 s to
+	// notice that a helper is gone, and say so.
+	firstFactor             = 2
+	firstSlack  clock.Milli = 1800
+	// silenceFactor times the longest pause that a stream bears, and
+	// silenceLeast at least, is taken for a dead connection. Callers leave after
+	// two seconds or eight such pauses.
+	silenceFactor              = 4
+	silenceLeast   clock.Milli = 1000
+	aimFactor                  = 2
+	patienceLeast  clock.Milli = 150
+	deathWait                  = 150 * time.Millisecond
+	reserveTimeout             = 250 * time.Millisecond
+)
+
+// patience is how long the first byte of an answer may take before the request is
+// sent elsewhere. One that must not run twice has nowhere to go, so it waits.
+func (x *flight) patience(grant span.Grant) clock.Milli {
+	switch {
+	case x.route.Repeat == route.Once:
+		return x.left() + clock.Second
+	case x.route.Stream:
+		return firstFactor*grant.First + firstSlack
+	default:
+		return max(aimFactor*x.route.Aim, patienceLeast)
+	}
+}
+
+// silence is how long an answer that has begun may pause.
+func (x *flight) silence() clock.Milli { return max(silenceFactor*x.route.Gap, silenceLeast) }
+
+// watchdog calls a function after a silence.
+type watchdog struct{ timer *time.Timer }
+
+func newWatchdog(first clock.Milli, f func()) *watchdog {
+	return &watchdog{timer: time.AfterFunc(first.Duration(), f)}
+}
+
+// touch starts the next silence.
+func (w *watchdog) touch(next clock.Milli) { w.timer.Reset(next.Duration()) }
+
+func (w *watchdog) stop() { w.timer.Stop() }
+
+// drain reads the short rest of an answer, so that its connection can be kept.
+func drain(r io.Reader) { _, _ = io.Copy(io.Discard, io.LimitReader(r, 4<<10)) }
+
+// died finds out whether an upstream whose connection broke is gone: a new
+// connection is refused, while one that merely cut an answer takes it.
+func (g *Gate) died(address string) bool {
+	c, err := net.DialTimeout("tcp", address, deathWait)
+	if err != nil {
+		return true
+	}
+	_ = c.Close()
+	return false
+}
+
+// reserve sets memory aside on helpers that must hold a part of the prompt.
+func (x *flight) reserve(ctx context.Context, grant span.Grant) (helpers []exchange.Helper, free func(), ok bool) {
+	held := make([]exchange.Helper, 0, 2)
+	free = func() { x.gate.release(held) }
+	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
+	defer cancel()
+	for i, p := range grant.Helpers {
+		h := exchange.Helper{Address: p.Address}
+		if p.Reserve > 0 {
+			h.Ticket = ticket(grant.Request, i)
+			held = append(held, h)
+			got, err := x.gate.Memory.Reserve(ctx, p.Address, h.Ticket, p.Reserve, max(x.left(), reserveHold))
+			if err != nil || !got {
+				x.gate.Log.Warn().Str("event", "reserve").Str("id", x.head.ID).Str("upstream", string(p.Upstream)).
+					Int64("tokens", int64(p.Reserve)).Err(err).Msg("no memory reserved")
+				return nil, free, false
+			}
+		}
+		helpers = append(helpers, h)
+	}
+	return helpers, free, true
+}
+
+// reserveHold is the least time for which memory is reserved.
+const reserveHold = 2 * clock.Second
+
+// release frees memory, without making the caller wait for it.
+func (g *Gate) release(held []exchange.Helper) {
+	for _, h := range held {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), reserveTimeout)
+			defer cancel()
+			if err := g.Memory.Release(ctx, h.Address, h.Ticket); err != nil {
+				g.Log.Warn().Str("event", "release").Str("address", h.Address).Str("ticket", h.Ticket).Err(err).
+					Msg("memory could not be freed; it lapses by itself")
+			}
+		}()
+	}
+}
+
+// ticket names memory for one grant.
+func ticket(id decide.RequestID, i int) string {
+	return strings.NewReplacer("/", "-", "#", "-", ",", "-").Replace(string(id)) + "-" + string(rune('a'+i))
+}
--- /dev/null
+++ b/daemon/settings/relay.go
@@ -0,0 +1,111 @@
+package settings
+
+import (
+	"fmt"
+	"os"
+
+	"snipeshift.example/lib/clock"
+	"snipeshift.example/lib/peer"
+	"snipeshift.example/lib/strict"
+)
+
+// Relay are the settings of one VM that relays opaque requests on a platform
+// which gives the document and the upstreams.
+type Relay struct {
+	Name   peer.VM     `json:"name"`
+	Domain peer.Domain `json:"domain"`
+	// Caller is where the balancer sends callers, Ready where it asks whether it may.
+	Caller  string   `json:"caller"`
+	Ready   string   `json:"ready"`
+	Peer    string   `json:"peer"`
+	Metrics string   `json:"metrics"`
+	Store   string   `json:"store"`
+	Peers   []string `json:"peers"`
+	// Memory is in megabytes.
+	Memory int    `json:"memory"`
+	Level  string `json:"level"`
+	Bounds Bounds `json:"bounds"`
+	Budget Budget `json:"budget"`
+}
+
+// Bounds are what the platform's operators promise their users.
+type Bounds struct {
+	// Config is the time within which a document is in force.
+	Config clock.Milli `json:"config"`
+	// Revoke is the time within which a withdrawn key is refused.
+	Revoke clock.Milli `json:"revoke"`
+	// Grace is the time between the word to stop and the end of the process.
+	Grace clock.Milli `json:"grace"`
+}
+
+// Budget bounds the sends beyond the first of each request, over all VMs.
+type Budget struct {
+	// Share is the part of the requests that may be sent again, Floor how many
+	// more, within Window.
+	Share  float64     `json:"share"`
+	Floor  float64     `json:"floor"`
+	Window clock.Milli `json:"window"`
+}
+
+var relayFields = strict.Table{
+	"name":          {Need: true, Text: "name of this VM"},
+	"domain":        {Need: true, Min: 1, Max: maxName, Text: "failure domain of this VM"},
+	"caller":        {Need: true, Text: "where callers connect, IP number and port"},
+	"ready":         {Need: true, Text: "where the balancer asks whether this VM takes callers, IP number and port"},
+	"peer":          {Need: true, Text: "where other daemons connect, IP number and port; the network between VMs is trusted"},
+	"metrics":       {Text: "where metrics are served, IP number and port; empty for nowhere"},
+	"store":         {Need: true, Text: "the platform's store, IP number and port"},
+	"peers":         {Text: "peers to try first"},
+	"memory":        {Unit: "megabytes", Min: 64, Max: 1 << 20, Default: 256, Text: "memory that the process may use"},
+	"level":         {Only: []string{"trace", "debug", "info", "warn", "error"}, Default: "info", Text: "lowest level of log lines"},
+	"bounds":        {Text: "what the operators promise"},
+	"bounds.config": {Unit: "milliseconds", Min: 1, Max: float64(maxGrace), Default: 2000, Text: "time within which a document is in force"},
+	"bounds.revoke": {Unit: "milliseconds", Min: 1, Max: float64(maxGrace), Default: 5000, Text: "time within which a withdrawn key is refused"},
+	"bounds.grace":  {Unit: "milliseconds", Min: 0, Max: float64(maxGrace), Default: 8000, Text: "time between the word to stop and the end of the process"},
+	"budget":        {Text: "bounds of what is sent again, over all VMs"},
+	"budget.share":  {Min: 0, Max: 1, Default: 0.2, Text: "part of the requests that may be sent again"},
+	"budget.floor":  {Min: 0, Max: 1 << 20, Default: 100, Text: "how many more may be sent again"},
+	"budget.window": {Unit: "milliseconds", Min: 1, Max: float64(maxGrace), Default: 10000, Text: "time over which both count"},
+}
+
+// ReadRelay reads a file and checks it.
+func ReadRelay(path string) (*Relay, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, Class.Wrap(err)
+	}
+	return ParseRelay(b, path)
+}
+
+// ParseRelay reads text and checks it. The error is strict.Problems.
+func ParseRelay(text []byte, name string) (*Relay, error) {
+	s := &Relay{}
+	src := strict.Read(text, name, s, relayFields)
+	if !src.Faulty("") {
+		s.check(src)
+	}
+	if err := src.Problems().Err(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Relay) check(src *strict.Source) {
+	if !vmName.MatchString(string(s.Name)) && !src.Faulty("name") {
+		src.Add("name", "use 1 to 63 lower-case letters, digits and dashes, such as vm-1")
+	}
+	for _, a := range []struct{ field, address string }{
+		{"caller", s.Caller}, {"ready", s.Ready}, {"peer", s.Peer}, {"store", s.Store},
+	} {
+		address(src, a.field, a.address)
+	}
+	if s.Metrics != "" {
+		address(src, "metrics", s.Metrics)
+	}
+	if wild(s.Peer) && !src.Faulty("peer") {
+		src.Add("peer", "is told to others: use the IP number and port by which they reach this VM")
+	}
+	for i, a := range s.Peers {
+		address(src, fmt.Sprintf("peers[%d]", i), a)
+	}
+}
--- a/lib/clock/clock.go
+++ b/lib/clock/clock.go
@@ -4,7 +4,11 @@
 // a test or a bench can play a day in a second and get the same result twice.
 package clock
 
-import "time"
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+)
 
 // Milli is an instant or a span in milliseconds. An instant counts from the
 // Unix epoch; instants of two VMs must not be compared, so messages carry
@@ -37,3 +41,17 @@
 func (c *Clock) Now() Milli {
 	return Milli(c.start.UnixMilli()) + Of(time.Since(c.start))
 }
+
+// Boot is a clock that goes on while the VM is suspended. What others count by
+// wall time - how old a list is, when a key was withdrawn, when a caller
+// gives up - must not stand still with a VM that was frozen for seconds.
+type Boot struct{}
+
+// Now returns the present instant. It never goes back.
+func (Boot) Now() Milli {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		panic(err) // the clock exists since Linux 2.6.39; only a wrong id fails
+	}
+	return Milli(t.Nano() / int64(time.Millisecond))
+}
--- /dev/null
+++ b/lib/decide/span/engine.go
@@ -0,0 +1,148 @@
+package span
+
+import (
+	"snipeshift.example/lib/clock"
+	"snipeshift.example/lib/decide"
+	"snipeshift.example/lib/route"
+)
+
+// row is one upstream with all that was granted on it.
+type row struct {
+	route.Upstream
+	// engine is nil for a plain service.
+	engine *route.Engine
+	// until is when the reading granted so far should be over, in milliseconds
+	// of the pool's clock.
+	until float64
+	// grants holds every grant that uses the upstream, as leader or helper.
+	grants map[decide.RequestID]*granted
+	health health
+}
+
+// granted is a grant in the pool's books.
+type granted struct {
+	Live
+	ask Ask
+	at  clock.Milli
+	// heard is when its gate last named it.
+	heard clock.Milli
+	rows  []*row
+}
+
+// leads tells whether the grant's answer is written on r.
+func (g *granted) leads(r *row) bool { return g.Grant.Leader.Upstream == r.ID }
+
+// debt is the reading that is granted and not done, in milliseconds.
+func (r *row) debt(now clock.Milli) float64 { return max(0, r.until-float64(now)) }
+
+// streams counts the requests that hold a slot: those whose answer is written
+// here, or will be.
+func (r *row) streams() (n int, context decide.Tokens) {
+	for _, g := range r.grants {
+		if g.leads(r) {
+			n++
+			context += g.Grant.Prompt + g.Grant.Output
+		}
+	}
+	return n, context
+}
+
+// reading counts the grants whose prompt is not read yet.
+func (r *row) reading() int {
+	n := 0
+	for _, g := range r.grants {
+		if !g.Writing {
+			n++
+		}
+	}
+	return n
+}
+
+// light tells whether any stream here bears only short pauses.
+func (r *row) light(bound clock.Milli) bool {
+	for _, g := range r.grants {
+		if g.leads(r) && g.Grant.Gap > 0 && g.Grant.Gap <= bound {
+			return true
+		}
+	}
+	return false
+}
+
+// pause is the shortest pause that the streams here bear; zero for none.
+func (r *row) pause() clock.Milli {
+	least := clock.Milli(0)
+	for _, g := range r.grants {
+		if g.leads(r) && g.Grant.Gap > 0 && (least == 0 || g.Grant.Gap < least) {
+			least = g.Grant.Gap
+		}
+	}
+	return least
+}
+
+// used is the KV memory in tokens that grants take here.
+func (r *row) used() decide.Tokens {
+	var sum decide.Tokens
+	for _, g := range r.grants {
+		if g.leads(r) {
+			sum += g.Grant.Prompt + g.Grant.Output - reserved(g.Grant.Helpers)
+			continue
+		}
+		for _, h := range g.Grant.Helpers {
+			if h.Upstream == r.ID {
+				sum += h.Reserve
+			}
+		}
+	}
+	return sum
+}
+
+func reserved(ps []Place) decide.Tokens {
+	var sum decide.Tokens
+	for _, p := range ps {
+		sum += p.Reserve
+	}
+	return sum
+}
+
+// free is the KV memory in tokens that no grant takes. A sixteenth is left:
+// engines count memory in blocks, and a full one puts its newest request out.
+func (r *row) free() decide.Tokens {
+	if r.engine == nil {
+		return 0
+	}
+	return r.engine.Memory - r.engine.Memory/16 - r.used()
+}
+
+// usable tells whether a new request may go there at all.
+func (r *row) usable(now clock.Milli, a *Ask) bool {
+	if r.Leaving || !r.health.open(now) {
+		return false
+	}
+	for _, id := range a.Avoid {
+		if id == r.ID {
+			return false
+		}
+	}
+	if !a.Suspect {
+		return true
+	}
+	for _, g := range r.grants {
+		if g.ask.Suspect {
+			return false
+		}
+	}
+	return true
+}
+
+// take books a grant that adds a read of this many milliseconds.
+func (r *row) take(now clock.Milli, g *granted, read float64) {
+	r.until = max(r.until, float64(now)) + read
+	r.grants[g.Grant.Request] = g
+}
+
+// settle corrects the estimate once nothing is left to be read.
+func (r *row) settle(now clock.Milli) {
+	if r.reading() == 0 {
+		r.until = min(r.until, float64(now))
+	}
+}
--- /dev/null
+++ b/lib/decide/span/health.go
@@ -0,0 +1,55 @@
+package span
+
+import "snipeshift.example/lib/clock"
+
+// Times for which an upstream is shut out.
+const (
+	// firstShut is how long an upstream that failed is left alone at first. A
+	// crashed one is back after some seconds; trying it costs one request a
+	// delay, so the first rest is short and each further one doubles.
+	firstShut clock.Milli = 500
+	// longestShut bounds the doubling: an upstream that is well again is
+	// missed for no longer than this.
+	longestShut = 4 * clock.Second
+	// strikesAllowed is how many suspicious ends in a row an upstream has before it
+	// is shut out. A single broken answer happens to sound upstreams as well.
+	strikesAllowed = 2
+)
+
+// health is what the outcomes of its sends say of an upstream.
+type health struct {
+	// strikes counts suspicious ends since the last good one.
+	strikes int
+	// until is when the next request may try it.
+	until clock.Milli
+	// rest is the length of the last shutting out.
+	rest clock.Milli
+}
+
+// open tells whether requests may be sent.
+func (h *health) open(now clock.Milli) bool { return now >= h.until }
+
+// note takes the end of one send.
+func (h *health) note(now clock.Milli, o Outcome) {
+	switch o {
+	case Done:
+		*h = health{}
+	case Unreachable:
+		h.shut(now)
+	case Silent, Broken:
+		h.strikes++
+		if h.strikes >= strikesAllowed {
+			h.shut(now)
+		}
+	case Failed, Full, Left:
+	}
+}
+
+// shut leaves the upstream alone, longer each time it fails again.
+func (h *health) shut(now clock.Milli) {
+	if !h.open(now) {
+		return
+	}
+	h.rest = min(max(firstShut, 2*h.rest), longestShut)
+	h.until = now + h.rest
+}
--- /dev/null
+++ b/lib/decide/span/place.go
@@ -0,0 +1,200 @@
+package span
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"snipeshift.example/lib/clock"
+	"snipeshift.example/lib/decide"
+	"snipeshift.example/lib/route"
+)
+
+// lightPause is the longest pause in milliseconds that makes a stream a short
+// one: passes beside it must stay far below those that long reads make.
+const lightPause clock.Milli = 300
+
+// settleTime is what passes between a grant and the start of the read: the way to
+// the gate and to the engine, and half a pass.
+const settleTime = 30.0
+
+// plan is a way to place one request.
+type plan struct {
+	leader  *row
+	helpers []*row
+	// part is the reading in milliseconds of each engine.
+	part float64
+	// first is the expected span to the first byte, in milliseconds.
+	first float64
+	// reason names the rule that chose.
+	reason string
+}
+
+// place finds upstreams for a request, or none for now.
+func (p *Pool) place(now clock.Milli, a *Ask) (plan, bool) {
+	e := p.engine
+	if e == nil || a.Prompt == 0 {
+		return p.placePlain(now, a)
+	}
+	cost := e.Reading(a.Prompt)
+	if cost <= p.rules.Light {
+		return p.placeLight(now, a, cost)
+	}
+	return p.placeHeavy(now, a, cost)
+}
+
+// placePlain takes the upstream with the fewest requests for its slots. Its
+// queue is not used: what waits in the pool can still go elsewhere.
+func (p *Pool) placePlain(now clock.Milli, a *Ask) (plan, bool) {
+	var best *row
+	least := math.Inf(1)
+	for _, r := range p.order {
+		if !r.usable(now, a) || len(r.grants) >= max(r.Slots, 1) {
+			continue
+		}
+		if load := float64(len(r.grants)) / float64(max(r.Slots, 1)); load < least {
+			best, least = r, load
+		}
+	}
+	return plan{leader: best, reason: "fewest"}, best != nil
+}
+
+// placeLight packs short work on the first engines of a fixed order, so that the
+// others stay empty for long reads. An engine takes a request if the pass that
+// reads it stays within the shortest pause borne there.
+func (p *Pool) placeLight(now clock.Milli, a *Ask, cost float64) (plan, bool) {
+	for _, most := range []int{p.rules.Packed, math.MaxInt} {
+		for _, r := range p.order {
+			if first, ok := p.fitsLight(now, a, r, cost, most); ok {
+				return plan{leader: r, part: cost, first: first, reason: "packed"}, true
+			}
+		}
+	}
+	return plan{}, false
+}
+
+// fitsLight tells whether a short request fits on r and when its first byte comes.
+func (p *Pool) fitsLight(now clock.Milli, a *Ask, r *row, cost float64, most int) (float64, bool) {
+	if !r.usable(now, a) {
+		return 0, false
+	}
+	n, context := r.streams()
+	if n >= min(most, r.engine.Slots) || r.free() < a.Prompt+a.Output {
+		return 0, false
+	}
+	pass := r.engine.Pass(n+1, context+a.Prompt)
+	read := r.debt(now) + cost
+	if !p.bears(r, a, read+pass) {
+		return 0, false
+	}
+	first := settleTime + read + 1.5*pass
+	// One that is late already takes any place: only its answer counts now.
+	if late := float64(a.Aim-now) < settleTime+cost+pass; !late && first > float64(a.Aim-now) {
+		return 0, false
+	}
+	return first, true
+}
+
+// bears tells whether a pass of this many milliseconds stays within what the
+// streams on r, and the request itself, bear as a pause.
+func (p *Pool) bears(r *row, a *Ask, pass float64) bool {
+	pause := r.pause()
+	if a.Gap > 0 && (pause == 0 || a.Gap < pause) {
+		pause = a.Gap
+	}
+	return pause == 0 || pass <= p.rules.Safety*float64(pause)
+}
+
+// placeHeavy spreads a long read over engines that are free of short streams and
+// of other reads, as many as there are up to one for each Part. With fewer than
+// the aim needs it waits, unless the aim is lost anyway.
+func (p *Pool) placeHeavy(now clock.Milli, a *Ask, cost float64) (plan, bool) {
+	free := p.freeForReads(now, a)
+	if len(free) == 0 {
+		return plan{}, false
+	}
+	want := min(int(math.Ceil(cost/p.rules.Part)), p.rules.Group, len(free))
+	left := float64(a.Aim-now) - settleTime
+	need := 1
+	if left > 0 {
+		need = int(math.Ceil(cost / left))
+	}
+	if hopeless := left <= 0 || need > p.rules.Group; !hopeless && want < need {
+		return plan{}, false
+	}
+	return p.gather(now, a, cost, free, want)
+}
+
+// freeForReads lists engines that may read a long prompt, best first: those that
+// write long streams already, and then from the end of the fixed order.
+func (p *Pool) freeForReads(now clock.Milli, a *Ask) []*row {
+	var free []*row
+	for i := len(p.order) - 1; i >= 0; i-- {
+		r := p.order[i]
+		if r.usable(now, a) && r.reading() == 0 && !r.light(lightPause) {
+			free = append(free, r)
+		}
+	}
+	return free
+}
+
+// gather chooses leader and helpers out of free engines. The leader is one that
+// writes long streams already, if it has the memory and its streams bear the
+// pass: so the others stay empty. Helpers are engines that write nothing.
+func (p *Pool) gather(now clock.Milli, a *Ask, cost float64, free []*row, want int) (plan, bool) {
+	part := cost / float64(want)
+	var leader *row
+	most := -1
+	var helpers []*row
+	for _, r := range free {
+		n, context := r.streams()
+		pass := r.engine.Pass(n+1, context+a.Prompt)
+		if n > 0 && !p.bears(r, a, part+pass) {
+			continue
+		}
+		helpers = append(helpers, r)
+		if n < r.engine.Slots && n > most && r.free() >= min(a.Prompt+a.Output, r.engine.Memory-r.engine.Memory/16) {
+			leader, most = r, n
+		}
+	}
+	if leader == nil {
+		return plan{}, false
+	}
+	helpers = slices.DeleteFunc(helpers, func(r *row) bool { return r == leader })
+	slices.SortStableFunc(helpers, func(x, y *row) int { return cmp.Compare(len(x.grants), len(y.grants)) })
+	helpers = helpers[:min(len(helpers), want-1)]
+	part = cost / float64(1+len(helpers))
+	left := float64(a.Aim-now) - settleTime
+	if left > 0 && part > left && cost/float64(p.rules.Group) <= left {
+		return plan{}, false
+	}
+	return plan{leader: leader, helpers: helpers, part: part, first: settleTime + part + 60, reason: "spread"}, true
+}
+
+// grant writes a plan into the books.
+func (p *Pool) grant(now clock.Milli, a *Ask, pl plan) Grant {
+	g := Grant{
+		Request: a.ID, Gate: a.Gate, Prompt: a.Prompt, Output: a.Output, Gap: a.Gap, Stream: a.Stream,
+		Leader: Place{Upstream: pl.leader.ID, Address: pl.leader.Address, Read: pl.part},
+		First:  clock.Milli(pl.first),
+	}
+	over := decide.Tokens(0)
+	if pl.leader.engine != nil && a.Prompt > 0 {
+		over = a.Prompt + a.Output - pl.leader.free()
+	}
+	for _, h := range pl.helpers {
+		keep := min(max(over, 0), h.free())
+		over -= keep
+		g.Helpers = append(g.Helpers, Place{Upstream: h.ID, Address: h.Address, Read: pl.part, Reserve: keep})
+	}
+	p.adopt(now, Live{Grant: g}, *a)
+	return g
+}
+
+// engineOf returns the engine data of the pool's service.
+func engineOf(s *route.Service) *route.Engine {
+	if s == nil {
+		return nil
+	}
+	return s.Engine
+}
--- /dev/null
+++ b/lib/exchange/exchange.go
@@ -0,0 +1,61 @@
+// Package exchange describes one request and its answer apart from the protocol
+// that carries them: what a gate must know to admit, place, send, judge and
+// refuse. A codec of each protocol fills and reads these types.
+package exchange
+
+import (
+	"snipeshift.example/lib/clock"
+	"snipeshift.example/lib/decide"
+	"snipeshift.example/lib/route"
+)
+
+// Head is what the header of a caller's request says.
+type Head struct {
+	// ID names this attempt of the caller's; each repeat has another. Empty if none came.
+	ID string
+	// Key proves the workspace; empty if none came.
+	Key route.Key
+	// Left is how long the caller will wait from the arrival on; zero if it did not say.
+	Left clock.Milli
+	// Prompt and Output are the tokens of the prompt and the most that are written.
+	Prompt, Output decide.Tokens
+	// Last is the id of the last event that the caller has of this stream; empty
+	// for a stream from the start.
+	Last string
+}
+
+// Send is what an upstream is told beside the caller's own header.
+type Send struct {
+	Upstream  decide.UpstreamID
+	Workspace decide.WorkspaceID
+	// Left is how long the caller still waits; the upstream stops then.
+	Left clock.Milli
+	// Keyed is set where callers prove themselves by a key, which is not passed on.
+	Keyed bool
+	// Helpers read parts of the prompt.
+	Helpers []Helper
+	// Last is the id of the last event that the caller has; empty for all of them.
+	Last string
+}
+
+// Helper is an engine that reads a part of a prompt.
+type Helper struct {
+	Address string
+	// Ticket names memory reserved there; empty for none.
+	Ticket string
+}
+
+// Word is what the header of an upstream's answer says of itself.
+type Word struct {
+	// Mine is set if the answer says that it belongs to the request that was sent.
+	// Without it the bytes may belong to an earlier request on the connection.
+	Mine bool
+	// Genuine is set if an upstream vouches for the answer.
+	Genuine bool
+	// Idle is set if the upstream says that it ran nothing of the request.
+	Idle bool
+	// Stranger is set if the address belongs to another upstream than the one meant.
+	Stranger bool
+	// Culprit is the address of the upstream at fault, where the answer names another one.
+	Culprit string
+}
--- a/lib/peer/messages.go
+++ b/lib/peer/messages.go
@@ -8,6 +8,7 @@
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
 	"snipeshift.example/lib/fault"
+	"snipeshift.example/lib/route"
 	"snipeshift.example/lib/timeline"
 )
 
@@ -159,6 +160,28 @@
 	View uint64
 	// Usage holds the sender's absolute counters that changed since the last beat that was answered.
 	Usage []WorkspaceUsage
+	// Registry is how far the sender's knowledge of routes and upstreams goes.
+	Registry RegistryWord
+}
+
+// RegistryWord is how far a daemon's knowledge of the store goes. Ages are spans
+// before the sending; zero revisions and digests mean that nothing is known.
+type RegistryWord struct {
+	Revision    route.Revision
+	RevisionAge clock.Milli
+	// Digest is equal for equal sets of upstreams.
+	Digest    uint64
+	DigestAge clock.Milli
+}
+
+// RegistryReply is what a daemon knows of the store, whole.
+type RegistryReply struct {
+	// Document is nil where the asker has it already.
+	Document    *route.Document
+	DocumentAge clock.Milli
+	// Upstreams is empty where the asker has the same ones.
+	Upstreams    []route.Upstream
+	UpstreamsAge clock.Milli
 }
 
 // Suspect is a request's fingerprint with the number of upstreams that died running it.
