--- a/daemon/relay/run.go
+++ b/daemon/relay/run.go
@@ -39,6 +39,8 @@
 	failure *answer
 	// err says what was seen.
 	err error
+	// final is set if the request must not be sent at all any more.
+	final *fault.Error
 	// suspicious is set if the upstream may have died of the request.
 	suspicious bool
 }
@@ -77,6 +79,9 @@
 		case ran:
 			sent++
 		}
+		if res.final != nil {
+			return res.final
+		}
 		if ctx.Err() != nil {
 			return x.ended(ctx, sent > 0)
 		}
--- a/daemon/relay/send.go
+++ b/daemon/relay/send.go
@@ -17,7 +17,6 @@
 
 	"snipeshift.example/daemon/registry"
 	"snipeshift.example/lib/clock"
-	"snipeshift.example/lib/decide"
 	"snipeshift.example/lib/decide/span"
 	"snipeshift.example/lib/exchange"
 	"snipeshift.example/lib/route"
@@ -50,7 +49,7 @@
 	g := x.gate
 	v := g.Knowledge.View()
 	if err := x.fresh(v); err != nil {
-		return result{verdict: idle, outcome: span.Left, err: err}
+		return result{verdict: idle, outcome: span.Left, err: err, final: err}
 	}
 	u := v.Upstream(x.service, func(u *route.Upstream) bool { return u.ID == grant.Leader.Upstream })
 	if u == nil || u.Leaving {
@@ -64,13 +63,13 @@
 	defer func() { g.Suspects.End(x.fingerprint, res.verdict == answered) }()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	helpers, free, ok := x.reserve(ctx, grant)
-	defer free()
+	memory, ok := x.reserve(ctx, grant)
 	if !ok {
 		res = result{verdict: idle, outcome: span.Full, err: errReserve}
 		return res
 	}
-	res = x.exchange(ctx, cancel, grant, helpers, v)
+	defer memory.free()
+	res = x.exchange(ctx, cancel, grant, memory.helpers(grant), v)
 	if res.suspicious && g.died(grant.Leader.Address) {
 		g.Suspects.Died(x.fingerprint, grant.Leader.Upstream)
 		res.outcome = span.Unreachable
@@ -241,12 +240,14 @@
 	// silenceFactor times the longest pause that a stream bears, and
 	// silenceLeast at least, is taken for a dead connection. Callers leave after
 	// two seconds or eight such pauses.
-	silenceFactor              = 4
-	silenceLeast   clock.Milli = 1000
-	aimFactor                  = 2
-	patienceLeast  clock.Milli = 150
-	deathWait                  = 150 * time.Millisecond
-	reserveTimeout             = 250 * time.Millisecond
+	silenceFactor             = 4
+	silenceLeast  clock.Milli = 1000
+	// aimFactor times its aim, and patienceLeast at least, is how long a plain
+	// service may take to answer what may be repeated.
+	aimFactor                 = 2
+	patienceLeast clock.Milli = 150
+	// deathWait bounds the look whether an upstream still takes connections.
+	deathWait = 150 * time.Millisecond
 )
 
 // patience is how long the first byte of an answer may take before the request is
@@ -290,48 +291,3 @@
 	_ = c.Close()
 	return false
 }
-
-// reserve sets memory aside on helpers that must hold a part of the prompt.
-func (x *flight) reserve(ctx context.Context, grant span.Grant) (helpers []exchange.Helper, free func(), ok bool) {
-	held := make([]exchange.Helper, 0, 2)
-	free = func() { x.gate.release(held) }
-	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
-	defer cancel()
-	for i, p := range grant.Helpers {
-		h := exchange.Helper{Address: p.Address}
-		if p.Reserve > 0 {
-			h.Ticket = ticket(grant.Request, i)
-			held = append(held, h)
-			got, err := x.gate.Memory.Reserve(ctx, p.Address, h.Ticket, p.Reserve, max(x.left(), reserveHold))
-			if err != nil || !got {
-				x.gate.Log.Warn().Str("event", "reserve").Str("id", x.head.ID).Str("upstream", string(p.Upstream)).
-					Int64("tokens", int64(p.Reserve)).Err(err).Msg("no memory reserved")
-				return nil, free, false
-			}
-		}
-		helpers = append(helpers, h)
-	}
-	return helpers, free, true
-}
-
-// reserveHold is the least time for which memory is reserved.
-const reserveHold = 2 * clock.Second
-
-// release frees memory, without making the caller wait for it.
-func (g *Gate) release(held []exchange.Helper) {
-	for _, h := range held {
-		go func() {
-			ctx, cancel := context.WithTimeout(context.Background(), reserveTimeout)
-			defer cancel()
-			if err := g.Memory.Release(ctx, h.Address, h.Ticket); err != nil {
-				g.Log.Warn().Str("event", "release").Str("address", h.Address).Str("ticket", h.Ticket).Err(err).
-					Msg("memory could not be freed; it lapses by itself")
-			}
-		}()
-	}
-}
-
-// ticket names memory for one grant.
-func ticket(id decide.RequestID, i int) string {
-	return strings.NewReplacer("/", "-", "#", "-", ",", "-").Replace(string(id)) + "-" + string(rune('a'+i))
-}
