--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Two commands are all a newcomer needs: make run, make test.
-MODULES := lib daemon operator emulator bench scenarios
+MODULES := lib platform daemon operator emulator bench scenarios
 PROGRAMS := daemon operator emulator bench
 BIN := $(CURDIR)/bin
 
--- /dev/null
+++ b/bench/passes.go
@@ -0,0 +1,69 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"sort"
+
+	"github.com/urfave/cli/v3"
+
+	"snipeshift.example/bench/passes"
+	"snipeshift.example/lib/decide/span"
+)
+
+// passesCommand measures the placing of prompts that span engines.
+func passesCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "passes",
+		Usage: "plays seeded loads of short and very long prompts on engines that work in passes",
+		Flags: []cli.Flag{
+			&cli.IntFlag{Name: "seeds", Value: 10, Usage: "play `N` seeds of each load"},
+			&cli.StringFlag{Name: "load", Usage: "only the load `NAME`"},
+		},
+		Action: func(_ context.Context, c *cli.Command) error {
+			printPasses(int(c.Int("seeds")), c.String("load"))
+			return nil
+		},
+	}
+}
+
+func printPasses(seeds int, only string) {
+	loads := passes.Loads()
+	names := make([]string, 0, len(loads))
+	for n := range loads {
+		names = append(names, n)
+	}
+	sort.Strings(names)
+	fmt.Printf("%-10s %6s %6s %5s %5s  %s\n", "load", "worth", "spread", "busy", "read", "kind: in time, late, lost of 100; first byte p50 p99 ms; pauses too long")
+	for _, n := range names {
+		if only != "" && only != n {
+			continue
+		}
+		var worth, square, busy, read float64
+		kinds := map[string]*passes.KindResult{}
+		for s := range seeds {
+			r := passes.Play(loads[n], span.DefaultRules, uint64(s+1))
+			worth += r.Worth
+			square += r.Worth * r.Worth
+			busy += r.Busy
+			read += r.Reading
+			for k, v := range r.Kinds {
+				if kinds[k] == nil {
+					kinds[k] = &passes.KindResult{}
+				}
+				kinds[k].Add(v)
+			}
+		}
+		m := float64(seeds)
+		mean := worth / m
+		fmt.Printf("%-10s %6.3f %6.3f %5.2f %5.2f ", n, mean, math.Sqrt(max(0, square/m-mean*mean)), busy/m, read/m)
+		for _, k := range []string{"note", "file", "history"} {
+			v := kinds[k]
+			all := max(float64(v.Asked), 1)
+			fmt.Printf(" %s: %.1f %.1f %.1f; %.0f %.0f; %.1f ", k, 100*float64(v.InTime)/all, 100*float64(v.Late)/all, 100*float64(v.Lost)/all,
+				v.FirstP50/m, v.FirstP99/m, 100*v.Paused/all)
+		}
+		fmt.Println()
+	}
+}
--- /dev/null
+++ b/bench/passes/load.go
@@ -0,0 +1,36 @@
+package passes
+
+import "snipeshift.example/lib/route"
+
+// Engine is the engine of today's deployments, by its published figures.
+var Engine = route.Engine{
+	Slots: 16, Memory: 450_000, Step: 0.925, Writer: 0.00483, Context: 0.00254, Read: 256, Pairs: 0.0917, Stride: 46, Hop: 0.1,
+}
+
+// kinds are the three lengths of prompts of today's users: notes, files and histories.
+func kinds(notes, files, histories float64) []Kind {
+	return []Kind{
+		{Name: "note", Rate: notes, Mean: 4960, Spread: 0.9, Most: 23_800, Events: 35, EventSpread: 0.7, Aim: 300, Gap: 200, Time: 10_000, Worth: 1.3},
+		{Name: "file", Rate: files, Mean: 45_000, Spread: 0.5, Most: 110_000, Events: 21, EventSpread: 0.6, Aim: 1500, Gap: 500, Time: 10_000, Worth: 3.1},
+		{Name: "history", Rate: histories, Mean: 210_000, Spread: 0.55, Most: 1_000_000, Events: 17, EventSpread: 0.5, Aim: 3000, Gap: 800, Time: 15_000, Worth: 22},
+	}
+}
+
+// shifting is a day in phases: long work and short work press in turn.
+var shifting = [][]float64{{0.32, 1.3, 2.8}, {2.5, 0.5, 0.05}, {0.34, 1.3, 2.7}}
+
+// Loads are the loads that decisions are measured on.
+func Loads() map[string]*Load {
+	load := func(engines int, scale float64, ks []Kind, phases [][]float64) *Load {
+		return &Load{Kinds: ks, Phases: phases, PhaseTime: 10_000, Scale: scale, Engines: engines, Engine: Engine, Length: 34_000}
+	}
+	small, large := kinds(39.5, 2.87, 1.19), kinds(50.5, 3.66, 1.52)
+	return map[string]*Load{
+		"shift18":  load(18, 0.83, small, shifting),
+		"shift23":  load(23, 0.83, large, shifting),
+		"press18":  load(18, 1.1, small, shifting),
+		"press23":  load(23, 1.1, large, shifting),
+		"steady18": load(18, 1, small, nil),
+		"steady23": load(23, 1, large, nil),
+	}
+}
--- /dev/null
+++ b/bench/passes/play.go
@@ -0,0 +1,347 @@
+package passes
+
+import (
+	"container/heap"
+	"math"
+	"math/rand/v2"
+	"sort"
+	"strconv"
+
+	"snipeshift.example/lib/clock"
+	"snipeshift.example/lib/decide"
+	"snipeshift.example/lib/decide/gate"
+	"snipeshift.example/lib/decide/span"
+	"snipeshift.example/lib/route"
+)
+
+// Kind is one kind of request of a load.
+type Kind struct {
+	Name string
+	// Rate is requests a second.
+	Rate float64
+	// Mean and Spread shape the log-normal length of prompts, cut at Most tokens.
+	Mean, Spread, Most float64
+	// Events and EventSpread shape the number of events of an answer.
+	Events, EventSpread float64
+	// Aim, Gap and Time are milliseconds.
+	Aim, Gap, Time clock.Milli
+	// Worth is what an answer in time is worth at the mean size; a late one is worth a quarter.
+	Worth float64
+}
+
+// Load is a series of phases over kinds.
+type Load struct {
+	Kinds []Kind
+	// Phases multiply the rates, in turn, each for PhaseTime milliseconds.
+	Phases    [][]float64
+	PhaseTime float64
+	// Scale multiplies all rates.
+	Scale   float64
+	Engines int
+	Engine  route.Engine
+	// Length is the time of arrivals in milliseconds.
+	Length float64
+}
+
+// perEvent is the tokens that an event holds.
+const perEvent = 46
+
+// delay is the way from a gate to an engine or back, in milliseconds.
+const delay = 1.5
+
+// KindResult is what the callers of one kind got.
+type KindResult struct {
+	Asked, InTime, Late, Lost  int
+	Worth, Most                float64
+	FirstP50, FirstP99, Paused float64
+}
+
+// Result is the outcome of one play.
+type Result struct {
+	Kinds map[string]*KindResult
+	// Worth is the share of the worth that was asked.
+	Worth float64
+	// Busy is the share of the engines' time in passes, Reading in reading.
+	Busy, Reading float64
+}
+
+// event is something that happens at an instant.
+type event struct {
+	at  float64
+	seq int
+	do  func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+
+// Push implements heap.Interface.
+func (e *events) Push(x any) { *e = append(*e, x.(event)) }
+
+// Pop implements heap.Interface.
+func (e *events) Pop() any {
+	old := *e
+	x := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return x
+}
+
+// play is one run of the model.
+type play struct {
+	load    *Load
+	rng     *rand.Rand
+	now     float64
+	seq     int
+	agenda  events
+	pool    *span.Pool
+	engines map[decide.UpstreamID]*engine
+	jobs    map[decide.RequestID]*job
+	results map[string]*KindResult
+	firsts  map[string][]float64
+}
+
+// start shifts the model's clock away from zero, which the pool takes for "never".
+const start = 1000
+
+// Play runs a load against a pool with rules, the same for the same seed.
+func Play(l *Load, r span.Rules, seed uint64) Result {
+	p := &play{
+		load: l, rng: rand.New(rand.NewPCG(seed, 1)), now: start,
+		pool:    span.New(r, gate.NewBudget(0.2, 100, 10*clock.Second)),
+		engines: map[decide.UpstreamID]*engine{}, jobs: map[decide.RequestID]*job{},
+		results: map[string]*KindResult{}, firsts: map[string][]float64{},
+	}
+	spec := l.Engine
+	var us []route.Upstream
+	for i := range l.Engines {
+		id := decide.UpstreamID("e" + strconv.Itoa(100+i))
+		us = append(us, route.Upstream{ID: id, Service: "s", Address: string(id), Slots: spec.Slots})
+		p.engines[id] = &engine{spec: &spec}
+	}
+	p.pool.Serve(&route.Service{ID: "s", Engine: &spec}, us)
+	for i := range l.Kinds {
+		p.results[l.Kinds[i].Name] = &KindResult{}
+		p.arrivals(&l.Kinds[i], i)
+	}
+	p.every(10, func() { p.tick() })
+	p.every(500, func() { p.present() })
+	for len(p.agenda) > 0 && p.now < start+l.Length+20_000 {
+		e := heap.Pop(&p.agenda).(event)
+		p.now = e.at
+		e.do()
+	}
+	return p.result()
+}
+
+func (p *play) at(at float64, do func()) {
+	p.seq++
+	heap.Push(&p.agenda, event{at, p.seq, do})
+}
+
+func (p *play) every(period float64, do func()) {
+	p.at(p.now+period, func() {
+		do()
+		if len(p.agenda) > 1 {
+			p.every(period, do)
+		}
+	})
+}
+
+// arrivals draws the requests of one kind.
+func (p *play) arrivals(k *Kind, index int) {
+	phase := func(t float64) float64 {
+		if len(p.load.Phases) == 0 {
+			return 1
+		}
+		return p.load.Phases[int(t/p.load.PhaseTime)%len(p.load.Phases)][index]
+	}
+	for t := 0.0; t < p.load.Length; {
+		rate := k.Rate * p.load.Scale * phase(t) / 1000
+		t += p.rng.ExpFloat64() / max(rate, 1e-9)
+		if t >= p.load.Length {
+			return
+		}
+		j := &job{
+			kind: k, arrived: start + t, prompt: decide.Tokens(min(p.lognormal(k.Mean, k.Spread), k.Most)) + 40,
+			events: max(1, int(min(p.lognormal(k.Events, k.EventSpread), 2.5*k.Events))),
+		}
+		j.id = decide.RequestID(k.Name + strconv.FormatInt(int64(len(p.jobs)), 10))
+		p.jobs[j.id] = j
+		p.at(j.arrived, func() { p.arrive(j) })
+	}
+}
+
+func (p *play) lognormal(mean, spread float64) float64 {
+	return math.Exp(math.Log(mean) - spread*spread/2 + spread*p.rng.NormFloat64())
+}
+
+func (p *play) arrive(j *job) {
+	now := clock.Milli(j.arrived)
+	p.pool.Ask(now, span.Ask{
+		ID: j.id, Gate: "g", Prompt: j.prompt, Output: decide.Tokens(j.events * perEvent),
+		Aim: now + j.kind.Aim, Deadline: now + j.kind.Time, Gap: j.kind.Gap, Stream: true,
+	})
+	p.tick()
+}
+
+// present renews everything, as gates do.
+func (p *play) present() {
+	now := clock.Milli(p.now)
+	for id, j := range p.jobs {
+		if j.last == 0 && j.arrived <= p.now {
+			p.pool.Ask(now, span.Ask{ID: id, Gate: "g", Deadline: now - 1, Prompt: j.prompt})
+		}
+	}
+}
+
+func (p *play) tick() {
+	for _, d := range p.pool.Tick(clock.Milli(p.now)) {
+		j := p.jobs[d.Request]
+		if d.Action == span.Refused {
+			j.last = p.now
+			p.results[j.kind.Name].Lost++
+			continue
+		}
+		p.at(p.now+delay, func() { p.begin(j, d.Grant) })
+	}
+}
+
+// begin hands the parts of a prompt to engines.
+func (p *play) begin(j *job, g span.Grant) {
+	places := append([]span.Place{g.Leader}, g.Helpers...)
+	j.members, j.parts = len(places), len(places)
+	j.leader = p.engines[g.Leader.Upstream]
+	tokens := float64(j.prompt) / float64(len(places))
+	cost := p.load.Engine.Reading(j.prompt) / float64(j.prompt)
+	for _, pl := range places {
+		e := p.engines[pl.Upstream]
+		pt := &part{job: j, tokens: tokens, cost: cost}
+		if pl.Upstream == g.Leader.Upstream {
+			e.parts = append(e.parts, pt)
+		} else {
+			e.parts = append([]*part{pt}, e.parts...)
+		}
+		p.wake(e)
+	}
+}
+
+// wake starts a pass on an idle engine that has work.
+func (p *play) wake(e *engine) {
+	if e.busy || len(e.parts)+len(e.writers) == 0 {
+		return
+	}
+	e.busy = true
+	writers := append([]*job(nil), e.writers...)
+	length, finished := e.pass()
+	p.at(p.now+length, func() {
+		e.busy = false
+		for _, j := range writers {
+			p.write(j)
+		}
+		for _, j := range finished {
+			p.first(j)
+		}
+		p.wake(e)
+	})
+}
+
+// first is the first event of an answer, at the end of the pass that read its prompt.
+func (p *play) first(j *job) {
+	j.leader.writers = append(j.leader.writers, j)
+	p.write(j)
+	p.at(p.now+delay, func() {
+		p.pool.First(clock.Milli(p.now), j.id)
+		p.tick()
+	})
+	p.wake(j.leader)
+}
+
+// write is one event of an answer.
+func (p *play) write(j *job) {
+	if j.first == 0 {
+		j.first = p.now + delay
+	} else {
+		j.pause = max(j.pause, p.now+delay-j.last)
+	}
+	j.last = p.now + delay
+	if j.events--; j.events > 0 {
+		return
+	}
+	ws := j.leader.writers
+	for i := range ws {
+		if ws[i] == j {
+			j.leader.writers = append(append([]*job(nil), ws[:i]...), ws[i+1:]...)
+			break
+		}
+	}
+	p.at(p.now+delay, func() {
+		p.pool.End(clock.Milli(p.now), j.id, span.Done, "")
+		p.tick()
+	})
+}
+
+// result sums up.
+func (p *play) result() Result {
+	r := Result{Kinds: p.results}
+	ids := make([]decide.RequestID, 0, len(p.jobs))
+	for id := range p.jobs {
+		ids = append(ids, id)
+	}
+	sort.Slice(ids, func(a, b int) bool { return ids[a] < ids[b] })
+	var got, most float64
+	for _, id := range ids {
+		j := p.jobs[id]
+		k := p.results[j.kind.Name]
+		k.Asked++
+		worth := j.kind.Worth * min(4, 0.3+0.7*float64(j.prompt)/j.kind.Mean)
+		k.Most += worth
+		most += worth
+		if j.first == 0 || j.events > 0 {
+			continue
+		}
+		first := j.first - j.arrived
+		p.firsts[j.kind.Name] = append(p.firsts[j.kind.Name], first)
+		late := first > float64(j.kind.Aim)
+		if j.pause > float64(j.kind.Gap) {
+			k.Paused++
+			late = true
+		}
+		if late {
+			k.Late++
+			worth /= 4
+		} else {
+			k.InTime++
+		}
+		k.Worth += worth
+		got += worth
+	}
+	for n, fs := range p.firsts {
+		sort.Float64s(fs)
+		p.results[n].FirstP50 = fs[len(fs)/2]
+		p.results[n].FirstP99 = fs[len(fs)*99/100]
+	}
+	r.Worth = got / max(most, 1e-9)
+	for _, e := range p.engines {
+		r.Busy += e.used / (p.load.Length * float64(p.load.Engines))
+		r.Reading += e.read / (p.load.Length * float64(p.load.Engines))
+	}
+	return r
+}
+
+// Add sums the results of several plays; quantiles are summed for a mean.
+func (k *KindResult) Add(o *KindResult) {
+	k.Asked += o.Asked
+	k.InTime += o.InTime
+	k.Late += o.Late
+	k.Lost += o.Lost
+	k.Worth += o.Worth
+	k.Most += o.Most
+	k.FirstP50 += o.FirstP50
+	k.FirstP99 += o.FirstP99
+	k.Paused += o.Paused
+}
--- a/daemon/relay/send.go
+++ b/daemon/relay/send.go
@@ -284,7 +284,10 @@
 // died finds out whether an upstream whose connection broke is gone: a new
 // connection is refused, while one that merely cut an answer takes it.
 func (g *Gate) died(address string) bool {
-	c, err := net.DialTimeout("tcp", address, deathWait)
+	ctx, cancel := context.WithTimeout(context.Background(), deathWait)
+	defer cancel()
+	var d net.Dialer
+	c, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return true
 	}
--- a/lib/decide/span/engine.go
+++ b/lib/decide/span/engine.go
@@ -110,9 +110,12 @@
 	if r.engine == nil {
 		return 0
 	}
-	return r.engine.Memory - r.engine.Memory/16 - r.used()
+	return r.usual() - r.used()
 }
 
+// usual is the KV memory in tokens of the upstream while it has no grants.
+func (r *row) usual() decide.Tokens { return r.engine.Memory - r.engine.Memory/16 }
+
 // usable tells whether a new request may go there at all.
 func (r *row) usable(now clock.Milli, a *Ask) bool {
 	if r.Leaving || !r.health.open(now) {
--- a/lib/decide/span/place.go
+++ b/lib/decide/span/place.go
@@ -18,6 +18,9 @@
 // the gate and to the engine, and half a pass.
 const settleTime = 30.0
 
+// firstPass is the usual time of the pass whose end brings the first event.
+const firstPass = 60.0
+
 // plan is a way to place one request.
 type plan struct {
 	leader  *row
@@ -110,23 +113,23 @@
 // the aim needs it waits, unless the aim is lost anyway.
 func (p *Pool) placeHeavy(now clock.Milli, a *Ask, cost float64) (plan, bool) {
 	free := p.freeForReads(now, a)
-	if len(free) == 0 {
-		return plan{}, false
-	}
-	want := min(int(math.Ceil(cost/p.rules.Part)), p.rules.Group, len(free))
 	left := float64(a.Aim-now) - settleTime
 	need := 1
 	if left > 0 {
 		need = int(math.Ceil(cost / left))
 	}
-	if hopeless := left <= 0 || need > p.rules.Group; !hopeless && want < need {
-		return plan{}, false
+	if need > p.rules.Group {
+		need = 1
 	}
-	return p.gather(now, a, cost, free, want)
+	for n := min(int(math.Ceil(cost/p.rules.Part)), p.rules.Group, len(free)); n >= need; n-- {
+		if pl, ok := p.gather(a, cost/float64(n), free, n); ok {
+			return pl, true
+		}
+	}
+	return plan{}, false
 }
 
-// freeForReads lists engines that may read a long prompt, best first: those that
-// write long streams already, and then from the end of the fixed order.
+// freeForReads lists engines that may read a long prompt, from the end of the fixed order.
 func (p *Pool) freeForReads(now clock.Milli, a *Ask) []*row {
 	var free []*row
 	for i := len(p.order) - 1; i >= 0; i-- {
@@ -138,37 +141,37 @@
 	return free
 }
 
-// gather chooses leader and helpers out of free engines. The leader is one that
-// writes long streams already, if it has the memory and its streams bear the
-// pass: so the others stay empty. Helpers are engines that write nothing.
-func (p *Pool) gather(now clock.Milli, a *Ask, cost float64, free []*row, want int) (plan, bool) {
-	part := cost / float64(want)
+// gather chooses a leader and helpers for n parts out of free engines. Engines
+// whose streams do not bear the pass that reads a part are left out. The leader
+// is the one that writes most long streams already, so that the others stay empty.
+func (p *Pool) gather(a *Ask, part float64, free []*row, n int) (plan, bool) {
 	var leader *row
 	most := -1
-	var helpers []*row
+	fit := make([]*row, 0, len(free))
 	for _, r := range free {
-		n, context := r.streams()
-		pass := r.engine.Pass(n+1, context+a.Prompt)
-		if n > 0 && !p.bears(r, a, part+pass) {
+		streams, context := r.streams()
+		if streams > 0 && !p.bears(r, a, part+r.engine.Pass(streams+1, context+a.Prompt)) {
 			continue
 		}
-		helpers = append(helpers, r)
-		if n < r.engine.Slots && n > most && r.free() >= min(a.Prompt+a.Output, r.engine.Memory-r.engine.Memory/16) {
-			leader, most = r, n
+		fit = append(fit, r)
+		if streams < r.engine.Slots && streams > most && r.free() >= min(a.Prompt+a.Output, r.usual()) {
+			leader, most = r, streams
 		}
 	}
-	if leader == nil {
+	if leader == nil || len(fit) < n {
 		return plan{}, false
 	}
-	helpers = slices.DeleteFunc(helpers, func(r *row) bool { return r == leader })
+	helpers := slices.DeleteFunc(fit, func(r *row) bool { return r == leader })
 	slices.SortStableFunc(helpers, func(x, y *row) int { return cmp.Compare(len(x.grants), len(y.grants)) })
-	helpers = helpers[:min(len(helpers), want-1)]
-	part = cost / float64(1+len(helpers))
-	left := float64(a.Aim-now) - settleTime
-	if left > 0 && part > left && cost/float64(p.rules.Group) <= left {
+	helpers = helpers[:n-1]
+	room := leader.free()
+	for _, h := range helpers {
+		room += h.free()
+	}
+	if room < a.Prompt+a.Output {
 		return plan{}, false
 	}
-	return plan{leader: leader, helpers: helpers, part: part, first: settleTime + part + 60, reason: "spread"}, true
+	return plan{leader: leader, helpers: helpers, part: part, first: settleTime + part + firstPass, reason: "spread"}, true
 }
 
 // grant writes a plan into the books.
--- a/lib/decide/span/pool.go
+++ b/lib/decide/span/pool.go
@@ -104,12 +104,18 @@
 		return nil
 	}
 	var ds []Decision
+	waits := false
 	for _, w := range p.sorted(now) {
+		heavy := p.heavy(&w.Ask)
+		if heavy && waits && p.late(now, w) && !p.pressing(now, w) {
+			continue
+		}
 		if pl, ok := p.place(now, &w.Ask); ok {
 			delete(p.queue, w.ID)
 			ds = append(ds, p.admit(now, &w.Ask, pl))
 			continue
 		}
+		waits = waits || heavy && !p.late(now, w)
 		if d, refused := p.refuse(now, w); refused {
 			delete(p.queue, w.ID)
 			ds = append(ds, d)
@@ -118,6 +124,17 @@
 	return ds
 }
 
+// heavy tells whether a prompt is too long to be read among short streams.
+func (p *Pool) heavy(a *Ask) bool {
+	return p.engine != nil && p.engine.Reading(a.Prompt) > p.rules.Light
+}
+
+// pressing tells whether a late request has so little time left that it must not
+// make way for others any more.
+func (p *Pool) pressing(now clock.Milli, w *waiting) bool {
+	return float64(w.Deadline-now) < 4*p.least(&w.Ask)+float64(3*clock.Second)
+}
+
 // admit grants what has found its place, unless it is a repeat beyond the budget: a
 // service in trouble must not get its load twice when it has least to spare.
 func (p *Pool) admit(now clock.Milli, a *Ask, pl plan) Decision {
@@ -144,6 +161,7 @@
 	slices.SortFunc(ws, func(x, y *waiting) int {
 		return cmp.Or(
 			cmp.Compare(p.rank(now, x), p.rank(now, y)),
+			cmp.Compare(p.least(&x.Ask), p.least(&y.Ask)),
 			cmp.Compare(p.due(now, x), p.due(now, y)),
 			cmp.Compare(x.ID, y.ID),
 		)
