placer, span, member: a new owner asks engines whose load its books may not explain

Cause: after a loss of power of all VMs engines still wrote the streams of callers who were gone; every VM placed by itself until it met the others, all on the same first engines, which turned away 219 sends.

--- a/daemon/member/members.go
+++ b/daemon/member/members.go
@@ -175,12 +175,10 @@
 	return nil
 }
 
-// greetEvery is the time between two looks at the seeds. A member that has heard
-// nobody yet looks each second: if its first beats are lost, nobody else knows of it,
-// and until the next look it would serve without what the others know.
+// greetEvery is the time between two looks at the seeds.
 func (m *Members) greetEvery() clock.Milli {
 	if m.Reached() == 0 {
-		return m.rules.Far
+		return m.rules.Alone
 	}
 	return m.rules.Greet(m.size())
 }
@@ -197,7 +195,11 @@
 	if !sleep(ctx, gap) {
 		return
 	}
-	t := time.NewTimer((m.period() - gap).Duration())
+	period := m.period()
+	if m.Reached() == 0 {
+		period = min(period, m.rules.Alone)
+	}
+	t := time.NewTimer((period - gap).Duration())
 	defer t.Stop()
 	select {
 	case <-ctx.Done():
--- a/daemon/member/rules.go
+++ b/daemon/member/rules.go
@@ -18,6 +18,10 @@
 	Rotation      clock.Milli
 	// Near is the period between beats up to the size Full, Far beyond it.
 	Near, Far clock.Milli
+	// Alone is the time between two looks at the seeds while nobody was heard of. If the
+	// first beats of a member are lost, nobody else knows of it, and until the
+	// next look it would serve without what the others know.
+	Alone clock.Milli
 	// Misses is how many beats in a row go unanswered before a member is doubted.
 	Misses int
 	// Doubt is how long a doubted member has to contradict, in periods.
@@ -41,7 +45,7 @@
 // a death; the random ones join the halves of a ring that was cut.
 var DefaultRules = Rules{
 	Full: 12, Fixed: 2, Random: 2, Rotation: 20 * clock.Second,
-	Near: 500, Far: clock.Second,
+	Near: 500, Far: clock.Second, Alone: clock.Second,
 	Misses: 3, Doubt: 3, Forget: 10 * clock.Minute,
 	Tell: 8, Most: 32,
 	Seeds: 5 * clock.Second, Sparse: 30 * clock.Second,
--- a/daemon/placer/owner.go
+++ b/daemon/placer/owner.go
@@ -1,10 +1,12 @@
 package placer
 
 import (
+	"context"
 	"sync"
 	"time"
 
 	"github.com/phuslu/log"
+	"golang.org/x/sync/errgroup"
 
 	"snipeshift.example/daemon/registry"
 	"snipeshift.example/lib/clock"
@@ -41,13 +43,37 @@
 	Window       clock.Milli
 }
 
+// Reports reads upstreams' own word on their load.
+type Reports interface {
+	Report(ctx context.Context, address string) (requests int, used decide.Tokens, err error)
+}
+
+// Times of reports.
+const (
+	// reportEvery is the time between two looks at upstreams in doubt. Their word is
+	// some 200 ms old, and each look costs them a little.
+	reportEvery = 300 * time.Millisecond
+	// reportTimeout bounds a look at an upstream, which is milliseconds away.
+	reportTimeout = 150 * time.Millisecond
+	// askedLately is how recent a gate's question must be for a pool to be worth a look.
+	askedLately = clock.Second
+	// reportsAtOnce bounds the looks under way.
+	reportsAtOnce = 16
+)
+
+// OwnerNeeds are what an Owner works with.
+type OwnerNeeds struct {
+	Clock     Clock
+	Knowledge Knowledge
+	Reports   Reports
+	Log       *log.Logger
+}
+
 // Owner holds the pools of all services that gates ask for here. Any VM may
 // become the owner of any service.
 type Owner struct {
-	clock     Clock
-	knowledge Knowledge
-	log       *log.Logger
-	budget    Budget
+	OwnerNeeds
+	budget Budget
 
 	mu    sync.Mutex
 	pools map[route.ServiceID]*hosted
@@ -62,13 +88,16 @@
 	waiters    map[decide.RequestID]chan span.Decision
 	// kept holds refusals that came while no question was waiting.
 	kept map[decide.RequestID]span.Decision
-	// ticking is set while a goroutine looks at the queue.
-	ticking bool
+	// ticking is set while a goroutine looks at the queue, looking while one
+	// asks upstreams for their load.
+	ticking, looking bool
+	// asked is when a gate asked last: a pool that nobody asks for looks at nothing.
+	asked clock.Milli
 }
 
 // NewOwner returns an owner without pools.
-func NewOwner(k Clock, n Knowledge, l *log.Logger, b Budget) *Owner {
-	return &Owner{clock: k, knowledge: n, log: l, budget: b, pools: map[route.ServiceID]*hosted{}}
+func NewOwner(n OwnerNeeds, b Budget) *Owner {
+	return &Owner{OwnerNeeds: n, budget: b, pools: map[route.ServiceID]*hosted{}}
 }
 
 // host returns a service's pool, told of what is known now, locked.
@@ -84,20 +113,80 @@
 	}
 	o.mu.Unlock()
 	h.mu.Lock()
-	if v := o.knowledge.View(); v.Generation != h.generation && v.Table != nil {
+	if v := o.Knowledge.View(); v.Generation != h.generation && v.Table != nil {
+		first := h.generation == 0
 		h.generation = v.Generation
 		h.pool.Serve(v.Table.Service(s), v.Upstreams[s])
+		if first {
+			h.pool.Doubt()
+		}
 	}
+	o.look(s, h)
 	return h
 }
 
+// look asks upstreams in doubt for their load, while there are any. The pool's lock is held.
+func (o *Owner) look(s route.ServiceID, h *hosted) {
+	v := o.Knowledge.View()
+	if h.looking || v.Table == nil || v.Table.Service(s) == nil || v.Table.Service(s).Engine == nil {
+		return
+	}
+	ids := h.pool.Doubtful()
+	if len(ids) == 0 || o.Clock.Now()-h.asked > askedLately {
+		return
+	}
+	h.looking = true
+	go func() {
+		var g errgroup.Group
+		g.SetLimit(reportsAtOnce)
+		for _, id := range ids {
+			u := v.Upstream(s, func(u *route.Upstream) bool { return u.ID == id })
+			g.Go(func() error { o.report(h, id, u); return nil })
+		}
+		_ = g.Wait() // the looks return no errors
+		time.Sleep(reportEvery)
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.looking = false
+		o.tick(h, o.Clock.Now())
+		o.look(s, h)
+	}()
+}
+
+// report takes one upstream's word into the books.
+func (o *Owner) report(h *hosted, id decide.UpstreamID, u *route.Upstream) {
+	if u == nil {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.pool.Unreported(id)
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
+	defer cancel()
+	requests, used, err := o.Reports.Report(ctx, u.Address)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if err != nil {
+		o.Log.Warn().Str("event", "report").Str("upstream", string(id)).Err(err).Msg("an upstream in doubt does not report")
+		h.pool.Unreported(id)
+		return
+	}
+	h.pool.Report(id, requests, used)
+	if requests == 0 {
+		return
+	}
+	o.Log.Info().Str("event", "report").Str("upstream", string(id)).Int("requests", requests).Int64("used", int64(used)).
+		Msg("an upstream in doubt reports")
+}
+
 // Ask implements Placer.Ask.
 func (o *Owner) Ask(args *AskArgs, reply *AskReply) error {
-	now := o.clock.Now()
+	now := o.Clock.Now()
 	a := args.Ask
 	a.Aim += now
 	a.Deadline += now
 	h := o.host(args.Service)
+	h.asked = now
 	if d, ok := h.kept[a.ID]; ok {
 		delete(h.kept, a.ID)
 		h.mu.Unlock()
@@ -171,14 +260,14 @@
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		h.ticking = false
-		o.tick(h, o.clock.Now())
+		o.tick(h, o.Clock.Now())
 		o.keepTicking(h)
 	})
 }
 
 // Note implements Placer.Note.
 func (o *Owner) Note(args *NoteArgs, _ *peer.Empty) error {
-	now := o.clock.Now()
+	now := o.Clock.Now()
 	h := o.host(args.Service)
 	defer h.mu.Unlock()
 	switch args.Event {
@@ -195,7 +284,7 @@
 
 // Present implements Placer.Present.
 func (o *Owner) Present(args *PresentArgs, _ *peer.Empty) error {
-	now := o.clock.Now()
+	now := o.Clock.Now()
 	h := o.host(args.Service)
 	defer h.mu.Unlock()
 	h.pool.Present(now, args.Gate, args.Live)
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -56,6 +56,9 @@
 var relayRules = func() member.Rules {
 	r := member.DefaultRules
 	r.Near, r.Misses, r.Doubt, r.Seeds = 400, 2, 2, 2*clock.Second
+	// All VMs may start at once after a loss of power. Until they know each other
+	// each places by itself, and all on the same engines.
+	r.Alone = 100
 	return r
 }()
 
@@ -96,17 +99,18 @@
 	d.registry = registry.New(d.store, d.dialer, d.clock, d.log)
 	q := quarantine.New(d.clock, d.members, d.dialer)
 	d.members.Add(d.registry, q)
-	d.owner = placer.NewOwner(d.clock, d.registry, d.log, placer.Budget{
+	kept := upstreamTransport()
+	engines := platform.NewEngines(kept)
+	d.owner = placer.NewOwner(placer.OwnerNeeds{Clock: d.clock, Knowledge: d.registry, Reports: engines, Log: d.log}, placer.Budget{
 		Share: budgetShare * s.Budget.Share, Floor: budgetShare * s.Budget.Floor, Window: s.Budget.Window,
 	})
 	id := peer.Gate(s.Name, incarnation)
 	d.placer = placer.NewClient(d.clock, d.log, d.members, d.dialer, d.owner, id)
-	kept := upstreamTransport()
 	fresh := upstreamTransport()
 	fresh.DisableKeepAlives = true
 	d.gate = relay.New(relay.Needs{
 		Clock: d.clock, Log: d.log, Codec: platform.Codec{}, Placer: d.placer, Knowledge: d.registry,
-		Suspects: q, Memory: platform.NewEngines(kept), Kept: kept, Fresh: fresh,
+		Suspects: q, Memory: engines, Kept: kept, Fresh: fresh,
 	}, relay.Bounds{Revoke: s.Bounds.Revoke, Config: s.Bounds.Config}, id)
 	var g errs
 	g.add(d.peers.Register(member.Name, member.NewReceiver(d.members, noDocuments{})))
--- a/daemon/registry/registry.go
+++ b/daemon/registry/registry.go
@@ -179,9 +179,13 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	listed := make(map[decide.UpstreamID]bool, len(us))
+	first := r.upstreamsAt == 0
+	if first {
+		r.log.Info().Str("event", "upstreams").Int("count", len(us)).Int64("age", int64(r.clock.Now()-at)).Msg("upstreams are known")
+	}
 	for _, u := range us {
 		listed[u.ID] = true
-		r.put(u)
+		r.put(u, !first)
 	}
 	for id := range r.upstreams {
 		if !listed[id] {
@@ -196,7 +200,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, u := range us {
-		r.put(u)
+		r.put(u, true)
 	}
 	for _, id := range gone {
 		r.remove(id)
@@ -204,15 +208,17 @@
 	r.settle(at)
 }
 
-// put enters an upstream. The lock is held.
-func (r *Registry) put(u route.Upstream) {
+// put enters an upstream, and writes a line of it if told. The lock is held.
+func (r *Registry) put(u route.Upstream, tell bool) {
 	delete(r.gone, u.ID)
 	old, ok := r.upstreams[u.ID]
 	if ok && old == u {
 		return
 	}
-	r.log.Info().Str("event", "upstream").Str("upstream", string(u.ID)).Str("service", string(u.Service)).
-		Str("address", u.Address).Bool("leaving", u.Leaving).Bool("new", !ok).Msg("upstream changed")
+	if tell {
+		r.log.Info().Str("event", "upstream").Str("upstream", string(u.ID)).Str("service", string(u.Service)).
+			Str("address", u.Address).Bool("leaving", u.Leaving).Bool("new", !ok).Msg("upstream changed")
+	}
 	r.upstreams[u.ID] = u
 	r.generation++
 }
--- a/lib/decide/span/engine.go
+++ b/lib/decide/span/engine.go
@@ -17,6 +17,13 @@
 	// grants holds every grant that uses the upstream, as leader or helper.
 	grants map[decide.RequestID]*granted
 	health health
+	// foreign is how many requests the upstream holds that no grant explains, by
+	// its last report, and foreignUsed the memory in tokens that they take.
+	foreign     int
+	foreignUsed decide.Tokens
+	// doubtful is set from the moment at which the books are known to miss work
+	// there, until a report says what it is.
+	doubtful bool
 }
 
 // granted is a grant in the pool's books.
@@ -58,8 +65,12 @@
 	return n
 }
 
-// light tells whether any stream here bears only short pauses.
+// light tells whether any stream here bears only short pauses. What no grant
+// explains is taken for such streams: most requests are.
 func (r *row) light(bound clock.Milli) bool {
+	if r.foreign > 0 {
+		return true
+	}
 	for _, g := range r.grants {
 		if g.leads(r) && g.Grant.Gap > 0 && g.Grant.Gap <= bound {
 			return true
@@ -79,8 +90,11 @@
 	return least
 }
 
-// used is the KV memory in tokens that grants take here.
-func (r *row) used() decide.Tokens {
+// used is the KV memory in tokens that is taken here.
+func (r *row) used() decide.Tokens { return r.foreignUsed + r.known() }
+
+// known is the KV memory in tokens that grants take here.
+func (r *row) known() decide.Tokens {
 	var sum decide.Tokens
 	for _, g := range r.grants {
 		if g.leads(r) {
--- a/lib/decide/span/place.go
+++ b/lib/decide/span/place.go
@@ -52,10 +52,11 @@
 	var best *row
 	least := math.Inf(1)
 	for _, r := range p.order {
-		if !r.usable(now, a) || len(r.grants) >= max(r.Slots, 1) {
+		n := len(r.grants) + r.foreign
+		if !r.usable(now, a) || n >= max(r.Slots, 1) {
 			continue
 		}
-		if load := float64(len(r.grants)) / float64(max(r.Slots, 1)); load < least {
+		if load := float64(n) / float64(max(r.Slots, 1)); load < least {
 			best, least = r, load
 		}
 	}
@@ -82,6 +83,7 @@
 		return 0, false
 	}
 	n, context := r.streams()
+	n += r.foreign
 	if n >= min(most, r.engine.Slots) || r.free() < a.Prompt+a.Output {
 		return 0, false
 	}
--- a/lib/decide/span/pool.go
+++ b/lib/decide/span/pool.go
@@ -283,6 +283,9 @@
 	}
 	if r := p.rows[culprit]; r != nil {
 		r.health.note(now, o)
+		if o == Full {
+			r.turned(now)
+		}
 	}
 	p.drop(now, id)
 }
