--- a/daemon/relay/send.go
+++ b/daemon/relay/send.go
@@ -11,12 +11,10 @@
 	"net/url"
 	"strings"
 	"sync/atomic"
-	"time"
 
 	"github.com/zeebo/errs"
 
 	"snipeshift.example/daemon/registry"
-	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide/span"
 	"snipeshift.example/lib/exchange"
 	"snipeshift.example/lib/route"
@@ -79,7 +77,7 @@
 
 // exchange is one request and its answer on one connection.
 func (x *flight) exchange(ctx context.Context, cancel context.CancelCauseFunc, grant span.Grant, helpers []exchange.Helper, v *registry.View) result {
-	w := newWatchdog(x.patience(grant), func() { cancel(errSilent) })
+	w := newWatchdog(x.gate, grant.Leader.Address, x.firstLimits(grant), func() { cancel(errSilent) })
 	defer w.stop()
 	var wrote atomic.Bool
 	trace := &httptrace.ClientTrace{WroteHeaders: func() { wrote.Store(true) }, GotConn: func(httptrace.GotConnInfo) { wrote.Store(true) }}
@@ -149,7 +147,7 @@
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := rest.Read(buffer)
-		w.touch(x.silence())
+		w.touch(x.nextLimits())
 		if _, werr := x.w.Write(buffer[:n]); werr != nil {
 			return result{verdict: ran, outcome: span.Left, err: werr}
 		}
@@ -230,67 +228,5 @@
 	return x.gate.Kept
 }
 
-// Patience with silent upstreams.
-const (
-	// firstFactor times the expected time, and firstSlack more, is how long the
-	// first byte of a stream may take: engines themselves need 1.5 s to
-	// notice that a helper is gone, and say so.
-	firstFactor             = 2
-	firstSlack  clock.Milli = 1800
-	// silenceFactor times the longest pause that a stream bears, and
-	// silenceLeast at least, is taken for a dead connection. Callers leave after
-	// two seconds or eight such pauses.
-	silenceFactor             = 4
-	silenceLeast  clock.Milli = 1000
-	// aimFactor times its aim, and patienceLeast at least, is how long a plain
-	// service may take to answer what may be repeated.
-	aimFactor                 = 2
-	patienceLeast clock.Milli = 150
-	// deathWait bounds the look whether an upstream still takes connections.
-	deathWait = 150 * time.Millisecond
-)
-
-// patience is how long the first byte of an answer may take before the request is
-// sent elsewhere. One that must not run twice has nowhere to go, so it waits.
-func (x *flight) patience(grant span.Grant) clock.Milli {
-	switch {
-	case x.route.Repeat == route.Once:
-		return x.left() + clock.Second
-	case x.route.Stream:
-		return firstFactor*grant.First + firstSlack
-	default:
-		return max(aimFactor*x.route.Aim, patienceLeast)
-	}
-}
-
-// silence is how long an answer that has begun may pause.
-func (x *flight) silence() clock.Milli { return max(silenceFactor*x.route.Gap, silenceLeast) }
-
-// watchdog calls a function after a silence.
-type watchdog struct{ timer *time.Timer }
-
-func newWatchdog(first clock.Milli, f func()) *watchdog {
-	return &watchdog{timer: time.AfterFunc(first.Duration(), f)}
-}
-
-// touch starts the next silence.
-func (w *watchdog) touch(next clock.Milli) { w.timer.Reset(next.Duration()) }
-
-func (w *watchdog) stop() { w.timer.Stop() }
-
 // drain reads the short rest of an answer, so that its connection can be kept.
 func drain(r io.Reader) { _, _ = io.Copy(io.Discard, io.LimitReader(r, 4<<10)) }
-
-// died finds out whether an upstream whose connection broke is gone: a new
-// connection is refused, while one that merely cut an answer takes it.
-func (g *Gate) died(address string) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), deathWait)
-	defer cancel()
-	var d net.Dialer
-	c, err := d.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return true
-	}
-	_ = c.Close()
-	return false
-}
--- a/daemon/relay/stream.go
+++ b/daemon/relay/stream.go
@@ -68,7 +68,7 @@
 		if err != nil {
 			return x.broken(ctx, err, true)
 		}
-		w.touch(x.silence())
+		w.touch(x.nextLimits())
 		if first {
 			first = false
 			x.gate.Placer.First(grant.Request)
--- /dev/null
+++ b/daemon/relay/watchdog.go
@@ -0,0 +1,145 @@
+package relay
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"snipeshift.example/daemon/guard"
+	"snipeshift.example/lib/clock"
+	"snipeshift.example/lib/decide/span"
+	"snipeshift.example/lib/route"
+)
+
+// Patience with silent upstreams.
+const (
+	// firstFactor times the expected time, and firstSlack more, is how long the
+	// first byte of a stream may take from an engine that still takes connections:
+	// engines need 1.5 s to notice that a helper is gone, and say so.
+	firstFactor             = 2
+	firstSlack  clock.Milli = 1800
+	// silenceFactor times the longest pause that a stream bears, and
+	// silenceLeast at least, is taken for a dead connection. Callers leave after
+	// two seconds or eight such pauses.
+	silenceFactor             = 4
+	silenceLeast  clock.Milli = 1000
+	// aimFactor times its aim, and patienceLeast at least, is how long a plain
+	// service may take to answer what may be repeated.
+	aimFactor                 = 2
+	patienceLeast clock.Milli = 150
+	// lookAfter is how long after the expected time the first look at a silent
+	// engine comes, and lookEvery the time between two.
+	lookAfter clock.Milli = 300
+	lookEvery clock.Milli = 600
+	// deathWait bounds a look: whether a new connection is taken.
+	deathWait = 150 * time.Millisecond
+)
+
+// limits are the times of one silence.
+type limits struct {
+	// look is when the upstream is looked at, and again every lookEvery; zero for never.
+	look clock.Milli
+	// most is when the silence is taken for a failure whatever the looks say.
+	most clock.Milli
+}
+
+// firstLimits bound the wait for the first byte of an answer. A request that must not
+// run twice has nowhere to go, so it waits.
+func (x *flight) firstLimits(grant span.Grant) limits {
+	switch {
+	case x.route.Repeat == route.Once:
+		return limits{most: x.left() + clock.Second}
+	case x.route.Stream:
+		return limits{look: grant.First + lookAfter, most: firstFactor*grant.First + firstSlack}
+	default:
+		return limits{most: max(aimFactor*x.route.Aim, patienceLeast)}
+	}
+}
+
+// nextLimits bound a pause within an answer.
+func (x *flight) nextLimits() limits {
+	return limits{look: x.route.Gap + lookAfter, most: max(silenceFactor*x.route.Gap, silenceLeast)}
+}
+
+// watchdog ends a send whose upstream is silent.
+//
+// What goes wrong: an engine loses power in the middle of a request. Nothing closes the
+// connection, so the request would wait out its time, and memory that helpers
+// reserved for it would be renewed all the while. An engine that is merely busy is
+// silent as well, and giving it up throws its work away. So a silent upstream is
+// looked at by a new connection, and only one that takes none is given up early.
+type watchdog struct {
+	gate    *Gate
+	address string
+	bark    func()
+
+	mu    sync.Mutex
+	look  *time.Timer
+	most  *time.Timer
+	ended bool
+}
+
+// newWatchdog starts with the wait for the first byte.
+func newWatchdog(g *Gate, address string, l limits, bark func()) *watchdog {
+	w := &watchdog{gate: g, address: address, bark: bark}
+	w.most = time.AfterFunc(l.most.Duration(), bark)
+	if l.look > 0 {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.look = time.AfterFunc(l.look.Duration(), w.check)
+	}
+	return w
+}
+
+// touch starts the next silence.
+func (w *watchdog) touch(l limits) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.ended {
+		return
+	}
+	w.most.Reset(l.most.Duration())
+	if w.look != nil {
+		w.look.Reset(l.look.Duration())
+	}
+}
+
+// check looks at the upstream. Two looks in a row must fail: a single packet may be lost.
+func (w *watchdog) check() {
+	defer guard.Report(w.gate.Log, "look at a silent upstream")
+	if w.gate.died(w.address) && w.gate.died(w.address) {
+		w.gate.Log.Warn().Str("event", "silent").Str("address", w.address).Msg("a silent upstream takes no connection")
+		w.bark()
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.ended {
+		w.look.Reset(lookEvery.Duration())
+	}
+}
+
+func (w *watchdog) stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ended = true
+	w.most.Stop()
+	if w.look != nil {
+		w.look.Stop()
+	}
+}
+
+// died finds out whether an upstream is gone: a new connection is refused or not
+// answered, while one that merely cut an answer takes it.
+func (g *Gate) died(address string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), deathWait)
+	defer cancel()
+	var d net.Dialer
+	c, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return true
+	}
+	_ = c.Close()
+	return false
+}
