span: estimates of reading count streams written meanwhile, and words that are overdue

Cause: an engine was taken for read before the word of its end came, so short requests were placed behind reads.

--- a/lib/decide/span/engine.go
+++ b/lib/decide/span/engine.go
@@ -39,8 +39,18 @@
 // leads tells whether the grant's answer is written on r.
 func (g *granted) leads(r *row) bool { return g.Grant.Leader.Upstream == r.ID }
 
+// overdue is the reading in milliseconds that is assumed where the estimate has run
+// out and the word of the end has not come.
+const overdue = 60.0
+
 // debt is the reading that is granted and not done, in milliseconds.
-func (r *row) debt(now clock.Milli) float64 { return max(0, r.until-float64(now)) }
+func (r *row) debt(now clock.Milli) float64 {
+	left := max(0, r.until-float64(now))
+	if left < overdue && r.engine != nil && r.reading() > 0 {
+		return overdue
+	}
+	return left
+}
 
 // streams counts the requests that hold a slot: those whose answer is written
 // here, or will be.
@@ -153,6 +163,10 @@
 
 // take books a grant that adds a read of this many milliseconds.
 func (r *row) take(now clock.Milli, g *granted, read float64) {
+	if n, context := r.streams(); n > 0 && read > 0 {
+		// Streams that are written meanwhile take their part of each pass.
+		read += r.engine.Pass(n, context)
+	}
 	r.until = max(r.until, float64(now)) + read
 	r.grants[g.Grant.Request] = g
 }
