--- a/lib/decide/span/place.go
+++ b/lib/decide/span/place.go
@@ -120,7 +120,7 @@
 	if left > 0 {
 		need = int(math.Ceil(cost / left))
 	}
-	if need > p.rules.Group {
+	if need > p.group() {
 		need = 1
 	}
 	for n := min(int(math.Ceil(cost/p.rules.Part)), p.rules.Group, len(free)); n >= need; n-- {
@@ -131,6 +131,9 @@
 	return plan{}, false
 }
 
+// group is the most engines that can read one prompt.
+func (p *Pool) group() int { return max(1, min(p.rules.Group, len(p.order))) }
+
 // freeForReads lists engines that may read a long prompt, from the end of the fixed order.
 func (p *Pool) freeForReads(now clock.Milli, a *Ask) []*row {
 	var free []*row
--- a/lib/decide/span/pool.go
+++ b/lib/decide/span/pool.go
@@ -209,7 +209,7 @@
 	if cost <= p.rules.Light {
 		return cost
 	}
-	return cost / float64(p.rules.Group)
+	return cost / float64(p.group())
 }
 
 // refuse tells whether a queued request can no longer be served.
--- /dev/null
+++ b/lib/decide/span/pool_test.go
@@ -0,0 +1,413 @@
+package span
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"snipeshift.example/lib/clock"
+	"snipeshift.example/lib/decide"
+	"snipeshift.example/lib/decide/gate"
+	"snipeshift.example/lib/fault"
+	"snipeshift.example/lib/route"
+)
+
+// engine is that of today's deployments, by its published figures.
+var engine = route.Engine{
+	Slots: 16, Memory: 450_000, Step: 0.925, Writer: 0.00483, Context: 0.00254, Read: 256, Pairs: 0.0917, Stride: 46, Hop: 0.1,
+}
+
+const now clock.Milli = 1_000_000
+
+// bench is a pool with its ids counted.
+type bench struct {
+	t *testing.T
+	*Pool
+	asked int
+}
+
+func newBench(t *testing.T, engines int) *bench {
+	t.Helper()
+	b := &bench{t: t, Pool: New(DefaultRules, gate.NewBudget(0.2, 10, 10*clock.Second))}
+	b.serve(engines)
+	return b
+}
+
+func (b *bench) serve(engines int) {
+	us := make([]route.Upstream, engines)
+	for i := range us {
+		id := decide.UpstreamID(fmt.Sprintf("e%02d", i))
+		us[i] = route.Upstream{ID: id, Service: "s", Address: string(id), Slots: engine.Slots}
+	}
+	b.Serve(&route.Service{ID: "s", Engine: &engine}, us)
+}
+
+// note is a short request.
+func (b *bench) note(at clock.Milli) Ask {
+	b.asked++
+	return Ask{
+		ID: decide.RequestID(fmt.Sprintf("note%d", b.asked)), Gate: "g", Prompt: 5000, Output: 1600,
+		Aim: at + 300, Deadline: at + 10_000, Gap: 200, Stream: true,
+	}
+}
+
+// history is a long one.
+func (b *bench) history(at clock.Milli, prompt decide.Tokens) Ask {
+	b.asked++
+	return Ask{
+		ID: decide.RequestID(fmt.Sprintf("history%d", b.asked)), Gate: "g", Prompt: prompt, Output: 800,
+		Aim: at + 3000, Deadline: at + 15_000, Gap: 800, Stream: true,
+	}
+}
+
+// ask returns what the pool decides on a request at once.
+func (b *bench) ask(at clock.Milli, a Ask) (Decision, bool) {
+	b.t.Helper()
+	_, granted := b.Ask(at, a)
+	require.False(b.t, granted)
+	for _, d := range b.Tick(at) {
+		if d.Request == a.ID {
+			return d, true
+		}
+	}
+	return Decision{}, false
+}
+
+// granted asks and requires a grant.
+func (b *bench) granted(at clock.Milli, a Ask) Grant {
+	b.t.Helper()
+	d, ok := b.ask(at, a)
+	require.True(b.t, ok, "%s is queued", a.ID)
+	require.Equal(b.t, Granted, d.Action, d.Reason)
+	return d.Grant
+}
+
+// runs asks and notes the first byte at once.
+func (b *bench) runs(at clock.Milli, a Ask) Grant {
+	b.t.Helper()
+	g := b.granted(at, a)
+	b.First(at, a.ID)
+	return g
+}
+
+func TestShortWorkIsPacked(t *testing.T) {
+	b := newBench(t, 4)
+	used := map[decide.UpstreamID]int{}
+	for range 2 * DefaultRules.Packed {
+		used[b.runs(now, b.note(now)).Leader.Upstream]++
+	}
+	require.Equal(t, map[decide.UpstreamID]int{"e00": DefaultRules.Packed, "e01": DefaultRules.Packed}, used)
+}
+
+// Twenty short requests arrive within a millisecond. An engine reads all prompts that
+// wait within one pass, so all of them on one engine would make every stream
+// there pause for half a second. A user would see text that stops and starts.
+func TestABurstDoesNotLengthenAPass(t *testing.T) {
+	b := newBench(t, 8)
+	read := map[decide.UpstreamID]float64{}
+	for range 20 {
+		g := b.granted(now, b.note(now))
+		read[g.Leader.Upstream] += g.Leader.Read
+	}
+	for id, r := range read {
+		require.Less(t, r+engine.Pass(1, 5000), 200.0, id)
+	}
+}
+
+// A prompt of two hundred thousand tokens takes one engine 2.8 s, nearly all of its
+// aim. Read by one engine alone it would be late after any wait.
+func TestALongPromptIsSpread(t *testing.T) {
+	b := newBench(t, 18)
+	g := b.granted(now, b.history(now, 210_000))
+	require.GreaterOrEqual(t, len(g.Helpers), 10)
+	require.Less(t, g.First, 400*clock.Milli(1))
+	require.Zero(t, reserved(g.Helpers), "it fits the leader")
+}
+
+// A long prompt is read on the engine where short streams are written. Each pass
+// there takes as long as the part that is read, and the streams stand still.
+func TestALongReadKeepsAwayFromShortStreams(t *testing.T) {
+	b := newBench(t, 3)
+	note := b.runs(now, b.note(now))
+	g := b.granted(now, b.history(now, 210_000))
+	for _, p := range append([]Place{g.Leader}, g.Helpers...) {
+		require.NotEqual(t, note.Leader.Upstream, p.Upstream)
+	}
+	require.NotContains(t, []decide.UpstreamID{g.Leader.Upstream}, b.granted(now, b.note(now)).Leader.Upstream)
+}
+
+// A part of a long prompt is read where the answer to another one is written. The
+// caller of that answer bears a pause of 800 ms and no more.
+func TestAPartStaysWithinThePausesBorneThere(t *testing.T) {
+	b := newBench(t, 2)
+	first := b.runs(now, b.history(now, 120_000))
+	g := b.granted(now, b.history(now, 210_000))
+	for _, p := range append([]Place{g.Leader}, g.Helpers...) {
+		if p.Upstream == first.Leader.Upstream {
+			require.Less(t, p.Read+engine.Pass(2, 330_000), 800.0)
+		}
+	}
+}
+
+// Two engines are free where the aim needs four. A read that starts on two is late
+// for certain, and holds both for as long as it takes.
+func TestALongPromptWaitsForEnoughEngines(t *testing.T) {
+	b := newBench(t, 4)
+	busy := b.granted(now, b.history(now, 150_000))
+	require.Len(t, busy.Helpers, 3)
+	a := b.history(now, 290_000)
+	_, decided := b.ask(now, a)
+	require.False(t, decided)
+	b.First(now+300, busy.Request)
+	b.End(now+500, busy.Request, Done, "")
+	ds := b.Tick(now + 500)
+	require.Len(t, ds, 1)
+	require.Len(t, ds[0].Grant.Helpers, 3)
+}
+
+// A million tokens are more than twice an engine's memory. Sent without memory
+// reserved on others, the engine turns it away each time.
+func TestAPromptLargerThanAnEngineReservesMemory(t *testing.T) {
+	b := newBench(t, 18)
+	g := b.granted(now, b.history(now, 1_000_000))
+	require.GreaterOrEqual(t, reserved(g.Helpers)+engine.Memory, decide.Tokens(1_000_800))
+	for _, h := range g.Helpers {
+		require.LessOrEqual(t, h.Reserve, engine.Memory)
+	}
+	small := newBench(t, 2)
+	d, decided := small.ask(now, small.history(now, 1_000_000))
+	require.True(t, decided, "two engines will never have room for it")
+	require.Equal(t, Refused, d.Action)
+}
+
+// A prompt that missed its aim is worth a quarter to its caller. Placed as soon
+// as one engine is free, it keeps one that is in time from gathering its engines.
+func TestWhatIsLateMakesWay(t *testing.T) {
+	b := newBench(t, 3)
+	busy := b.granted(now, b.history(now, 100_000))
+	late, fresh := b.history(now-4000, 100_000), b.history(now, 390_000)
+	_, _ = b.Ask(now, late)
+	_, _ = b.Ask(now, fresh)
+	require.Empty(t, b.Tick(now))
+	b.End(now+1, busy.Request, Done, "")
+	for _, d := range b.Tick(now + 1) {
+		require.Equal(t, fresh.ID, d.Request)
+	}
+}
+
+// Long prompts come twice as fast as engines can read them. Kept until their
+// deadlines they all fail at the end of their time; a caller that is refused
+// early can come back when there is room.
+func TestPressureRefusesEarly(t *testing.T) {
+	b := newBench(t, 2)
+	refused, waited := 0, clock.Milli(0)
+	asked := map[decide.RequestID]clock.Milli{}
+	ends := map[decide.RequestID]clock.Milli{}
+	for at := now; at < now+30_000; at += 50 {
+		for id, end := range ends {
+			if at >= end {
+				delete(ends, id)
+				b.First(at, id)
+				b.End(at, id, Done, "")
+			}
+		}
+		if (at-now)%1000 == 0 {
+			a := b.history(at, 210_000)
+			asked[a.ID] = at
+			_, _ = b.Ask(at, a)
+		}
+		for id := range b.queue {
+			b.queue[id].heard = at
+		}
+		for id := range b.grants {
+			b.grants[id].heard = at
+		}
+		for _, d := range b.Tick(at) {
+			if d.Action == Granted {
+				ends[d.Request] = at + clock.Milli(d.Grant.Leader.Read)
+				continue
+			}
+			require.Equal(t, fault.Overloaded, d.Fault)
+			require.Positive(t, d.Retry)
+			refused++
+			waited = max(waited, at-asked[d.Request])
+		}
+	}
+	require.Positive(t, refused)
+	require.Less(t, waited, 8*clock.Second, "of 15 s that a caller has")
+}
+
+// The answer to a question is lost on its way. The gate asks again, and must not
+// get a second place for one request while the first stays booked.
+func TestALostGrantIsGivenAgain(t *testing.T) {
+	b := newBench(t, 2)
+	a := b.note(now)
+	g := b.granted(now, a)
+	again, ok := b.Ask(now+200, a)
+	require.True(t, ok)
+	require.Equal(t, g, again)
+	require.Equal(t, 1, b.Counts().Granted)
+}
+
+// The owner dies. Its successor's books are empty until the gates name what runs,
+// and it would give every engine out a second time.
+func TestASuccessorLearnsWhatRuns(t *testing.T) {
+	old, successor := newBench(t, 2), newBench(t, 2)
+	var live []Live
+	for range DefaultRules.Packed {
+		live = append(live, Live{Grant: old.runs(now, old.note(now)), Writing: true})
+	}
+	successor.asked = old.asked
+	successor.Present(now, "g", live)
+	require.Equal(t, decide.UpstreamID("e01"), successor.granted(now, successor.note(now)).Leader.Upstream)
+}
+
+// A gate loses power with requests on engines. Nobody says that they ended, and
+// one would see an engine that takes less and less.
+func TestGrantsOfADeadGateLapse(t *testing.T) {
+	b := newBench(t, 1)
+	b.runs(now, b.note(now))
+	b.Tick(now + grantLives + 1)
+	require.Zero(t, b.Counts().Granted)
+}
+
+// The word that a send ended is lost. The gate's next list does not name it.
+func TestWhatAGateDoesNotNameHasEnded(t *testing.T) {
+	b := newBench(t, 1)
+	kept, lost := b.runs(now, b.note(now)), b.runs(now, b.note(now))
+	b.Present(now+askLives+1, "g", []Live{{Grant: kept, Writing: true}})
+	require.Contains(t, b.grants, kept.Request)
+	require.NotContains(t, b.grants, lost.Request)
+	require.NotContains(t, b.rows["e00"].grants, lost.Request)
+}
+
+// All VMs lose power. The engines go on writing for callers who are gone, and a
+// new owner that trusts its empty books packs all work on the fullest engine.
+func TestWorkThatNoGrantExplainsIsCounted(t *testing.T) {
+	b := newBench(t, 3)
+	b.Doubt()
+	require.Len(t, b.Doubtful(), 3)
+	b.Report("e00", 16, 200_000)
+	b.Report("e01", 0, 0)
+	b.Report("e02", 0, 0)
+	require.Equal(t, decide.UpstreamID("e01"), b.granted(now, b.note(now)).Leader.Upstream)
+	require.Equal(t, []decide.UpstreamID{"e00"}, b.Doubtful())
+	b.Report("e00", 0, 0)
+	require.Equal(t, decide.UpstreamID("e00"), b.granted(now, b.note(now)).Leader.Upstream)
+}
+
+// An engine turns a request away although the books show room. Sent there again
+// at once, the next ones would be turned away as well.
+func TestAnEngineThatTurnsAwayIsAskedAfter(t *testing.T) {
+	b := newBench(t, 2)
+	g := b.granted(now, b.note(now))
+	b.End(now, g.Request, Full, "")
+	require.Equal(t, []decide.UpstreamID{"e00"}, b.Doubtful())
+	require.Equal(t, decide.UpstreamID("e01"), b.granted(now, b.note(now)).Leader.Upstream)
+}
+
+// An engine crashes. Every request sent there fails until somebody notices, and one
+// that is shut out for good would be missed when it is back.
+func TestACrashedEngineRestsAndIsTriedAgain(t *testing.T) {
+	b := newBench(t, 2)
+	g := b.granted(now, b.note(now))
+	b.End(now, g.Request, Unreachable, "")
+	require.Equal(t, decide.UpstreamID("e01"), b.granted(now, b.note(now)).Leader.Upstream)
+	again := b.granted(now+firstShut, b.note(now+firstShut))
+	require.Equal(t, decide.UpstreamID("e00"), again.Leader.Upstream)
+	b.End(now+firstShut, again.Request, Unreachable, "")
+	require.Equal(t, now+3*firstShut, b.rows["e00"].health.until, "the second rest is twice as long")
+}
+
+// One answer in a hundred is broken on sound engines too. Shutting out an engine for
+// each would leave none under load.
+func TestOneBrokenAnswerShutsNothingOut(t *testing.T) {
+	b := newBench(t, 1)
+	for range 5 {
+		g := b.granted(now, b.note(now))
+		b.End(now, g.Request, Broken, "")
+		g = b.granted(now, b.note(now))
+		b.End(now, g.Request, Done, "")
+	}
+}
+
+// The fault of a helper is told by the leader. Blamed on the leader, the dead helper
+// would be chosen for the next prompt again.
+func TestTheCulpritRests(t *testing.T) {
+	b := newBench(t, 4)
+	g := b.granted(now, b.history(now, 210_000))
+	b.End(now, g.Request, Unreachable, g.Helpers[0].Upstream)
+	require.False(t, b.rows[g.Helpers[0].Upstream].health.open(now))
+	require.True(t, b.rows[g.Leader.Upstream].health.open(now))
+}
+
+// Half of the answers are lost and each is asked for again. Without a bound the
+// engines get their load twice just when they are in trouble.
+func TestRepeatsAreBounded(t *testing.T) {
+	b := newBench(t, 8)
+	granted := 0
+	for range 50 {
+		a := b.note(now)
+		a.Again = true
+		d, ok := b.ask(now, a)
+		require.True(t, ok)
+		if d.Action == Granted {
+			granted++
+			b.End(now, a.ID, Done, "")
+			continue
+		}
+		require.Equal(t, "budget", d.Reason)
+	}
+	require.Equal(t, 10, granted)
+}
+
+// An engine died under twelve requests, and one of them is to blame. Two of them on
+// one engine would leave open again which.
+func TestSuspectsDoNotMeet(t *testing.T) {
+	b := newBench(t, 2)
+	a, o := b.note(now), b.note(now)
+	a.Suspect, o.Suspect = true, true
+	require.NotEqual(t, b.granted(now, a).Leader.Upstream, b.granted(now, o).Leader.Upstream)
+	_, decided := b.ask(now, func() Ask { a := b.note(now); a.Suspect = true; return a }())
+	require.False(t, decided)
+}
+
+// An engine announces that it leaves, with streams on it. They go on; nothing new comes.
+func TestALeavingEngineKeepsItsGrants(t *testing.T) {
+	b := newBench(t, 2)
+	g := b.runs(now, b.note(now))
+	b.Serve(&route.Service{ID: "s", Engine: &engine}, []route.Upstream{{ID: "e00", Slots: 16, Leaving: true}, {ID: "e01", Slots: 16}})
+	require.Equal(t, decide.UpstreamID("e01"), b.granted(now, b.note(now)).Leader.Upstream)
+	require.Contains(t, b.grants, g.Request)
+	b.Serve(&route.Service{ID: "s", Engine: &engine}, []route.Upstream{{ID: "e01", Slots: 16}})
+	require.Contains(t, b.rows, decide.UpstreamID("e00"), "it has work")
+	b.End(now, g.Request, Done, "")
+	b.Serve(&route.Service{ID: "s", Engine: &engine}, []route.Upstream{{ID: "e01", Slots: 16}})
+	require.NotContains(t, b.rows, decide.UpstreamID("e00"))
+}
+
+func TestPlainWorkGoesWhereTheFewestAre(t *testing.T) {
+	p := New(DefaultRules, gate.NewBudget(0.2, 10, 10*clock.Second))
+	p.Serve(&route.Service{ID: "s"}, []route.Upstream{{ID: "a", Slots: 2}, {ID: "b", Slots: 2}})
+	for i := range 5 {
+		_, _ = p.Ask(now, Ask{ID: decide.RequestID(fmt.Sprint(i)), Gate: "g", Aim: now + 100, Deadline: now + 1500})
+	}
+	require.Len(t, p.Tick(now), 4)
+	require.Equal(t, Counts{Queued: 1, Granted: 4, Upstreams: 2}, p.Counts())
+	p.End(now, "0", Done, "")
+	require.Len(t, p.Tick(now), 1)
+}
+
+// No upstream is there at all. Waiting would only use up the time in which the
+// caller can try another way.
+func TestWithoutUpstreamsTheRefusalIsQuick(t *testing.T) {
+	b := newBench(t, 0)
+	a := b.note(now)
+	_, decided := b.ask(now, a)
+	require.False(t, decided)
+	b.queue[a.ID].heard = now + firstShut + 1
+	ds := b.Tick(now + firstShut + 1)
+	require.Len(t, ds, 1)
+	require.Equal(t, fault.Unavailable, ds[0].Fault)
+}
--- /dev/null
+++ b/lib/decide/span/property_test.go
@@ -0,0 +1,100 @@
+package span
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"snipeshift.example/lib/clock"
+	"snipeshift.example/lib/decide"
+	"snipeshift.example/lib/decide/gate"
+	"snipeshift.example/lib/route"
+)
+
+// Whatever comes in whatever order, no engine is given more streams than it has
+// slots or more memory than it has, and what has ended leaves nothing behind.
+func TestBooksStayWithinTheEngines(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := New(DefaultRules, gate.NewBudget(0.2, 100, 10*clock.Second))
+		us := make([]route.Upstream, rapid.IntRange(1, 6).Draw(t, "engines"))
+		for i := range us {
+			us[i] = route.Upstream{ID: decide.UpstreamID(fmt.Sprint("e", i)), Slots: engine.Slots}
+		}
+		p.Serve(&route.Service{ID: "s", Engine: &engine}, us)
+		at := now
+		var live []decide.RequestID
+		for i := range rapid.IntRange(1, 120).Draw(t, "steps") {
+			at += clock.Milli(rapid.IntRange(0, 400).Draw(t, "pause"))
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			case 0, 1, 2:
+				_, _ = p.Ask(at, Ask{
+					ID: decide.RequestID(fmt.Sprint(i)), Gate: "g", Prompt: decide.Tokens(rapid.IntRange(1, 900_000).Draw(t, "prompt")),
+					Output: 500, Aim: at + 1000, Deadline: at + 9000, Gap: clock.Milli(rapid.IntRange(1, 10).Draw(t, "gap") * 100),
+				})
+			case 3:
+				if len(live) > 0 {
+					p.First(at, rapid.SampledFrom(live).Draw(t, "first"))
+				}
+			case 4:
+				if len(live) > 0 {
+					o := Outcome(rapid.IntRange(int(Done), int(Left)).Draw(t, "outcome"))
+					p.End(at, rapid.SampledFrom(live).Draw(t, "end"), o, "")
+				}
+			case 5:
+				p.Report(us[rapid.IntRange(0, len(us)-1).Draw(t, "upstream")].ID, rapid.IntRange(0, 20).Draw(t, "requests"), 1000)
+			}
+			for _, d := range p.Tick(at) {
+				if d.Action == Granted {
+					live = append(live, d.Request)
+				}
+			}
+			check(t, p)
+		}
+		for _, id := range live {
+			p.End(at, id, Done, "")
+		}
+		for _, r := range p.rows {
+			if len(r.grants) > 0 || r.debt(at) > 0 {
+				t.Fatalf("%s keeps %d grants and %f ms after all have ended", r.ID, len(r.grants), r.debt(at))
+			}
+		}
+	})
+}
+
+func check(t *rapid.T, p *Pool) {
+	for _, r := range p.rows {
+		if n, _ := r.streams(); n > engine.Slots {
+			t.Fatalf("%s has %d streams", r.ID, n)
+		}
+		if r.known() > engine.Memory {
+			t.Fatalf("%s has %d tokens", r.ID, r.known())
+		}
+	}
+}
+
+// BenchmarkAsk is one short request's way through the books of a pool at today's size
+// and at ten times that.
+func BenchmarkAsk(b *testing.B) {
+	for _, engines := range []int{23, 230} {
+		b.Run(fmt.Sprint(engines), func(b *testing.B) {
+			p := New(DefaultRules, gate.NewBudget(0.2, 100, 10*clock.Second))
+			us := make([]route.Upstream, engines)
+			for i := range us {
+				us[i] = route.Upstream{ID: decide.UpstreamID(fmt.Sprintf("e%03d", i)), Slots: engine.Slots}
+			}
+			p.Serve(&route.Service{ID: "s", Engine: &engine}, us)
+			at := now
+			for i := range b.N {
+				at++
+				id := decide.RequestID(fmt.Sprint(i))
+				_, _ = p.Ask(at, Ask{ID: id, Gate: "g", Prompt: 5000, Output: 1600, Aim: at + 300, Deadline: at + 9000, Gap: 200})
+				p.Tick(at)
+				p.First(at, id)
+				if i >= 6*engines {
+					p.End(at, decide.RequestID(fmt.Sprint(i-6*engines)), Done, "")
+				}
+			}
+		})
+	}
+}
