--- /dev/null
+++ b/daemon/placer/placer_test.go
@@ -0,0 +1,206 @@
+package placer
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/stretchr/testify/require"
+
+	"snipeshift.example/daemon/member"
+	"snipeshift.example/daemon/registry"
+	"snipeshift.example/lib/clock"
+	"snipeshift.example/lib/decide"
+	"snipeshift.example/lib/decide/span"
+	"snipeshift.example/lib/peer"
+	"snipeshift.example/lib/route"
+)
+
+var engine = route.Engine{Slots: 16, Memory: 450_000, Step: 0.925, Read: 256, Pairs: 0.0917, Stride: 46}
+
+// known is knowledge of one service with some upstreams.
+type known struct{ view *registry.View }
+
+func (k known) View() *registry.View { return k.view }
+
+func knowledge(t *testing.T, ids ...decide.UpstreamID) known {
+	t.Helper()
+	tb, err := route.Index(&route.Document{Revision: 1, Services: []route.Service{{ID: "s", Engine: &engine}}})
+	require.NoError(t, err)
+	v := &registry.View{Table: tb, Generation: 1, Upstreams: map[route.ServiceID][]route.Upstream{}}
+	for _, id := range ids {
+		v.Upstreams["s"] = append(v.Upstreams["s"], route.Upstream{ID: id, Service: "s", Address: string(id), Slots: 16})
+	}
+	return known{v}
+}
+
+// idle upstreams report no work.
+type idle struct{}
+
+func (idle) Report(context.Context, string) (int, decide.Tokens, error) { return 0, 0, nil }
+
+func newOwner(t *testing.T, ids ...decide.UpstreamID) *Owner {
+	t.Helper()
+	needs := OwnerNeeds{Clock: clock.Boot{}, Knowledge: knowledge(t, ids...), Reports: idle{}, Log: &log.Logger{Level: log.FatalLevel}}
+	return NewOwner(needs, Budget{Share: 0.2, Floor: 10, Window: 10 * clock.Second})
+}
+
+// network joins owners by the addresses of their VMs.
+type network struct {
+	mu sync.Mutex
+	// silent VMs do not answer, and refusing ones fail at once.
+	silent, refusing map[string]bool
+	owners           map[string]*Owner
+}
+
+var errRefused = errors.New("refused")
+
+func (n *network) Call(ctx context.Context, address, method string, args, reply any) error {
+	n.mu.Lock()
+	o, silent, refusing := n.owners[address], n.silent[address], n.refusing[address]
+	n.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	if refusing {
+		return errRefused
+	}
+	switch method {
+	case Name + ".Ask":
+		return o.Ask(args.(*AskArgs), reply.(*AskReply))
+	case Name + ".Note":
+		return o.Note(args.(*NoteArgs), &peer.Empty{})
+	default:
+		return o.Present(args.(*PresentArgs), &peer.Empty{})
+	}
+}
+
+// members are all live, whatever happens.
+type members []peer.Member
+
+func (m members) Live() []peer.Member { return m }
+func (m members) Self() peer.Member   { return m[len(m)-1] }
+
+type deployment struct {
+	*network
+	client *Client
+	// ranked are the VMs in the order of owning the service; self is the last.
+	ranked []peer.Member
+	own    *Owner
+}
+
+func newDeployment(t *testing.T) *deployment {
+	t.Helper()
+	d := &deployment{network: &network{silent: map[string]bool{}, refusing: map[string]bool{}, owners: map[string]*Owner{}}}
+	var ms []peer.Member
+	for _, n := range []peer.VM{"a", "b", "c", "d"} {
+		ms = append(ms, peer.Member{VM: n, Address: string(n)})
+	}
+	d.ranked = member.Rank("s", ms)
+	for _, m := range d.ranked {
+		d.owners[m.Address] = newOwner(t, "e0", "e1")
+	}
+	self := d.ranked[len(d.ranked)-1]
+	d.own = d.owners[self.Address]
+	d.client = NewClient(clock.Boot{}, &log.Logger{Level: log.FatalLevel}, members(d.ranked), d.network, d.own, "gate")
+	return d
+}
+
+func ask(id decide.RequestID) span.Ask {
+	now := clock.Boot{}.Now()
+	return span.Ask{ID: id, Gate: "gate", Prompt: 5000, Output: 1600, Aim: now + 300, Deadline: now + 5000, Gap: 200, Stream: true}
+}
+
+func (d *deployment) granted(o peer.Member) int {
+	h := d.owners[o.Address].host("s")
+	defer h.mu.Unlock()
+	return h.pool.Counts().Granted
+}
+
+func TestTheOwnerIsAsked(t *testing.T) {
+	d := newDeployment(t)
+	reply, err := d.client.Ask(context.Background(), "s", ask("1"))
+	require.NoError(t, err)
+	require.Equal(t, decide.UpstreamID("e0"), reply.Grant.Leader.Upstream)
+	require.Equal(t, 1, d.granted(d.ranked[0]))
+	d.client.End("1", span.Done, "")
+	require.Eventually(t, func() bool { return d.granted(d.ranked[0]) == 0 }, time.Second, time.Millisecond)
+}
+
+// The owner's VM loses power. Its connections stay open and say nothing, and heartbeats
+// need seconds to find out; short requests are due in 300 ms.
+func TestASilentOwnerIsPassedOver(t *testing.T) {
+	d := newDeployment(t)
+	d.silent[d.ranked[0].Address] = true
+	began := time.Now()
+	_, err := d.client.Ask(context.Background(), "s", ask("1"))
+	require.NoError(t, err)
+	require.Less(t, time.Since(began), 700*time.Millisecond)
+	require.Equal(t, 1, d.granted(d.ranked[1]))
+	began = time.Now()
+	_, err = d.client.Ask(context.Background(), "s", ask("2"))
+	require.NoError(t, err)
+	require.Less(t, time.Since(began), 100*time.Millisecond, "the next one does not ask it again")
+}
+
+// This VM is cut off from all others, but not from callers and engines.
+func TestWithoutAnyOwnerTheGatePlacesByItself(t *testing.T) {
+	d := newDeployment(t)
+	for _, m := range d.ranked {
+		d.refusing[m.Address] = true
+	}
+	reply, err := d.client.Ask(context.Background(), "s", ask("1"))
+	require.NoError(t, err)
+	require.NotEmpty(t, reply.Grant.Leader.Upstream)
+	require.Equal(t, 1, d.granted(d.ranked[3]))
+}
+
+// An owner dies while requests run. The next one must not give their places out again.
+func TestANewOwnerIsToldWhatRuns(t *testing.T) {
+	d := newDeployment(t)
+	for _, id := range []decide.RequestID{"1", "2", "3"} {
+		_, err := d.client.Ask(context.Background(), "s", ask(id))
+		require.NoError(t, err)
+		d.client.First(id)
+	}
+	d.refusing[d.ranked[0].Address] = true
+	_, err := d.client.Ask(context.Background(), "s", ask("4"))
+	require.NoError(t, err)
+	require.Equal(t, 4, d.granted(d.ranked[1]))
+}
+
+// The caller leaves while its request is queued.
+func TestAQuestionEndsWithItsCaller(t *testing.T) {
+	d := newDeployment(t)
+	for _, o := range d.owners {
+		o.Knowledge = knowledge(t)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	_, err := d.client.Ask(ctx, "s", ask("1"))
+	require.ErrorIs(t, err, context.DeadlineExceeded)
+	d.client.Withdraw("s", "1")
+	require.Eventually(t, func() bool {
+		h := d.owners[d.ranked[0].Address].host("s")
+		defer h.mu.Unlock()
+		return h.pool.Counts().Queued == 0
+	}, time.Second, time.Millisecond)
+}
+
+// A word that a send ended is lost. The list of what runs makes up for it.
+func TestTheListOfWhatRunsMakesUpForALostWord(t *testing.T) {
+	d := newDeployment(t)
+	_, err := d.client.Ask(context.Background(), "s", ask("1"))
+	require.NoError(t, err)
+	d.client.mu.Lock()
+	delete(d.client.live, "1")
+	d.client.mu.Unlock()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _ = d.client.Run(ctx) }()
+	require.Eventually(t, func() bool { return d.granted(d.ranked[0]) == 0 }, 4*time.Second, 10*time.Millisecond)
+}
--- /dev/null
+++ b/daemon/registry/registry_test.go
@@ -0,0 +1,244 @@
+package registry
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/stretchr/testify/require"
+
+	"snipeshift.example/lib/clock"
+	"snipeshift.example/lib/decide"
+	"snipeshift.example/lib/peer"
+	"snipeshift.example/lib/route"
+)
+
+// hand is a clock that a test sets.
+type hand struct {
+	mu sync.Mutex
+	at clock.Milli
+}
+
+func (h *hand) Now() clock.Milli      { h.mu.Lock(); defer h.mu.Unlock(); return h.at }
+func (h *hand) forward(d clock.Milli) { h.mu.Lock(); defer h.mu.Unlock(); h.at += d }
+
+var errDown = errors.New("down")
+
+// fake is a store whose watches end at once.
+type fake struct {
+	mu        sync.Mutex
+	document  *route.Document
+	upstreams []route.Upstream
+	gone      []decide.UpstreamID
+	down      bool
+}
+
+func (f *fake) Document(context.Context) (*route.Document, route.Mark, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return nil, 0, errDown
+	}
+	return f.document, 1, nil
+}
+
+func (f *fake) WatchDocument(context.Context, route.Mark, clock.Milli) (*route.Document, route.Mark, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return nil, 0, errDown
+	}
+	return nil, 2, nil
+}
+
+func (f *fake) Upstreams(context.Context) ([]route.Upstream, route.Mark, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return nil, 0, errDown
+	}
+	return f.upstreams, 1, nil
+}
+
+func (f *fake) WatchUpstreams(context.Context, route.Mark, clock.Milli) ([]route.Upstream, []decide.UpstreamID, route.Mark, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return nil, nil, 0, errDown
+	}
+	gone := f.gone
+	f.gone = nil
+	return nil, gone, 2, nil
+}
+
+// direct calls a receiver without a network.
+type direct struct{ to *Registry }
+
+func (d direct) Call(_ context.Context, _, _ string, args, reply any) error {
+	return NewReceiver(d.to).Tell(args.(*peer.RegistryWord), reply.(*peer.RegistryReply))
+}
+
+func document(revision route.Revision) *route.Document {
+	return &route.Document{Revision: revision}
+}
+
+func upstreams(ids ...decide.UpstreamID) []route.Upstream {
+	us := make([]route.Upstream, len(ids))
+	for i, id := range ids {
+		us[i] = route.Upstream{ID: id, Service: "s"}
+	}
+	return us
+}
+
+type bench struct {
+	*Registry
+	t     *testing.T
+	store *fake
+	clock *hand
+	ctx   context.Context
+}
+
+func newBench(t *testing.T) *bench {
+	t.Helper()
+	b := &bench{t: t, store: &fake{document: document(1), upstreams: upstreams("a", "b")}, clock: &hand{at: 1_000_000}, ctx: context.Background()}
+	b.Registry = New(b.store, nil, b.clock, &log.Logger{Level: log.FatalLevel})
+	b.list()
+	return b
+}
+
+// list is one round of both followers.
+func (b *bench) list() {
+	b.t.Helper()
+	_, err := b.listDocument(b.ctx)
+	b.reach("routes", err)
+	_, err = b.listUpstreams(b.ctx)
+	b.reach("upstreams", err)
+}
+
+func (b *bench) watch() {
+	b.t.Helper()
+	_, err := b.watchDocument(b.ctx, 1)
+	b.reach("routes", err)
+	_, err = b.watchUpstreams(b.ctx, 1)
+	b.reach("upstreams", err)
+}
+
+func (b *bench) there() int { return len(b.View().Upstreams["s"]) }
+
+// Something late tells of a document that was replaced already: a stale read, or a
+// peer that was cut off. Whoever saw the newer one in force must not see it taken back.
+func TestARevisionNeverGoesBack(t *testing.T) {
+	b := newBench(t)
+	b.learnDocument(document(9), b.clock.Now(), "store")
+	b.learnDocument(document(7), b.clock.Now()+1, "peer")
+	require.EqualValues(t, 9, b.View().Table.Revision())
+	require.Equal(t, b.clock.Now(), b.View().TableAt, "the older one proves nothing")
+}
+
+// A document leads nowhere. The last good one goes on being served.
+func TestABadDocumentIsNotTaken(t *testing.T) {
+	b := newBench(t)
+	bad := document(2)
+	bad.Routes = []route.Route{{Name: "r"}}
+	b.learnDocument(bad, b.clock.Now(), "store")
+	require.EqualValues(t, 1, b.View().Table.Revision())
+}
+
+// The end of a watch without news proves what is known up to the end of the wait, and
+// not up to the arrival of the answer, which may have been held up for seconds.
+func TestAHeldUpAnswerProvesOnlyItsOwnTime(t *testing.T) {
+	b := newBench(t)
+	sent := b.clock.Now()
+	b.clock.forward(4 * clock.Second)
+	require.Equal(t, sent+watchWait, b.asOf(sent))
+	b.clock.forward(-3500)
+	require.Equal(t, b.clock.Now(), b.asOf(sent))
+}
+
+// An upstream's entry is removed while the store is well: it has left.
+func TestARemovedUpstreamIsGoneAtOnce(t *testing.T) {
+	b := newBench(t)
+	b.store.gone = []decide.UpstreamID{"a"}
+	b.watch()
+	require.Equal(t, 1, b.there())
+}
+
+// The store was away, and the entries of all upstreams lapsed though they live. Taken
+// at its word, nothing is left to serve with until they have registered again.
+func TestLapsedEntriesAreKeptForAWhile(t *testing.T) {
+	b := newBench(t)
+	b.store.down = true
+	b.watch()
+	require.True(t, b.Lost())
+	b.clock.forward(5 * clock.Second)
+	b.store.down, b.store.upstreams = false, nil
+	b.list()
+	require.Equal(t, 2, b.there())
+	b.clock.forward(holdGone - 100)
+	b.learnUpstreams(upstreams("a"), b.clock.Now())
+	require.Equal(t, 2, b.there())
+	b.clock.forward(200)
+	b.learnUpstreams(upstreams("a"), b.clock.Now())
+	require.Equal(t, 1, b.there(), "b has not come back in time")
+}
+
+// The store turns this VM away and serves the others. Keys and upstreams that change
+// meanwhile must be known here all the same.
+func TestAPeersWordMakesUpForAShutWay(t *testing.T) {
+	cut, well := newBench(t), newBench(t)
+	cut.peers = direct{well.Registry}
+	well.clock = cut.clock
+	well.Registry.clock = cut.clock
+	cut.clock.forward(4 * clock.Second)
+	well.list()
+	beat := &peer.BeatArgs{From: peer.Member{VM: "well"}}
+	well.Fill("", beat)
+	cut.Learn(beat, false)
+	require.Equal(t, cut.clock.Now()-beatTime, cut.View().TableAt, "the same document, known to be new")
+	require.Equal(t, cut.clock.Now()-beatTime, cut.View().UpstreamsAt)
+
+	cut.clock.forward(4 * clock.Second)
+	well.store.document, well.store.upstreams = document(2), upstreams("b", "c", "d")
+	well.list()
+	beat = &peer.BeatArgs{From: peer.Member{VM: "well"}}
+	well.Fill("", beat)
+	cut.Learn(beat, false)
+	require.Eventually(t, func() bool {
+		v := cut.View()
+		return v.Table.Revision() == 2 && v.Upstream("s", func(u *route.Upstream) bool { return u.ID == "d" }) != nil
+	}, time.Second, time.Millisecond)
+}
+
+// A peer that is cut off itself says what it knew long ago. Its word must not make
+// knowledge look fresh.
+func TestAnOldWordProvesNothing(t *testing.T) {
+	b := newBench(t)
+	at := b.View().TableAt
+	b.clock.forward(6 * clock.Second)
+	b.Learn(&peer.BeatArgs{Registry: peer.RegistryWord{Revision: 1, RevisionAge: 20 * clock.Second, Digest: b.digest, DigestAge: 20 * clock.Second}}, false)
+	require.Equal(t, at, b.View().TableAt)
+	require.Equal(t, at, b.View().UpstreamsAt)
+}
+
+// A failed call may have lost events with its answer, so the next one lists anew.
+func TestFollowingListsAnewAfterAFailure(t *testing.T) {
+	b := newBench(t)
+	ctx, cancel := context.WithCancel(b.ctx)
+	var calls []string
+	list := func(context.Context) (route.Mark, error) { calls = append(calls, "list"); return 5, nil }
+	watch := func(_ context.Context, after route.Mark) (route.Mark, error) {
+		calls = append(calls, "watch")
+		if len(calls) == 3 {
+			return 0, errDown
+		}
+		if len(calls) > 4 {
+			cancel()
+		}
+		return after + 1, nil
+	}
+	b.follow(ctx, "test", list, watch)
+	require.Equal(t, []string{"list", "watch", "watch", "list", "watch"}, calls)
+}
--- /dev/null
+++ b/daemon/relay/harness_test.go
@@ -0,0 +1,266 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/stretchr/testify/require"
+
+	"snipeshift.example/daemon/placer"
+	"snipeshift.example/daemon/registry"
+	"snipeshift.example/lib/clock"
+	"snipeshift.example/lib/decide"
+	"snipeshift.example/lib/decide/gate"
+	"snipeshift.example/lib/decide/span"
+	"snipeshift.example/lib/exchange"
+	"snipeshift.example/lib/fault"
+	"snipeshift.example/lib/route"
+)
+
+// testCodec is a protocol of few headers, so that these tests know no platform's names.
+type testCodec struct{}
+
+func (testCodec) Head(h http.Header) (exchange.Head, error) {
+	return exchange.Head{ID: h.Get("Id"), Key: route.Key(h.Get("Key")), Last: h.Get("Last")}, nil
+}
+
+func (testCodec) Forward(from http.Header, s exchange.Send) http.Header {
+	h := from.Clone()
+	h.Del("Key")
+	h.Set("Workspace", string(s.Workspace))
+	h.Set("Left", fmt.Sprint(int64(s.Left)))
+	if s.Last != "" {
+		h.Set("Last", s.Last)
+	}
+	h["User-Agent"] = nil
+	return h
+}
+
+func (testCodec) Word(resp *http.Response, id string) exchange.Word {
+	return exchange.Word{Mine: resp.Header.Get("Id") == id, Genuine: resp.Header.Get("Mark") != "", Idle: resp.Header.Get("Idle") != ""}
+}
+
+func (testCodec) Answer(to, from http.Header) {
+	for n, vs := range from {
+		if n != "Connection" {
+			to[n] = vs
+		}
+	}
+}
+
+func (testCodec) Refuse(to http.Header, _ string, retry clock.Milli) {
+	if retry > 0 {
+		to.Set("Retry-After", fmt.Sprint(float64(retry)/1000))
+	}
+}
+
+// inTurn places sends on upstreams in turn, leaving out those to avoid.
+type inTurn struct {
+	mu        sync.Mutex
+	upstreams []route.Upstream
+	outcomes  []span.Outcome
+	// wait is how long a place takes to come, during which during is called.
+	wait   time.Duration
+	during func()
+	refuse fault.Kind
+}
+
+func (p *inTurn) Ask(ctx context.Context, _ route.ServiceID, a span.Ask) (placer.AskReply, error) {
+	if p.during != nil {
+		p.during()
+	}
+	select {
+	case <-time.After(p.wait):
+	case <-ctx.Done():
+		return placer.AskReply{}, ctx.Err()
+	}
+	if p.refuse != "" {
+		return placer.AskReply{Decided: true, Fault: p.refuse, Reason: "test"}, nil
+	}
+	for _, u := range p.upstreams {
+		avoid := false
+		for _, id := range a.Avoid {
+			avoid = avoid || id == u.ID
+		}
+		if !avoid {
+			return placer.AskReply{Decided: true, Grant: span.Grant{Request: a.ID, Leader: span.Place{Upstream: u.ID, Address: u.Address}, First: 100}}, nil
+		}
+	}
+	return placer.AskReply{Decided: true, Fault: fault.Unavailable, Reason: "none"}, nil
+}
+
+func (p *inTurn) First(decide.RequestID) {}
+
+func (p *inTurn) End(_ decide.RequestID, o span.Outcome, _ decide.UpstreamID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.outcomes = append(p.outcomes, o)
+}
+
+func (p *inTurn) Withdraw(route.ServiceID, decide.RequestID) {}
+
+// fixed is knowledge that a test sets.
+type fixed struct {
+	mu   sync.Mutex
+	view *registry.View
+}
+
+func (f *fixed) View() *registry.View { f.mu.Lock(); defer f.mu.Unlock(); return f.view }
+
+func (f *fixed) set(v *registry.View) { f.mu.Lock(); defer f.mu.Unlock(); f.view = v }
+
+type noSuspects struct{ check gate.Verdict }
+
+func (n noSuspects) Check(uint64) gate.Verdict    { return n.check }
+func (noSuspects) Begin(uint64) bool              { return true }
+func (noSuspects) End(uint64, bool)               {}
+func (noSuspects) Died(uint64, decide.UpstreamID) {}
+
+// world is a gate before upstreams that a test scripts.
+type world struct {
+	t      *testing.T
+	placer *inTurn
+	known  *fixed
+	gate   *Gate
+	server *httptest.Server
+	table  *route.Table
+	needs  Needs
+}
+
+// routes are one of each kind, under paths of their names.
+func routes(timeout clock.Milli) []route.Route {
+	r := func(name string, repeat route.Repeat, stream bool) route.Route {
+		return route.Route{
+			Name: name, Host: "team.example", Prefix: "/" + name + "/", Targets: []route.Target{{Service: "s", Weight: 1}},
+			Repeat: repeat, Stream: stream, Timeout: timeout, Aim: 100, Gap: 100, Attempts: 2,
+		}
+	}
+	return []route.Route{r("once", route.Once, false), r("again", route.Repeatable, false), r("stream", route.Resumable, true), r("stream1", route.Once, true)}
+}
+
+func newWorld(t *testing.T, upstreams ...http.HandlerFunc) *world {
+	t.Helper()
+	w := &world{t: t, placer: &inTurn{}, known: &fixed{}}
+	for i, h := range upstreams {
+		s := httptest.NewServer(h)
+		t.Cleanup(s.Close)
+		w.placer.upstreams = append(w.placer.upstreams, route.Upstream{
+			ID: decide.UpstreamID(fmt.Sprint("u", i)), Service: "s", Address: strings.TrimPrefix(s.URL, "http://"),
+		})
+	}
+	w.learn(2*clock.Second, "key")
+	transport := &http.Transport{DisableCompression: true}
+	t.Cleanup(transport.CloseIdleConnections)
+	w.needs = Needs{
+		Clock: clock.Boot{}, Log: &log.Logger{Level: log.FatalLevel}, Codec: testCodec{}, Placer: w.placer, Knowledge: w.known,
+		Suspects: noSuspects{}, Kept: transport, Fresh: &http.Transport{DisableKeepAlives: true, DisableCompression: true},
+	}
+	w.start()
+	return w
+}
+
+func (w *world) start() {
+	w.gate = New(w.needs, Bounds{Revoke: 5 * clock.Second, Config: 2 * clock.Second}, "vm.1")
+	w.server = httptest.NewServer(w.gate)
+	w.t.Cleanup(w.server.Close)
+}
+
+// learn puts a document in force that gives the workspace ward these keys.
+func (w *world) learn(timeout clock.Milli, keys ...route.Key) {
+	d := &route.Document{Revision: 1, Routes: routes(timeout), Workspaces: []route.Workspace{{ID: "ward", Keys: keys}}}
+	t, err := route.Index(d)
+	require.NoError(w.t, err)
+	now := clock.Boot{}.Now()
+	w.table = t
+	w.known.set(&registry.View{
+		Table: t, TableAt: now, UpstreamsAt: now, Generation: 1, Upstreams: map[route.ServiceID][]route.Upstream{"s": w.placer.upstreams},
+	})
+}
+
+// call sends one request and returns its answer.
+func (w *world) call(method, path, body string) (*http.Response, string, error) {
+	w.t.Helper()
+	r, err := http.NewRequest(method, w.server.URL+path, strings.NewReader(body))
+	require.NoError(w.t, err)
+	r.Host = "team.example"
+	r.Header.Set("Id", "a1")
+	r.Header.Set("Key", "key")
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return nil, "", err
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	return resp, string(b), err
+}
+
+// whole answers as a sound upstream does.
+func whole(body string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Id", r.Header.Get("Id"))
+		w.Header().Set("Mark", "m")
+		_, _ = io.WriteString(w, body)
+	}
+}
+
+// raw answers with bytes of the test's own and closes the connection, resetting it if told.
+func raw(t *testing.T, reset bool, answer func(r *http.Request) string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		c, buffer, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		_, _ = buffer.WriteString(answer(r))
+		_ = buffer.Flush()
+		if reset {
+			time.Sleep(20 * time.Millisecond) // the bytes before the reset must arrive
+			_ = c.(*net.TCPConn).SetLinger(0)
+		}
+		_ = c.Close()
+	}
+}
+
+// counted counts the requests that reach an upstream.
+func counted(n *atomic.Int64, h http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		n.Add(1)
+		h(w, r)
+	}
+}
+
+// stream writes a stream's events from one id to another.
+func stream(from, to int) string {
+	var b strings.Builder
+	for i := from; i <= to; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: piece %d\n\n", i, i)
+	}
+	return b.String()
+}
+
+func streamed(text string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		whole(text)(w, r)
+	}
+}
+
+func lines(s string) []string {
+	var out []string
+	for sc := bufio.NewScanner(strings.NewReader(s)); sc.Scan(); {
+		out = append(out, sc.Text())
+	}
+	return out
+}
