--- a/daemon/registry/registry.go
+++ b/daemon/registry/registry.go
@@ -229,9 +229,15 @@
 	if _, ok := r.upstreams[id]; !ok {
 		return
 	}
-	if _, held := r.gone[id]; !held {
-		r.gone[id] = max(r.clock.Now(), r.back+holdGone)
+	if _, held := r.gone[id]; held {
+		return
+	}
+	now, back := r.clock.Now(), r.back
+	if r.lost {
+		// This is the first answer after the store was away.
+		back = now
 	}
+	r.gone[id] = max(now, back+holdGone)
 }
 
 // settle ends those whose time is over and publishes. The lock is held.
--- a/daemon/registry/registry_test.go
+++ b/daemon/registry/registry_test.go
@@ -185,6 +185,18 @@
 	require.Equal(t, 1, b.there(), "b has not come back in time")
 }
 
+// The same return, when the list of upstreams is the very first answer after the outage.
+func TestLapsedEntriesAreKeptByTheFirstAnswer(t *testing.T) {
+	b := newBench(t)
+	b.store.down = true
+	b.watch()
+	b.clock.forward(5 * clock.Second)
+	b.store.down, b.store.upstreams = false, nil
+	_, err := b.listUpstreams(b.ctx)
+	require.NoError(t, err)
+	require.Equal(t, 2, b.there())
+}
+
 // The store turns this VM away and serves the others. Keys and upstreams that change
 // meanwhile must be known here all the same.
 func TestAPeersWordMakesUpForAShutWay(t *testing.T) {
