span, placer: the owner's cost under a flood

Ruled out: engines that work on after a cancel. Now sums are kept by row, a full pool is not searched, a long queue is looked at by the clock, and further questions wait longer.

--- a/bench/passes/load.go
+++ b/bench/passes/load.go
@@ -19,6 +19,9 @@
 // shifting is a day in phases: long work and short work press in turn.
 var shifting = [][]float64{{0.32, 1.3, 2.8}, {2.5, 0.5, 0.05}, {0.34, 1.3, 2.7}}
 
+// flood is a day in which all come at once for a while.
+var flood = [][]float64{{1, 1, 1}, {3, 3, 3}, {1, 1, 1}}
+
 // Loads are the loads that decisions are measured on.
 func Loads() map[string]*Load {
 	load := func(engines int, scale float64, ks []Kind, phases [][]float64) *Load {
@@ -29,6 +32,7 @@
 		"shift18":  load(18, 0.83, small, shifting),
 		"shift23":  load(23, 0.83, large, shifting),
 		"over18":   load(18, 1.4, small, shifting),
+		"flood14":  load(14, 1, small, flood),
 		"press18":  load(18, 1.1, small, shifting),
 		"press23":  load(23, 1.1, large, shifting),
 		"steady18": load(18, 1, small, nil),
--- a/daemon/placer/client.go
+++ b/daemon/placer/client.go
@@ -29,7 +29,13 @@
 
 // Times of a gate's side.
 const (
-	// answerSlack is how much later than askWait an answer may come. Peers
+	// askWait is how long the first question for a request waits for its decision. Gates
+	// take an unanswered question for a dead owner, so it is short beside the 300 ms in
+	// which short requests are due. Each further question waits twice as long, up to
+	// askLongest: what is queued that long is late, and each question costs the owner.
+	askWait    = 120 * clock.Milli(1)
+	askLongest = 480 * clock.Milli(1)
+	// answerSlack is how much later than asked an answer may come. Peers
 	// are 3 ms away; a pause of an owner's processor, whose share is cut every
 	// tenth of a second, takes up to 60.
 	answerSlack = 180 * clock.Milli(1)
@@ -143,13 +149,13 @@
 // Ask waits for a place until ctx ends. Aim and Deadline of a are instants of this VM's clock.
 func (c *Client) Ask(ctx context.Context, s route.ServiceID, a span.Ask) (AskReply, error) {
 	failed := 0
-	for {
+	for wait := askWait; ; wait = min(2*wait, askLongest) {
 		owner, remote := c.owner(s)
 		if failed >= ownersTried {
 			remote = false
 		}
 		c.changed(ctx, s, owner, remote)
-		reply, err := c.ask(ctx, s, a, owner, remote)
+		reply, err := c.ask(ctx, s, a, wait, owner, remote)
 		if ctx.Err() != nil {
 			return AskReply{}, ctx.Err()
 		}
@@ -191,16 +197,16 @@
 }
 
 // ask puts one question.
-func (c *Client) ask(ctx context.Context, s route.ServiceID, a span.Ask, owner peer.Member, remote bool) (AskReply, error) {
+func (c *Client) ask(ctx context.Context, s route.ServiceID, a span.Ask, wait clock.Milli, owner peer.Member, remote bool) (AskReply, error) {
 	now := c.clock.Now()
 	a.Aim -= now
 	a.Deadline -= now
-	args := &AskArgs{Service: s, Ask: a}
+	args := &AskArgs{Service: s, Ask: a, Wait: wait}
 	var reply AskReply
 	if !remote {
 		return reply, c.own.Ask(args, &reply)
 	}
-	ctx, cancel := context.WithTimeout(ctx, (askWait + answerSlack).Duration())
+	ctx, cancel := context.WithTimeout(ctx, (wait + answerSlack).Duration())
 	defer cancel()
 	err := c.peers.Call(ctx, owner.Address, Name+".Ask", args, &reply)
 	return reply, err
--- a/daemon/placer/messages.go
+++ b/daemon/placer/messages.go
@@ -20,11 +20,13 @@
 const Name = "Placer"
 
 // AskArgs asks for a place. The call returns after a decision, or without one
-// after askWait; then the gate asks again, which shows that it still waits.
+// after Wait; then the gate asks again, which shows that it still waits.
 type AskArgs struct {
 	Service route.ServiceID
 	// Ask has spans in place of instants: what is left until Aim and Deadline.
 	Ask span.Ask
+	// Wait is how long the call may wait for the decision.
+	Wait clock.Milli
 }
 
 // AskReply is the answer to a question.
--- a/daemon/placer/owner.go
+++ b/daemon/placer/owner.go
@@ -24,10 +24,13 @@
 type Knowledge interface{ View() *registry.View }
 
 const (
-	// askWait is how long a question waits for its decision. Gates take an
-	// unanswered question for a dead owner, so it is short beside the 300 ms in
-	// which short requests are due.
-	askWait = 120 * clock.Milli(1)
+	// longestWait bounds how long a question waits for its decision.
+	longestWait = clock.Second
+	// busyQueue is the length of a queue from which on it is looked at by the clock
+	// alone. A flood of a hundred queued requests makes a look cost some 20 us;
+	// with a look for each of a thousand messages a second, an owner with 0.4 of a core
+	// answers too late, is passed over, and its successor goes the same way.
+	busyQueue = 32
 	// tickEvery is the time between two looks at a queue: estimates run out and
 	// aims pass without any message.
 	tickEvery = 10 * time.Millisecond
@@ -193,6 +196,7 @@
 		reply.decided(d)
 		return nil
 	}
+	known := h.pool.Queued(a.ID)
 	g, granted := h.pool.Ask(now, a)
 	if granted {
 		h.mu.Unlock()
@@ -201,12 +205,15 @@
 	}
 	c := make(chan span.Decision, 1)
 	h.waiters[a.ID] = c
-	o.tick(h, now)
-	o.keepTicking(h)
 	counts := h.pool.Counts()
+	if !known && counts.Queued < busyQueue {
+		o.tick(h, now)
+		counts = h.pool.Counts()
+	}
+	o.keepTicking(h)
 	h.mu.Unlock()
 	reply.Queued, reply.Granted = counts.Queued, counts.Granted
-	t := time.NewTimer(askWait.Duration())
+	t := time.NewTimer(min(args.Wait, longestWait).Duration())
 	defer t.Stop()
 	select {
 	case d := <-c:
@@ -278,7 +285,9 @@
 	case Withdraw:
 		h.pool.Withdraw(now, args.Request)
 	}
-	o.tick(h, now)
+	if h.pool.Counts().Queued < busyQueue {
+		o.tick(h, now)
+	}
 	return nil
 }
 
--- a/lib/decide/span/engine.go
+++ b/lib/decide/span/engine.go
@@ -16,6 +16,7 @@
 	until float64
 	// grants holds every grant that uses the upstream, as leader or helper.
 	grants map[decide.RequestID]*granted
+	sums
 	health health
 	// foreign is how many requests the upstream holds that no grant explains, by
 	// its last report, and foreignUsed the memory in tokens that they take.
@@ -46,79 +47,70 @@
 // debt is the reading that is granted and not done, in milliseconds.
 func (r *row) debt(now clock.Milli) float64 {
 	left := max(0, r.until-float64(now))
-	if left < overdue && r.engine != nil && r.reading() > 0 {
+	if left < overdue && r.engine != nil && r.reading > 0 {
 		return overdue
 	}
 	return left
 }
 
-// streams counts the requests that hold a slot: those whose answer is written
-// here, or will be.
-func (r *row) streams() (n int, context decide.Tokens) {
-	for _, g := range r.grants {
-		if g.leads(r) {
-			n++
-			context += g.Grant.Prompt + g.Grant.Output
-		}
-	}
-	return n, context
+// sums are what follows from a row's grants. They are worked out when grants change:
+// each placing reads them of every row.
+type sums struct {
+	// streams counts the requests that hold a slot, since their answer is written here or
+	// will be, and context is their tokens.
+	streams int
+	context decide.Tokens
+	// reading counts the grants whose prompt is not read yet.
+	reading int
+	// suspects counts the grants of requests that an upstream died of.
+	suspects int
+	// pause is the shortest pause that the streams bear; zero for none.
+	pause clock.Milli
+	// known is the KV memory in tokens that grants take.
+	known decide.Tokens
 }
 
-// reading counts the grants whose prompt is not read yet.
-func (r *row) reading() int {
-	n := 0
+// refresh works the sums out anew.
+func (r *row) refresh() {
+	r.sums = sums{}
 	for _, g := range r.grants {
 		if !g.Writing {
-			n++
+			r.reading++
+		}
+		if g.ask.Suspect {
+			r.suspects++
+		}
+		if !g.leads(r) {
+			r.known += g.reserved(r)
+			continue
+		}
+		r.streams++
+		r.context += g.Grant.Prompt + g.Grant.Output
+		r.known += g.Grant.Prompt + g.Grant.Output - reserved(g.Grant.Helpers)
+		if g.Grant.Gap > 0 && (r.pause == 0 || g.Grant.Gap < r.pause) {
+			r.pause = g.Grant.Gap
 		}
 	}
-	return n
 }
 
-// light tells whether any stream here bears only short pauses. What no grant
-// explains is taken for such streams: most requests are.
-func (r *row) light(bound clock.Milli) bool {
-	if r.foreign > 0 {
-		return true
-	}
-	for _, g := range r.grants {
-		if g.leads(r) && g.Grant.Gap > 0 && g.Grant.Gap <= bound {
-			return true
+// reserved is the memory that a grant reserves on a helper.
+func (g *granted) reserved(r *row) decide.Tokens {
+	for _, h := range g.Grant.Helpers {
+		if h.Upstream == r.ID {
+			return h.Reserve
 		}
 	}
-	return false
+	return 0
 }
 
-// pause is the shortest pause that the streams here bear; zero for none.
-func (r *row) pause() clock.Milli {
-	least := clock.Milli(0)
-	for _, g := range r.grants {
-		if g.leads(r) && g.Grant.Gap > 0 && (least == 0 || g.Grant.Gap < least) {
-			least = g.Grant.Gap
-		}
-	}
-	return least
+// light tells whether any stream here bears only short pauses. What no grant
+// explains is taken for such streams: most requests are.
+func (r *row) light(bound clock.Milli) bool {
+	return r.foreign > 0 || r.pause > 0 && r.pause <= bound
 }
 
 // used is the KV memory in tokens that is taken here.
-func (r *row) used() decide.Tokens { return r.foreignUsed + r.known() }
-
-// known is the KV memory in tokens that grants take here.
-func (r *row) known() decide.Tokens {
-	var sum decide.Tokens
-	for _, g := range r.grants {
-		if g.leads(r) {
-			sum += g.Grant.Prompt + g.Grant.Output - reserved(g.Grant.Helpers)
-			continue
-		}
-		for _, h := range g.Grant.Helpers {
-			if h.Upstream == r.ID {
-				sum += h.Reserve
-			}
-		}
-	}
-	return sum
-}
+func (r *row) used() decide.Tokens { return r.foreignUsed + r.known }
 
 func reserved(ps []Place) decide.Tokens {
 	var sum decide.Tokens
@@ -150,30 +142,25 @@
 			return false
 		}
 	}
-	if !a.Suspect {
-		return true
-	}
-	for _, g := range r.grants {
-		if g.ask.Suspect {
-			return false
-		}
-	}
-	return true
+	return !a.Suspect || r.suspects == 0
 }
 
 // take books a grant that adds a read of this many milliseconds.
 func (r *row) take(now clock.Milli, g *granted, read float64) {
-	if n, context := r.streams(); n > 0 && read > 0 {
+	if r.streams > 0 && read > 0 {
 		// Streams that are written meanwhile take their part of each pass.
-		read += r.engine.Pass(n, context)
+		read += r.engine.Pass(r.streams, r.context)
 	}
 	r.until = max(r.until, float64(now)) + read
 	r.grants[g.Grant.Request] = g
+	r.refresh()
 }
 
-// settle corrects the estimate once nothing is left to be read.
+// settle takes a change of the grants into the sums, and corrects the estimate once
+// nothing is left to be read.
 func (r *row) settle(now clock.Milli) {
-	if r.reading() == 0 {
+	r.refresh()
+	if r.reading == 0 {
 		r.until = min(r.until, float64(now))
 	}
 }
--- a/lib/decide/span/foreign.go
+++ b/lib/decide/span/foreign.go
@@ -43,12 +43,11 @@
 	if r == nil {
 		return
 	}
-	own, _ := r.streams()
 	r.doubtful = false
-	r.foreign = max(0, requests-own)
+	r.foreign = max(0, requests-r.streams)
 	r.foreignUsed = 0
 	if r.foreign > 0 {
-		r.foreignUsed = max(0, used-r.known())
+		r.foreignUsed = max(0, used-r.known)
 	}
 }
 
--- a/lib/decide/span/place.go
+++ b/lib/decide/span/place.go
@@ -34,16 +34,15 @@
 }
 
 // place finds upstreams for a request, or none for now.
-func (p *Pool) place(now clock.Milli, a *Ask) (plan, bool) {
-	e := p.engine
-	if e == nil || a.Prompt == 0 {
-		return p.placePlain(now, a)
+func (p *Pool) place(now clock.Milli, w *waiting) (plan, bool) {
+	switch {
+	case w.cost == 0:
+		return p.placePlain(now, &w.Ask)
+	case w.heavy:
+		return p.placeHeavy(now, &w.Ask, w.cost)
+	default:
+		return p.placeLight(now, &w.Ask, w.cost)
 	}
-	cost := e.Reading(a.Prompt)
-	if cost <= p.rules.Light {
-		return p.placeLight(now, a, cost)
-	}
-	return p.placeHeavy(now, a, cost)
 }
 
 // placePlain takes the upstream with the fewest requests for its slots. Its
@@ -82,12 +81,11 @@
 	if !r.usable(now, a) {
 		return 0, false
 	}
-	n, context := r.streams()
-	n += r.foreign
+	n := r.streams + r.foreign
 	if n >= min(most, r.engine.Slots) || r.free() < a.Prompt+a.Output {
 		return 0, false
 	}
-	pass := r.engine.Pass(n+1, context+a.Prompt)
+	pass := r.engine.Pass(n+1, r.context+a.Prompt)
 	read := r.debt(now) + cost
 	if !p.bears(r, a, read+pass) {
 		return 0, false
@@ -103,7 +101,7 @@
 // bears tells whether a pass of this many milliseconds stays within what the
 // streams on r, and the request itself, bear as a pause.
 func (p *Pool) bears(r *row, a *Ask, pass float64) bool {
-	pause := r.pause()
+	pause := r.pause
 	if a.Gap > 0 && (pause == 0 || a.Gap < pause) {
 		pause = a.Gap
 	}
@@ -139,7 +137,7 @@
 	var free []*row
 	for i := len(p.order) - 1; i >= 0; i-- {
 		r := p.order[i]
-		if r.usable(now, a) && r.reading() == 0 && !r.light(lightPause) {
+		if r.usable(now, a) && r.reading == 0 && !r.light(lightPause) {
 			free = append(free, r)
 		}
 	}
@@ -154,13 +152,12 @@
 	most := -1
 	fit := make([]*row, 0, len(free))
 	for _, r := range free {
-		streams, context := r.streams()
-		if streams > 0 && !p.bears(r, a, part+r.engine.Pass(streams+1, context+a.Prompt)) {
+		if r.streams > 0 && !p.bears(r, a, part+r.engine.Pass(r.streams+1, r.context+a.Prompt)) {
 			continue
 		}
 		fit = append(fit, r)
-		if streams < r.engine.Slots && streams > most && r.free() >= min(a.Prompt+a.Output, r.usual()) {
-			leader, most = r, streams
+		if r.streams < r.engine.Slots && r.streams > most && r.free() >= min(a.Prompt+a.Output, r.usual()) {
+			leader, most = r, r.streams
 		}
 	}
 	if leader == nil || len(fit) < n {
--- a/lib/decide/span/pool.go
+++ b/lib/decide/span/pool.go
@@ -14,9 +14,9 @@
 // Times of the books.
 const (
 	// askLives is how long a queued request stays without its gate asking again.
-	// Gates ask every 150 ms; one that is silent for so long is gone, or has gone
-	// to another owner.
-	askLives clock.Milli = 700
+	// Gates ask at least twice a second; one that is silent for so long is gone, or
+	// has gone to another owner.
+	askLives clock.Milli = 1200
 	// grantLives is how long a grant stays without its gate naming it. Gates name
 	// all of them each second.
 	grantLives = 3 * clock.Second
@@ -45,6 +45,24 @@
 type waiting struct {
 	Ask
 	since, heard clock.Milli
+	// cost is the reading of its prompt by one engine, and least by a whole
+	// group, in milliseconds.
+	cost, least float64
+	// heavy is set if the prompt is too long to be read among short streams.
+	heavy bool
+}
+
+// weigh works out what follows from the prompt's length.
+func (p *Pool) weigh(w *waiting) {
+	w.cost, w.least, w.heavy = 0, 0, false
+	if p.engine == nil || w.Prompt == 0 {
+		return
+	}
+	w.cost = p.engine.Reading(w.Prompt)
+	w.least = w.cost
+	if w.heavy = w.cost > p.rules.Light; w.heavy {
+		w.least = w.cost / float64(p.group())
+	}
 }
 
 // New returns an empty pool whose repeats are bounded by b.
@@ -81,6 +99,9 @@
 		p.order = append(p.order, r)
 	}
 	slices.SortFunc(p.order, func(x, y *row) int { return cmp.Compare(x.ID, y.ID) })
+	for _, w := range p.queue {
+		p.weigh(w)
+	}
 }
 
 // Ask queues a request, or notes that its gate still waits for it. A grant that
@@ -94,10 +115,15 @@
 		w.heard = now
 		return Grant{}, false
 	}
-	p.queue[a.ID] = &waiting{Ask: a, since: now, heard: now}
+	w := &waiting{Ask: a, since: now, heard: now}
+	p.weigh(w)
+	p.queue[a.ID] = w
 	return Grant{}, false
 }
 
+// Queued tells whether a request waits here.
+func (p *Pool) Queued(id decide.RequestID) bool { return p.queue[id] != nil }
+
 // Tick places and refuses what is queued.
 func (p *Pool) Tick(now clock.Milli) []Decision {
 	p.expire(now)
@@ -108,26 +134,29 @@
 	var ds []Decision
 	waits := false
 	ahead := 0.0
+	full := false
 	for _, w := range p.sorted(now) {
-		heavy := p.heavy(&w.Ask)
-		late := heavy && p.late(now, w)
+		late := w.heavy && w.late(now)
 		if late {
 			if d, ok := p.hopeless(now, w, ahead); ok {
 				delete(p.queue, w.ID)
 				ds = append(ds, d)
 				continue
 			}
-			ahead += p.engine.Reading(w.Prompt)
+			ahead += w.cost
 		}
-		if late && waits && !p.pressing(now, w) {
+		if late && waits && !w.pressing(now) {
 			continue
 		}
-		if pl, ok := p.place(now, &w.Ask); ok {
-			delete(p.queue, w.ID)
-			ds = append(ds, p.admit(now, &w.Ask, pl))
-			continue
+		if !full {
+			if pl, ok := p.place(now, w); ok {
+				delete(p.queue, w.ID)
+				ds = append(ds, p.admit(now, &w.Ask, pl))
+				continue
+			}
+			full = p.full(now)
 		}
-		waits = waits || heavy && !late
+		waits = waits || w.heavy && !late
 		if d, refused := p.refuse(now, w); refused {
 			delete(p.queue, w.ID)
 			ds = append(ds, d)
@@ -136,15 +165,21 @@
 	return ds
 }
 
-// heavy tells whether a prompt is too long to be read among short streams.
-func (p *Pool) heavy(a *Ask) bool {
-	return p.engine != nil && p.engine.Reading(a.Prompt) > p.rules.Light
+// full tells whether no upstream has a slot left, so that nothing else in the queue
+// needs to be tried.
+func (p *Pool) full(now clock.Milli) bool {
+	for _, r := range p.order {
+		if !r.Leaving && r.health.open(now) && r.streams+r.foreign < max(r.Slots, 1) {
+			return false
+		}
+	}
+	return true
 }
 
 // pressing tells whether a late request has so little time left that it must not
 // make way for others any more.
-func (p *Pool) pressing(now clock.Milli, w *waiting) bool {
-	return float64(w.Deadline-now) < 4*p.least(&w.Ask)+float64(3*clock.Second)
+func (w *waiting) pressing(now clock.Milli) bool {
+	return float64(w.Deadline-now) < 4*w.least+float64(3*clock.Second)
 }
 
 // admit grants what has found its place, unless it is a repeat beyond the budget: a
@@ -172,9 +207,9 @@
 	}
 	slices.SortFunc(ws, func(x, y *waiting) int {
 		return cmp.Or(
-			cmp.Compare(p.rank(now, x), p.rank(now, y)),
-			cmp.Compare(p.least(&x.Ask), p.least(&y.Ask)),
-			cmp.Compare(p.due(now, x), p.due(now, y)),
+			cmp.Compare(x.rank(now), y.rank(now)),
+			cmp.Compare(x.least, y.least),
+			cmp.Compare(x.due(now), y.due(now)),
 			cmp.Compare(x.ID, y.ID),
 		)
 	})
@@ -182,40 +217,27 @@
 }
 
 // rank is 0 for what is in time, 1 for what is late.
-func (p *Pool) rank(now clock.Milli, w *waiting) int {
-	if p.late(now, w) {
+func (w *waiting) rank(now clock.Milli) int {
+	if w.late(now) {
 		return 1
 	}
 	return 0
 }
 
-func (p *Pool) late(now clock.Milli, w *waiting) bool {
-	return float64(w.Aim-now) < settleTime+p.least(&w.Ask)
-}
+// late tells whether the aim can't be met any more.
+func (w *waiting) late(now clock.Milli) bool { return float64(w.Aim-now) < settleTime+w.least }
 
-func (p *Pool) due(now clock.Milli, w *waiting) clock.Milli {
-	if p.late(now, w) {
+func (w *waiting) due(now clock.Milli) clock.Milli {
+	if w.late(now) {
 		return w.Deadline
 	}
 	return w.Aim
 }
 
-// least is the shortest reading of a prompt in milliseconds, by a whole group.
-func (p *Pool) least(a *Ask) float64 {
-	if p.engine == nil || a.Prompt == 0 {
-		return 0
-	}
-	cost := p.engine.Reading(a.Prompt)
-	if cost <= p.rules.Light {
-		return cost
-	}
-	return cost / float64(p.group())
-}
-
 // refuse tells whether a queued request can no longer be served.
 func (p *Pool) refuse(now clock.Milli, w *waiting) (Decision, bool) {
 	d := Decision{Action: Refused, Request: w.ID, Gate: w.Gate}
-	if float64(w.Deadline-now) < p.least(&w.Ask)+float64(leastWork) {
+	if float64(w.Deadline-now) < w.least+float64(leastWork) {
 		d.Fault, d.Reason = fault.Overloaded, "deadline"
 		return d, true
 	}
--- a/lib/decide/span/property_test.go
+++ b/lib/decide/span/property_test.go
@@ -64,11 +64,11 @@
 
 func check(t *rapid.T, p *Pool) {
 	for _, r := range p.rows {
-		if n, _ := r.streams(); n > engine.Slots {
-			t.Fatalf("%s has %d streams", r.ID, n)
+		if r.streams > engine.Slots {
+			t.Fatalf("%s has %d streams", r.ID, r.streams)
 		}
-		if r.known() > engine.Memory {
-			t.Fatalf("%s has %d tokens", r.ID, r.known())
+		if r.known > engine.Memory {
+			t.Fatalf("%s has %d tokens", r.ID, r.known)
 		}
 	}
 }
@@ -98,3 +98,28 @@
 		})
 	}
 }
+
+// BenchmarkFlood is one more question while all engines are full and a hundred requests wait.
+func BenchmarkFlood(b *testing.B) {
+	p := New(DefaultRules, gate.NewBudget(0.2, 100, 10*clock.Second))
+	us := make([]route.Upstream, 18)
+	for i := range us {
+		us[i] = route.Upstream{ID: decide.UpstreamID(fmt.Sprintf("e%03d", i)), Slots: engine.Slots}
+	}
+	p.Serve(&route.Service{ID: "s", Engine: &engine}, us)
+	ask := func(i int, at clock.Milli) {
+		_, _ = p.Ask(at, Ask{ID: decide.RequestID(fmt.Sprint(i)), Gate: "g", Prompt: decide.Tokens(2000 + i%100*50), Output: 1600, Aim: at + 300, Deadline: at + 9000, Gap: 200})
+	}
+	for i := range 18*engine.Slots + 100 {
+		ask(i, now)
+		for _, d := range p.Tick(now) {
+			p.First(now, d.Request)
+		}
+	}
+	b.ResetTimer()
+	for i := range b.N {
+		ask(1000+i, now)
+		p.Tick(now)
+		p.Withdraw(now, decide.RequestID(fmt.Sprint(1000+i)))
+	}
+}
--- a/lib/decide/span/spare.go
+++ b/lib/decide/span/spare.go
@@ -43,7 +43,7 @@
 			continue
 		}
 		engines++
-		if r.reading() > 0 {
+		if r.reading > 0 {
 			reading++
 		}
 	}
@@ -64,10 +64,9 @@
 // hopeless tells whether a late long prompt will not be served by its deadline,
 // behind this much reading of other late ones, and how long that reading takes.
 func (p *Pool) hopeless(now clock.Milli, w *waiting, ahead float64) (Decision, bool) {
-	cost := p.engine.Reading(w.Prompt)
 	rate := p.spare.rate()
 	wait := ahead / rate
-	if float64(w.Deadline-now) > wait+max(cost/rate, p.least(&w.Ask))+answering {
+	if float64(w.Deadline-now) > wait+max(w.cost/rate, w.least)+answering {
 		return Decision{}, false
 	}
 	retry := min(max(clock.Milli(wait/2), firstShut), longestRetry)
