span, relay, platform: what is of no use to a caller any more is refused while it can come back

Cause: callers of streams leave after a gap that no field names (2 s for short ones, of 10 s allowed); late requests were kept for the whole time allowed, and held in vain. The patience is decoded with the route, and late short requests are refused once the rate of the last seconds will not reach them.

--- a/daemon/relay/run.go
+++ b/daemon/relay/run.go
@@ -133,7 +133,7 @@
 	a := span.Ask{
 		ID:   decide.RequestID(string(g.id) + "#" + strconv.FormatUint(g.serial.Add(1), 36)),
 		Gate: g.id, Workspace: x.workspace(), Urgency: route.Urgency(x.route, x.holder),
-		Prompt: x.head.Prompt, Output: x.head.Output, Aim: x.aim(now), Deadline: x.deadline, Gap: x.route.Gap,
+		Prompt: x.head.Prompt, Output: x.head.Output, Aim: x.aim(now), Deadline: x.useless(now), Gap: x.route.Gap,
 		Stream: x.route.Stream, Avoid: x.avoid, Suspect: check == gate.Suspected, Again: again,
 	}
 	reply, err := g.Placer.Ask(ctx, x.service, a)
@@ -149,6 +149,18 @@
 	return reply.Grant, nil
 }
 
+// useless is when the next byte comes too late: the caller has left by then.
+func (x *flight) useless(now clock.Milli) clock.Milli {
+	switch {
+	case x.route.Patience == 0:
+		return x.deadline
+	case x.begun:
+		return min(x.deadline, now+x.route.Patience)
+	default:
+		return min(x.deadline, x.arrived+x.route.Patience)
+	}
+}
+
 // aim is when the first byte should come. For a stream that is continued it is now: its
 // caller is looking at a pause already.
 func (x *flight) aim(now clock.Milli) clock.Milli {
--- a/lib/decide/span/pool.go
+++ b/lib/decide/span/pool.go
@@ -135,9 +135,10 @@
 	waits := false
 	ahead := 0.0
 	full := false
+	stuck := 0
 	for _, w := range p.sorted(now) {
-		late := w.heavy && w.late(now)
-		if late {
+		late := w.late(now)
+		if late && w.heavy {
 			if d, ok := p.hopeless(now, w, ahead); ok {
 				delete(p.queue, w.ID)
 				ds = append(ds, d)
@@ -145,17 +146,28 @@
 			}
 			ahead += w.cost
 		}
-		if late && waits && !w.pressing(now) {
+		if late && w.heavy && waits && !w.pressing(now) {
 			continue
 		}
 		if !full {
 			if pl, ok := p.place(now, w); ok {
 				delete(p.queue, w.ID)
 				ds = append(ds, p.admit(now, &w.Ask, pl))
+				if late && !w.heavy {
+					p.spare.placed()
+				}
 				continue
 			}
 			full = p.full(now)
 		}
+		if late && !w.heavy {
+			if d, ok := p.stuck(now, w, stuck); ok {
+				delete(p.queue, w.ID)
+				ds = append(ds, d)
+				continue
+			}
+			stuck++
+		}
 		waits = waits || w.heavy && !late
 		if d, refused := p.refuse(now, w); refused {
 			delete(p.queue, w.ID)
--- a/lib/decide/span/pool_test.go
+++ b/lib/decide/span/pool_test.go
@@ -411,3 +411,35 @@
 	require.Len(t, ds, 1)
 	require.Equal(t, fault.Unavailable, ds[0].Fault)
 }
+
+// Short requests come faster than slots get free. Those that are late already stand
+// behind all that are in time; kept, they wait until their callers have left.
+func TestAFloodRefusesWhatWillNotBeServed(t *testing.T) {
+	b := newBench(t, 1)
+	for range engine.Slots {
+		b.runs(now, b.note(now))
+	}
+	a := b.note(now)
+	a.Deadline = now + 2000
+	_, decided := b.ask(now, a)
+	require.False(t, decided)
+	require.Empty(t, b.Tick(now+400), "it is not late for long")
+	ds := b.Tick(now + 600)
+	require.Len(t, ds, 1)
+	require.Equal(t, fault.Overloaded, ds[0].Fault)
+	require.GreaterOrEqual(t, ds[0].Retry, firstShut)
+}
+
+// A plain service is full for a moment. Its requests take milliseconds, so the next
+// slot is near, and a refusal would cost the caller more than the wait.
+func TestAFullPlainServiceIsWaitedFor(t *testing.T) {
+	p := New(DefaultRules, gate.NewBudget(0.2, 10, 10*clock.Second))
+	p.Serve(&route.Service{ID: "s"}, []route.Upstream{{ID: "a", Slots: 1}})
+	for _, id := range []decide.RequestID{"1", "2"} {
+		_, _ = p.Ask(now, Ask{ID: id, Gate: "g", Aim: now + 100, Deadline: now + 1500})
+	}
+	require.Len(t, p.Tick(now), 1)
+	require.Empty(t, p.Tick(now+900))
+	p.End(now+900, "1", Done, "")
+	require.Len(t, p.Tick(now+900), 1)
+}
--- a/lib/decide/span/span.go
+++ b/lib/decide/span/span.go
@@ -31,7 +31,7 @@
 	// Prompt and Output are token counts; both zero for a plain service.
 	Prompt, Output decide.Tokens
 	// Aim is the instant by which the first byte should come, Deadline the one
-	// by which the whole answer must have come. Both are of the pool's clock.
+	// after which the caller has no use for it. Both are of the pool's clock.
 	Aim, Deadline clock.Milli
 	// Gap is the longest pause between two events that the stream bears; zero for any.
 	Gap clock.Milli
--- a/lib/decide/span/spare.go
+++ b/lib/decide/span/spare.go
@@ -19,9 +19,9 @@
 	// leastSpare is the share of the engines' time that is counted on for late
 	// prompts under any pressure: phases of pressure end.
 	leastSpare = 0.1
-	// answering is the time in milliseconds that an answer takes after its prompt is
-	// read: some twenty events of half a tenth of a second.
-	answering = 1200.0
+	// stuckAfter is how long a short request is late before it is taken for stuck: a
+	// moment without a free slot is no pressure.
+	stuckAfter = 200 * clock.Milli(1)
 	// longestRetry bounds what a refused caller is told to wait.
 	longestRetry = 4 * clock.Second
 )
@@ -33,6 +33,8 @@
 	at   clock.Milli
 	// engines is how many there are that hold no short streams.
 	engines int
+	// served is how many late short requests are placed in a millisecond, averaged.
+	served float64
 }
 
 // look takes the present state of the engines into the average.
@@ -52,7 +54,27 @@
 		share = float64(reading) / float64(engines)
 	}
 	keep := math.Exp(-float64(now-p.spare.at) / spareWindow)
-	p.spare = spare{busy: keep*p.spare.busy + (1-keep)*share, at: now, engines: engines}
+	p.spare = spare{busy: keep*p.spare.busy + (1-keep)*share, at: now, engines: engines, served: keep * p.spare.served}
+}
+
+// placed counts a late short request that found its place.
+func (s *spare) placed() { s.served += 1 / spareWindow }
+
+// stuck tells whether a late short request behind this many others will be of no use
+// any more when its turn comes, at the rate of the last seconds.
+func (p *Pool) stuck(now clock.Milli, w *waiting, ahead int) (Decision, bool) {
+	wait := float64(ahead+1) / max(p.spare.served, 1/spareWindow)
+	if w.cost == 0 || now-w.Aim < stuckAfter || float64(w.Deadline-now) > wait+w.least {
+		return Decision{}, false
+	}
+	return refusal(w, wait), true
+}
+
+// refusal tells a caller to come back when half of those ahead should be served: then its
+// turn comes soon after, and nobody waits for it meanwhile.
+func refusal(w *waiting, wait float64) Decision {
+	retry := min(max(clock.Milli(wait/2), firstShut), longestRetry)
+	return Decision{Action: Refused, Request: w.ID, Gate: w.Gate, Fault: fault.Overloaded, Retry: retry, Reason: "pressure"}
 }
 
 // rate is how much reading the engines do beside what is in time, in milliseconds
@@ -66,9 +88,8 @@
 func (p *Pool) hopeless(now clock.Milli, w *waiting, ahead float64) (Decision, bool) {
 	rate := p.spare.rate()
 	wait := ahead / rate
-	if float64(w.Deadline-now) > wait+max(w.cost/rate, w.least)+answering {
+	if float64(w.Deadline-now) > wait+max(w.cost/rate, w.least) {
 		return Decision{}, false
 	}
-	retry := min(max(clock.Milli(wait/2), firstShut), longestRetry)
-	return Decision{Action: Refused, Request: w.ID, Gate: w.Gate, Fault: fault.Overloaded, Retry: retry, Reason: "pressure"}, true
+	return refusal(w, wait), true
 }
--- a/lib/route/doc.go
+++ b/lib/route/doc.go
@@ -63,6 +63,9 @@
 	Timeout clock.Milli
 	// Aim is the time to the first byte within which an answer is worth most.
 	Aim clock.Milli
+	// Patience is how long a caller waits for the next event of a stream, or for the
+	// first, before it leaves; zero if it waits out its time.
+	Patience clock.Milli
 	// Gap is the longest pause between two events of an answer that is on time; zero for no bound.
 	Gap clock.Milli
 	// Attempts is how many upstreams one request may be sent to; at least 1.
