--- a/bench/passes.go
+++ b/bench/passes.go
@@ -21,7 +21,7 @@
 			&cli.StringFlag{Name: "load", Usage: "only the load `NAME`"},
 		},
 		Action: func(_ context.Context, c *cli.Command) error {
-			printPasses(int(c.Int("seeds")), c.String("load"))
+			printPasses(c.Int("seeds"), c.String("load"))
 			return nil
 		},
 	}
--- a/daemon/relay/watchdog.go
+++ b/daemon/relay/watchdog.go
@@ -105,10 +105,20 @@
 	}
 }
 
-// check looks at the upstream. Two looks in a row must fail: a single packet may be lost.
+// gone tells whether two looks in a row fail: a single packet may be lost.
+func (g *Gate) gone(address string) bool {
+	for range 2 {
+		if !g.died(address) {
+			return false
+		}
+	}
+	return true
+}
+
+// check looks at the upstream.
 func (w *watchdog) check() {
 	defer guard.Report(w.gate.Log, "look at a silent upstream")
-	if w.gate.died(w.address) && w.gate.died(w.address) {
+	if w.gate.gone(w.address) {
 		w.gate.Log.Warn().Str("event", "silent").Str("address", w.address).Msg("a silent upstream takes no connection")
 		w.bark()
 		return
--- a/lib/decide/span/pool_test.go
+++ b/lib/decide/span/pool_test.go
@@ -84,10 +84,10 @@
 }
 
 // runs asks and notes the first byte at once.
-func (b *bench) runs(at clock.Milli, a Ask) Grant {
+func (b *bench) runs(a Ask) Grant {
 	b.t.Helper()
-	g := b.granted(at, a)
-	b.First(at, a.ID)
+	g := b.granted(now, a)
+	b.First(now, a.ID)
 	return g
 }
 
@@ -95,7 +95,7 @@
 	b := newBench(t, 4)
 	used := map[decide.UpstreamID]int{}
 	for range 2 * DefaultRules.Packed {
-		used[b.runs(now, b.note(now)).Leader.Upstream]++
+		used[b.runs(b.note(now)).Leader.Upstream]++
 	}
 	require.Equal(t, map[decide.UpstreamID]int{"e00": DefaultRules.Packed, "e01": DefaultRules.Packed}, used)
 }
@@ -129,7 +129,7 @@
 // there takes as long as the part that is read, and the streams stand still.
 func TestALongReadKeepsAwayFromShortStreams(t *testing.T) {
 	b := newBench(t, 3)
-	note := b.runs(now, b.note(now))
+	note := b.runs(b.note(now))
 	g := b.granted(now, b.history(now, 210_000))
 	for _, p := range append([]Place{g.Leader}, g.Helpers...) {
 		require.NotEqual(t, note.Leader.Upstream, p.Upstream)
@@ -141,7 +141,7 @@
 // caller of that answer bears a pause of 800 ms and no more.
 func TestAPartStaysWithinThePausesBorneThere(t *testing.T) {
 	b := newBench(t, 2)
-	first := b.runs(now, b.history(now, 120_000))
+	first := b.runs(b.history(now, 120_000))
 	g := b.granted(now, b.history(now, 210_000))
 	for _, p := range append([]Place{g.Leader}, g.Helpers...) {
 		if p.Upstream == first.Leader.Upstream {
@@ -256,7 +256,7 @@
 	old, successor := newBench(t, 2), newBench(t, 2)
 	var live []Live
 	for range DefaultRules.Packed {
-		live = append(live, Live{Grant: old.runs(now, old.note(now)), Writing: true})
+		live = append(live, Live{Grant: old.runs(old.note(now)), Writing: true})
 	}
 	successor.asked = old.asked
 	successor.Present(now, "g", live)
@@ -267,7 +267,7 @@
 // one would see an engine that takes less and less.
 func TestGrantsOfADeadGateLapse(t *testing.T) {
 	b := newBench(t, 1)
-	b.runs(now, b.note(now))
+	b.runs(b.note(now))
 	b.Tick(now + grantLives + 1)
 	require.Zero(t, b.Counts().Granted)
 }
@@ -275,7 +275,7 @@
 // The word that a send ended is lost. The gate's next list does not name it.
 func TestWhatAGateDoesNotNameHasEnded(t *testing.T) {
 	b := newBench(t, 1)
-	kept, lost := b.runs(now, b.note(now)), b.runs(now, b.note(now))
+	kept, lost := b.runs(b.note(now)), b.runs(b.note(now))
 	b.Present(now+askLives+1, "g", []Live{{Grant: kept, Writing: true}})
 	require.Contains(t, b.grants, kept.Request)
 	require.NotContains(t, b.grants, lost.Request)
@@ -376,7 +376,7 @@
 // An engine announces that it leaves, with streams on it. They go on; nothing new comes.
 func TestALeavingEngineKeepsItsGrants(t *testing.T) {
 	b := newBench(t, 2)
-	g := b.runs(now, b.note(now))
+	g := b.runs(b.note(now))
 	b.Serve(&route.Service{ID: "s", Engine: &engine}, []route.Upstream{{ID: "e00", Slots: 16, Leaving: true}, {ID: "e01", Slots: 16}})
 	require.Equal(t, decide.UpstreamID("e01"), b.granted(now, b.note(now)).Leader.Upstream)
 	require.Contains(t, b.grants, g.Request)
@@ -417,7 +417,7 @@
 func TestAFloodRefusesWhatWillNotBeServed(t *testing.T) {
 	b := newBench(t, 1)
 	for range engine.Slots {
-		b.runs(now, b.note(now))
+		b.runs(b.note(now))
 	}
 	a := b.note(now)
 	a.Deadline = now + 2000
--- a/scenarios/platform_test.go
+++ b/scenarios/platform_test.go
@@ -102,10 +102,10 @@
 // callers is how many callers a load has.
 const callers = 6
 
-func (f *fleet) load(workspace string) *load {
+func (f *fleet) load() *load {
 	l := &load{stop: make(chan struct{})}
 	for i := range callers {
-		c := standin.NewCaller(workspace)
+		c := standin.NewCaller("ward")
 		l.wg.Go(func() {
 			for n := i; ; n++ {
 				select {
@@ -148,7 +148,7 @@
 
 func TestPlatformCalmDay(t *testing.T) {
 	f := newFleet(t, 3)
-	l := f.load("ward")
+	l := f.load()
 	time.Sleep(2 * time.Second)
 	l.end(t, f)
 }
@@ -156,7 +156,7 @@
 // The operator adds a route. A caller who was told of it meets a VM that does not know it.
 func TestPlatformNewRouteIsServedSoon(t *testing.T) {
 	f := newFleet(t, 3)
-	l := f.load("ward")
+	l := f.load()
 	f.platform.AddRoute("extra")
 	time.Sleep(2 * time.Second)
 	c := standin.NewCaller("ward")
@@ -170,7 +170,7 @@
 // nothing runs for that team, on any VM.
 func TestPlatformWithdrawnKeyIsRefused(t *testing.T) {
 	f := newFleet(t, 3)
-	l := f.load("ward")
+	l := f.load()
 	c := standin.NewCaller("desk")
 	require.True(t, c.Call(f.vms[0].caller, "lookup").Whole)
 	f.platform.Forget()
@@ -186,7 +186,7 @@
 // nobody notices.
 func TestPlatformLeavingUpstreamGetsNothingNew(t *testing.T) {
 	f := newFleet(t, 3)
-	l := f.load("ward")
+	l := f.load()
 	time.Sleep(500 * time.Millisecond)
 	f.platform.Models[0].Drain(2 * time.Second)
 	f.platform.Desks[0].Drain(2 * time.Second)
@@ -199,7 +199,7 @@
 // An engine crashes under its streams. They are continued by others.
 func TestPlatformCrashedEngineCostsNoStream(t *testing.T) {
 	f := newFleet(t, 3)
-	l := f.load("ward")
+	l := f.load()
 	time.Sleep(500 * time.Millisecond)
 	f.platform.Models[0].Crash()
 	time.Sleep(2 * time.Second)
@@ -209,7 +209,7 @@
 // Every VM is stopped and started in turn, under load. No request is cut off.
 func TestPlatformRollingRestart(t *testing.T) {
 	f := newFleet(t, 3)
-	l := f.load("ward")
+	l := f.load()
 	for _, v := range f.vms {
 		require.NoError(t, v.process.Signal(syscall.SIGTERM))
 		require.Eventually(t, func() bool { return !isReady(v) }, time.Second, 10*time.Millisecond)
@@ -230,7 +230,7 @@
 func TestPlatformShortOutageOfTheStore(t *testing.T) {
 	for _, mode := range []standin.Mode{standin.Busy, standin.Mute} {
 		f := newFleet(t, 3)
-		l := f.load("ward")
+		l := f.load()
 		f.platform.Fail(mode)
 		time.Sleep(1500 * time.Millisecond)
 		for _, r := range append(f.platform.Models, f.platform.Desks...) {
