--- a/daemon/operator/door_test.go
+++ b/daemon/operator/door_test.go
@@ -189,7 +189,7 @@
 // The page of operating is where on-call engineers look an alarm up. A metric
 // that is renamed here and not there would leave them without.
 func TestThePageOfOperatingNamesEveryMetric(t *testing.T) {
-	page, err := os.ReadFile("../../docs/OPERATING.md")
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	require.NoError(t, err)
 	text := newFixture(t).call(http.MethodGet, "/metrics", "").Body.String()
 	for _, line := range strings.Split(text, "\n") {
--- a/daemon/placer/client.go
+++ b/daemon/placer/client.go
@@ -12,6 +12,7 @@
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
 	"snipeshift.example/lib/decide/span"
+	"snipeshift.example/lib/logline"
 	"snipeshift.example/lib/peer"
 	"snipeshift.example/lib/route"
 )
@@ -143,7 +144,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.suspects[m.VM] = c.clock.Now() + suspectFor
-	c.log.Warn().Str("event", "unreachable").Str("dependency", "owner").Str("peer", string(m.VM)).Err(err).Msg("an owner does not answer and is passed over")
+	c.log.Warn().Str(logline.Key, logline.Unreachable).Str("dependency", "owner").Str("peer", string(m.VM)).Err(err).Msg("an owner does not answer and is passed over")
 }
 
 // Ask waits for a place until ctx ends. Aim and Deadline of a are instants of this VM's clock.
@@ -189,7 +190,7 @@
 	if same {
 		return
 	}
-	c.log.Info().Str("event", "owner").Str("service", string(s)).Str("owner", string(owner.VM)).
+	c.log.Info().Str(logline.Key, logline.Owner).Str("service", string(s)).Str("owner", string(owner.VM)).
 		Str("before", string(last.VM)).Msg("a service has another owner")
 	if known {
 		c.present(ctx, s, c.grouped()[s])
--- a/daemon/placer/owner.go
+++ b/daemon/placer/owner.go
@@ -13,6 +13,7 @@
 	"snipeshift.example/lib/decide"
 	"snipeshift.example/lib/decide/gate"
 	"snipeshift.example/lib/decide/span"
+	"snipeshift.example/lib/logline"
 	"snipeshift.example/lib/peer"
 	"snipeshift.example/lib/route"
 )
@@ -170,7 +171,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if err != nil {
-		o.Log.Warn().Str("event", "report").Str("upstream", string(id)).Err(err).Msg("an upstream in doubt does not report")
+		o.Log.Warn().Str(logline.Key, logline.Report).Str("upstream", string(id)).Err(err).Msg("an upstream in doubt does not report")
 		h.pool.Unreported(id)
 		return
 	}
@@ -178,7 +179,7 @@
 	if requests == 0 {
 		return
 	}
-	o.Log.Info().Str("event", "report").Str("upstream", string(id)).Int("requests", requests).Int64("used", int64(used)).
+	o.Log.Info().Str(logline.Key, logline.Report).Str("upstream", string(id)).Int("requests", requests).Int64("used", int64(used)).
 		Msg("an upstream in doubt reports")
 }
 
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -19,6 +19,7 @@
 	"snipeshift.example/daemon/relay"
 	"snipeshift.example/daemon/settings"
 	"snipeshift.example/lib/clock"
+	"snipeshift.example/lib/logline"
 	"snipeshift.example/lib/peer"
 	"snipeshift.example/platform"
 )
@@ -158,7 +159,7 @@
 			defer guard.Report(d.log, name)
 			err := f()
 			if err != nil {
-				d.log.Error().Str("event", "failed").Str("part", name).Err(err).Msg("part failed")
+				d.log.Error().Str(logline.Key, logline.Failed).Str("part", name).Err(err).Msg("part failed")
 				end()
 			}
 			return err
@@ -176,7 +177,7 @@
 	part("registry", func() error { return d.registry.Run(work) })
 	part("heartbeats", func() error { return d.members.Run(work) })
 	part("placer", func() error { return d.placer.Run(work) })
-	d.log.Info().Str("event", "started").Str("caller", s.Caller).Str("peer", s.Peer).Strs("peers", s.Peers).Msg("started")
+	d.log.Info().Str(logline.Key, logline.Started).Str("caller", s.Caller).Str("peer", s.Peer).Strs("peers", s.Peers).Msg("started")
 	select {
 	case <-ctx.Done():
 	case <-work.Done():
@@ -189,14 +190,14 @@
 	_ = peerDoor.Close()
 	d.peers.Close()
 	d.dialer.Close()
-	d.log.Info().Str("event", "stopped").Msg("stopped")
+	d.log.Info().Str(logline.Key, logline.Stopped).Msg("stopped")
 	return g.Wait()
 }
 
 // stop is the planned stop: it says that it is not ready, asks callers to go elsewhere
 // with each answer, and closes once the balancer has noticed and all are served.
 func (d *relayed) stop(callers *http.Server) {
-	d.log.Info().Str("event", "stopping").Msg("stopping")
+	d.log.Info().Str(logline.Key, logline.Stopping).Msg("stopping")
 	close(d.stopping)
 	d.members.Stop()
 	d.gate.Stop()
@@ -205,7 +206,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), left.Duration())
 	defer cancel()
 	if err := callers.Shutdown(ctx); err != nil {
-		d.log.Warn().Str("event", "stopping").Err(err).Msg("some answers are cut off at the end of the grace")
+		d.log.Warn().Str(logline.Key, logline.Stopping).Err(err).Msg("some answers are cut off at the end of the grace")
 	}
 }
 
--- a/daemon/registry/follow.go
+++ b/daemon/registry/follow.go
@@ -8,6 +8,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"snipeshift.example/lib/clock"
+	"snipeshift.example/lib/logline"
 	"snipeshift.example/lib/route"
 )
 
@@ -106,11 +107,11 @@
 	switch {
 	case err != nil && !r.lost:
 		r.lost = true
-		r.log.Warn().Str("event", "unreachable").Str("dependency", "store").Str("call", what).Err(err).Msg("the store does not answer")
+		r.log.Warn().Str(logline.Key, logline.Unreachable).Str("dependency", "store").Str("call", what).Err(err).Msg("the store does not answer")
 	case err == nil && r.lost:
 		r.lost = false
 		r.back = r.clock.Now()
-		r.log.Info().Str("event", "reached").Str("dependency", "store").Str("call", what).Msg("the store answers again")
+		r.log.Info().Str(logline.Key, logline.Reached).Str("dependency", "store").Str("call", what).Msg("the store answers again")
 	}
 }
 
--- a/daemon/registry/peers.go
+++ b/daemon/registry/peers.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"snipeshift.example/lib/clock"
+	"snipeshift.example/lib/logline"
 	"snipeshift.example/lib/peer"
 	"snipeshift.example/lib/route"
 )
@@ -82,7 +83,7 @@
 	sent := r.clock.Now()
 	var reply peer.RegistryReply
 	if err := r.peers.Call(ctx, from.Address, Name+".Tell", args, &reply); err != nil {
-		r.log.Warn().Str("event", "unreachable").Str("dependency", string(from.VM)).Err(err).Msg("a peer that knows more does not tell")
+		r.log.Warn().Str(logline.Key, logline.Unreachable).Str("dependency", string(from.VM)).Err(err).Msg("a peer that knows more does not tell")
 		return
 	}
 	if reply.Document != nil {
--- a/daemon/registry/registry.go
+++ b/daemon/registry/registry.go
@@ -19,6 +19,7 @@
 
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
+	"snipeshift.example/lib/logline"
 	"snipeshift.example/lib/route"
 )
 
@@ -156,10 +157,10 @@
 	}
 	t, err := route.Index(d)
 	if err != nil {
-		r.log.Error().Str("event", "rejected").Uint64("revision", uint64(d.Revision)).Err(err).Msg("document is not taken")
+		r.log.Error().Str(logline.Key, logline.Rejected).Uint64("revision", uint64(d.Revision)).Err(err).Msg("document is not taken")
 		return
 	}
-	r.log.Info().Str("event", "applied").Uint64("revision", uint64(d.Revision)).Str("from", from).
+	r.log.Info().Str(logline.Key, logline.Applied).Uint64("revision", uint64(d.Revision)).Str("from", from).
 		Int64("age", int64(r.clock.Now()-at)).Int("routes", len(d.Routes)).Msg("document is in force")
 	r.table, r.tableAt = t, max(at, r.tableAt)
 	r.generation++
@@ -181,7 +182,7 @@
 	listed := make(map[decide.UpstreamID]bool, len(us))
 	first := r.upstreamsAt == 0
 	if first {
-		r.log.Info().Str("event", "upstreams").Int("count", len(us)).Int64("age", int64(r.clock.Now()-at)).Msg("upstreams are known")
+		r.log.Info().Str(logline.Key, logline.Upstreams).Int("count", len(us)).Int64("age", int64(r.clock.Now()-at)).Msg("upstreams are known")
 	}
 	for _, u := range us {
 		listed[u.ID] = true
@@ -216,7 +217,7 @@
 		return
 	}
 	if tell {
-		r.log.Info().Str("event", "upstream").Str("upstream", string(u.ID)).Str("service", string(u.Service)).
+		r.log.Info().Str(logline.Key, logline.Upstream).Str("upstream", string(u.ID)).Str("service", string(u.Service)).
 			Str("address", u.Address).Bool("leaving", u.Leaving).Bool("new", !ok).Msg("upstream changed")
 	}
 	r.upstreams[u.ID] = u
@@ -250,7 +251,7 @@
 		delete(r.gone, id)
 		delete(r.upstreams, id)
 		r.generation++
-		r.log.Info().Str("event", "upstream").Str("upstream", string(id)).Bool("gone", true).Msg("upstream is gone")
+		r.log.Info().Str(logline.Key, logline.Upstream).Str("upstream", string(id)).Bool("gone", true).Msg("upstream is gone")
 	}
 	r.upstreamsAt = max(r.upstreamsAt, at)
 	r.digest = digest(r.upstreams)
--- a/daemon/relay/reserve.go
+++ b/daemon/relay/reserve.go
@@ -12,6 +12,7 @@
 	"snipeshift.example/lib/decide"
 	"snipeshift.example/lib/decide/span"
 	"snipeshift.example/lib/exchange"
+	"snipeshift.example/lib/logline"
 )
 
 // Times of reserved memory.
@@ -75,7 +76,7 @@
 				err = errReserve
 			}
 			if err != nil {
-				r.gate.Log.Warn().Str("event", "reserve").Str("id", r.id).Str("upstream", string(h.place.Upstream)).
+				r.gate.Log.Warn().Str(logline.Key, logline.Reserve).Str("id", r.id).Str("upstream", string(h.place.Upstream)).
 					Int64("tokens", int64(h.place.Reserve)).Err(err).Msg("no memory reserved")
 			}
 			return err
@@ -118,7 +119,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), reserveTimeout)
 	defer cancel()
 	if err := r.gate.Memory.Release(ctx, h.place.Address, h.ticket); err != nil {
-		r.gate.Log.Warn().Str("event", "release").Str("id", r.id).Str("upstream", string(h.place.Upstream)).
+		r.gate.Log.Warn().Str(logline.Key, logline.Release).Str("id", r.id).Str("upstream", string(h.place.Upstream)).
 			Str("ticket", h.ticket).Err(err).Msg("memory could not be freed; it lapses by itself")
 	}
 }
--- a/daemon/relay/story.go
+++ b/daemon/relay/story.go
@@ -7,6 +7,7 @@
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide/span"
 	"snipeshift.example/lib/fault"
+	"snipeshift.example/lib/logline"
 )
 
 // story is what one log line tells of a request.
@@ -66,7 +67,7 @@
 		routeName = x.route.Name
 	}
 	g.metrics.request(routeName, name, s.first, s.queued, total)
-	e = e.Str("event", "request").Str("id", x.head.ID).Str("route", routeName).Str("service", string(x.service)).
+	e = e.Str(logline.Key, logline.Request).Str("id", x.head.ID).Str("route", routeName).Str("service", string(x.service)).
 		Str("workspace", string(x.workspace())).Uint64("revision", s.revision).Int64("age", int64(s.age)).
 		Int64("prompt", int64(x.head.Prompt)).Int64("queued", int64(s.queued)).Str("reason", s.reason).
 		Int("waiting", s.waiting).Int("running", s.running).
--- a/daemon/relay/watchdog.go
+++ b/daemon/relay/watchdog.go
@@ -9,6 +9,7 @@
 	"snipeshift.example/daemon/guard"
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide/span"
+	"snipeshift.example/lib/logline"
 	"snipeshift.example/lib/route"
 )
 
@@ -119,7 +120,7 @@
 func (w *watchdog) check() {
 	defer guard.Report(w.gate.Log, "look at a silent upstream")
 	if w.gate.gone(w.address) {
-		w.gate.Log.Warn().Str("event", "silent").Str("address", w.address).Msg("a silent upstream takes no connection")
+		w.gate.Log.Warn().Str(logline.Key, logline.Silent).Str("address", w.address).Msg("a silent upstream takes no connection")
 		w.bark()
 		return
 	}
--- /dev/null
+++ b/daemon/settings/relay_test.go
@@ -0,0 +1,57 @@
+package settings
+
+import (
+	"os"
+	"regexp"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+const goodRelay = `{"name":"vm-1","domain":"hall","caller":"127.0.0.1:1","ready":"127.0.0.1:2","peer":"127.0.0.1:3","store":"127.0.0.1:4"}`
+
+func TestRelayDefaults(t *testing.T) {
+	s, err := ParseRelay([]byte(goodRelay), "vm.hujson")
+	require.NoError(t, err)
+	require.Equal(t, Bounds{Config: 2000, Revoke: 5000, Grace: 8000}, s.Bounds)
+	require.Equal(t, Budget{Share: 0.2, Floor: 100, Window: 10_000}, s.Budget)
+	require.Equal(t, 256, s.Memory)
+}
+
+func TestRelayProblemsComeAtOnce(t *testing.T) {
+	_, err := ParseRelay([]byte(`{"name":"VM 1","peers":["nowhere"],"peer":"0.0.0.0:3","metrics":"x","bounds":{"revoke":0},"budget":{"share":2}}`), "vm.hujson")
+	require.Error(t, err)
+	for _, f := range []string{"name", "domain", "caller", "ready", "store", "peers[0]", "peer: is told", "metrics", "bounds.revoke", "budget.share"} {
+		require.ErrorContains(t, err, f)
+	}
+}
+
+// The template of the deploy file names a field that the reader does not know. No VM
+// starts, and one sees it only when the platform fills it in.
+func TestTheTemplateFillsInGoodSettings(t *testing.T) {
+	text, err := os.ReadFile("../../deploy/node.hujson")
+	require.NoError(t, err)
+	values := map[string]string{
+		"node_name|json": `"edge-1"`, "zone|json": `"hall"`, "listen_addresses.frontend|json": `"10.0.0.1:1"`,
+		"listen_addresses.ready|json": `"10.0.0.1:2"`, "listen_addresses.control_plane|json": `"10.0.0.1:3"`,
+		"ip": "10.0.0.1", "internal_port_range.0": "7340", "platform.address|json": `"10.0.0.9:1"`,
+		"seed_nodes|json": `["10.0.0.1:3","10.0.0.2:3"]`, "limits.memory_mb|json": "284", "bounds.config_propagation_ms|json": "2000",
+		"bounds.revocation_ms|json": "5000", "bounds.grace_period_s|json": "8", "bounds.retry_budget_ratio|json": "0.2",
+		"bounds.retry_budget_slack|json": "106", "bounds.budget_window_s|json": "10",
+	}
+	filled := regexp.MustCompile(`\{\{([^}]+)\}\}`).ReplaceAllStringFunc(string(text), func(m string) string {
+		v, ok := values[m[2:len(m)-2]]
+		require.True(t, ok, m)
+		return v
+	})
+	s, err := ParseRelay([]byte(filled), "node.hujson")
+	require.NoError(t, err)
+	require.EqualValues(t, 8000, s.Bounds.Grace)
+	require.Equal(t, "10.0.0.1:7340", s.Metrics)
+	require.Len(t, s.Peers, 2)
+}
+
+func FuzzParseRelay(f *testing.F) {
+	f.Add([]byte(goodRelay))
+	f.Fuzz(func(_ *testing.T, b []byte) { _, _ = ParseRelay(b, "fuzz") })
+}
--- /dev/null
+++ b/lib/logline/logline.go
@@ -0,0 +1,56 @@
+// Package logline is the closed table of events in the log of a relaying daemon. Each
+// line on standard output is one JSON object with the event under Key, the VM, what was
+// decided or believed, the inputs and their age. Ages and spans are milliseconds.
+package logline
+
+// Key is the field that names the event.
+const Key = "event"
+
+// The closed list of events.
+const (
+	// Request tells the whole story of one request at its end.
+	Request = "request"
+	// Started, Stopping and Stopped are the life of a process, Failed the end of one of its parts.
+	Started  = "started"
+	Stopping = "stopping"
+	Stopped  = "stopped"
+	Failed   = "failed"
+	// Applied and Rejected are about documents.
+	Applied  = "applied"
+	Rejected = "rejected"
+	// Upstreams is the first list, Upstream a change of one.
+	Upstreams = "upstreams"
+	Upstream  = "upstream"
+	// Unreachable and Reached are about dependencies: the store, an owner, a peer.
+	Unreachable = "unreachable"
+	Reached     = "reached"
+	// Owner tells that another VM is asked for the places of a service.
+	Owner = "owner"
+	// Report is an upstream's word on work that no grant explains.
+	Report = "report"
+	// Silent tells that an upstream neither answers nor takes connections.
+	Silent = "silent"
+	// Reserve and Release are orders about memory that failed.
+	Reserve = "reserve"
+	Release = "release"
+)
+
+// Meanings has one line for each event.
+var Meanings = map[string]string{
+	Request:     "the end of a request: route, workspace, document with its age, place with the queue at the decision, each send, outcome",
+	Started:     "a process takes callers",
+	Stopping:    "a planned stop has begun, or an answer is cut off at its end",
+	Stopped:     "a planned stop is over",
+	Failed:      "a part of the process failed; it stops",
+	Applied:     "a document is in force, with the age and source of the word",
+	Rejected:    "a document is not taken, and why",
+	Upstreams:   "the first list of upstreams is known",
+	Upstream:    "an upstream is new, changed, leaving or gone",
+	Unreachable: "a dependency does not answer: the store, an owner, a peer",
+	Reached:     "a lost dependency answers again",
+	Owner:       "another VM is asked for the places of a service",
+	Report:      "an upstream's word on work that no grant explains, or its silence",
+	Silent:      "an upstream neither answers nor takes connections; the send is given up",
+	Reserve:     "memory for a part of a prompt could not be reserved",
+	Release:     "reserved memory could not be freed; it lapses by itself",
+}
--- /dev/null
+++ b/operator/explain/explain.go
@@ -0,0 +1,235 @@
+// Package explain finds the cause of what a caller complains about in the logs of
+// all VMs. It reads JSON lines, also such as something else has put a prefix before.
+package explain
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"snipeshift.example/lib/logline"
+)
+
+// Class is the error class of this package.
+var Class = errs.Class("explain")
+
+// Line is one line of a log.
+type Line struct {
+	Time  time.Time `json:"time"`
+	VM    string    `json:"vm"`
+	Event string    `json:"event"`
+
+	// Fields of requests. Spans are in milliseconds.
+	ID        string `json:"id"`
+	Route     string `json:"route"`
+	Service   string `json:"service"`
+	Workspace string `json:"workspace"`
+	Revision  uint64 `json:"revision"`
+	Age       int64  `json:"age"`
+	Prompt    int64  `json:"prompt"`
+	Queued    int64  `json:"queued"`
+	Reason    string `json:"reason"`
+	Waiting   int    `json:"waiting"`
+	Running   int    `json:"running"`
+	Sends     string `json:"sends"`
+	First     int64  `json:"first"`
+	Pause     int64  `json:"pause"`
+	Events    int    `json:"events"`
+	Total     int64  `json:"total"`
+	Status    int    `json:"status"`
+	Outcome   string `json:"outcome"`
+	Error     string `json:"error"`
+
+	// Fields of what a process believes.
+	Upstream   string `json:"upstream"`
+	Address    string `json:"address"`
+	Owner      string `json:"owner"`
+	Before     string `json:"before"`
+	Dependency string `json:"dependency"`
+	Peer       string `json:"peer"`
+	Leaving    bool   `json:"leaving"`
+	Gone       bool   `json:"gone"`
+	Message    string `json:"message"`
+}
+
+// lineLimit is the longest line that is read.
+const lineLimit = 1 << 20
+
+// Read reads all lines of a log that are JSON objects with an event. What is not is
+// counted: a log that was cut off must not look complete.
+func Read(r io.Reader) (lines []Line, skipped int, err error) {
+	sc := bufio.NewScanner(r)
+	sc.Buffer(make([]byte, 64<<10), lineLimit)
+	for sc.Scan() {
+		text := sc.Bytes()
+		start := bytes.IndexByte(text, '{')
+		var l Line
+		if start < 0 || json.Unmarshal(text[start:], &l) != nil || l.Event == "" {
+			skipped++
+			continue
+		}
+		lines = append(lines, l)
+	}
+	if err := sc.Err(); err != nil {
+		return nil, 0, Class.Wrap(err)
+	}
+	return lines, skipped, nil
+}
+
+// around is how long before a request what a process believed may bear on it: the time
+// for which keys may be trusted, the longest of the bounds.
+const around = 5 * time.Second
+
+// Story is one request with what bears on it.
+type Story struct {
+	Request Line
+	// Cause names the deciding event and what it relied on.
+	Cause string
+	// Context are lines of what processes believed, in the order of time.
+	Context []Line
+}
+
+// Request finds the stories of an id. Repeats of a caller have other ids.
+func Request(lines []Line, id string) []Story {
+	var out []Story
+	for _, l := range lines {
+		if l.Event != logline.Request || l.ID != id {
+			continue
+		}
+		s := Story{Request: l, Context: context(lines, l)}
+		s.Cause = cause(l, s.Context)
+		out = append(out, s)
+	}
+	sort.SliceStable(out, func(i, j int) bool { return out[i].Request.Time.Before(out[j].Request.Time) })
+	return out
+}
+
+// context lists what bears on a request: what its VM believed of its dependencies, and
+// what any VM believed of the upstreams that it was sent to.
+func context(lines []Line, r Line) []Line {
+	from := r.Time.Add(-time.Duration(r.Total)*time.Millisecond - around)
+	var out []Line
+	for _, l := range lines {
+		if l.Event == logline.Request || l.Time.Before(from) || l.Time.After(r.Time) {
+			continue
+		}
+		own := l.VM == r.VM && (l.Upstream == "" || l.ID == r.ID)
+		sent := l.Upstream != "" && strings.Contains(r.Sends, l.Upstream)
+		if own || sent {
+			out = append(out, l)
+		}
+	}
+	sort.SliceStable(out, func(i, j int) bool { return out[i].Time.Before(out[j].Time) })
+	return out
+}
+
+// slowQueue and slowPause are spans in milliseconds from which on they are named as the cause.
+const (
+	slowQueue = 100
+	slowPause = 1000
+)
+
+// cause names the deciding event of a request.
+func cause(r Line, context []Line) string {
+	switch {
+	case r.Outcome == "unauthorized" || r.Outcome == "unknown":
+		return fmt.Sprintf("%s: %s, by revision %d, known %d ms before to be the newest", r.Outcome, r.Error, r.Revision, r.Age)
+	case r.Outcome == "unavailable" && strings.Contains(r.Error, "old"):
+		return fmt.Sprintf("what is known is too old: %s%s", r.Error, lost(context, "store"))
+	case r.Outcome == "overloaded" && r.Sends == "", r.Outcome == "unavailable" && r.Sends == "":
+		return fmt.Sprintf("no place in %d ms (%s): %d waited and %d ran when it was asked%s", r.Queued, r.Reason, r.Waiting, r.Running, lost(context, "owner"))
+	case r.Outcome == "canceled" && r.Sends == "":
+		return fmt.Sprintf("its caller left after %d ms in the queue: %d waited and %d ran", r.Queued, r.Waiting, r.Running)
+	case r.Outcome != "ok":
+		return fmt.Sprintf("%s: %s; sends: %s", r.Outcome, r.Error, r.Sends)
+	case strings.Contains(r.Sends, ";"):
+		return fmt.Sprintf("served, after an earlier send failed: %s", r.Sends)
+	case r.Queued >= slowQueue:
+		return fmt.Sprintf("served, after %d of %d ms to the first byte in the queue: %d waited and %d ran", r.Queued, r.First, r.Waiting, r.Running)
+	case r.Pause >= slowPause:
+		return fmt.Sprintf("served, with a pause of %d ms by upstream %s", r.Pause, r.Sends)
+	default:
+		return fmt.Sprintf("served; upstream %s took %d of %d ms to the first byte", r.Sends, r.First-r.Queued, r.First)
+	}
+}
+
+// lost tells whether a dependency was lost before the request's end.
+func lost(context []Line, dependency string) string {
+	out := ""
+	for _, l := range context {
+		if l.Dependency != dependency {
+			continue
+		}
+		switch l.Event {
+		case logline.Unreachable:
+			name := strings.TrimSpace(dependency + " " + l.Peer)
+			out = fmt.Sprintf("; the %s did not answer at %s", name, l.Time.UTC().Format("15:04:05.000"))
+		case logline.Reached:
+			out = ""
+		}
+	}
+	return out
+}
+
+// Window counts what happened in a span of time.
+type Window struct {
+	Requests int
+	// Outcomes counts requests by outcome, with the reason for refusals.
+	Outcomes map[string]int
+	// Beliefs counts the events of what processes believed, by event and subject.
+	Beliefs map[string]int
+}
+
+// Span sums up what happened from one instant to another; zero instants are open ends.
+func Span(lines []Line, since, until time.Time) Window {
+	w := Window{Outcomes: map[string]int{}, Beliefs: map[string]int{}}
+	for _, l := range lines {
+		if !since.IsZero() && l.Time.Before(since) || !until.IsZero() && l.Time.After(until) {
+			continue
+		}
+		if l.Event == logline.Request {
+			w.Requests++
+			w.Outcomes[outcome(l)]++
+			continue
+		}
+		w.Beliefs[strings.TrimSpace(l.Event+" "+subject(l))]++
+	}
+	return w
+}
+
+func outcome(l Line) string {
+	if l.Outcome != "ok" && l.Sends == "" && l.Reason != "" {
+		return l.Outcome + " (" + l.Reason + ")"
+	}
+	return l.Outcome
+}
+
+// subject is what an event is about.
+func subject(l Line) string {
+	switch l.Event {
+	case logline.Unreachable, logline.Reached:
+		return strings.TrimSpace(l.Dependency + " " + l.Peer)
+	case logline.Owner:
+		return l.Service + " " + l.Owner
+	case logline.Upstream:
+		switch {
+		case l.Gone:
+			return l.Upstream + " gone"
+		case l.Leaving:
+			return l.Upstream + " leaving"
+		}
+		return l.Upstream
+	case logline.Report, logline.Reserve, logline.Release:
+		return l.Upstream
+	case logline.Silent:
+		return l.Address
+	}
+	return l.VM
+}
