--- a/lib/decide/span/pool.go
+++ b/lib/decide/span/pool.go
@@ -133,7 +133,7 @@
 	}
 	var ds []Decision
 	waits := false
-	ahead := 0.0
+	ahead, before := 0.0, p.debts(now)
 	full := false
 	stuck := 0
 	for _, w := range p.sorted(now) {
@@ -145,6 +145,15 @@
 				continue
 			}
 			ahead += w.cost
+		} else if w.heavy {
+			if p.willBeLate(now, w, before) {
+				if d, ok := p.hopeless(now, w, ahead); ok {
+					delete(p.queue, w.ID)
+					ds = append(ds, d)
+					continue
+				}
+			}
+			before += w.cost
 		}
 		if late && w.heavy && waits && !w.pressing(now) {
 			continue
--- a/lib/decide/span/spare.go
+++ b/lib/decide/span/spare.go
@@ -70,6 +70,22 @@
 	return refusal(w, wait), true
 }
 
+// debts is the reading in milliseconds that all engines still have to do.
+func (p *Pool) debts(now clock.Milli) float64 {
+	sum := 0.0
+	for _, r := range p.order {
+		if r.engine != nil {
+			sum += r.debt(now)
+		}
+	}
+	return sum
+}
+
+// willBeLate tells whether a long prompt in time will miss its aim behind this much reading.
+func (p *Pool) willBeLate(now clock.Milli, w *waiting, before float64) bool {
+	return float64(w.Aim-now) < settleTime+w.least+before/float64(max(p.spare.engines, 1))
+}
+
 // refusal tells a caller to come back when half of those ahead should be served: then its
 // turn comes soon after, and nobody waits for it meanwhile.
 func refusal(w *waiting, wait float64) Decision {
