registry: a peer that keeps lapsed entries proves nothing and brings none back

Now such a VM claims nothing, what the store said left stays gone against peers' words, and a list counts as old only after two waits. Ruled out: a stale watch of its own (calm VM, store in order).

--- a/daemon/registry/peers.go
+++ b/daemon/registry/peers.go
@@ -21,8 +21,9 @@
 	// fetchTimeout bounds the fetching from a peer, which is milliseconds away.
 	fetchTimeout = 400 * time.Millisecond
 	// staleAfter is how old our own list may grow before that of a peer is
-	// taken: a watch that works is never that far behind.
-	staleAfter = 1500 * clock.Milli(1)
+	// taken. A watch that works is at most two waits behind: news proves only
+	// the time at which the watch began.
+	staleAfter = 2*watchWait + 300
 )
 
 // Fill implements member.Part.
@@ -33,7 +34,7 @@
 	if r.table != nil {
 		b.Registry.Revision, b.Registry.RevisionAge = r.table.Revision(), now-r.tableAt
 	}
-	if r.upstreamsAt > 0 {
+	if r.upstreamsAt > 0 && len(r.gone) == 0 {
 		b.Registry.Digest, b.Registry.DigestAge = r.digest, now-r.upstreamsAt
 	}
 }
@@ -97,7 +98,7 @@
 	newer := at > r.upstreamsAt
 	r.mu.Unlock()
 	if newer {
-		r.learnUpstreams(reply.Upstreams, at)
+		r.learnPeers(reply.Upstreams, at)
 	}
 }
 
@@ -116,7 +117,7 @@
 	if r.table != nil && r.table.Revision() > args.Revision {
 		reply.Document, reply.DocumentAge = r.table.Document(), now-r.tableAt
 	}
-	if r.upstreamsAt > 0 && r.digest != args.Digest {
+	if r.upstreamsAt > 0 && len(r.gone) == 0 && r.digest != args.Digest {
 		reply.UpstreamsAge = now - r.upstreamsAt
 		reply.Upstreams = make([]route.Upstream, 0, len(r.upstreams))
 		for _, u := range r.upstreams {
--- a/daemon/registry/registry.go
+++ b/daemon/registry/registry.go
@@ -52,6 +52,9 @@
 	// was away. Their entries lapse meanwhile though they live, and are back
 	// within two seconds of its return; all would be taken for gone at once.
 	holdGone = 2200 * clock.Milli(1)
+	// leftKept is how long it is remembered that an upstream has left: longer than any
+	// peer's word may be on its way.
+	leftKept = 30 * clock.Second
 )
 
 // View is one state of knowledge. It never changes.
@@ -96,7 +99,10 @@
 	upstreams map[decide.UpstreamID]route.Upstream
 	// gone holds upstreams that the store no longer lists and that are kept for
 	// a while, with the instant of their end.
-	gone        map[decide.UpstreamID]clock.Milli
+	gone map[decide.UpstreamID]clock.Milli
+	// left holds upstreams that the store said are gone, and when. A peer's word
+	// never brings one back: it may be older than it says.
+	left        map[decide.UpstreamID]clock.Milli
 	upstreamsAt clock.Milli
 	digest      uint64
 	generation  uint64
@@ -113,6 +119,7 @@
 	r := &Registry{
 		store: s, peers: p, clock: k, log: l, known: make(chan struct{}),
 		upstreams: map[decide.UpstreamID]route.Upstream{}, gone: map[decide.UpstreamID]clock.Milli{},
+		left: map[decide.UpstreamID]clock.Milli{},
 	}
 	r.view.Store(&View{})
 	return r
@@ -196,6 +203,22 @@
 	r.settle(at)
 }
 
+// learnPeers takes a whole list of a peer's that was right at an instant. What the store
+// told us of an upstream's leaving stands against it.
+func (r *Registry) learnPeers(us []route.Upstream, at clock.Milli) {
+	r.mu.Lock()
+	kept := make([]route.Upstream, 0, len(us))
+	for _, u := range us {
+		if _, left := r.left[u.ID]; left {
+			continue
+		}
+		u.Leaving = u.Leaving || r.upstreams[u.ID].Leaving
+		kept = append(kept, u)
+	}
+	r.mu.Unlock()
+	r.learnUpstreams(kept, at)
+}
+
 // changeUpstreams takes changes that were right at an instant.
 func (r *Registry) changeUpstreams(us []route.Upstream, gone []decide.UpstreamID, at clock.Milli) {
 	r.mu.Lock()
@@ -212,6 +235,7 @@
 // put enters an upstream, and writes a line of it if told. The lock is held.
 func (r *Registry) put(u route.Upstream, tell bool) {
 	delete(r.gone, u.ID)
+	delete(r.left, u.ID)
 	old, ok := r.upstreams[u.ID]
 	if ok && old == u {
 		return
@@ -250,9 +274,15 @@
 		}
 		delete(r.gone, id)
 		delete(r.upstreams, id)
+		r.left[id] = now
 		r.generation++
 		r.log.Info().Str(logline.Key, logline.Upstream).Str("upstream", string(id)).Bool("gone", true).Msg("upstream is gone")
 	}
+	for id, since := range r.left {
+		if now-since > leftKept {
+			delete(r.left, id)
+		}
+	}
 	r.upstreamsAt = max(r.upstreamsAt, at)
 	r.digest = digest(r.upstreams)
 	r.publish()
--- a/daemon/registry/registry_test.go
+++ b/daemon/registry/registry_test.go
@@ -254,3 +254,41 @@
 	b.follow(ctx, "test", list, watch)
 	require.Equal(t, []string{"list", "watch", "watch", "list", "watch"}, calls)
 }
+
+// The store turned a VM away while an upstream left. Back again, that VM keeps the entry for
+// two seconds, since it may have lapsed; for the others it is gone. A VM whose own
+// watch has just brought news asks that one, and must not take the upstream back.
+func TestAPeerThatKeepsLapsedEntriesBringsNoneBack(t *testing.T) {
+	well, back := newBench(t), newBench(t)
+	well.peers = direct{back.Registry}
+	back.clock, back.Registry.clock = well.clock, well.clock
+	back.store.down = true
+	back.watch()
+	well.store.gone = []decide.UpstreamID{"a"}
+	well.watch()
+	require.Equal(t, 1, well.there())
+	well.clock.forward(2400)
+	back.store.down, back.store.upstreams = false, upstreams("b")
+	back.list()
+	require.Equal(t, 2, back.there(), "it keeps the entry for a while")
+
+	beat := &peer.BeatArgs{From: peer.Member{VM: "back"}}
+	back.Fill("", beat)
+	require.Zero(t, beat.Registry.Digest, "what is kept on suspicion proves nothing to others")
+	var reply peer.RegistryReply
+	require.NoError(t, NewReceiver(back.Registry).Tell(&peer.RegistryWord{Revision: 1}, &reply))
+	require.Empty(t, reply.Upstreams)
+
+	well.learnPeers(upstreams("a", "b", "c"), well.clock.Now())
+	require.Equal(t, 2, well.there(), "b, and c that is new; a has left")
+}
+
+// An upstream announced that it leaves. A peer's older word must not make it ready again.
+func TestAPeersOlderWordMakesNoUpstreamReadyAgain(t *testing.T) {
+	b := newBench(t)
+	us := upstreams("a", "b")
+	us[0].Leaving = true
+	b.learnUpstreams(us, b.clock.Now())
+	b.learnPeers(upstreams("a", "b"), b.clock.Now()+1)
+	require.True(t, b.View().Upstream("s", func(u *route.Upstream) bool { return u.ID == "a" }).Leaving)
+}
