registry: a few members read the store for all

Two VMs, and one more for each 64, keep short watches; the others keep long ones, which bring news at once, and ask a reader when their knowledge is a second old. Without proof for 1.8 s a VM reads for itself. Marks of the store's history now say whose list is later, in place of ages.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -98,6 +98,7 @@
 	self := peer.Member{VM: s.Name, Incarnation: incarnation, Domain: s.Domain, Address: s.Peer}
 	d.members = member.New(self, relayRules, d.dialer, seeds(s.Peers), d.clock)
 	d.registry = registry.New(d.store, d.dialer, d.clock, d.log)
+	d.registry.ReadBy(d.readers)
 	q := quarantine.New(d.clock, d.members, d.dialer)
 	d.members.Add(d.registry, q)
 	kept := upstreamTransport()
@@ -121,6 +122,30 @@
 	return d, g.err
 }
 
+// leastReaders VMs read the store for all, and one more for each readersFor: a reader
+// answers each other VM about once a second, which takes a tenth of a millisecond.
+const (
+	leastReaders = 2
+	readersFor   = 64
+)
+
+// readers implements registry.Readers.
+func (d *relayed) readers() ([]peer.Member, bool) {
+	live := d.members.Live()
+	ranked := member.Rank("registry", live)
+	ranked = ranked[:min(len(ranked), leastReaders+len(live)/readersFor)]
+	others := make([]peer.Member, 0, len(ranked))
+	self := false
+	for _, m := range ranked {
+		if m.VM == d.settings.Name {
+			self = true
+			continue
+		}
+		others = append(others, m)
+	}
+	return others, self
+}
+
 // seeds are the addresses of the settings.
 type seeds []string
 
--- a/daemon/registry/follow.go
+++ b/daemon/registry/follow.go
@@ -18,13 +18,14 @@
 	g.Go(func() error { r.follow(ctx, "routes", r.listDocument, r.watchDocument); return nil })
 	g.Go(func() error { r.follow(ctx, "upstreams", r.listUpstreams, r.watchUpstreams); return nil })
 	g.Go(func() error { r.sweep(ctx); return nil })
+	g.Go(func() error { r.confirm(ctx); return nil })
 	return g.Wait()
 }
 
 // follow lists once and then watches from there; after an error it lists anew,
 // since events may have been lost with the answer.
 func (r *Registry) follow(ctx context.Context, what string, list func(context.Context) (route.Mark, error),
-	watch func(context.Context, route.Mark) (route.Mark, error),
+	watch func(context.Context, route.Mark, clock.Milli) (route.Mark, error),
 ) {
 	var mark route.Mark
 	for ctx.Err() == nil {
@@ -32,7 +33,16 @@
 		if mark == 0 {
 			mark, err = list(ctx)
 		} else {
-			mark, err = watch(ctx, mark)
+			wait := r.wait()
+			watching, end := r.watching(ctx, what, wait)
+			next, failed := watch(watching, mark, wait)
+			ended := watching.Err() != nil
+			end()
+			if failed != nil && ended && ctx.Err() == nil {
+				// We ended it ourselves: what came before the mark is known still.
+				continue
+			}
+			mark, err = next, failed
 		}
 		if ctx.Err() != nil {
 			return
@@ -55,9 +65,9 @@
 	return mark, nil
 }
 
-func (r *Registry) watchDocument(ctx context.Context, after route.Mark) (route.Mark, error) {
+func (r *Registry) watchDocument(ctx context.Context, after route.Mark, wait clock.Milli) (route.Mark, error) {
 	sent := r.clock.Now()
-	d, mark, err := r.store.WatchDocument(ctx, after, watchWait)
+	d, mark, err := r.store.WatchDocument(ctx, after, wait)
 	if err != nil {
 		return 0, err
 	}
@@ -67,7 +77,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.confirmDocument(r.asOf(sent))
+	r.confirmDocument(r.asOf(sent, wait))
 	return mark, nil
 }
 
@@ -77,28 +87,28 @@
 	if err != nil {
 		return 0, err
 	}
-	r.learnUpstreams(us, sent)
+	r.learnUpstreams(us, mark, sent)
 	return mark, nil
 }
 
-func (r *Registry) watchUpstreams(ctx context.Context, after route.Mark) (route.Mark, error) {
+func (r *Registry) watchUpstreams(ctx context.Context, after route.Mark, wait clock.Milli) (route.Mark, error) {
 	sent := r.clock.Now()
-	us, gone, mark, err := r.store.WatchUpstreams(ctx, after, watchWait)
+	us, gone, mark, err := r.store.WatchUpstreams(ctx, after, wait)
 	if err != nil {
 		return 0, err
 	}
 	at := sent
 	if len(us) == 0 && len(gone) == 0 {
-		at = r.asOf(sent)
+		at = r.asOf(sent, wait)
 	}
-	r.changeUpstreams(us, gone, at)
+	r.changeUpstreams(us, gone, mark, at)
 	return mark, nil
 }
 
 // asOf is the instant that the end of a watch without news speaks of: the store
 // waited from the arrival of the question, which was after it was sent. The
 // answer itself may have been held up for any time.
-func (r *Registry) asOf(sent clock.Milli) clock.Milli { return min(sent+watchWait, r.clock.Now()) }
+func (r *Registry) asOf(sent, wait clock.Milli) clock.Milli { return min(sent+wait, r.clock.Now()) }
 
 // reach notes whether the store answers.
 func (r *Registry) reach(what string, err error) {
@@ -124,7 +134,7 @@
 		pause(ctx, 200*time.Millisecond)
 		r.mu.Lock()
 		if len(r.gone) > 0 {
-			r.settle(0)
+			r.settle(0, 0)
 		}
 		r.mu.Unlock()
 	}
--- a/daemon/registry/peers.go
+++ b/daemon/registry/peers.go
@@ -20,59 +20,76 @@
 	beatTime = 500 * clock.Milli(1)
 	// fetchTimeout bounds the fetching from a peer, which is milliseconds away.
 	fetchTimeout = 400 * time.Millisecond
-	// staleAfter is how old our own list may grow before that of a peer is
-	// taken. A watch that works is at most two waits behind: news proves only
-	// the time at which the watch began.
-	staleAfter = 2*watchWait + 300
+	// askAfter is how old our knowledge grows before a reader is asked, and
+	// lookEvery the time between two looks at its age.
+	askAfter  = clock.Second
+	lookEvery = 200 * time.Millisecond
+	// proofLimit is how old it may grow before we read for ourselves. Documents
+	// and leaving upstreams bind within two seconds.
+	proofLimit = 1800 * clock.Milli(1)
 )
 
 // Fill implements member.Part.
 func (r *Registry) Fill(_ peer.VM, b *peer.BeatArgs) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	b.Registry = r.word()
+}
+
+// word is how far our knowledge goes. What is kept on suspicion is no knowledge. The
+// lock is held.
+func (r *Registry) word() peer.RegistryWord {
+	var w peer.RegistryWord
 	now := r.clock.Now()
 	if r.table != nil {
-		b.Registry.Revision, b.Registry.RevisionAge = r.table.Revision(), now-r.tableAt
+		w.Revision, w.RevisionAge = r.table.Revision(), now-r.tableAt
 	}
 	if r.upstreamsAt > 0 && len(r.gone) == 0 {
-		b.Registry.Digest, b.Registry.DigestAge = r.digest, now-r.upstreamsAt
+		w.Digest, w.DigestAge, w.Mark = r.digest, now-r.upstreamsAt, r.mark
 	}
+	return w
 }
 
 // Learn implements member.Part. A peer that knows the same as we do, and knows
 // it to be newer, proves ours as new; one that knows more is asked.
 func (r *Registry) Learn(b *peer.BeatArgs, _ bool) {
-	w := b.Registry
+	if r.learnWord(b.Registry, r.clock.Now()-beatTime) && r.fetching.CompareAndSwap(false, true) {
+		go func() {
+			defer r.fetching.Store(false)
+			r.fetch(context.Background(), b.From)
+		}()
+	}
+}
+
+// learnWord takes how far a peer's knowledge went at an instant, and tells whether it
+// goes further than ours.
+func (r *Registry) learnWord(w peer.RegistryWord, now clock.Milli) bool {
 	r.mu.Lock()
-	now := r.clock.Now()
+	defer r.mu.Unlock()
 	ask := false
 	if w.Revision > 0 {
 		switch {
 		case r.table == nil || w.Revision > r.table.Revision():
 			ask = true
 		case w.Revision == r.table.Revision():
-			r.confirmDocument(now - w.RevisionAge - beatTime)
+			r.confirmDocument(now - w.RevisionAge)
 		}
 	}
 	if w.Digest > 0 {
-		at := now - w.DigestAge - beatTime
+		at := now - w.DigestAge
 		switch {
 		case w.Digest == r.digest && at > r.upstreamsAt:
-			r.settle(at)
-		case w.Digest != r.digest && at > r.upstreamsAt && now-r.upstreamsAt > staleAfter:
+			r.settle(w.Mark, at)
+		case w.Digest != r.digest && w.Mark > r.mark:
 			ask = true
 		}
 	}
-	r.mu.Unlock()
-	if ask && r.fetching.CompareAndSwap(false, true) {
-		go r.fetch(b.From)
-	}
+	return ask
 }
 
 // fetch takes over what a peer knows.
-func (r *Registry) fetch(from peer.Member) {
-	defer r.fetching.Store(false)
-	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
+func (r *Registry) fetch(ctx context.Context, from peer.Member) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	args := &peer.RegistryWord{}
 	r.mu.Lock()
@@ -87,18 +104,18 @@
 		r.log.Warn().Str(logline.Key, logline.Unreachable).Str("dependency", string(from.VM)).Err(err).Msg("a peer that knows more does not tell")
 		return
 	}
+	r.learnWord(reply.Word, sent)
 	if reply.Document != nil {
 		r.learnDocument(reply.Document, sent-reply.DocumentAge, string(from.VM))
 	}
 	if len(reply.Upstreams) == 0 {
 		return
 	}
-	at := sent - reply.UpstreamsAge
 	r.mu.Lock()
-	newer := at > r.upstreamsAt
+	newer := reply.Word.Mark > r.mark
 	r.mu.Unlock()
 	if newer {
-		r.learnPeers(reply.Upstreams, at)
+		r.learnPeers(reply.Upstreams, reply.Word.Mark, sent-reply.UpstreamsAge)
 	}
 }
 
@@ -114,6 +131,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.clock.Now()
+	reply.Word = r.word()
 	if r.table != nil && r.table.Revision() > args.Revision {
 		reply.Document, reply.DocumentAge = r.table.Document(), now-r.tableAt
 	}
--- a/daemon/registry/registry.go
+++ b/daemon/registry/registry.go
@@ -20,6 +20,7 @@
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
 	"snipeshift.example/lib/logline"
+	"snipeshift.example/lib/peer"
 	"snipeshift.example/lib/route"
 )
 
@@ -41,10 +42,14 @@
 
 // Times of following.
 const (
-	// watchWait is how long a watch waits for news. Its end without news is
-	// proof that nothing has changed; the wait bounds how old our knowledge
-	// grows, and how long a watch that went silent goes unnoticed, on a calm day.
+	// watchWait is how long a watch waits for news at a VM that reads for others, or
+	// for itself alone. Its end without news is proof that nothing has changed;
+	// the wait bounds how old our knowledge grows, and how long a watch that
+	// went silent goes unnoticed, on a calm day.
 	watchWait = clock.Second
+	// longWait is how long a watch waits at a VM to which others prove that its
+	// knowledge is new. News ends it at once all the same.
+	longWait = 15 * clock.Second
 	// retryWait is the pause after a failed call, long enough that nine VMs
 	// make some forty calls a second of the two thousand that the store bears.
 	retryWait = 250 * time.Millisecond
@@ -104,22 +109,32 @@
 	// never brings one back: it may be older than it says.
 	left        map[decide.UpstreamID]clock.Milli
 	upstreamsAt clock.Milli
-	digest      uint64
-	generation  uint64
+	// mark is the position in the store's history at which upstreams were right.
+	mark       route.Mark
+	digest     uint64
+	generation uint64
 	// lost is set while the store fails, back is when it answered again.
 	lost bool
 	back clock.Milli
 	// known is closed once both a document and a list are known.
 	known     chan struct{}
 	knownOnce sync.Once
+	// readers names those who read for all; nil where each VM reads for itself.
+	readers Readers
+	// watches holds the ends of the long watches under way.
+	watches map[string]context.CancelFunc
 }
 
+// Readers names the few members that read the store for all others, and tells whether
+// this VM is one of them.
+type Readers func() (others []peer.Member, self bool)
+
 // New returns a registry that knows nothing yet; Run follows the store.
 func New(s Store, p Peers, k Clock, l *log.Logger) *Registry {
 	r := &Registry{
 		store: s, peers: p, clock: k, log: l, known: make(chan struct{}),
 		upstreams: map[decide.UpstreamID]route.Upstream{}, gone: map[decide.UpstreamID]clock.Milli{},
-		left: map[decide.UpstreamID]clock.Milli{},
+		left: map[decide.UpstreamID]clock.Milli{}, watches: map[string]context.CancelFunc{},
 	}
 	r.view.Store(&View{})
 	return r
@@ -182,8 +197,8 @@
 	}
 }
 
-// learnUpstreams takes a whole list that was right at an instant.
-func (r *Registry) learnUpstreams(us []route.Upstream, at clock.Milli) {
+// learnUpstreams takes a whole list that was right at an instant and a mark.
+func (r *Registry) learnUpstreams(us []route.Upstream, mark route.Mark, at clock.Milli) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	listed := make(map[decide.UpstreamID]bool, len(us))
@@ -200,12 +215,12 @@
 			r.remove(id)
 		}
 	}
-	r.settle(at)
+	r.settle(mark, at)
 }
 
-// learnPeers takes a whole list of a peer's that was right at an instant. What the store
+// learnPeers takes a whole list of a peer's that was right at an instant and a mark. What the store
 // told us of an upstream's leaving stands against it.
-func (r *Registry) learnPeers(us []route.Upstream, at clock.Milli) {
+func (r *Registry) learnPeers(us []route.Upstream, mark route.Mark, at clock.Milli) {
 	r.mu.Lock()
 	kept := make([]route.Upstream, 0, len(us))
 	for _, u := range us {
@@ -216,11 +231,11 @@
 		kept = append(kept, u)
 	}
 	r.mu.Unlock()
-	r.learnUpstreams(kept, at)
+	r.learnUpstreams(kept, mark, at)
 }
 
-// changeUpstreams takes changes that were right at an instant.
-func (r *Registry) changeUpstreams(us []route.Upstream, gone []decide.UpstreamID, at clock.Milli) {
+// changeUpstreams takes changes that were right at an instant and a mark.
+func (r *Registry) changeUpstreams(us []route.Upstream, gone []decide.UpstreamID, mark route.Mark, at clock.Milli) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, u := range us {
@@ -229,7 +244,7 @@
 	for _, id := range gone {
 		r.remove(id)
 	}
-	r.settle(at)
+	r.settle(mark, at)
 }
 
 // put enters an upstream, and writes a line of it if told. The lock is held.
@@ -266,7 +281,7 @@
 }
 
 // settle ends those whose time is over and publishes. The lock is held.
-func (r *Registry) settle(at clock.Milli) {
+func (r *Registry) settle(mark route.Mark, at clock.Milli) {
 	now := r.clock.Now()
 	for id, until := range r.gone {
 		if now < until {
@@ -283,6 +298,7 @@
 			delete(r.left, id)
 		}
 	}
+	r.mark = max(r.mark, mark)
 	r.upstreamsAt = max(r.upstreamsAt, at)
 	r.digest = digest(r.upstreams)
 	r.publish()
--- a/daemon/registry/registry_test.go
+++ b/daemon/registry/registry_test.go
@@ -34,6 +34,8 @@
 	upstreams []route.Upstream
 	gone      []decide.UpstreamID
 	down      bool
+	// at is the store's mark.
+	at route.Mark
 }
 
 func (f *fake) Document(context.Context) (*route.Document, route.Mark, error) {
@@ -60,7 +62,8 @@
 	if f.down {
 		return nil, 0, errDown
 	}
-	return f.upstreams, 1, nil
+	f.at++
+	return f.upstreams, f.at, nil
 }
 
 func (f *fake) WatchUpstreams(context.Context, route.Mark, clock.Milli) ([]route.Upstream, []decide.UpstreamID, route.Mark, error) {
@@ -71,7 +74,8 @@
 	}
 	gone := f.gone
 	f.gone = nil
-	return nil, gone, 2, nil
+	f.at++
+	return nil, gone, f.at, nil
 }
 
 // direct calls a receiver without a network.
@@ -120,9 +124,9 @@
 
 func (b *bench) watch() {
 	b.t.Helper()
-	_, err := b.watchDocument(b.ctx, 1)
+	_, err := b.watchDocument(b.ctx, 1, watchWait)
 	b.reach("routes", err)
-	_, err = b.watchUpstreams(b.ctx, 1)
+	_, err = b.watchUpstreams(b.ctx, 1, watchWait)
 	b.reach("upstreams", err)
 }
 
@@ -153,9 +157,9 @@
 	b := newBench(t)
 	sent := b.clock.Now()
 	b.clock.forward(4 * clock.Second)
-	require.Equal(t, sent+watchWait, b.asOf(sent))
+	require.Equal(t, sent+watchWait, b.asOf(sent, watchWait))
 	b.clock.forward(-3500)
-	require.Equal(t, b.clock.Now(), b.asOf(sent))
+	require.Equal(t, b.clock.Now(), b.asOf(sent, watchWait))
 }
 
 // An upstream's entry is removed while the store is well: it has left.
@@ -178,10 +182,10 @@
 	b.list()
 	require.Equal(t, 2, b.there())
 	b.clock.forward(holdGone - 100)
-	b.learnUpstreams(upstreams("a"), b.clock.Now())
+	b.learnUpstreams(upstreams("a"), 1, b.clock.Now())
 	require.Equal(t, 2, b.there())
 	b.clock.forward(200)
-	b.learnUpstreams(upstreams("a"), b.clock.Now())
+	b.learnUpstreams(upstreams("a"), 1, b.clock.Now())
 	require.Equal(t, 1, b.there(), "b has not come back in time")
 }
 
@@ -213,6 +217,7 @@
 	require.Equal(t, cut.clock.Now()-beatTime, cut.View().UpstreamsAt)
 
 	cut.clock.forward(4 * clock.Second)
+	well.store.at += 10
 	well.store.document, well.store.upstreams = document(2), upstreams("b", "c", "d")
 	well.list()
 	beat = &peer.BeatArgs{From: peer.Member{VM: "well"}}
@@ -241,7 +246,7 @@
 	ctx, cancel := context.WithCancel(b.ctx)
 	var calls []string
 	list := func(context.Context) (route.Mark, error) { calls = append(calls, "list"); return 5, nil }
-	watch := func(_ context.Context, after route.Mark) (route.Mark, error) {
+	watch := func(_ context.Context, after route.Mark, _ clock.Milli) (route.Mark, error) {
 		calls = append(calls, "watch")
 		if len(calls) == 3 {
 			return 0, errDown
@@ -279,7 +284,7 @@
 	require.NoError(t, NewReceiver(back.Registry).Tell(&peer.RegistryWord{Revision: 1}, &reply))
 	require.Empty(t, reply.Upstreams)
 
-	well.learnPeers(upstreams("a", "b", "c"), well.clock.Now())
+	well.learnPeers(upstreams("a", "b", "c"), 9, well.clock.Now())
 	require.Equal(t, 2, well.there(), "b, and c that is new; a has left")
 }
 
@@ -288,7 +293,62 @@
 	b := newBench(t)
 	us := upstreams("a", "b")
 	us[0].Leaving = true
-	b.learnUpstreams(us, b.clock.Now())
-	b.learnPeers(upstreams("a", "b"), b.clock.Now()+1)
+	b.learnUpstreams(us, 1, b.clock.Now())
+	b.learnPeers(upstreams("a", "b"), 9, b.clock.Now()+1)
 	require.True(t, b.View().Upstream("s", func(u *route.Upstream) bool { return u.ID == "a" }).Leaving)
 }
+
+// readers of a test: one other, or this VM itself.
+func (b *bench) readBy(other *Registry, self bool) {
+	b.peers = direct{other}
+	b.ReadBy(func() ([]peer.Member, bool) { return []peer.Member{{VM: "reader"}}, self })
+}
+
+// Each VM that proves by short watches that it knows the newest makes two calls a
+// second. A hundred of them would take a tenth of what the store bears.
+func TestWatchesAreLongWhereAReaderProvesNewness(t *testing.T) {
+	b, reader := newBench(t), newBench(t)
+	reader.Registry.clock = b.clock
+	b.readBy(reader.Registry, false)
+	require.Equal(t, longWait, b.wait())
+	b.readBy(reader.Registry, true)
+	require.Equal(t, watchWait, b.wait(), "a reader reads")
+	b.readBy(reader.Registry, false)
+	b.clock.forward(proofLimit + 1)
+	require.Equal(t, watchWait, b.wait(), "without proof it reads for itself")
+	reader.list()
+	b.fetch(b.ctx, peer.Member{VM: "reader"})
+	require.Equal(t, longWait, b.wait())
+}
+
+// A long watch goes silent, and the readers are gone as well. The watch must end, or this
+// VM would know nothing new until its wait is over.
+func TestALongWatchEndsWithoutProof(t *testing.T) {
+	b, reader := newBench(t), newBench(t)
+	reader.Registry.clock = b.clock
+	b.readBy(reader.Registry, false)
+	watching, end := b.watching(b.ctx, "routes", longWait)
+	defer end()
+	ctx, cancel := context.WithCancel(b.ctx)
+	defer cancel()
+	go b.confirm(ctx)
+	b.clock.forward(proofLimit + 1)
+	select {
+	case <-watching.Done():
+	case <-time.After(2 * time.Second):
+		require.Fail(t, "the silent watch is still waited for")
+	}
+}
+
+// A long watch went silent, and an upstream has left since. A reader's word has a later mark.
+func TestAReadersLaterListIsTaken(t *testing.T) {
+	b, reader := newBench(t), newBench(t)
+	reader.Registry.clock = b.clock
+	b.readBy(reader.Registry, false)
+	b.clock.forward(askAfter + 1)
+	reader.store.upstreams, reader.store.at = upstreams("b"), 50
+	reader.list()
+	b.fetch(b.ctx, peer.Member{VM: "reader"})
+	require.Equal(t, 1, b.there())
+	require.LessOrEqual(t, b.age(), askAfter)
+}
--- a/lib/peer/messages.go
+++ b/lib/peer/messages.go
@@ -169,9 +169,11 @@
 type RegistryWord struct {
 	Revision    route.Revision
 	RevisionAge clock.Milli
-	// Digest is equal for equal sets of upstreams.
+	// Digest is equal for equal sets of upstreams, Mark the position in the store's
+	// history at which the set was right.
 	Digest    uint64
 	DigestAge clock.Milli
+	Mark      route.Mark
 }
 
 // RegistryReply is what a daemon knows of the store, whole.
@@ -182,6 +184,8 @@
 	// Upstreams is empty where the asker has the same ones.
 	Upstreams    []route.Upstream
 	UpstreamsAge clock.Milli
+	// Word is how far the knowledge goes from which the reply is made.
+	Word RegistryWord
 }
 
 // Suspect is a request's fingerprint with the number of upstreams that died running it.
