logline, relay, daemon: lines never hold up a request, and metrics of what a VM knows

Gauges of ages, members, calls, sends by outcome. Reserved memory has tests without the platform: renewed, freed at the end and when the leader is dark, nothing sent without it.

--- a/daemon/placer/client.go
+++ b/daemon/placer/client.go
@@ -143,7 +143,12 @@
 func (c *Client) suspect(m peer.Member, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.suspects[m.VM] = c.clock.Now() + suspectFor
+	now := c.clock.Now()
+	known := now < c.suspects[m.VM]
+	c.suspects[m.VM] = now + suspectFor
+	if known {
+		return
+	}
 	c.log.Warn().Str(logline.Key, logline.Unreachable).Str("dependency", "owner").Str("peer", string(m.VM)).Err(err).Msg("an owner does not answer and is passed over")
 }
 
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -8,6 +8,7 @@
 	"runtime/debug"
 	"time"
 
+	vm "github.com/VictoriaMetrics/metrics"
 	"github.com/phuslu/log"
 	"golang.org/x/sync/errgroup"
 
@@ -66,6 +67,7 @@
 // relayed is one life of a VM that relays opaque requests.
 type relayed struct {
 	settings *settings.Relay
+	lines    *logline.Writer
 	log      *log.Logger
 	clock    clock.Boot
 	dialer   *peer.Dialer
@@ -90,8 +92,9 @@
 }
 
 func newRelayed(s *settings.Relay) (*relayed, error) {
+	lines := logline.NewWriter(os.Stdout, logQueue)
 	d := &relayed{
-		settings: s, log: relayLogger(s), dialer: peer.NewDialer(peer.DialTCP), peers: peer.NewServer(),
+		settings: s, lines: lines, log: relayLogger(s, lines), dialer: peer.NewDialer(peer.DialTCP), peers: peer.NewServer(),
 		store: platform.NewStore(s.Store), stopping: make(chan struct{}),
 	}
 	incarnation := peer.Incarnation(time.Now().UnixMilli())
@@ -195,7 +198,7 @@
 	part("ready door", func() error { return listenAndServe(ctx, ready, s.Ready) })
 	servers := []*http.Server{ready}
 	if s.Metrics != "" {
-		m := d.server(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { d.gate.WriteMetrics(w) }))
+		m := d.server(http.HandlerFunc(d.writeMetrics))
 		part("metrics door", func() error { return listenAndServe(ctx, m, s.Metrics) })
 		servers = append(servers, m)
 	}
@@ -275,13 +278,34 @@
 	return served(s.Serve(l))
 }
 
-// relayLogger writes JSON lines to standard output. A reader that is stuck must not
-// hold up requests: lines that find the queue full are dropped.
-func relayLogger(s *settings.Relay) *log.Logger {
+// relayLogger writes JSON lines.
+func relayLogger(s *settings.Relay, w log.Writer) *log.Logger {
 	return &log.Logger{
 		Level:      log.ParseLevel(s.Level),
 		TimeFormat: "2006-01-02T15:04:05.000Z07:00",
 		Context:    log.NewContext(nil).Str("vm", string(s.Name)).Value(),
-		Writer:     &log.AsyncWriter{Writer: &log.IOWriter{Writer: os.Stdout}, ChannelSize: logQueue, DiscardOnFull: true},
+		Writer:     w,
 	}
 }
+
+// writeMetrics writes all metrics in the text format of Prometheus.
+func (d *relayed) writeMetrics(w http.ResponseWriter, _ *http.Request) {
+	d.gate.WriteMetrics(w)
+	v := d.registry.View()
+	now := d.clock.Now()
+	calls, failed := d.store.Calls()
+	gauge := func(name string, value float64) { vm.WriteGaugeFloat64(w, name, value) }
+	if v.Table != nil {
+		gauge("snipeshift_document_revision", float64(v.Table.Revision()))
+		gauge("snipeshift_document_age_seconds", (now - v.TableAt).Duration().Seconds())
+	}
+	if v.UpstreamsAt > 0 {
+		gauge("snipeshift_upstreams_age_seconds", (now - v.UpstreamsAt).Duration().Seconds())
+	}
+	gauge("snipeshift_members", float64(len(d.members.Live())))
+	gauge("snipeshift_grants_live", float64(d.placer.Live()))
+	vm.WriteCounterUint64(w, "snipeshift_store_calls_total", calls)
+	vm.WriteCounterUint64(w, "snipeshift_store_failures_total", failed)
+	vm.WriteCounterUint64(w, "snipeshift_log_dropped_total", d.lines.Dropped())
+	vm.WriteProcessMetrics(w)
+}
--- a/daemon/relay/harness_test.go
+++ b/daemon/relay/harness_test.go
@@ -74,6 +74,8 @@
 	wait   time.Duration
 	during func()
 	refuse fault.Kind
+	// helpers are those of every grant.
+	helpers []span.Place
 }
 
 func (p *inTurn) Ask(ctx context.Context, _ route.ServiceID, a span.Ask) (placer.AskReply, error) {
@@ -94,7 +96,7 @@
 			avoid = avoid || id == u.ID
 		}
 		if !avoid {
-			return placer.AskReply{Decided: true, Grant: span.Grant{Request: a.ID, Leader: span.Place{Upstream: u.ID, Address: u.Address}, First: 100}}, nil
+			return placer.AskReply{Decided: true, Grant: span.Grant{Request: a.ID, Leader: span.Place{Upstream: u.ID, Address: u.Address}, Helpers: p.helpers, First: 100}}, nil
 		}
 	}
 	return placer.AskReply{Decided: true, Fault: fault.Unavailable, Reason: "none"}, nil
@@ -134,8 +136,10 @@
 	known  *fixed
 	gate   *Gate
 	server *httptest.Server
-	table  *route.Table
-	needs  Needs
+	// upstreams are the servers behind the placer's.
+	upstreams []*httptest.Server
+	table     *route.Table
+	needs     Needs
 }
 
 // routes are one of each kind, under paths of their names.
@@ -155,6 +159,7 @@
 	for i, h := range upstreams {
 		s := httptest.NewServer(h)
 		t.Cleanup(s.Close)
+		w.upstreams = append(w.upstreams, s)
 		w.placer.upstreams = append(w.placer.upstreams, route.Upstream{
 			ID: decide.UpstreamID(fmt.Sprint("u", i)), Service: "s", Address: strings.TrimPrefix(s.URL, "http://"),
 		})
--- a/daemon/relay/metrics.go
+++ b/daemon/relay/metrics.go
@@ -7,6 +7,7 @@
 	vm "github.com/VictoriaMetrics/metrics"
 
 	"snipeshift.example/lib/clock"
+	"snipeshift.example/lib/decide/span"
 )
 
 // metrics are the counters and histograms of a gate.
@@ -24,5 +25,10 @@
 	m.set.GetOrCreateHistogram(`snipeshift_request_seconds`).Update(total.Duration().Seconds())
 }
 
+// send counts one send.
+func (m *metrics) send(o span.Outcome) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`snipeshift_sends_total{outcome=%q}`, o)).Inc()
+}
+
 // WriteMetrics writes all metrics in the text format of Prometheus.
 func (g *Gate) WriteMetrics(w io.Writer) { g.metrics.set.WritePrometheus(w) }
--- a/daemon/relay/reserve.go
+++ b/daemon/relay/reserve.go
@@ -8,6 +8,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"snipeshift.example/daemon/guard"
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
 	"snipeshift.example/lib/decide/span"
@@ -87,17 +88,8 @@
 
 // renew keeps the memory until the send is over.
 func (r *reservation) renew(ctx context.Context) {
-	t := time.NewTicker(renewEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			// An engine that refuses a renewal cuts the request off, which the send notices.
-			r.all(ctx)
-		}
-	}
+	// An engine that refuses a renewal cuts the request off, which the send notices.
+	guard.Every(ctx, renewEvery, func() { r.all(ctx) })
 }
 
 // free gives the memory back, without making the caller wait for it. No renewal is
--- /dev/null
+++ b/daemon/relay/reserve_test.go
@@ -0,0 +1,105 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"snipeshift.example/lib/clock"
+	"snipeshift.example/lib/decide"
+	"snipeshift.example/lib/decide/span"
+)
+
+// memory counts the orders about reserved memory.
+type memory struct {
+	mu                 sync.Mutex
+	reserved, released int
+	longest            clock.Milli
+	full               bool
+}
+
+func (m *memory) Reserve(_ context.Context, _, _ string, _ decide.Tokens, hold clock.Milli) (bool, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.reserved++
+	m.longest = max(m.longest, hold)
+	return !m.full, nil
+}
+
+func (m *memory) Release(context.Context, string, string) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.released++
+	return nil
+}
+
+func (m *memory) counts() (reserved, released int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.reserved, m.released
+}
+
+// giant is a prompt that needs memory on one helper.
+func (w *world) giant(m *memory) {
+	w.needs.Memory = m
+	w.placer.helpers = []span.Place{{Upstream: "h", Address: "127.0.0.1:1", Reserve: 60_000}}
+	w.start()
+}
+
+func TestReservedMemoryIsRenewedAndFreed(t *testing.T) {
+	m := &memory{}
+	w := newWorld(t, func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(renewEvery + 200*time.Millisecond)
+		streamed(stream(1, 2))(w, r)
+	})
+	w.learn(5*clock.Second, "key")
+	w.giant(m)
+	_, body, err := w.call(http.MethodPost, "/stream/x", "")
+	require.NoError(t, err)
+	require.Equal(t, stream(1, 2), body)
+	require.Eventually(t, func() bool { _, released := m.counts(); return released == 1 }, time.Second, 5*time.Millisecond)
+	reserved, _ := m.counts()
+	require.Equal(t, 2, reserved, "once, and renewed once")
+	require.LessOrEqual(t, m.longest, 3*clock.Second, "a VM that dies leaves nothing behind for long")
+}
+
+// The leader loses power in the middle of a long read: its address takes no connection, and
+// nothing closes the one that is open. Memory that a helper holds for it is of no use to anybody.
+func TestMemoryIsFreedWhenTheLeaderIsDark(t *testing.T) {
+	m := &memory{}
+	stop := make(chan struct{})
+	w := newWorld(t, func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		select {
+		case <-stop:
+		case <-r.Context().Done():
+		}
+	}, streamed(stream(1, 2)))
+	defer close(stop)
+	w.learn(8*clock.Second, "key")
+	w.giant(m)
+	// The leader's door closes once the request is in; what is open stays open.
+	time.AfterFunc(100*time.Millisecond, func() { _ = w.upstreams[0].Listener.Close() })
+	began := time.Now()
+	_, body, err := w.call(http.MethodPost, "/stream/x", "")
+	require.NoError(t, err)
+	require.Equal(t, stream(1, 2), body)
+	require.Less(t, time.Since(began), 1500*time.Millisecond)
+	require.Eventually(t, func() bool { _, released := m.counts(); return released == 2 }, time.Second, 5*time.Millisecond)
+}
+
+// A helper has less memory than its owner's books say. The request has not run.
+func TestWithoutMemoryNothingIsSent(t *testing.T) {
+	m := &memory{full: true}
+	w := newWorld(t, streamed(stream(1, 2)))
+	w.giant(m)
+	resp, _, err := w.call(http.MethodPost, "/stream/x", "")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	require.Equal(t, []span.Outcome{span.Full}, w.placer.outcomes)
+}
--- a/daemon/relay/run.go
+++ b/daemon/relay/run.go
@@ -64,6 +64,7 @@
 		res := x.send(ctx, grant)
 		x.gate.Placer.End(grant.Request, res.outcome, res.culprit)
 		x.story.send(grant, res)
+		x.gate.metrics.send(res.outcome)
 		if res.failure != nil {
 			failure = res.failure
 		}
--- a/lib/decide/span/span.go
+++ b/lib/decide/span/span.go
@@ -117,6 +117,18 @@
 	Left
 )
 
+var outcomeNames = [...]string{
+	Done: "done", Failed: "failed", Full: "full", Broken: "broken", Silent: "silent", Unreachable: "unreachable", Left: "left",
+}
+
+// String returns the outcome's name.
+func (o Outcome) String() string {
+	if int(o) >= len(outcomeNames) {
+		return "unknown"
+	}
+	return outcomeNames[o]
+}
+
 // Live is a grant in use, presented by its gate.
 type Live struct {
 	Grant Grant
--- /dev/null
+++ b/lib/logline/writer.go
@@ -0,0 +1,41 @@
+package logline
+
+import (
+	"errors"
+	"io"
+	"sync/atomic"
+
+	"github.com/phuslu/log"
+)
+
+// Writer passes lines on without ever holding up who writes them.
+//
+// What goes wrong without it: whoever reads the output stands still, the pipe fills, and
+// each request waits in the write of its line. One would notice a VM that answers
+// nobody while its processor idles. So a bounded queue stands between, and a
+// line that finds it full is dropped and counted.
+type Writer struct {
+	queue   *log.AsyncWriter
+	dropped atomic.Uint64
+}
+
+// NewWriter returns a writer with room for some lines before out.
+func NewWriter(out io.Writer, lines uint) *Writer {
+	return &Writer{queue: &log.AsyncWriter{Writer: &log.IOWriter{Writer: out}, ChannelSize: lines, DiscardOnFull: true}}
+}
+
+// WriteEntry implements log.Writer.
+func (w *Writer) WriteEntry(e *log.Entry) (int, error) {
+	n, err := w.queue.WriteEntry(e)
+	if errors.Is(err, log.ErrAsyncWriterFull) {
+		w.dropped.Add(1)
+		return n, nil
+	}
+	return n, err
+}
+
+// Dropped is how many lines were dropped.
+func (w *Writer) Dropped() uint64 { return w.dropped.Load() }
+
+// Close writes what is queued.
+func (w *Writer) Close() error { return w.queue.Close() }
