--- a/bench/passes.go
+++ b/bench/passes.go
@@ -19,15 +19,20 @@
 		Flags: []cli.Flag{
 			&cli.IntFlag{Name: "seeds", Value: 10, Usage: "play `N` seeds of each load"},
 			&cli.StringFlag{Name: "load", Usage: "only the load `NAME`"},
+			&cli.BoolFlag{Name: "alone", Usage: "each prompt is read by one engine, as a baseline"},
 		},
 		Action: func(_ context.Context, c *cli.Command) error {
-			printPasses(c.Int("seeds"), c.String("load"))
+			rules := span.DefaultRules
+			if c.Bool("alone") {
+				rules.Group = 1
+			}
+			printPasses(c.Int("seeds"), c.String("load"), rules)
 			return nil
 		},
 	}
 }
 
-func printPasses(seeds int, only string) {
+func printPasses(seeds int, only string, rules span.Rules) {
 	loads := passes.Loads()
 	names := make([]string, 0, len(loads))
 	for n := range loads {
@@ -42,7 +47,7 @@
 		var worth, net, busy, read float64
 		kinds := map[string]*passes.KindResult{}
 		for s := range seeds {
-			r := passes.Play(loads[n], span.DefaultRules, uint64(s+1))
+			r := passes.Play(loads[n], rules, uint64(s+1))
 			worth += r.Worth
 			net += r.Net
 			busy += r.Busy
--- a/bench/passes/play.go
+++ b/bench/passes/play.go
@@ -2,8 +2,10 @@
 
 import (
 	"container/heap"
+	"maps"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"strconv"
 
@@ -341,7 +343,8 @@
 		r.Net += k.Held
 	}
 	r.Net = (got - r.Net) / max(most, 1e-9)
-	for _, e := range p.engines {
+	for _, id := range slices.Sorted(maps.Keys(p.engines)) {
+		e := p.engines[id]
 		r.Busy += e.used / (p.load.Length * float64(p.load.Engines))
 		r.Reading += e.read / (p.load.Length * float64(p.load.Engines))
 	}
