relay: bounds on what bodies hold and how long they may take

Cause, by reading: bodies were held without bound, and read without a time. A hundred of the largest at once take a VM of 284 MB down; a trickled one holds its place. Now a quarter of the memory, and the request's own time (408, not run).

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -30,6 +30,9 @@
 	// memoryShare of the VM's memory is what the runtime may fill before it
 	// collects at any cost: bytes that the kernel holds for connections count too.
 	memoryShare = 0.6
+	// bodiesShare of it is what requests' bodies may fill: each is held until its answer
+	// is over, and once more while it is written.
+	bodiesShare = 0.25
 	// upstreamDial bounds a connect to an upstream, which is 3 ms away. The first lost
 	// packet of a connect costs a second; another upstream is asked before.
 	upstreamDial = 300 * time.Millisecond
@@ -116,7 +119,7 @@
 	d.gate = relay.New(relay.Needs{
 		Clock: d.clock, Log: d.log, Codec: platform.Codec{}, Placer: d.placer, Knowledge: d.registry,
 		Suspects: q, Memory: engines, Kept: kept, Fresh: fresh,
-	}, relay.Bounds{Revoke: s.Bounds.Revoke, Config: s.Bounds.Config}, id)
+	}, relay.Bounds{Revoke: s.Bounds.Revoke, Config: s.Bounds.Config, Bodies: int64(bodiesShare * float64(s.Memory) * (1 << 20))}, id)
 	var g errs
 	g.add(d.peers.Register(member.Name, member.NewReceiver(d.members, noDocuments{})))
 	g.add(d.peers.Register(quarantine.Name, quarantine.NewReceiver(q)))
--- a/daemon/relay/harness_test.go
+++ b/daemon/relay/harness_test.go
@@ -176,7 +176,7 @@
 }
 
 func (w *world) start() {
-	w.gate = New(w.needs, Bounds{Revoke: 5 * clock.Second, Config: 2 * clock.Second}, "vm.1")
+	w.gate = New(w.needs, Bounds{Revoke: 5 * clock.Second, Config: 2 * clock.Second, Bodies: 1 << 16}, "vm.1")
 	w.server = httptest.NewServer(w.gate)
 	w.t.Cleanup(w.server.Close)
 }
--- a/daemon/relay/relay_test.go
+++ b/daemon/relay/relay_test.go
@@ -1,9 +1,11 @@
 package relay
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -345,6 +347,52 @@
 	require.Zero(t, runs.Load())
 }
 
+// Callers send large bodies all at once. Held without bound they would take the VM down.
+func TestBodiesBeyondTheRoomAreRefused(t *testing.T) {
+	hold := make(chan struct{})
+	in := make(chan struct{}, 1)
+	w := newWorld(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		in <- struct{}{}
+		<-hold
+		whole("fine")(w, r)
+	})
+	large := strings.Repeat("x", 40<<10)
+	first := make(chan string, 1)
+	go func() {
+		_, body, err := w.call(http.MethodPost, "/once/x", large)
+		if err != nil {
+			body = err.Error()
+		}
+		first <- body
+	}()
+	<-in
+	resp, _, err := w.call(http.MethodPost, "/once/x", large)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	close(hold)
+	require.Equal(t, "fine", <-first)
+	require.Eventually(t, func() bool { return w.gate.bodies.Load() == 0 }, time.Second, time.Millisecond)
+}
+
+// A caller sends half of its body and then nothing. The request has not run, and must
+// not hold its place for ever.
+func TestATrickledBodyIsRefusedInTime(t *testing.T) {
+	w := newWorld(t, whole("fine"))
+	w.learn(300, "key")
+	c, err := net.Dial("tcp", w.server.Listener.Addr().String())
+	require.NoError(t, err)
+	defer c.Close()
+	_, err = io.WriteString(c, "POST /once/x HTTP/1.1\r\nHost: team.example\r\nId: a1\r\nKey: key\r\nContent-Length: 10\r\n\r\nhalf")
+	require.NoError(t, err)
+	require.NoError(t, c.SetReadDeadline(time.Now().Add(3*time.Second)))
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	require.Equal(t, http.StatusRequestTimeout, resp.StatusCode)
+	require.Zero(t, w.gate.bodies.Load())
+}
+
 func TestARefusalSaysWhenToComeBack(t *testing.T) {
 	w := newWorld(t, whole("fine"))
 	w.placer.refuse = fault.Overloaded
