caller, fault, scenarios: a refusal says where its key's past is not known

Cause: the check by key left out every answer of the kind unavailable, an eased check. ran speaks of the request's own id; an unproved claim now says key: unknown in a field of its own, and the check leaves out just those answers.

--- a/daemon/caller/claim.go
+++ b/daemon/caller/claim.go
@@ -48,7 +48,7 @@
 		// The write may stand or still arrive; free the key once the store answers again.
 		g.unclaim(q, true)
 	}
-	return fault.New(fault.Unavailable, "the key could not be claimed, so this request was not sent; an earlier one with the same key may have run: repeat it under the same key").WithRan(fault.RanNo).WithRetry(storeRetry)
+	return fault.New(fault.Unavailable, "the key could not be claimed, so this request was not sent; an earlier one with the same key may have run: repeat it under the same key").WithRan(fault.RanNo).WithKey(fault.KeyUnknown).WithRetry(storeRetry)
 }
 
 // unclaim frees the key of a request that was claimed and proved not sent, so
--- a/daemon/caller/gate_test.go
+++ b/daemon/caller/gate_test.go
@@ -207,6 +207,7 @@
 	a := b.post("/v1/chat/completions", ask, headerKind, "send", headerKey, "k1")
 	require.Equal(t, 503, a.status)
 	require.Equal(t, "no", a.ran())
+	require.Equal(t, "unknown", a.header.Get(headerKnown), "an earlier request under the key may have run")
 	require.NotEmpty(t, a.header.Get(headerRetry))
 	require.Zero(t, runs.Load())
 	require.Eventually(t, func() bool {
--- a/daemon/caller/refuse.go
+++ b/daemon/caller/refuse.go
@@ -16,6 +16,7 @@
 	headerRequest = "Snipeshift-Request"
 	headerError   = "Snipeshift-Error"
 	headerRan     = "Snipeshift-Ran"
+	headerKnown   = "Snipeshift-Key"
 	headerKind    = "Snipeshift-Kind"
 	headerAllowed = "Snipeshift-Deadline"
 	headerKey     = "Idempotency-Key"
@@ -35,12 +36,13 @@
 	Type    fault.Kind       `json:"type"`
 	Code    fault.Kind       `json:"code"`
 	Ran     fault.Ran        `json:"ran"`
+	Key     fault.KeyState   `json:"key,omitempty"`
 	Retry   clock.Milli      `json:"retry_ms,omitempty"`
 	Request decide.RequestID `json:"request"`
 }
 
 func body(e *fault.Error, id decide.RequestID) []byte {
-	b, err := json.Marshal(refusal{Error: detail{Message: e.Text, Type: e.Kind, Code: e.Kind, Ran: e.Ran, Retry: e.Retry, Request: id}})
+	b, err := json.Marshal(refusal{Error: detail{Message: e.Text, Type: e.Kind, Code: e.Kind, Ran: e.Ran, Key: e.Key, Retry: e.Retry, Request: id}})
 	if err != nil {
 		return []byte(`{"error":{"type":"internal"}}`)
 	}
@@ -55,6 +57,9 @@
 	h.Set(headerRequest, string(id))
 	h.Set(headerError, string(e.Kind))
 	h.Set(headerRan, string(e.Ran))
+	if e.Key != "" {
+		h.Set(headerKnown, string(e.Key))
+	}
 	if a.Again && e.Ran == fault.RanNo {
 		h.Set(headerRetry, strconv.FormatInt(seconds(e.Retry), 10))
 	} else {
--- a/lib/fault/fault.go
+++ b/lib/fault/fault.go
@@ -49,6 +49,13 @@
 	RanYes   Ran = "yes"   // an upstream executed at least part of it
 )
 
+// KeyState tells what is known of a request's idempotency key.
+type KeyState string
+
+// KeyUnknown says that the store could not be asked about the key: an earlier request
+// under it may have run, whatever Ran says of this one. Other refusals say nothing of it.
+const KeyUnknown KeyState = "unknown"
+
 // Answer is one row of the table from kind to HTTP answer.
 type Answer struct {
 	// Status is the HTTP status code.
@@ -109,6 +116,8 @@
 	Kind Kind
 	// Ran is what is proved about execution at the time of the answer.
 	Ran Ran
+	// Key is what is known of the request's key; empty where nothing is to be said.
+	Key KeyState
 	// Retry is the span after which to come back; zero where coming back does not help.
 	Retry clock.Milli
 	// Text is one line for a person.
@@ -130,6 +139,13 @@
 	return &c
 }
 
+// WithKey returns a copy that says what is known of the request's key.
+func (e *Error) WithKey(k KeyState) *Error {
+	c := *e
+	c.Key = k
+	return &c
+}
+
 // WithRetry returns a copy that tells the caller when to come back.
 func (e *Error) WithRetry(m clock.Milli) *Error {
 	c := *e
--- a/scenarios/world/call.go
+++ b/scenarios/world/call.go
@@ -61,8 +61,8 @@
 	Elapsed time.Duration
 	End     End
 	Status  int
-	// Error, Ran, Retry and Request are headers of the answer, or fields of its error event.
-	Error, Ran, Retry, Request string
+	// Error, Ran, Retry, Request and Key are headers of the answer, or fields of its error event.
+	Error, Ran, Retry, Request, Key string
 	// First is the time to the first chunk, zero if none came.
 	First time.Duration
 	// Text is what came of the answer.
@@ -235,6 +235,7 @@
 	defer resp.Body.Close()
 	r.Status = resp.StatusCode
 	h := resp.Header
+	r.Key = h.Get("Snipeshift-Key")
 	r.Request, r.Error, r.Ran, r.Retry = h.Get("Snipeshift-Request"), h.Get("Snipeshift-Error"), h.Get("Snipeshift-Ran"), h.Get("Retry-After")
 	r.Replayed = h.Get("Idempotent-Replayed") != ""
 	r.read(ctx, resp)
--- a/scenarios/world/check.go
+++ b/scenarios/world/check.go
@@ -74,7 +74,7 @@
 	if x.Request == r.Request {
 		return true
 	}
-	if r.Error == string(fault.Unavailable) {
+	if r.Key == string(fault.KeyUnknown) {
 		return false
 	}
 	end := clock.Milli(r.Begun.Add(r.Elapsed).UnixMilli())
