registry: news comes together, and a reader's proof may be two waits old

Cause: when 64 upstreams register within two seconds each entry cost a call of each of 86 VMs, and after each change the fleet read for itself, since a reader's proof is up to two waits old then. News still reaches a VM by a reader's word within 1.2 s.

--- a/daemon/registry/follow.go
+++ b/daemon/registry/follow.go
@@ -33,6 +33,7 @@
 		if mark == 0 {
 			mark, err = list(ctx)
 		} else {
+			began := r.clock.Now()
 			wait := r.wait()
 			watching, end := r.watching(ctx, what, wait)
 			next, failed := watch(watching, mark, wait)
@@ -43,6 +44,9 @@
 				continue
 			}
 			mark, err = next, failed
+			if rest := newsEvery - (r.clock.Now() - began); err == nil && rest > 0 {
+				pause(ctx, rest.Duration())
+			}
 		}
 		if ctx.Err() != nil {
 			return
--- a/daemon/registry/peers.go
+++ b/daemon/registry/peers.go
@@ -24,9 +24,11 @@
 	// lookEvery the time between two looks at its age.
 	askAfter  = clock.Second
 	lookEvery = 200 * time.Millisecond
-	// proofLimit is how old it may grow before we read for ourselves. Documents
-	// and leaving upstreams bind within two seconds.
-	proofLimit = 1800 * clock.Milli(1)
+	// proofLimit is how old it may grow before we read for ourselves. News reaches us
+	// by a reader's word within askAfter and lookEvery, whatever the age that it
+	// proves: after each change of an upstream a reader's own proof is up to two
+	// waits old, and with a lower limit the whole fleet would read for itself then.
+	proofLimit = 2*watchWait + 500
 )
 
 // Fill implements member.Part.
--- a/daemon/registry/registry.go
+++ b/daemon/registry/registry.go
@@ -50,6 +50,10 @@
 	// longWait is how long a watch waits at a VM to which others prove that its
 	// knowledge is new. News ends it at once all the same.
 	longWait = 15 * clock.Second
+	// newsEvery is the least time between two watches. When all upstreams register at
+	// once, each entry would else cost a call of every VM; now what comes within the
+	// time comes in one answer, and the first news still comes at once.
+	newsEvery = 250 * clock.Milli(1)
 	// retryWait is the pause after a failed call, long enough that nine VMs
 	// make some forty calls a second of the two thousand that the store bears.
 	retryWait = 250 * time.Millisecond
--- a/daemon/registry/registry_test.go
+++ b/daemon/registry/registry_test.go
@@ -247,6 +247,7 @@
 	var calls []string
 	list := func(context.Context) (route.Mark, error) { calls = append(calls, "list"); return 5, nil }
 	watch := func(_ context.Context, after route.Mark, _ clock.Milli) (route.Mark, error) {
+		b.clock.forward(newsEvery)
 		calls = append(calls, "watch")
 		if len(calls) == 3 {
 			return 0, errDown
@@ -352,3 +353,19 @@
 	require.Equal(t, 1, b.there())
 	require.LessOrEqual(t, b.age(), askAfter)
 }
+
+// All upstreams register within two seconds. A watch for each entry, by each VM of a large
+// fleet, would take most of what the store bears.
+func TestNewsComesTogether(t *testing.T) {
+	b := newBench(t)
+	ctx, cancel := context.WithTimeout(b.ctx, 600*time.Millisecond)
+	defer cancel()
+	watches := 0
+	list := func(context.Context) (route.Mark, error) { return 1, nil }
+	watch := func(_ context.Context, after route.Mark, _ clock.Milli) (route.Mark, error) {
+		watches++
+		return after + 1, nil
+	}
+	b.follow(ctx, "test", list, watch)
+	require.LessOrEqual(t, watches, 4)
+}
