--- a/lib/decide/span/spare.go
+++ b/lib/decide/span/spare.go
@@ -86,8 +86,8 @@
 	return float64(w.Aim-now) < settleTime+w.least+before/float64(max(p.spare.engines, 1))
 }
 
-// refusal tells a caller to come back when half of those ahead should be served: then its
-// turn comes soon after, and nobody waits for it meanwhile.
+// refusal tells a caller to come back when half of the time is over that it would have
+// waited: pressure comes in phases, and one that comes back at once is only refused again.
 func refusal(w *waiting, wait float64) Decision {
 	retry := min(max(clock.Milli(wait/2), firstShut), longestRetry)
 	return Decision{Action: Refused, Request: w.ID, Gate: w.Gate, Fault: fault.Overloaded, Retry: retry, Reason: "pressure"}
@@ -104,8 +104,9 @@
 func (p *Pool) hopeless(now clock.Milli, w *waiting, ahead float64) (Decision, bool) {
 	rate := p.spare.rate()
 	wait := ahead / rate
-	if float64(w.Deadline-now) > wait+max(w.cost/rate, w.least) {
+	reading := w.cost / rate
+	if float64(w.Deadline-now) > wait+max(reading, w.least) {
 		return Decision{}, false
 	}
-	return refusal(w, wait), true
+	return refusal(w, wait+reading), true
 }
