--- a/lib/decide/span/pool.go
+++ b/lib/decide/span/pool.go
@@ -7,7 +7,6 @@
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
 	"snipeshift.example/lib/decide/gate"
-	"snipeshift.example/lib/fault"
 	"snipeshift.example/lib/route"
 )
 
@@ -41,30 +40,6 @@
 	budget *gate.Budget
 }
 
-// waiting is a queued request.
-type waiting struct {
-	Ask
-	since, heard clock.Milli
-	// cost is the reading of its prompt by one engine, and least by a whole
-	// group, in milliseconds.
-	cost, least float64
-	// heavy is set if the prompt is too long to be read among short streams.
-	heavy bool
-}
-
-// weigh works out what follows from the prompt's length.
-func (p *Pool) weigh(w *waiting) {
-	w.cost, w.least, w.heavy = 0, 0, false
-	if p.engine == nil || w.Prompt == 0 {
-		return
-	}
-	w.cost = p.engine.Reading(w.Prompt)
-	w.least = w.cost
-	if w.heavy = w.cost > p.rules.Light; w.heavy {
-		w.least = w.cost / float64(p.group())
-	}
-}
-
 // New returns an empty pool whose repeats are bounded by b.
 func New(r Rules, b *gate.Budget) *Pool {
 	return &Pool{
@@ -124,162 +99,6 @@
 // Queued tells whether a request waits here.
 func (p *Pool) Queued(id decide.RequestID) bool { return p.queue[id] != nil }
 
-// Tick places and refuses what is queued.
-func (p *Pool) Tick(now clock.Milli) []Decision {
-	p.expire(now)
-	p.look(now)
-	if len(p.queue) == 0 {
-		return nil
-	}
-	var ds []Decision
-	waits := false
-	ahead, before := 0.0, p.debts(now)
-	full := false
-	stuck := 0
-	for _, w := range p.sorted(now) {
-		late := w.late(now)
-		if late && w.heavy {
-			if d, ok := p.hopeless(now, w, ahead); ok {
-				delete(p.queue, w.ID)
-				ds = append(ds, d)
-				continue
-			}
-			ahead += w.cost
-		} else if w.heavy {
-			if p.willBeLate(now, w, before) {
-				if d, ok := p.hopeless(now, w, ahead); ok {
-					delete(p.queue, w.ID)
-					ds = append(ds, d)
-					continue
-				}
-			}
-			before += w.cost
-		}
-		if late && w.heavy && waits && !w.pressing(now) {
-			continue
-		}
-		if !full {
-			if pl, ok := p.place(now, w); ok {
-				delete(p.queue, w.ID)
-				ds = append(ds, p.admit(now, &w.Ask, pl))
-				if late && !w.heavy {
-					p.spare.placed()
-				}
-				continue
-			}
-			full = p.full(now)
-		}
-		if late && !w.heavy {
-			if d, ok := p.stuck(now, w, stuck); ok {
-				delete(p.queue, w.ID)
-				ds = append(ds, d)
-				continue
-			}
-			stuck++
-		}
-		waits = waits || w.heavy && !late
-		if d, refused := p.refuse(now, w); refused {
-			delete(p.queue, w.ID)
-			ds = append(ds, d)
-		}
-	}
-	return ds
-}
-
-// full tells whether no upstream has a slot left, so that nothing else in the queue
-// needs to be tried.
-func (p *Pool) full(now clock.Milli) bool {
-	for _, r := range p.order {
-		if !r.Leaving && r.health.open(now) && r.streams+r.foreign < max(r.Slots, 1) {
-			return false
-		}
-	}
-	return true
-}
-
-// pressing tells whether a late request has so little time left that it must not
-// make way for others any more.
-func (w *waiting) pressing(now clock.Milli) bool {
-	return float64(w.Deadline-now) < 4*w.least+float64(3*clock.Second)
-}
-
-// admit grants what has found its place, unless it is a repeat beyond the budget: a
-// service in trouble must not get its load twice when it has least to spare.
-func (p *Pool) admit(now clock.Milli, a *Ask, pl plan) Decision {
-	d := Decision{Action: Granted, Request: a.ID, Gate: a.Gate, Reason: pl.reason}
-	switch {
-	case !a.Again:
-		p.budget.Succeed(now)
-	case !p.budget.Retry(now):
-		d.Action, d.Fault, d.Reason = Refused, fault.Unavailable, "budget"
-		return d
-	}
-	d.Grant = p.grant(now, a, pl)
-	return d
-}
-
-// sorted is the queue in the order of placing: by urgency, then those that can
-// still come in time by their aim, then the late ones by deadline. A late one
-// is worth a quarter of one in time whenever it comes, so it waits for a gap.
-func (p *Pool) sorted(now clock.Milli) []*waiting {
-	ws := make([]*waiting, 0, len(p.queue))
-	for _, w := range p.queue {
-		ws = append(ws, w)
-	}
-	slices.SortFunc(ws, func(x, y *waiting) int {
-		return cmp.Or(
-			cmp.Compare(x.rank(now), y.rank(now)),
-			cmp.Compare(x.least, y.least),
-			cmp.Compare(x.due(now), y.due(now)),
-			cmp.Compare(x.ID, y.ID),
-		)
-	})
-	return ws
-}
-
-// rank is 0 for what is in time, 1 for what is late.
-func (w *waiting) rank(now clock.Milli) int {
-	if w.late(now) {
-		return 1
-	}
-	return 0
-}
-
-// late tells whether the aim can't be met any more.
-func (w *waiting) late(now clock.Milli) bool { return float64(w.Aim-now) < settleTime+w.least }
-
-func (w *waiting) due(now clock.Milli) clock.Milli {
-	if w.late(now) {
-		return w.Deadline
-	}
-	return w.Aim
-}
-
-// refuse tells whether a queued request can no longer be served.
-func (p *Pool) refuse(now clock.Milli, w *waiting) (Decision, bool) {
-	d := Decision{Action: Refused, Request: w.ID, Gate: w.Gate}
-	if float64(w.Deadline-now) < w.least+float64(leastWork) {
-		d.Fault, d.Reason = fault.Overloaded, "deadline"
-		return d, true
-	}
-	if !p.any(now, &w.Ask) {
-		d.Fault, d.Reason, d.Retry = fault.Unavailable, "none", firstShut
-		return d, now-w.since > firstShut
-	}
-	return d, false
-}
-
-// any tells whether some upstream may take the request at all, now or later.
-func (p *Pool) any(now clock.Milli, a *Ask) bool {
-	for _, r := range p.order {
-		if r.Leaving || !r.health.open(now) || slices.Contains(a.Avoid, r.ID) {
-			continue
-		}
-		return true
-	}
-	return false
-}
-
 // expire forgets what no gate asks after any more.
 func (p *Pool) expire(now clock.Milli) {
 	for id, w := range p.queue {
--- a/lib/decide/span/pool_test.go
+++ b/lib/decide/span/pool_test.go
@@ -443,3 +443,20 @@
 	p.End(now+900, "1", Done, "")
 	require.Len(t, p.Tick(now+900), 1)
 }
+
+// An urgent request and a patient one wait for the same slot. The patient one came first.
+func TestTheUrgentOneIsPlacedFirst(t *testing.T) {
+	b := newBench(t, 1)
+	var last Grant
+	for range engine.Slots {
+		last = b.runs(b.note(now))
+	}
+	patient, urgent := b.note(now), b.note(now)
+	patient.Urgency = 1
+	_, _ = b.Ask(now, patient)
+	_, _ = b.Ask(now, urgent)
+	b.End(now, last.Request, Done, "")
+	ds := b.Tick(now)
+	require.Len(t, ds, 1)
+	require.Equal(t, urgent.ID, ds[0].Request)
+}
--- /dev/null
+++ b/lib/decide/span/queue.go
@@ -0,0 +1,219 @@
+package span
+
+import (
+	"cmp"
+	"slices"
+
+	"snipeshift.example/lib/clock"
+	"snipeshift.example/lib/fault"
+)
+
+// waiting is a queued request.
+type waiting struct {
+	Ask
+	since, heard clock.Milli
+	// cost is the reading of its prompt by one engine, and least by a whole
+	// group, in milliseconds.
+	cost, least float64
+	// heavy is set if the prompt is too long to be read among short streams.
+	heavy bool
+}
+
+// weigh works out what follows from the prompt's length.
+func (p *Pool) weigh(w *waiting) {
+	w.cost, w.least, w.heavy = 0, 0, false
+	if p.engine == nil || w.Prompt == 0 {
+		return
+	}
+	w.cost = p.engine.Reading(w.Prompt)
+	w.least = w.cost
+	if w.heavy = w.cost > p.rules.Light; w.heavy {
+		w.least = w.cost / float64(p.group())
+	}
+}
+
+// round is one look at the whole queue.
+type round struct {
+	pool *Pool
+	now  clock.Milli
+	// before is the reading in milliseconds that engines have to do before a
+	// long prompt in time, ahead that of late ones before a late one.
+	before, ahead float64
+	// stuck counts late short requests that found no place.
+	stuck int
+	// waits is set once a long prompt in time waits for engines.
+	waits bool
+	// full is set once no upstream has a slot left.
+	full bool
+}
+
+// Tick places and refuses what is queued.
+func (p *Pool) Tick(now clock.Milli) []Decision {
+	p.expire(now)
+	p.look(now)
+	if len(p.queue) == 0 {
+		return nil
+	}
+	var ds []Decision
+	o := round{pool: p, now: now, before: p.debts(now)}
+	for _, w := range p.sorted(now) {
+		if d, decided := o.decide(w); decided {
+			delete(p.queue, w.ID)
+			ds = append(ds, d)
+		}
+	}
+	return ds
+}
+
+// decide places one request, refuses it, or leaves it in the queue. Requests come in
+// the order of sorted.
+func (o *round) decide(w *waiting) (Decision, bool) {
+	late := w.late(o.now)
+	if w.heavy {
+		if d, hopeless := o.weigh(w, late); hopeless {
+			return d, true
+		}
+		if late && o.waits && !w.pressing(o.now) {
+			return Decision{}, false
+		}
+	}
+	if d, placed := o.place(w, late); placed {
+		return d, true
+	}
+	if late && !w.heavy {
+		if d, stuck := o.pool.stuck(o.now, w, o.stuck); stuck {
+			return d, true
+		}
+		o.stuck++
+	}
+	o.waits = o.waits || w.heavy && !late
+	return o.pool.refuse(o.now, w)
+}
+
+// weigh refuses a long prompt that is late, or will be, and will not be served by its
+// deadline; else it counts it for those behind it.
+func (o *round) weigh(w *waiting, late bool) (Decision, bool) {
+	if late || o.pool.willBeLate(o.now, w, o.before) {
+		if d, hopeless := o.pool.hopeless(o.now, w, o.ahead); hopeless {
+			return d, true
+		}
+	}
+	if late {
+		o.ahead += w.cost
+	} else {
+		o.before += w.cost
+	}
+	return Decision{}, false
+}
+
+// place grants a request if it finds its place.
+func (o *round) place(w *waiting, late bool) (Decision, bool) {
+	if o.full {
+		return Decision{}, false
+	}
+	pl, ok := o.pool.place(o.now, w)
+	if !ok {
+		o.full = o.pool.full(o.now)
+		return Decision{}, false
+	}
+	if late && !w.heavy {
+		o.pool.spare.placed()
+	}
+	return o.pool.admit(o.now, &w.Ask, pl), true
+}
+
+// full tells whether no upstream has a slot left, so that nothing else in the queue
+// needs to be tried.
+func (p *Pool) full(now clock.Milli) bool {
+	for _, r := range p.order {
+		if !r.Leaving && r.health.open(now) && r.streams+r.foreign < max(r.Slots, 1) {
+			return false
+		}
+	}
+	return true
+}
+
+// pressing tells whether a late request has so little time left that it must not
+// make way for others any more.
+func (w *waiting) pressing(now clock.Milli) bool {
+	return float64(w.Deadline-now) < 4*w.least+float64(3*clock.Second)
+}
+
+// admit grants what has found its place, unless it is a repeat beyond the budget: a
+// service in trouble must not get its load twice when it has least to spare.
+func (p *Pool) admit(now clock.Milli, a *Ask, pl plan) Decision {
+	d := Decision{Action: Granted, Request: a.ID, Gate: a.Gate, Reason: pl.reason}
+	switch {
+	case !a.Again:
+		p.budget.Succeed(now)
+	case !p.budget.Retry(now):
+		d.Action, d.Fault, d.Reason = Refused, fault.Unavailable, "budget"
+		return d
+	}
+	d.Grant = p.grant(now, a, pl)
+	return d
+}
+
+// sorted is the queue in the order of placing: those that can still come in time
+// before the late ones, since a late one is worth a quarter whenever it comes;
+// then by urgency; then what engines read soonest, which serves most callers when
+// engines are short; then by aim or deadline.
+func (p *Pool) sorted(now clock.Milli) []*waiting {
+	ws := make([]*waiting, 0, len(p.queue))
+	for _, w := range p.queue {
+		ws = append(ws, w)
+	}
+	slices.SortFunc(ws, func(x, y *waiting) int {
+		return cmp.Or(
+			cmp.Compare(x.rank(now), y.rank(now)),
+			cmp.Compare(x.Urgency, y.Urgency),
+			cmp.Compare(x.least, y.least),
+			cmp.Compare(x.due(now), y.due(now)),
+			cmp.Compare(x.ID, y.ID),
+		)
+	})
+	return ws
+}
+
+// rank is 0 for what is in time, 1 for what is late.
+func (w *waiting) rank(now clock.Milli) int {
+	if w.late(now) {
+		return 1
+	}
+	return 0
+}
+
+// late tells whether the aim can't be met any more.
+func (w *waiting) late(now clock.Milli) bool { return float64(w.Aim-now) < settleTime+w.least }
+
+func (w *waiting) due(now clock.Milli) clock.Milli {
+	if w.late(now) {
+		return w.Deadline
+	}
+	return w.Aim
+}
+
+// refuse tells whether a queued request can no longer be served.
+func (p *Pool) refuse(now clock.Milli, w *waiting) (Decision, bool) {
+	d := Decision{Action: Refused, Request: w.ID, Gate: w.Gate}
+	if float64(w.Deadline-now) < w.least+float64(leastWork) {
+		d.Fault, d.Reason = fault.Overloaded, "deadline"
+		return d, true
+	}
+	if !p.any(now, &w.Ask) {
+		d.Fault, d.Reason, d.Retry = fault.Unavailable, "none", firstShut
+		return d, now-w.since > firstShut
+	}
+	return d, false
+}
+
+// any tells whether some upstream may take the request at all, now or later.
+func (p *Pool) any(now clock.Milli, a *Ask) bool {
+	for _, r := range p.order {
+		if r.Leaving || !r.health.open(now) || slices.Contains(a.Avoid, r.ID) {
+			continue
+		}
+		return true
+	}
+	return false
+}
