gate, span, placer: a new owner's budget grows, and it sends nothing to engines before they have reported

Now the floor of an owner's budget grows from nothing over a window that begins 3 s after its first question, and engines in doubt get nothing until their word is there.

--- a/bench/passes/play_test.go
+++ b/bench/passes/play_test.go
@@ -8,9 +8,12 @@
 	"snipeshift.example/lib/decide/span"
 )
 
+// seeds is how many seeds a mean is of.
+const seeds = 5
+
 // mean plays a load on some seeds and returns the mean share of worth and the share of
 // each kind that came in time.
-func mean(l *Load, r span.Rules, seeds int) (worth float64, inTime map[string]float64) {
+func mean(l *Load, r span.Rules) (worth float64, inTime map[string]float64) {
 	asked, got := map[string]int{}, map[string]int{}
 	for s := range seeds {
 		res := Play(l, r, uint64(s+1))
@@ -35,7 +38,7 @@
 // Long prompts press for ten seconds, then short ones, then long ones again. A boundary that
 // moves slowly leaves one of them late in each phase.
 func TestShiftingPhasesAreServedInTime(t *testing.T) {
-	worth, inTime := mean(Loads()["shift18"], span.DefaultRules, 5)
+	worth, inTime := mean(Loads()["shift18"], span.DefaultRules)
 	require.Greater(t, worth, 0.95)
 	require.Greater(t, inTime["note"], 0.98)
 	require.Greater(t, inTime["file"], 0.97)
@@ -48,8 +51,8 @@
 	alone := span.DefaultRules
 	alone.Group = 1
 	l := Loads()["steady18"]
-	with, inTime := mean(l, span.DefaultRules, 5)
-	without, inTimeAlone := mean(l, alone, 5)
+	with, inTime := mean(l, span.DefaultRules)
+	without, inTimeAlone := mean(l, alone)
 	require.Greater(t, with, without+0.08)
 	require.Greater(t, inTime["history"], inTimeAlone["history"]+0.3)
 	require.Greater(t, inTime["note"], 0.98, "short work pays nothing for it")
@@ -58,6 +61,6 @@
 // All kinds come three times as often as usual for ten seconds, more than the engines
 // can do. Short work must come through, and nothing may be held in vain.
 func TestAFloodLeavesShortWorkInTime(t *testing.T) {
-	_, inTime := mean(Loads()["flood14"], span.DefaultRules, 5)
+	_, inTime := mean(Loads()["flood14"], span.DefaultRules)
 	require.Greater(t, inTime["note"], 0.9)
 }
--- a/daemon/placer/owner.go
+++ b/daemon/placer/owner.go
@@ -59,6 +59,9 @@
 	reportEvery = 300 * time.Millisecond
 	// reportTimeout bounds a look at an upstream, which is milliseconds away.
 	reportTimeout = 150 * time.Millisecond
+	// settleTime is how long after its first question an owner gives out none of the
+	// budget's floor: members that have just started need about as long to agree on one.
+	settleTime = 3 * clock.Second
 	// askedLately is how recent a gate's question must be for a pool to be worth a look.
 	askedLately = clock.Second
 	// reportsAtOnce bounds the looks under way.
@@ -109,8 +112,10 @@
 	o.mu.Lock()
 	h := o.pools[s]
 	if h == nil {
+		budget := gate.NewBudget(o.budget.Share, o.budget.Floor, o.budget.Window)
+		budget.GrowFrom(o.Clock.Now() + settleTime)
 		h = &hosted{
-			pool:    span.New(span.DefaultRules, gate.NewBudget(o.budget.Share, o.budget.Floor, o.budget.Window)),
+			pool:    span.New(span.DefaultRules, budget),
 			waiters: map[decide.RequestID]chan span.Decision{}, kept: map[decide.RequestID]span.Decision{},
 		}
 		o.pools[s] = h
@@ -125,7 +130,6 @@
 			h.pool.Doubt()
 		}
 	}
-	o.look(s, h)
 	return h
 }
 
@@ -191,6 +195,7 @@
 	a.Deadline += now
 	h := o.host(args.Service)
 	h.asked = now
+	o.look(args.Service, h)
 	if d, ok := h.kept[a.ID]; ok {
 		delete(h.kept, a.ID)
 		h.mu.Unlock()
@@ -278,6 +283,7 @@
 	now := o.Clock.Now()
 	h := o.host(args.Service)
 	defer h.mu.Unlock()
+	defer o.look(args.Service, h)
 	switch args.Event {
 	case First:
 		h.pool.First(now, args.Request)
--- a/daemon/placer/placer_test.go
+++ b/daemon/placer/placer_test.go
@@ -79,6 +79,13 @@
 	}
 }
 
+// fail makes a VM's calls fail in one of the two ways.
+func (n *network) fail(how map[string]bool, address string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	how[address] = true
+}
+
 // members are all live, whatever happens.
 type members []peer.Member
 
@@ -135,7 +142,7 @@
 // need seconds to find out; short requests are due in 300 ms.
 func TestASilentOwnerIsPassedOver(t *testing.T) {
 	d := newDeployment(t)
-	d.silent[d.ranked[0].Address] = true
+	d.fail(d.silent, d.ranked[0].Address)
 	began := time.Now()
 	_, err := d.client.Ask(context.Background(), "s", ask("1"))
 	require.NoError(t, err)
@@ -151,7 +158,7 @@
 func TestWithoutAnyOwnerTheGatePlacesByItself(t *testing.T) {
 	d := newDeployment(t)
 	for _, m := range d.ranked {
-		d.refusing[m.Address] = true
+		d.fail(d.refusing, m.Address)
 	}
 	reply, err := d.client.Ask(context.Background(), "s", ask("1"))
 	require.NoError(t, err)
@@ -167,7 +174,7 @@
 		require.NoError(t, err)
 		d.client.First(id)
 	}
-	d.refusing[d.ranked[0].Address] = true
+	d.fail(d.refusing, d.ranked[0].Address)
 	_, err := d.client.Ask(context.Background(), "s", ask("4"))
 	require.NoError(t, err)
 	require.Equal(t, 4, d.granted(d.ranked[1]))
--- a/lib/decide/gate/budget.go
+++ b/lib/decide/gate/budget.go
@@ -19,6 +19,8 @@
 type Budget struct {
 	share, floor float64
 	window       clock.Milli
+	// since is when the floor begins to grow; zero if it holds from the start.
+	since clock.Milli
 	// at is when the sums were last decayed; they never go negative.
 	at                 clock.Milli
 	successes, retries float64
@@ -39,6 +41,21 @@
 	return b
 }
 
+// GrowFrom makes the floor grow from nothing, over one window that begins at an instant.
+//
+// The load it is made for: all VMs lose power, and each places by itself until it has
+// met the others. Were each to give out the whole floor, the fleet would send many
+// times what it may, just while engines turn most of it away.
+func (b *Budget) GrowFrom(since clock.Milli) { b.since = since }
+
+// allowance is the part of the floor that may be given out.
+func (b *Budget) allowance(now clock.Milli) float64 {
+	if b.since == 0 {
+		return b.floor
+	}
+	return b.floor * min(1, max(0, float64(now-b.since)/float64(b.window)))
+}
+
 // Succeed counts a whole answer.
 func (b *Budget) Succeed(now clock.Milli) {
 	b.decay(now)
@@ -48,7 +65,7 @@
 // Retry tells whether one more retry is allowed, and counts it if so.
 func (b *Budget) Retry(now clock.Milli) bool {
 	b.decay(now)
-	if b.retries+1 > b.floor+b.share*b.successes {
+	if b.retries+1 > b.allowance(now)+b.share*b.successes {
 		return false
 	}
 	b.retries++
--- a/lib/decide/span/engine.go
+++ b/lib/decide/span/engine.go
@@ -134,7 +134,7 @@
 
 // usable tells whether a new request may go there at all.
 func (r *row) usable(now clock.Milli, a *Ask) bool {
-	if r.Leaving || !r.health.open(now) {
+	if r.Leaving || !r.health.open(now) || r.doubtful && r.engine != nil {
 		return false
 	}
 	for _, id := range a.Avoid {
--- a/lib/decide/span/foreign.go
+++ b/lib/decide/span/foreign.go
@@ -16,8 +16,9 @@
 // report on it is there.
 const turnedRest clock.Milli = 150
 
-// Doubtful lists upstreams whose reports are wanted: new ones, those that turned a
-// request away, and those that held work which no grant explains.
+// Doubtful lists upstreams whose reports are wanted: all of a new owner's, those that turned a
+// request away, and those that held work which no grant explains. Engines of the first two
+// sorts get nothing until they have reported, or are known not to.
 func (p *Pool) Doubtful() []decide.UpstreamID {
 	var ids []decide.UpstreamID
 	for _, r := range p.order {
