relay, placer: a stream whose engine lives is not cut for a second of silence; a new owner has a quarter of its floor

Now an engine that takes connections has three quarters of its caller's patience, three seconds at most, and only an owner that has met nobody starts its floor at nothing.

--- a/daemon/placer/owner.go
+++ b/daemon/placer/owner.go
@@ -59,9 +59,12 @@
 	reportEvery = 300 * time.Millisecond
 	// reportTimeout bounds a look at an upstream, which is milliseconds away.
 	reportTimeout = 150 * time.Millisecond
-	// settleTime is how long after its first question an owner gives out none of the
-	// budget's floor: members that have just started need about as long to agree on one.
+	// settleTime is how long an owner that has met no other member gives out none of the
+	// budget's floor: members that start together need about as long to agree on one.
 	settleTime = 3 * clock.Second
+	// startShare is the part of the floor, one in so many, that any other new owner has at
+	// once: a planned change of owner must not leave broken streams without a second try.
+	startShare = 4
 	// askedLately is how recent a gate's question must be for a pool to be worth a look.
 	askedLately = clock.Second
 	// reportsAtOnce bounds the looks under way.
@@ -73,7 +76,9 @@
 	Clock     Clock
 	Knowledge Knowledge
 	Reports   Reports
-	Log       *log.Logger
+	// Alone tells whether no other member was ever heard of.
+	Alone func() bool
+	Log   *log.Logger
 }
 
 // Owner holds the pools of all services that gates ask for here. Any VM may
@@ -113,7 +118,11 @@
 	h := o.pools[s]
 	if h == nil {
 		budget := gate.NewBudget(o.budget.Share, o.budget.Floor, o.budget.Window)
-		budget.GrowFrom(o.Clock.Now() + settleTime)
+		since := o.Clock.Now() - o.budget.Window/startShare
+		if o.Alone() {
+			since = o.Clock.Now() + settleTime
+		}
+		budget.GrowFrom(since)
 		h = &hosted{
 			pool:    span.New(span.DefaultRules, budget),
 			waiters: map[decide.RequestID]chan span.Decision{}, kept: map[decide.RequestID]span.Decision{},
--- a/daemon/placer/placer_test.go
+++ b/daemon/placer/placer_test.go
@@ -44,7 +44,7 @@
 
 func newOwner(t *testing.T, ids ...decide.UpstreamID) *Owner {
 	t.Helper()
-	needs := OwnerNeeds{Clock: clock.Boot{}, Knowledge: knowledge(t, ids...), Reports: idle{}, Log: &log.Logger{Level: log.FatalLevel}}
+	needs := OwnerNeeds{Clock: clock.Boot{}, Knowledge: knowledge(t, ids...), Reports: idle{}, Alone: func() bool { return false }, Log: &log.Logger{Level: log.FatalLevel}}
 	return NewOwner(needs, Budget{Share: 0.2, Floor: 10, Window: 10 * clock.Second})
 }
 
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -109,7 +109,7 @@
 	d.members.Add(d.registry, q)
 	kept := upstreamTransport()
 	engines := platform.NewEngines(kept)
-	d.owner = placer.NewOwner(placer.OwnerNeeds{Clock: d.clock, Knowledge: d.registry, Reports: engines, Log: d.log}, placer.Budget{
+	d.owner = placer.NewOwner(placer.OwnerNeeds{Clock: d.clock, Knowledge: d.registry, Reports: engines, Alone: func() bool { return d.members.Reached() == 0 }, Log: d.log}, placer.Budget{
 		Share: budgetShare * s.Budget.Share, Floor: budgetShare * s.Budget.Floor, Window: s.Budget.Window,
 	})
 	id := peer.Gate(s.Name, incarnation)
--- a/daemon/relay/watchdog.go
+++ b/daemon/relay/watchdog.go
@@ -20,11 +20,13 @@
 	// engines need 1.5 s to notice that a helper is gone, and say so.
 	firstFactor             = 2
 	firstSlack  clock.Milli = 1800
-	// silenceFactor times the longest pause that a stream bears, and
-	// silenceLeast at least, is taken for a dead connection. Callers leave after
-	// two seconds or eight such pauses.
-	silenceFactor             = 4
-	silenceLeast  clock.Milli = 1000
+	// silenceShare of its caller's patience, within silenceLeast and silenceMost, is how
+	// long a stream may pause whose engine takes connections: a pass with a long read
+	// takes a second now and then, and a stream that is cut for it may find no other
+	// engine. What is left of the patience is for the engine that continues.
+	silenceShare             = 0.75
+	silenceLeast clock.Milli = 1000
+	silenceMost  clock.Milli = 3000
 	// aimFactor times its aim, and patienceLeast at least, is how long a plain
 	// service may take to answer what may be repeated.
 	aimFactor                 = 2
@@ -60,7 +62,7 @@
 
 // nextLimits bound a pause within an answer.
 func (x *flight) nextLimits() limits {
-	return limits{look: x.route.Gap + lookAfter, most: max(silenceFactor*x.route.Gap, silenceLeast)}
+	return limits{look: x.route.Gap + lookAfter, most: min(max(clock.Milli(silenceShare*float64(x.route.Patience)), silenceLeast), silenceMost)}
 }
 
 // watchdog ends a send whose upstream is silent.
