--- a/emulator/engine/stream.go
+++ b/emulator/engine/stream.go
@@ -123,7 +123,9 @@
 	}
 	for ; s.next < len(v.events); s.next++ {
 		if v.faults.truncate > 0 && s.sent >= v.faults.truncate {
-			return true, true
+			// What was written must arrive before the cut: where several events are
+			// ready at once it still lies in the buffer.
+			return s.flush() == nil, true
 		}
 		if !s.hold(v.events[s.next] + v.faults.late) {
 			return false, false
