registry: in a large fleet only the readers watch the store, and failed calls back off

Now beyond 12 VMs whoever is not a reader keeps no watch: it asks the readers in turn two or three times a second, lists for itself 1.4 s after the last answer, and backs off from failed calls up to 4 s. Readers go on asking often, so the store's return is known within a second. Ruled out: asking one reader until its word is old (a reader that is shut off would hold news back for 2 s and more).

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -128,28 +128,30 @@
 	return d, g.err
 }
 
-// leastReaders VMs read the store for all, and one more for each readersFor: a reader
-// answers each other VM about once a second, which takes a tenth of a millisecond.
 const (
+	// leastReaders VMs read the store for all, and one more for each readersFor: a reader
+	// answers each other VM two or three times a second, which takes a tenth of a millisecond.
 	leastReaders = 2
 	readersFor   = 64
+	// watchersMost is the size up to which every VM watches the store itself. News of one
+	// upstream costs a call of each: beside readers a dozen more are no load yet.
+	watchersMost = 12
 )
 
 // readers implements registry.Readers.
-func (d *relayed) readers() ([]peer.Member, bool) {
+func (d *relayed) readers() registry.Roster {
 	live := d.members.Live()
 	ranked := member.Rank("registry", live)
 	ranked = ranked[:min(len(ranked), leastReaders+len(live)/readersFor)]
-	others := make([]peer.Member, 0, len(ranked))
-	self := false
+	rs := registry.Roster{Others: make([]peer.Member, 0, len(ranked)), Large: len(live) > watchersMost}
 	for _, m := range ranked {
 		if m.VM == d.settings.Name {
-			self = true
+			rs.Self = true
 			continue
 		}
-		others = append(others, m)
+		rs.Others = append(rs.Others, m)
 	}
-	return others, self
+	return rs
 }
 
 // seeds are the addresses of the settings.
--- a/daemon/registry/follow.go
+++ b/daemon/registry/follow.go
@@ -22,39 +22,78 @@
 	return g.Wait()
 }
 
-// follow lists once and then watches from there; after an error it lists anew,
-// since events may have been lost with the answer.
+// follow lists once and then watches from there; after an error, or once others have read
+// for this VM, it lists anew, since events may have been missed.
 func (r *Registry) follow(ctx context.Context, what string, list func(context.Context) (route.Mark, error),
 	watch func(context.Context, route.Mark, clock.Milli) (route.Mark, error),
 ) {
 	var mark route.Mark
+	failures := 0
 	for ctx.Err() == nil {
+		if r.rests() {
+			mark, failures = 0, 0
+			pause(ctx, lookEvery)
+			continue
+		}
 		var err error
 		if mark == 0 {
 			mark, err = list(ctx)
 		} else {
-			began := r.clock.Now()
-			wait := r.wait()
-			watching, end := r.watching(ctx, what, wait)
-			next, failed := watch(watching, mark, wait)
-			ended := watching.Err() != nil
-			end()
-			if failed != nil && ended && ctx.Err() == nil {
-				// We ended it ourselves: what came before the mark is known still.
-				continue
-			}
-			mark, err = next, failed
-			if rest := newsEvery - (r.clock.Now() - began); err == nil && rest > 0 {
-				pause(ctx, rest.Duration())
-			}
+			mark, err = r.next(ctx, what, mark, watch)
 		}
 		if ctx.Err() != nil {
 			return
 		}
 		r.reach(what, err)
-		if err != nil {
-			mark = 0
-			pause(ctx, retryWait/2+rand.N(retryWait))
+		if err == nil {
+			failures = 0
+			continue
+		}
+		mark = 0
+		r.backOff(ctx, failures)
+		failures++
+	}
+}
+
+// next watches once from a mark, and returns the one to go on from.
+func (r *Registry) next(ctx context.Context, what string, mark route.Mark,
+	watch func(context.Context, route.Mark, clock.Milli) (route.Mark, error),
+) (route.Mark, error) {
+	began := r.clock.Now()
+	wait := r.wait()
+	watching, end := r.watching(ctx, what, wait)
+	next, err := watch(watching, mark, wait)
+	ended := watching.Err() != nil
+	end()
+	if err != nil && ended && ctx.Err() == nil {
+		// We ended it ourselves: what came before the mark is known still.
+		return mark, nil
+	}
+	if rest := newsEvery - (r.clock.Now() - began); err == nil && rest > 0 {
+		pause(ctx, rest.Duration())
+	}
+	return next, err
+}
+
+// backOff waits before a failed call is made again: longer after each failure, but for
+// the members that read for all.
+//
+// What goes wrong without it: the store is away for ten seconds, and a hundred VMs make eight
+// hundred calls a second all the while, which the store must turn away, and which meet it
+// again as it comes back. The readers go on asking often, so that its return is known
+// to all within a second; a VM that becomes a reader stops waiting.
+func (r *Registry) backOff(ctx context.Context, failures int) {
+	wait := retryWait << min(failures, retryDoublings)
+	wait = wait/2 + rand.N(wait)
+	if r.reads() {
+		wait = retryWait/2 + rand.N(retryWait)
+	}
+	for wait > 0 && ctx.Err() == nil {
+		step := min(wait, lookEvery)
+		pause(ctx, step)
+		wait -= step
+		if r.reads() && wait > retryWait {
+			wait = retryWait
 		}
 	}
 }
--- a/daemon/registry/peers.go
+++ b/daemon/registry/peers.go
@@ -24,6 +24,16 @@
 	// lookEvery the time between two looks at its age.
 	askAfter  = clock.Second
 	lookEvery = 200 * time.Millisecond
+	// tellEvery is the time between two questions of a VM that keeps no watch of its own, and
+	// trustFor how long it relies on the last answer. With one reader silent or shut off, news
+	// is known after 1.3 s at the most; with all silent the VM reads for itself 1.4 s after the last
+	// answer. Both are within the two seconds in which a leaving upstream and a new document
+	// must be obeyed.
+	tellEvery = 300 * clock.Milli(1)
+	trustFor  = 1200 * clock.Milli(1)
+	// readerAge is the most that the word of a reader is old whose way to the store is open: one
+	// watch and the pause after news, and a tenth of a second on the way.
+	readerAge = watchWait + newsEvery + 100
 	// proofLimit is how old it may grow before we read for ourselves. News reaches us
 	// by a reader's word within askAfter and lookEvery, whatever the age that it
 	// proves: after each change of an upstream a reader's own proof is up to two
@@ -89,8 +99,8 @@
 	return ask
 }
 
-// fetch takes over what a peer knows.
-func (r *Registry) fetch(ctx context.Context, from peer.Member) {
+// fetch takes over what a peer knows, and tells whether it answered.
+func (r *Registry) fetch(ctx context.Context, from peer.Member) bool {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	args := &peer.RegistryWord{}
@@ -104,21 +114,19 @@
 	var reply peer.RegistryReply
 	if err := r.peers.Call(ctx, from.Address, Name+".Tell", args, &reply); err != nil {
 		r.log.Warn().Str(logline.Key, logline.Unreachable).Str("dependency", string(from.VM)).Err(err).Msg("a peer that knows more does not tell")
-		return
+		return false
 	}
 	r.learnWord(reply.Word, sent)
 	if reply.Document != nil {
 		r.learnDocument(reply.Document, sent-reply.DocumentAge, string(from.VM))
 	}
-	if len(reply.Upstreams) == 0 {
-		return
-	}
 	r.mu.Lock()
 	newer := reply.Word.Mark > r.mark
 	r.mu.Unlock()
-	if newer {
+	if newer && len(reply.Upstreams) > 0 {
 		r.learnPeers(reply.Upstreams, reply.Word.Mark, sent-reply.UpstreamsAge)
 	}
+	return true
 }
 
 // Receiver answers peers over net/rpc.
--- a/daemon/registry/registry.go
+++ b/daemon/registry/registry.go
@@ -54,9 +54,11 @@
 	// once, each entry would else cost a call of every VM; now what comes within the
 	// time comes in one answer, and the first news still comes at once.
 	newsEvery = 250 * clock.Milli(1)
-	// retryWait is the pause after a failed call, long enough that nine VMs
-	// make some forty calls a second of the two thousand that the store bears.
-	retryWait = 250 * time.Millisecond
+	// retryWait is the pause after a failed call. Members that read for all keep to it: the
+	// store's return is known to all by their word. Others double it up to
+	// retryDoublings times, to four seconds: as long as keys are served without proof.
+	retryWait      = 250 * time.Millisecond
+	retryDoublings = 4
 	// holdGone is how long upstreams that are missing are kept after the store
 	// was away. Their entries lapse meanwhile though they live, and are back
 	// within two seconds of its return; all would be taken for gone at once.
@@ -125,13 +127,24 @@
 	knownOnce sync.Once
 	// readers names those who read for all; nil where each VM reads for itself.
 	readers Readers
+	// told is when a reader last answered.
+	told clock.Milli
 	// watches holds the ends of the long watches under way.
 	watches map[string]context.CancelFunc
 }
 
-// Readers names the few members that read the store for all others, and tells whether
-// this VM is one of them.
-type Readers func() (others []peer.Member, self bool)
+// Readers names the members that read the store for all.
+type Readers func() Roster
+
+// Roster is who reads the store.
+type Roster struct {
+	// Others are the readers but this VM.
+	Others []peer.Member
+	// Self is set if this VM is one of them.
+	Self bool
+	// Large is set if the fleet is too large for watches of each VM.
+	Large bool
+}
 
 // New returns a registry that knows nothing yet; Run follows the store.
 func New(s Store, p Peers, k Clock, l *log.Logger) *Registry {
--- a/daemon/registry/registry_test.go
+++ b/daemon/registry/registry_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -99,6 +100,8 @@
 
 type bench struct {
 	*Registry
+	// promoted makes the VM a reader.
+	promoted atomic.Bool
 	t     *testing.T
 	store *fake
 	clock *hand
@@ -302,7 +305,7 @@
 // readers of a test: one other, or this VM itself.
 func (b *bench) readBy(other *Registry, self bool) {
 	b.peers = direct{other}
-	b.ReadBy(func() ([]peer.Member, bool) { return []peer.Member{{VM: "reader"}}, self })
+	b.ReadBy(func() Roster { return Roster{Others: []peer.Member{{VM: "reader"}}, Self: self} })
 }
 
 // Each VM that proves by short watches that it knows the newest makes two calls a
@@ -369,3 +372,82 @@
 	b.follow(ctx, "test", list, watch)
 	require.LessOrEqual(t, watches, 4)
 }
+
+// large lets one other read for a fleet in which VMs keep no watches.
+func (b *bench) large(reader *Registry) {
+	b.peers = direct{reader}
+	b.ReadBy(func() Roster { return Roster{Others: []peer.Member{{VM: "reader"}}, Large: true} })
+}
+
+// A hundred VMs each keep two watches open, and fifteen upstreams are taken away one after
+// the other: each piece of news costs a hundred calls. So in a large fleet a VM leaves the
+// store to the readers while they answer, and an upstream that left is known all the same.
+func TestALargeFleetLeavesTheStoreToItsReaders(t *testing.T) {
+	b, reader := newBench(t), newBench(t)
+	reader.Registry.clock = b.clock
+	b.large(reader.Registry)
+	require.False(t, b.rests(), "no reader has answered yet")
+	turn := b.askReaders(b.ctx, b.readers().Others, 0)
+	require.True(t, b.rests())
+
+	reader.store.upstreams, reader.store.at = upstreams("b"), 50
+	reader.list()
+	b.clock.forward(tellEvery)
+	require.True(t, b.due(b.readers()))
+	b.askReaders(b.ctx, b.readers().Others, turn)
+	require.Equal(t, 1, b.there())
+
+	b.clock.forward(trustFor + 1)
+	require.False(t, b.rests(), "a reader that is silent is not relied on")
+}
+
+// The way of the readers to the store is shut, and they answer as ever. Whoever relies on
+// them knows nothing of what the store tells all others.
+func TestAVMReadsForItselfIfTheReadersKnowNothingNew(t *testing.T) {
+	b, reader := newBench(t), newBench(t)
+	reader.Registry.clock = b.clock
+	b.large(reader.Registry)
+	b.clock.forward(proofLimit + 1)
+	b.askReaders(b.ctx, b.readers().Others, 0)
+	require.False(t, b.rests())
+	b.list()
+	require.True(t, b.rests())
+}
+
+// One of two readers is shut off from the store and answers as ever. A VM that asked it first
+// asks the other one before it relies on the answer.
+func TestAShutReaderIsNotAskedAlone(t *testing.T) {
+	b, shut, well := newBench(t), newBench(t), newBench(t)
+	shut.Registry.clock, well.Registry.clock = b.clock, b.clock
+	b.peers = byAddress{"shut": shut.Registry, "well": well.Registry}
+	b.ReadBy(func() Roster { return Roster{Others: []peer.Member{{Address: "shut"}, {Address: "well"}}, Large: true} })
+	b.clock.forward(readerAge + 1)
+	well.store.upstreams, well.store.at = upstreams("b"), 50
+	well.list()
+	b.askReaders(b.ctx, b.readers().Others, 0)
+	require.Equal(t, 1, b.there())
+}
+
+// byAddress calls receivers by their address without a network.
+type byAddress map[string]*Registry
+
+func (a byAddress) Call(ctx context.Context, address, method string, args, reply any) error {
+	return direct{a[address]}.Call(ctx, address, method, args, reply)
+}
+
+// The store is away for twenty seconds. A VM that others read for must not ask it four
+// times a second all the while: a hundred of them would meet it as it comes back. One that
+// becomes a reader asks at once.
+func TestFailedCallsAreMadeLessAndLessOften(t *testing.T) {
+	b, reader := newBench(t), newBench(t)
+	b.readBy(reader.Registry, false)
+	began := time.Now()
+	b.backOff(b.ctx, 2)
+	require.GreaterOrEqual(t, time.Since(began), 2*retryWait)
+	began = time.Now()
+	self := time.AfterFunc(50*time.Millisecond, func() { b.promoted.Store(true) })
+	defer self.Stop()
+	b.ReadBy(func() Roster { return Roster{Others: []peer.Member{{VM: "reader"}}, Self: b.promoted.Load()} })
+	b.backOff(b.ctx, 5)
+	require.Less(t, time.Since(began), 4*retryWait)
+}
