span: the test of late long prompts fails without the rule it is for

The first form of it was refused by the spare time of the engines, old code and new. With one of two engines reading, the old code gives the prompt to the other one.

--- a/lib/decide/span/pool_test.go
+++ b/lib/decide/span/pool_test.go
@@ -466,14 +466,15 @@
 }
 
 // A prompt of 400,000 tokens missed its aim. It takes one engine nine seconds, and its caller leaves
-// in six. One engine is free. Given to it, the prompt would keep it from everybody
-// else for nine seconds, and its caller would get nothing.
+// in six. Of two engines for long prompts one is reading. Given to the other, the prompt would
+// keep it from everybody else for nine seconds, and its caller would get nothing.
 func TestALatePromptGetsAsManyEnginesAsItsDeadlineNeeds(t *testing.T) {
 	b := newBench(t, 8)
 	b.rules.Packed = 1
-	for range 7 {
+	for range 6 {
 		b.runs(b.note(now))
 	}
+	b.granted(now, b.history(now, 30_000))
 	a := b.history(now, 400_000)
 	a.Aim, a.Deadline = now-1, now+6000
 	d, decided := b.ask(now, a)
