relay: a kept failure is never written behind a stream that has begun

Cause: the first engine answered 500, which is kept for the case that nothing better comes. The second began the stream and went silent after a few events. With no send left the kept failure was delivered, which ended the answer in order: a caller took two events of eight for the whole. Ruled out: the stand-in ending its stream early (the VM's own line has 2 to 5 events and status 500).

Now a stream that has begun ends by a broken connection. The test failed first.

--- a/daemon/relay/relay_test.go
+++ b/daemon/relay/relay_test.go
@@ -204,6 +204,25 @@
 	require.NotContains(t, body, "piece 4")
 }
 
+// The first engine answers with a failure of its own, which is kept in case nothing better comes. The
+// second one begins the stream and dies. The kept failure must not be written behind the
+// events: the caller would see a stream that ends in order, and take it for whole.
+func TestAStreamThatBreaksAfterAFailureIsNotEndedByIt(t *testing.T) {
+	failing := func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Id", r.Header.Get("Id"))
+		w.Header().Set("Mark", "first")
+		w.WriteHeader(http.StatusInternalServerError)
+		_, _ = io.WriteString(w, "broken")
+	}
+	half := raw(t, true, func(r *http.Request) string {
+		return "HTTP/1.1 200 OK\r\nId: " + r.Header.Get("Id") + "\r\nMark: m\r\nTransfer-Encoding: chunked\r\n\r\n" + chunked(stream(1, 3))
+	})
+	w := newWorld(t, failing, half)
+	_, body, err := w.call(http.MethodPost, "/stream/x", "")
+	require.Error(t, err)
+	require.NotContains(t, body, "broken")
+}
+
 // An engine goes silent in the middle of a stream, and its machine answers no new
 // connection. Callers leave after two seconds.
 func TestASilentStreamIsContinuedElsewhere(t *testing.T) {
--- a/daemon/relay/run.go
+++ b/daemon/relay/run.go
@@ -52,14 +52,10 @@
 	for {
 		grant, err := x.place(ctx, sent+turned > 0, sent > 0)
 		if err != nil {
-			if failure != nil {
-				x.deliver(failure)
-				return nil
-			}
 			if sent > 0 && !x.begun && err.Kind != fault.Canceled {
-				return x.spent(ctx, err)
+				err = x.spent(ctx, err)
 			}
-			return err
+			return x.conclude(failure, err)
 		}
 		res := x.send(ctx, grant)
 		x.gate.Placer.End(grant.Request, res.outcome, res.culprit)
@@ -87,15 +83,24 @@
 			return x.ended(ctx, sent > 0)
 		}
 		if !x.again(sent, turned) {
-			if failure != nil {
-				x.deliver(failure)
-				return nil
-			}
-			return x.exhausted(sent, res)
+			return x.conclude(failure, x.exhausted(sent, res))
 		}
 	}
 }
 
+// conclude ends a request that no upstream answers any more: an upstream's own failure that was
+// kept is better than ours.
+//
+// What goes wrong behind a stream that has begun: the failure's body ends the answer in order, and
+// a caller takes the half of a stream for the whole. There only a broken connection tells.
+func (x *flight) conclude(failure *answer, err *fault.Error) *fault.Error {
+	if failure == nil || x.begun {
+		return err
+	}
+	x.deliver(failure)
+	return nil
+}
+
 // again tells whether the request may be sent once more.
 func (x *flight) again(sent, turned int) bool {
 	if sent > 0 && x.route.Repeat == route.Once {
