span: what finds its place now is never refused for the pressure of the last seconds

Cause: a long prompt that is late, or will be, was refused by the average of the engines' spare time before anybody looked for a place. On an idle fleet just after pressure that refused every prompt whose reading takes half of its caller's time.

Now the place is sought first.

--- a/lib/decide/span/pool_test.go
+++ b/lib/decide/span/pool_test.go
@@ -541,3 +541,20 @@
 	d, decided := b.ask(now, b.history(now, 30_000))
 	require.False(t, decided && d.Action == Granted)
 }
+
+// Long prompts pressed for seconds, and then nobody asks any more. A prompt that comes a moment later
+// finds all engines free. Refused for the pressure that was, its caller waits for nothing.
+func TestNothingIsRefusedForPressureThatIsOver(t *testing.T) {
+	b := newBench(t, 4)
+	at := now
+	for ; at < now+20_000; at += 100 {
+		g := b.granted(at, b.history(at, 60_000))
+		b.Tick(at + 99)
+		b.First(at+99, g.Request)
+		b.End(at+99, g.Request, Done, "")
+	}
+	b.spare.busy = 0.95
+	a := b.history(at, 600_000)
+	a.Deadline = at + 6000
+	b.granted(at, a)
+}
--- a/lib/decide/span/queue.go
+++ b/lib/decide/span/queue.go
@@ -75,19 +75,25 @@
 }
 
 // decide places one request, refuses it, or leaves it in the queue. Requests come in
-// the order of sorted.
+// the order of sorted. What finds its place now is never refused, whatever the last seconds
+// were like: an engine that is free and a caller turned away help nobody.
 func (o *round) decide(w *waiting) (Decision, bool) {
 	late := w.late(o.now)
-	if w.heavy {
-		if d, hopeless := o.weigh(w, late); hopeless {
+	yields := w.heavy && late && o.waits && !w.pressing(o.now)
+	if !yields {
+		if d, placed := o.place(w, late); placed {
+			o.count(w, late)
 			return d, true
 		}
-		if late && o.waits && !w.pressing(o.now) {
-			return Decision{}, false
+	}
+	if w.heavy {
+		if d, hopeless := o.hopeless(w, late); hopeless {
+			return d, true
 		}
+		o.count(w, late)
 	}
-	if d, placed := o.place(w, late); placed {
-		return d, true
+	if yields {
+		return Decision{}, false
 	}
 	if late && !w.heavy {
 		if d, stuck := o.pool.stuck(o.now, w, o.stuck); stuck {
@@ -99,20 +105,24 @@
 	return o.pool.refuse(o.now, w)
 }
 
-// weigh refuses a long prompt that is late, or will be, and will not be served by its
-// deadline; else it counts it for those behind it.
-func (o *round) weigh(w *waiting, late bool) (Decision, bool) {
-	if late || o.pool.willBeLate(o.now, w, o.before) {
-		if d, hopeless := o.pool.hopeless(o.now, w, o.ahead); hopeless {
-			return d, true
-		}
+// hopeless refuses a long prompt that is late, or will be, and will not be served by its
+// deadline.
+func (o *round) hopeless(w *waiting, late bool) (Decision, bool) {
+	if !late && !o.pool.willBeLate(o.now, w, o.before) {
+		return Decision{}, false
 	}
-	if late {
+	return o.pool.hopeless(o.now, w, o.ahead)
+}
+
+// count adds the reading of a long prompt to what those behind it wait for.
+func (o *round) count(w *waiting, late bool) {
+	switch {
+	case !w.heavy:
+	case late:
 		o.ahead += w.cost
-	} else {
+	default:
 		o.before += w.cost
 	}
-	return Decision{}, false
 }
 
 // place grants a request if it finds its place.
