scenarios: a soak of VMs on a stand-in of the platform

The soak starts them as processes, puts a relay before the store, each peer and each upstream, and plays a seeded schedule of kills, freezes, planned stops, links that are cut, reset, silent one way or slow, outages, lapsed entries, dying and failing upstreams, in series and together. It checks from what callers and upstreams saw: whole answers, true refusals, at most once, withdrawn keys, reserved memory, time.

The stand-in takes orders for memory and has troubles of upstreams; relays can delay; relay settings know advertise, as the other daemon's do; platform tests share the fleet. A check of settings changed its words: peer 0.0.0.0 is now told 'advertise: is needed, since peer is ...'.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PROGRAMS := daemon operator emulator bench
 BIN := $(CURDIR)/bin
 
-.PHONY: build run test chaos fmt lint bench-decide bench-path
+.PHONY: build run test chaos soak fmt lint bench-decide bench-path
 
 build:
 	@mkdir -p $(BIN)
@@ -27,6 +27,13 @@
 chaos:
 	cd scenarios && SEED=$(SEED) CHAOS=$(CHAOS) go test -count=1 -v -timeout 15m -run 'TestChaos$$' .
 
+# soak plays a random schedule of faults against VMs on a stand-in of the platform, the same for
+# the same SOAK, for SOAKFOR (such as 60s).
+SOAK ?= 1
+SOAKFOR ?= 20s
+soak:
+	cd scenarios && SOAK=$(SOAK) SOAKFOR=$(SOAKFOR) go test -count=1 -v -timeout 15m -run 'TestSoak$$' .
+
 fmt:
 	gofumpt -w $$(git ls-files '*.go')
 
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -101,7 +101,7 @@
 		store: platform.NewStore(s.Store), stopping: make(chan struct{}),
 	}
 	incarnation := peer.Incarnation(time.Now().UnixMilli())
-	self := peer.Member{VM: s.Name, Incarnation: incarnation, Domain: s.Domain, Address: s.Peer}
+	self := peer.Member{VM: s.Name, Incarnation: incarnation, Domain: s.Domain, Address: s.Advertise}
 	d.members = member.New(self, relayRules, d.dialer, seeds(s.Peers), d.clock)
 	d.registry = registry.New(d.store, d.dialer, d.clock, d.log)
 	d.registry.ReadBy(d.readers)
--- a/daemon/settings/relay.go
+++ b/daemon/settings/relay.go
@@ -15,12 +15,14 @@
 	Name   peer.VM     `json:"name"`
 	Domain peer.Domain `json:"domain"`
 	// Caller is where the balancer sends callers, Ready where it asks whether it may.
-	Caller  string   `json:"caller"`
-	Ready   string   `json:"ready"`
-	Peer    string   `json:"peer"`
-	Metrics string   `json:"metrics"`
-	Store   string   `json:"store"`
-	Peers   []string `json:"peers"`
+	Caller string `json:"caller"`
+	Ready  string `json:"ready"`
+	// Peer is where other daemons connect, Advertise the address of it that they are told.
+	Peer      string   `json:"peer"`
+	Advertise string   `json:"advertise"`
+	Metrics   string   `json:"metrics"`
+	Store     string   `json:"store"`
+	Peers     []string `json:"peers"`
 	// Memory is in megabytes.
 	Memory int    `json:"memory"`
 	Level  string `json:"level"`
@@ -53,6 +55,7 @@
 	"caller":        {Need: true, Text: "where callers connect, IP number and port"},
 	"ready":         {Need: true, Text: "where the balancer asks whether this VM takes callers, IP number and port"},
 	"peer":          {Need: true, Text: "where other daemons connect, IP number and port; the network between VMs is trusted"},
+	"advertise":     {Text: "what other daemons are told to connect to, where it differs from peer"},
 	"metrics":       {Text: "where metrics are served, IP number and port; empty for nowhere"},
 	"store":         {Need: true, Text: "the platform's store, IP number and port"},
 	"peers":         {Text: "peers to try first"},
@@ -102,8 +105,9 @@
 	if s.Metrics != "" {
 		address(src, "metrics", s.Metrics)
 	}
-	if wild(s.Peer) && !src.Faulty("peer") {
-		src.Add("peer", "is told to others: use the IP number and port by which they reach this VM")
+	told(src, "advertise", s.Advertise, "peer", s.Peer)
+	if s.Advertise == "" {
+		s.Advertise = s.Peer
 	}
 	for i, a := range s.Peers {
 		address(src, fmt.Sprintf("peers[%d]", i), a)
--- a/daemon/settings/relay_test.go
+++ b/daemon/settings/relay_test.go
@@ -21,7 +21,7 @@
 func TestRelayProblemsComeAtOnce(t *testing.T) {
 	_, err := ParseRelay([]byte(`{"name":"VM 1","peers":["nowhere"],"peer":"0.0.0.0:3","metrics":"x","bounds":{"revoke":0},"budget":{"share":2}}`), "vm.hujson")
 	require.Error(t, err)
-	for _, f := range []string{"name", "domain", "caller", "ready", "store", "peers[0]", "peer: is told", "metrics", "bounds.revoke", "budget.share"} {
+	for _, f := range []string{"name", "domain", "caller", "ready", "store", "peers[0]", "advertise: is needed, since peer", "metrics", "bounds.revoke", "budget.share"} {
 		require.ErrorContains(t, err, f)
 	}
 }
--- a/scenarios/platform_test.go
+++ b/scenarios/platform_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"fmt"
-	"net"
 	"net/http"
-	"os"
 	"path/filepath"
 	"sync"
 	"syscall"
@@ -13,80 +11,23 @@
 
 	"github.com/stretchr/testify/require"
 
-	"snipeshift.example/platform"
 	"snipeshift.example/platform/standin"
-	"snipeshift.example/scenarios/process"
+	"snipeshift.example/scenarios/fleet"
 )
 
-// fleet is a few VMs on a stand-in of the platform, each a process of its own.
-type fleet struct {
-	t        *testing.T
-	dir      string
-	platform *standin.Platform
-	vms      []*vm
-}
-
-// vm is one entry VM with the addresses of its doors.
-type vm struct {
-	name, caller, ready, peer string
-	settings                  string
-	process                   *process.Process
-}
-
 // startLimit bounds the start of a fleet on a busy machine.
 const startLimit = 20 * time.Second
 
-func newFleet(t *testing.T, vms int) *fleet {
-	t.Helper()
-	f := &fleet{t: t, dir: t.TempDir(), platform: standin.New(3, 3, "ward", "desk")}
-	t.Cleanup(f.platform.Close)
-	for i := range vms {
-		f.vms = append(f.vms, &vm{name: fmt.Sprintf("vm-%d", i+1), caller: free(t), ready: free(t), peer: free(t)})
-	}
-	seeds := fmt.Sprintf("%q", f.vms[0].peer)
-	for _, v := range f.vms {
-		v.settings = filepath.Join(f.dir, v.name+".hujson")
-		text := fmt.Sprintf(`{"name": %q, "domain": "hall", "caller": %q, "ready": %q, "peer": %q, "store": %q, "peers": [%s], "bounds": {"grace": 6000}}`,
-			v.name, v.caller, v.ready, v.peer, f.platform.Address(), seeds)
-		require.NoError(t, os.WriteFile(v.settings, []byte(text), 0o600))
-		f.start(v)
-	}
-	for _, v := range f.vms {
-		f.awaitReady(v)
-	}
-	return f
-}
-
-// free finds an address that nobody listens on.
-func free(t *testing.T) string {
+// newFleet starts VMs on a stand-in of the platform.
+func newFleet(t *testing.T, vms int) *fleet.Fleet {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	f, err := fleet.New(t.TempDir(), filepath.Join(bin, "snipeshiftd"), vms)
+	t.Cleanup(f.Close)
 	require.NoError(t, err)
-	defer l.Close()
-	return l.Addr().String()
-}
-
-func (f *fleet) start(v *vm) {
-	p, err := process.Start(f.dir, v.name, filepath.Join(bin, "snipeshiftd"), "relay", "--settings", v.settings)
-	require.NoError(f.t, err)
-	v.process = p
-	f.t.Cleanup(p.Kill)
-}
-
-// isReady asks as the balancer does.
-func isReady(v *vm) bool {
-	c := http.Client{Timeout: 500 * time.Millisecond}
-	resp, err := c.Get("http://" + v.ready + platform.ReadyPath)
-	if err != nil {
-		return false
+	for _, v := range f.VMs {
+		require.NoError(t, v.AwaitReady(startLimit))
 	}
-	_ = resp.Body.Close()
-	return resp.StatusCode == http.StatusOK
-}
-
-func (f *fleet) awaitReady(v *vm) {
-	f.t.Helper()
-	require.Eventually(f.t, func() bool { return isReady(v) }, startLimit, 50*time.Millisecond, "%s: %s", v.name, v.process.Tail())
+	return f
 }
 
 // load calls in turn on all routes, through VMs that are ready, until it is stopped.
@@ -102,7 +43,7 @@
 // callers is how many callers a load has.
 const callers = 6
 
-func (f *fleet) load() *load {
+func newLoad(f *fleet.Fleet) *load {
 	l := &load{stop: make(chan struct{})}
 	for i := range callers {
 		c := standin.NewCaller("ward")
@@ -113,42 +54,42 @@
 					return
 				default:
 				}
-				l.call(c, f.vms[n%len(f.vms)], []string{"draft", "lookup", "notice"}[n%3])
+				l.call(c, f.VMs[n%len(f.VMs)], []string{"draft", "lookup", "notice"}[n%3])
 			}
 		})
 	}
 	return l
 }
 
-func (l *load) call(c *standin.Caller, v *vm, route string) {
-	if !isReady(v) {
+func (l *load) call(c *standin.Caller, v *fleet.VM, route string) {
+	if !v.Ready() {
 		time.Sleep(20 * time.Millisecond) // the balancer would choose another one
 		return
 	}
-	a := c.Call(v.caller, route)
+	a := c.Call(v.Caller, route)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.answers++
 	if !a.Whole {
-		l.failures = append(l.failures, fmt.Sprintf("%s at %s: %d %s after %v", route, v.name, a.Status, a.Text, a.Took))
+		l.failures = append(l.failures, fmt.Sprintf("%s at %s: %d %s after %v", route, v.Name, a.Status, a.Text, a.Took))
 	}
 }
 
 // end stops the load and requires that each request got its whole answer.
-func (l *load) end(t *testing.T, f *fleet) {
+func (l *load) end(t *testing.T, f *fleet.Fleet) {
 	t.Helper()
 	close(l.stop)
 	l.wg.Wait()
 	require.Greater(t, l.answers, 20)
 	require.Empty(t, l.failures)
-	twice, wrong := f.platform.Ran()
+	twice, wrong := f.Platform.Ran()
 	require.Zero(t, twice, "ran twice, and may not")
 	require.Zero(t, wrong, "ran for another workspace")
 }
 
 func TestPlatformCalmDay(t *testing.T) {
 	f := newFleet(t, 3)
-	l := f.load()
+	l := newLoad(f)
 	time.Sleep(2 * time.Second)
 	l.end(t, f)
 }
@@ -156,12 +97,12 @@
 // The operator adds a route. A caller who was told of it meets a VM that does not know it.
 func TestPlatformNewRouteIsServedSoon(t *testing.T) {
 	f := newFleet(t, 3)
-	l := f.load()
-	f.platform.AddRoute("extra")
+	l := newLoad(f)
+	f.Platform.AddRoute("extra")
 	time.Sleep(2 * time.Second)
 	c := standin.NewCaller("ward")
-	for _, v := range f.vms {
-		require.True(t, c.Call(v.caller, "extra").Whole)
+	for _, v := range f.VMs {
+		require.True(t, c.Call(v.Caller, "extra").Whole)
 	}
 	l.end(t, f)
 }
@@ -170,14 +111,14 @@
 // nothing runs for that team, on any VM.
 func TestPlatformWithdrawnKeyIsRefused(t *testing.T) {
 	f := newFleet(t, 3)
-	l := f.load()
+	l := newLoad(f)
 	c := standin.NewCaller("desk")
-	require.True(t, c.Call(f.vms[0].caller, "lookup").Whole)
-	f.platform.Forget()
-	f.platform.Withdraw("desk")
+	require.True(t, c.Call(f.VMs[0].Caller, "lookup").Whole)
+	f.Platform.Forget()
+	f.Platform.Withdraw("desk")
 	time.Sleep(2 * time.Second)
-	for _, v := range f.vms {
-		require.Equal(t, http.StatusUnauthorized, c.Call(v.caller, "lookup").Status)
+	for _, v := range f.VMs {
+		require.Equal(t, http.StatusUnauthorized, c.Call(v.Caller, "lookup").Status)
 	}
 	l.end(t, f)
 }
@@ -186,22 +127,22 @@
 // nobody notices.
 func TestPlatformLeavingUpstreamGetsNothingNew(t *testing.T) {
 	f := newFleet(t, 3)
-	l := f.load()
+	l := newLoad(f)
 	time.Sleep(500 * time.Millisecond)
-	f.platform.Models[0].Drain(2 * time.Second)
-	f.platform.Desks[0].Drain(2 * time.Second)
+	f.Platform.Models[0].Drain(2 * time.Second)
+	f.Platform.Desks[0].Drain(2 * time.Second)
 	time.Sleep(3500 * time.Millisecond)
-	require.Zero(t, f.platform.Models[0].Late())
-	require.Zero(t, f.platform.Desks[0].Late())
+	require.Zero(t, f.Platform.Models[0].Late())
+	require.Zero(t, f.Platform.Desks[0].Late())
 	l.end(t, f)
 }
 
 // An engine crashes under its streams. They are continued by others.
 func TestPlatformCrashedEngineCostsNoStream(t *testing.T) {
 	f := newFleet(t, 3)
-	l := f.load()
+	l := newLoad(f)
 	time.Sleep(500 * time.Millisecond)
-	f.platform.Models[0].Crash()
+	f.Platform.Models[0].Crash()
 	time.Sleep(2 * time.Second)
 	l.end(t, f)
 }
@@ -209,18 +150,18 @@
 // Every VM is stopped and started in turn, under load. No request is cut off.
 func TestPlatformRollingRestart(t *testing.T) {
 	f := newFleet(t, 3)
-	l := f.load()
-	for _, v := range f.vms {
-		require.NoError(t, v.process.Signal(syscall.SIGTERM))
-		require.Eventually(t, func() bool { return !isReady(v) }, time.Second, 10*time.Millisecond)
+	l := newLoad(f)
+	for _, v := range f.VMs {
+		require.NoError(t, v.Process.Signal(syscall.SIGTERM))
+		require.Eventually(t, func() bool { return !v.Ready() }, time.Second, 10*time.Millisecond)
 		select {
-		case <-v.process.Done():
+		case <-v.Process.Done():
 		case <-time.After(8 * time.Second):
-			require.Fail(t, "not stopped within its grace", v.process.Tail())
+			require.Fail(t, "not stopped within its grace", v.Process.Tail())
 		}
-		require.True(t, v.process.Clean(), v.process.Status())
-		f.start(v)
-		f.awaitReady(v)
+		require.True(t, v.Process.Clean(), v.Process.Status())
+		require.NoError(t, f.Start(v))
+		require.NoError(t, v.AwaitReady(startLimit))
 	}
 	l.end(t, f)
 }
@@ -230,15 +171,15 @@
 func TestPlatformShortOutageOfTheStore(t *testing.T) {
 	for _, mode := range []standin.Mode{standin.Busy, standin.Mute} {
 		f := newFleet(t, 3)
-		l := f.load()
-		f.platform.Fail(mode)
+		l := newLoad(f)
+		f.Platform.Fail(mode)
 		time.Sleep(1500 * time.Millisecond)
-		for _, r := range append(f.platform.Models, f.platform.Desks...) {
+		for _, r := range append(f.Platform.Models, f.Platform.Desks...) {
 			r.Lapse()
 		}
-		f.platform.Fail(standin.Well)
+		f.Platform.Fail(standin.Well)
 		time.Sleep(time.Second)
-		for _, r := range append(f.platform.Models, f.platform.Desks...) {
+		for _, r := range append(f.Platform.Models, f.Platform.Desks...) {
 			r.Register()
 		}
 		time.Sleep(2 * time.Second)
@@ -250,33 +191,33 @@
 // truthful refusal, and VMs take themselves out of rotation.
 func TestPlatformLongOutageOfTheStore(t *testing.T) {
 	f := newFleet(t, 2)
-	f.platform.Fail(standin.Mute)
+	f.Platform.Fail(standin.Mute)
 	time.Sleep(5500 * time.Millisecond)
-	a := standin.NewCaller("ward").Call(f.vms[0].caller, "notice")
+	a := standin.NewCaller("ward").Call(f.VMs[0].Caller, "notice")
 	require.Equal(t, http.StatusServiceUnavailable, a.Status)
-	require.False(t, isReady(f.vms[0]))
-	f.platform.Fail(standin.Well)
-	f.awaitReady(f.vms[0])
-	require.True(t, standin.NewCaller("ward").Call(f.vms[0].caller, "notice").Whole)
+	require.False(t, f.VMs[0].Ready())
+	f.Platform.Fail(standin.Well)
+	require.NoError(t, f.VMs[0].AwaitReady(startLimit))
+	require.True(t, standin.NewCaller("ward").Call(f.VMs[0].Caller, "notice").Whole)
 }
 
 // The VM that owns the services is killed. The others pass it over.
 func TestPlatformKilledOwner(t *testing.T) {
 	f := newFleet(t, 3)
-	for _, v := range f.vms {
-		v.process.Kill()
+	for _, v := range f.VMs {
+		v.Process.Kill()
 		c := standin.NewCaller("ward")
-		for _, o := range f.vms {
+		for _, o := range f.VMs {
 			if o == v {
 				continue
 			}
 			for _, r := range []string{"draft", "lookup", "notice"} {
-				a := c.Call(o.caller, r)
+				a := c.Call(o.Caller, r)
 				require.True(t, a.Whole, a.Text)
 				require.Less(t, a.Took, 2*time.Second)
 			}
 		}
-		f.start(v)
-		f.awaitReady(v)
+		require.NoError(t, f.Start(v))
+		require.NoError(t, v.AwaitReady(startLimit))
 	}
 }
--- a/scenarios/process/process.go
+++ b/scenarios/process/process.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"time"
 )
@@ -160,3 +161,18 @@
 	}
 	return string(b[max(0, len(b)-tailSize):])
 }
+
+// Grep returns the lines of its log, over all lives in the same folder, that hold a text.
+func (p *Process) Grep(text string) []string {
+	b, err := os.ReadFile(p.log)
+	if err != nil {
+		return []string{err.Error()}
+	}
+	var out []string
+	for line := range strings.Lines(string(b)) {
+		if strings.Contains(line, text) {
+			out = append(out, strings.TrimSpace(line))
+		}
+	}
+	return out
+}
--- a/scenarios/relay/conn.go
+++ b/scenarios/relay/conn.go
@@ -6,6 +6,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // bufferSize is how much one direction holds at most, in bytes.
@@ -20,6 +21,8 @@
 	found chan struct{}
 	// mute holds the Ways that are silent.
 	mute atomic.Uint32
+	// delay is how long each piece is held up in both directions, a time.Duration.
+	delay atomic.Int64
 
 	mu  sync.Mutex
 	far *net.TCPConn
@@ -68,6 +71,7 @@
 	b := make([]byte, bufferSize)
 	for {
 		n, err := from.Read(b)
+		time.Sleep(time.Duration(c.delay.Load()))
 		if c.silent(w) {
 			if err != nil {
 				return
--- a/scenarios/relay/relay.go
+++ b/scenarios/relay/relay.go
@@ -34,6 +34,8 @@
 	cut bool
 	// silent swallows what new connections carry.
 	silent Ways
+	// delay holds up each piece that they carry.
+	delay time.Duration
 }
 
 // Relay passes connections on to one target.
@@ -171,6 +173,19 @@
 	}
 }
 
+// Delay holds up what the connections of a source carry, present and future, until Heal.
+func (r *Relay) Delay(source string, d time.Duration) {
+	r.settle()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.rules[source] = rule{delay: d}
+	for c := range r.conns {
+		if c.from(source) {
+			c.delay.Store(int64(d))
+		}
+	}
+}
+
 // settle waits until it is known who dialled the present connections, so that
 // a fault of one source misses none of them.
 func (r *Relay) settle() {
@@ -185,11 +200,16 @@
 	}
 }
 
-// Heal lets new connections of a source work again.
+// Heal lets new connections of a source work again, and ends the delay of present ones.
 func (r *Relay) Heal(source string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	delete(r.rules, source)
+	for c := range r.conns {
+		if c.from(source) {
+			c.delay.Store(0)
+		}
+	}
 }
 
 func (r *Relay) accept(l net.Listener) {
@@ -253,6 +273,7 @@
 			c.reset()
 		default:
 			c.silence(x.silent)
+			c.delay.Store(int64(x.delay))
 		}
 	}
 }
--- a/scenarios/relay/relay_test.go
+++ b/scenarios/relay/relay_test.go
@@ -124,3 +124,21 @@
 	require.NoError(t, r.Up(target))
 	requireWorks(t, dial(t, r))
 }
+
+// A link between two VMs is slow for a while: what was sent arrives late, and whole.
+func TestDelayHoldsUpAndHealEndsIt(t *testing.T) {
+	r := newRelay(t)
+	c := dial(t, r)
+	_, err := ask(c, time.Second)
+	require.NoError(t, err)
+	r.Delay("me", 100*time.Millisecond)
+	began := time.Now()
+	_, err = ask(c, 2*time.Second)
+	require.NoError(t, err)
+	require.GreaterOrEqual(t, time.Since(began), 200*time.Millisecond)
+	r.Heal("me")
+	began = time.Now()
+	_, err = ask(dial(t, r), time.Second)
+	require.NoError(t, err)
+	require.Less(t, time.Since(began), 200*time.Millisecond)
+}
--- /dev/null
+++ b/scenarios/soak/check.go
@@ -0,0 +1,229 @@
+package soak
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"snipeshift.example/platform/standin"
+	"snipeshift.example/scenarios/fleet"
+)
+
+const (
+	callers = 10
+	// mine keeps its key, other loses it in the middle of the run.
+	mine, other = "ward", "desk"
+	// sticky is how many calls a caller makes over its connection before it turns to another VM.
+	sticky = 12
+)
+
+// revocation is the time within which a withdrawn key must be refused everywhere.
+const revocation = 5 * time.Second
+
+// lateness is by how much an answer may pass its route's timeout, on a busy machine.
+const lateness = 1500 * time.Millisecond
+
+// timeouts are those of the stand-in's routes.
+var timeouts = map[string]time.Duration{
+	"draft": 8 * time.Second, "audit": 12 * time.Second, "lookup": 2 * time.Second, "notice": 2 * time.Second,
+}
+
+// routes are called in turn.
+var routes = []string{"draft", "lookup", "notice", "draft", "lookup", "notice", "audit"}
+
+// call is one request with its answer.
+type call struct {
+	vm               *fleet.VM
+	route, workspace string
+	at               time.Time
+	answer           standin.Answer
+}
+
+func (c *call) end() time.Time { return c.at.Add(c.answer.Took) }
+
+func (c *call) String() string {
+	return fmt.Sprintf("%s at %s: status %d after %v (%.80s)", c.answer.ID, c.vm.Name, c.answer.Status, c.answer.Took.Round(time.Millisecond), c.answer.Text)
+}
+
+// call makes calls, one after the other, until it is stopped. It goes on using a connection
+// whatever its VM says of itself.
+func (r *Run) call(i int, stop chan struct{}) {
+	random := rand.New(rand.NewPCG(r.seed, uint64(i+1)))
+	workspace := mine
+	if i%5 == 4 {
+		workspace = other
+	}
+	c := standin.NewCaller(workspace)
+	for n := random.IntN(len(routes)); ; {
+		v := r.fleet.VMs[random.IntN(len(r.fleet.VMs))]
+		for range sticky {
+			select {
+			case <-stop:
+				return
+			default:
+			}
+			x := call{vm: v, route: routes[n%len(routes)], workspace: workspace, at: time.Now()}
+			x.answer = c.Call(v.Caller, x.route)
+			n++
+			r.mu.Lock()
+			r.calls = append(r.calls, x)
+			r.mu.Unlock()
+			if x.answer.Status != http.StatusOK {
+				time.Sleep(20 * time.Millisecond)
+				break
+			}
+		}
+	}
+}
+
+// check checks every promise over all calls.
+func (r *Run) check(failed <-chan error) error {
+	var errs []error
+	for err := range failed {
+		errs = append(errs, err)
+	}
+	p := r.fleet.Platform
+	r.mu.Lock()
+	calls := r.calls
+	r.mu.Unlock()
+	for i := range calls {
+		if err := r.judge(&calls[i]); err != nil {
+			errs = append(errs, fmt.Errorf("%w: %s", err, &calls[i]))
+			r.tell(&calls[i])
+		}
+	}
+	if twice, wrong := p.Ran(); twice+wrong > 0 {
+		errs = append(errs, fmt.Errorf("%d ran twice that may not, %d for another workspace", twice, wrong))
+	}
+	for _, f := range p.Faults() {
+		errs = append(errs, errors.New(f))
+	}
+	errs = append(errs, r.after()...)
+	r.log("ends of %d calls: %v", len(calls), ends(calls))
+	return errors.Join(errs...)
+}
+
+// tell logs what the VM wrote of a call.
+func (r *Run) tell(c *call) {
+	for _, line := range c.vm.Process.Grep(c.answer.ID + `"`) {
+		r.log("%s", line)
+	}
+}
+
+// What breaks a promise.
+var (
+	errRan      = errors.New("it ran, and its caller was told that it had not")
+	errNotWhole = errors.New("a success that is not the whole answer of its own")
+	errDenied   = errors.New("a proper request was denied")
+	errLate     = errors.New("answered long after its timeout")
+	errKey      = errors.New("it ran for a key that was taken away")
+	errBroken   = errors.New("cut off without a fault of its VM")
+	errCalm     = errors.New("not served on a calm fleet")
+)
+
+func (r *Run) judge(c *call) error {
+	p, a := r.fleet.Platform, c.answer
+	switch a.Status {
+	case http.StatusOK:
+		if !a.Whole {
+			return errNotWhole
+		}
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		if p.Runs(a.ID) > 0 {
+			return errRan
+		}
+	case http.StatusUnauthorized:
+		if c.workspace != other || c.end().Before(r.withdrawn) {
+			return errDenied
+		}
+	case http.StatusBadRequest, http.StatusForbidden, http.StatusNotFound:
+		return errDenied
+	}
+	if c.workspace == other && !r.withdrawn.IsZero() && c.at.After(r.withdrawn.Add(revocation)) && p.Runs(a.ID) > 0 {
+		return errKey
+	}
+	hit := r.hit(c)
+	if a.Took > timeouts[c.route]+lateness && !hit {
+		return errLate
+	}
+	if a.Status == 0 && !hit && c.route != "draft" && c.route != "audit" {
+		return errBroken
+	}
+	// Ten callers ask for more long prompts than four engines read, so some are refused.
+	refused := c.route == "audit" && a.Status == http.StatusServiceUnavailable
+	if !a.Whole && !refused && c.workspace == mine && r.calm(c) {
+		return errCalm
+	}
+	return nil
+}
+
+// hit tells whether the process of a call's VM was stopped, killed or standing still during it. A
+// planned stop excuses only calls that began after it.
+func (r *Run) hit(c *call) bool {
+	for _, s := range r.spells {
+		if s.vm != c.vm || c.at.After(s.to.Add(lateness)) || c.end().Before(s.from) {
+			continue
+		}
+		switch s.fault.Kind {
+		case Kill, Freeze:
+			return true
+		case Stop:
+			if c.at.After(s.from) {
+				return true
+			}
+		default:
+		}
+	}
+	return false
+}
+
+// calmAfter is how long the traces of a fault may last: those of a silent connection are ended
+// mostSpan after it, and lapsed entries and owners need some seconds more.
+const calmAfter = mostSpan + 4*time.Second
+
+// calm tells whether no fault was near a call.
+func (r *Run) calm(c *call) bool {
+	for _, s := range r.spells {
+		if c.end().After(s.from) && c.at.Before(s.to.Add(calmAfter)) {
+			return false
+		}
+	}
+	return true
+}
+
+// after makes calls on the healed fleet, all of which must be served, and looks for memory that
+// nobody uses.
+func (r *Run) after() []error {
+	var errs []error
+	c := standin.NewCaller(mine)
+	for _, v := range r.fleet.VMs {
+		for _, route := range routes {
+			x := call{vm: v, route: route, workspace: mine, at: time.Now(), answer: c.Call(v.Caller, route)}
+			if !x.answer.Whole {
+				errs = append(errs, fmt.Errorf("%w: %s", errCalm, &x))
+			}
+		}
+	}
+	time.Sleep(settling)
+	for _, u := range r.fleet.Platform.Runners() {
+		if n := u.Reserved(); n > 0 {
+			errs = append(errs, fmt.Errorf("%d tokens of memory are still set aside at %s", n, u.Address()))
+		}
+	}
+	return errs
+}
+
+func ends(calls []call) map[string]int {
+	out := map[string]int{}
+	for i := range calls {
+		a := calls[i].answer
+		if a.Whole {
+			out["whole"]++
+			continue
+		}
+		out[fmt.Sprint(a.Status)]++
+	}
+	return out
+}
