placer, peer: VMs that start together meet sooner, and place nothing before

For a second each was its own owner: the first packet to a VM that was up 0.3 s later is lost and sent again after 1 s, which was also the bound on the connect.

Now a connect to a peer is given up after 0.3 s, as one to an upstream is. An owner that has met nobody gives out no engines in its first half second; gates ask again meanwhile, and by then the owner of all. Equal plain services are chosen by the request's id. A question without patience, as gates of an earlier version put it, is not taken for one whose caller has left.

--- a/daemon/placer/client.go
+++ b/daemon/placer/client.go
@@ -206,8 +206,10 @@
 func (c *Client) ask(ctx context.Context, s route.ServiceID, a span.Ask, wait clock.Milli, owner peer.Member, remote bool) (AskReply, error) {
 	now := c.clock.Now()
 	a.Aim -= now
-	a.Patience -= now
 	a.Deadline -= now
+	if a.Patience != 0 {
+		a.Patience -= now
+	}
 	args := &AskArgs{Service: s, Ask: a, Wait: wait}
 	var reply AskReply
 	if !remote {
--- a/daemon/placer/messages.go
+++ b/daemon/placer/messages.go
@@ -23,7 +23,7 @@
 // after Wait; then the gate asks again, which shows that it still waits.
 type AskArgs struct {
 	Service route.ServiceID
-	// Ask has spans in place of instants: what is left until Aim, Patience and Deadline.
+	// Ask has spans in place of instants: what is left until Aim, Patience (zero for none) and Deadline.
 	Ask span.Ask
 	// Wait is how long the call may wait for the decision.
 	Wait clock.Milli
--- a/daemon/placer/owner.go
+++ b/daemon/placer/owner.go
@@ -65,6 +65,11 @@
 	// startShare is the part of the floor, one in so many, that any other new owner has at
 	// once: a planned change of owner must not leave broken streams without a second try.
 	startShare = 4
+	// aloneWait is how long after its start an owner that has met no other member gives out no
+	// engines: members that start within 0.3 s of each other meet in that time, and their
+	// gates ask the one owner of all. Eighty owners that are alone ask all engines for
+	// their load, and then pack their requests on the same first one.
+	aloneWait = 500 * clock.Milli(1)
 	// askedLately is how recent a gate's question must be for a pool to be worth a look.
 	askedLately = clock.Second
 	// reportsAtOnce bounds the looks under way.
@@ -95,6 +100,8 @@
 type hosted struct {
 	mu   sync.Mutex
 	pool *span.Pool
+	// born is when the pool was made here.
+	born clock.Milli
 	// generation is that of the knowledge which the pool was told.
 	generation uint64
 	waiters    map[decide.RequestID]chan span.Decision
@@ -124,7 +131,7 @@
 		}
 		budget.GrowFrom(since)
 		h = &hosted{
-			pool:    span.New(span.DefaultRules, budget),
+			born: o.Clock.Now(), pool: span.New(span.DefaultRules, budget),
 			waiters: map[decide.RequestID]chan span.Decision{}, kept: map[decide.RequestID]span.Decision{},
 		}
 		o.pools[s] = h
@@ -152,6 +159,10 @@
 	if len(ids) == 0 || o.Clock.Now()-h.asked > askedLately {
 		return
 	}
+	if o.Alone() && o.Clock.Now()-h.born < aloneWait {
+		// Engines in doubt get nothing; gates ask again soon, here or at the owner of all.
+		return
+	}
 	h.looking = true
 	go func() {
 		var g errgroup.Group
@@ -201,8 +212,10 @@
 	now := o.Clock.Now()
 	a := args.Ask
 	a.Aim += now
-	a.Patience += now
 	a.Deadline += now
+	if a.Patience != 0 { // gates of an earlier version do not tell it
+		a.Patience += now
+	}
 	h := o.host(args.Service)
 	h.asked = now
 	o.look(args.Service, h)
--- a/daemon/placer/placer_test.go
+++ b/daemon/placer/placer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -211,3 +212,45 @@
 	go func() { _ = d.client.Run(ctx) }()
 	require.Eventually(t, func() bool { return d.granted(d.ranked[0]) == 0 }, 4*time.Second, 10*time.Millisecond)
 }
+
+// question is an ask as it comes over the wire: spans in place of instants, without what gates of
+// an earlier version do not tell.
+func question(id decide.RequestID) span.Ask {
+	return span.Ask{ID: id, Gate: "gate", Prompt: 5000, Output: 1600, Aim: 300, Deadline: 5000, Gap: 200, Stream: true}
+}
+
+// counted upstreams report no work, and count how often they are asked.
+type counted struct{ asked atomic.Int64 }
+
+func (c *counted) Report(context.Context, string) (int, decide.Tokens, error) {
+	c.asked.Add(1)
+	return 0, 0, nil
+}
+
+// All VMs start at once after a loss of power, and each gets requests before it has met any other. Each
+// is the owner of everything then: it would ask all engines for their load, and pack its requests on
+// the first of them, which turns most away. One that has met nobody for half a second serves.
+func TestAnOwnerThatHasMetNobodyWaitsBeforeItPlaces(t *testing.T) {
+	reports := &counted{}
+	var alone atomic.Bool
+	alone.Store(true)
+	needs := OwnerNeeds{Clock: clock.Boot{}, Knowledge: knowledge(t, "e0", "e1"), Reports: reports, Alone: alone.Load, Log: &log.Logger{Level: log.FatalLevel}}
+	o := NewOwner(needs, Budget{Share: 0.2, Floor: 10, Window: 10 * clock.Second})
+	var reply AskReply
+	asked := &AskArgs{Service: "s", Ask: question("r1"), Wait: 100}
+	require.NoError(t, o.Ask(asked, &reply))
+	require.False(t, reply.Decided, "%+v", reply)
+	require.Zero(t, reports.asked.Load())
+
+	alone.Store(false)
+	require.NoError(t, o.Ask(asked, &reply))
+	require.True(t, reply.Decided, "it has met others, so gates chose it")
+
+	alone.Store(true)
+	o = NewOwner(needs, Budget{Share: 0.2, Floor: 10, Window: 10 * clock.Second})
+	require.Eventually(t, func() bool {
+		reply = AskReply{}
+		require.NoError(t, o.Ask(&AskArgs{Service: "s", Ask: question("r2"), Wait: 50}, &reply))
+		return reply.Decided
+	}, 2*time.Second, time.Millisecond, "alone for good, it serves")
+}
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -36,6 +36,8 @@
 	// upstreamDial bounds a connect to an upstream, which is 3 ms away. The first lost
 	// packet of a connect costs a second; another upstream is asked before.
 	upstreamDial = 300 * time.Millisecond
+	// peerDial bounds a connect to a peer for the same reason.
+	peerDial = 300 * time.Millisecond
 	// upstreamIdle closes connections to upstreams that nobody uses.
 	upstreamIdle = 20 * time.Second
 	// keptEach bounds the idle connections to one upstream: it takes some hundred from all VMs.
@@ -97,7 +99,7 @@
 func newRelayed(s *settings.Relay) (*relayed, error) {
 	lines := logline.NewWriter(os.Stdout, logQueue)
 	d := &relayed{
-		settings: s, lines: lines, log: relayLogger(s, lines), dialer: peer.NewDialer(peer.DialTCP), peers: peer.NewServer(),
+		settings: s, lines: lines, log: relayLogger(s, lines), dialer: peer.NewDialer(peer.DialTCP).Within(peerDial), peers: peer.NewServer(),
 		store: platform.NewStore(s.Store), stopping: make(chan struct{}),
 	}
 	incarnation := peer.Incarnation(time.Now().UnixMilli())
--- a/lib/decide/span/place.go
+++ b/lib/decide/span/place.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
+
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
 	"snipeshift.example/lib/route"
@@ -51,11 +53,14 @@
 }
 
 // placePlain takes the upstream with the fewest requests for its slots. Its
-// queue is not used: what waits in the pool can still go elsewhere.
+// queue is not used: what waits in the pool can still go elsewhere. Among equals the request's
+// id chooses, or owners that do not know of each other would all choose the first.
 func (p *Pool) placePlain(now clock.Milli, a *Ask) (plan, bool) {
 	var best *row
 	least := math.Inf(1)
-	for _, r := range p.order {
+	first := int(xxhash.Sum64String(string(a.ID)) % uint64(max(len(p.order), 1)))
+	for i := range p.order {
+		r := p.order[(first+i)%len(p.order)]
 		n := len(r.grants) + r.foreign
 		if !r.usable(now, a) || n >= max(r.Slots, 1) {
 			continue
--- a/lib/decide/span/pool_test.go
+++ b/lib/decide/span/pool_test.go
@@ -558,3 +558,18 @@
 	a.Deadline = at + 6000
 	b.granted(at, a)
 }
+
+// Sixty VMs start at once and each places for itself. All of them choosing the first of three idle services
+// would fill its queue while the others have nothing to do.
+func TestEqualPlainServicesAreChosenByTheRequest(t *testing.T) {
+	used := map[decide.UpstreamID]int{}
+	for i := range 60 {
+		p := New(DefaultRules, gate.NewBudget(0.2, 10, 10*clock.Second))
+		p.Serve(nil, []route.Upstream{{ID: "a", Slots: 6}, {ID: "b", Slots: 6}, {ID: "c", Slots: 6}})
+		_, _ = p.Ask(now, Ask{ID: decide.RequestID(fmt.Sprint("vm-", i)), Gate: "g", Aim: now + 100, Deadline: now + 1000})
+		used[p.Tick(now)[0].Grant.Leader.Upstream]++
+	}
+	for _, id := range []decide.UpstreamID{"a", "b", "c"} {
+		require.GreaterOrEqual(t, used[id], 8)
+	}
+}
--- a/lib/peer/dialer.go
+++ b/lib/peer/dialer.go
@@ -44,6 +44,8 @@
 type Dialer struct {
 	dial    Dial
 	traffic Traffic
+	// patience bounds the opening of a connection.
+	patience time.Duration
 
 	mu sync.Mutex
 	// links holds at most one connection in use for each address.
@@ -68,7 +70,17 @@
 
 // NewDialer returns a dialer that opens connections by dial.
 func NewDialer(dial Dial) *Dialer {
-	return &Dialer{dial: dial, links: map[string]*link{}}
+	return &Dialer{dial: dial, patience: dialTimeout, links: map[string]*link{}}
+}
+
+// Within bounds the opening of a connection. It is called before any Call.
+//
+// What goes wrong with the usual bound among VMs that are milliseconds apart: all start at the same moment,
+// and the first packet to a VM that is up a tenth of a second later is lost. It is sent again after
+// a second, so for a second nobody knows anybody, and each places requests as if it were alone.
+func (d *Dialer) Within(patience time.Duration) *Dialer {
+	d.patience = patience
+	return d
 }
 
 // Call runs method at address and waits for the reply, the end of ctx, or
@@ -155,7 +167,7 @@
 // open dials for all callers that wait on l, so that the first one's deadline
 // does not fail the others.
 func (d *Dialer) open(address string, l *link) {
-	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), d.patience)
 	defer cancel()
 	conn, err := d.dial(ctx, address)
 	if err != nil {
