--- a/scenarios/chaos_test.go
+++ b/scenarios/chaos_test.go
@@ -3,9 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"maps"
-	"os"
-	"strconv"
 	"testing"
 	"time"
 
@@ -38,20 +35,7 @@
 // requests of every kind. A user would notice any promise that holds under each
 // fault alone and not under two.
 func TestChaos(t *testing.T) {
-	seeds := maps.Clone(fixedSeeds)
-	if s := os.Getenv(envSeed); s != "" {
-		n, err := strconv.ParseUint(s, 10, 64)
-		require.NoError(t, err, envSeed)
-		seeds = map[uint64]time.Duration{n: fixedLength}
-	}
-	if s := os.Getenv(envLength); s != "" {
-		d, err := time.ParseDuration(s)
-		require.NoError(t, err, envLength)
-		for seed := range seeds {
-			seeds[seed] = d
-		}
-	}
-	for seed, length := range seeds {
+	for seed, length := range seeds(t, fixedSeeds, envSeed, envLength, fixedLength) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { runChaos(t, seed, length) })
 	}
 }
--- a/scenarios/soak_test.go
+++ b/scenarios/soak_test.go
@@ -2,10 +2,8 @@
 
 import (
 	"fmt"
-	"maps"
 	"os"
 	"path/filepath"
-	"strconv"
 	"testing"
 	"time"
 
@@ -42,20 +40,7 @@
 // while callers go on over their open connections. A user would notice any promise that
 // holds under each fault alone and not under several.
 func TestSoak(t *testing.T) {
-	seeds := maps.Clone(soakSeeds)
-	if s := os.Getenv(envSoak); s != "" {
-		n, err := strconv.ParseUint(s, 10, 64)
-		require.NoError(t, err, envSoak)
-		seeds = map[uint64]time.Duration{n: longSoak}
-	}
-	if s := os.Getenv(envSoakLength); s != "" {
-		d, err := time.ParseDuration(s)
-		require.NoError(t, err, envSoakLength)
-		for seed := range seeds {
-			seeds[seed] = d
-		}
-	}
-	for seed, length := range seeds {
+	for seed, length := range seeds(t, soakSeeds, envSoak, envSoakLength, longSoak) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			slots <- struct{}{}
