registry: an upstream that a reader says is gone is gone at once

Found by reading the change: a VM that the store had turned away, and that left the store to the readers since, took every answer of theirs for its own first answer after an outage, and kept what they said was gone for another 2.2 s. An upstream that leaves without a word would be sent requests past the two seconds in which that must end.

Now a peer's list removes at once, as peers that keep entries on suspicion tell none, unless nobody had new knowledge for 2.5 s: then the store was away for all, and a peer that has just started does not know what lapsed. Both tests failed first, the second on the form without that exception. The wait after a list comes once the store's answer is noted.

--- a/daemon/registry/follow.go
+++ b/daemon/registry/follow.go
@@ -36,9 +36,9 @@
 			continue
 		}
 		var err error
-		if mark == 0 {
+		listed := mark == 0
+		if listed {
 			mark, err = list(ctx)
-			r.meet(ctx, err)
 		} else {
 			mark, err = r.next(ctx, what, mark, watch)
 		}
@@ -48,6 +48,9 @@
 		r.reach(what, err)
 		if err == nil {
 			failures = 0
+			if listed {
+				r.meet(ctx)
+			}
 			continue
 		}
 		mark = 0
@@ -61,8 +64,8 @@
 // What goes wrong without it: all VMs start at once, and until they have met each takes
 // itself for a reader. Each opens two watches that nobody needs a moment later; with
 // eighty-six VMs a fifth of a day's calls were of such starts.
-func (r *Registry) meet(ctx context.Context, err error) {
-	if err == nil && r.readers != nil {
+func (r *Registry) meet(ctx context.Context) {
+	if r.readers != nil {
 		pause(ctx, meetTime)
 	}
 }
--- a/daemon/registry/registry.go
+++ b/daemon/registry/registry.go
@@ -216,10 +216,15 @@
 	}
 }
 
-// learnUpstreams takes a whole list that was right at an instant and a mark.
+// learnUpstreams takes a whole list of the store's that was right at an instant and a mark.
 func (r *Registry) learnUpstreams(us []route.Upstream, mark route.Mark, at clock.Milli) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.takeList(us, mark, at, r.remove)
+}
+
+// takeList takes a whole list; remove is called for what it lacks. The lock is held.
+func (r *Registry) takeList(us []route.Upstream, mark route.Mark, at clock.Milli, remove func(decide.UpstreamID)) {
 	listed := make(map[decide.UpstreamID]bool, len(us))
 	first := r.upstreamsAt == 0
 	if first {
@@ -231,16 +236,20 @@
 	}
 	for id := range r.upstreams {
 		if !listed[id] {
-			r.remove(id)
+			remove(id)
 		}
 	}
 	r.settle(mark, at)
 }
 
 // learnPeers takes a whole list of a peer's that was right at an instant and a mark. What the store
-// told us of an upstream's leaving stands against it.
+// told us of an upstream's leaving stands against it. What it lacks is gone at once, also
+// while the store turns us away: peers that keep entries on suspicion tell no list. But if nobody
+// had new knowledge for long, the store was away for all, and a peer that has just started
+// does not know what lapsed meanwhile: then entries are kept as after our own first answer.
 func (r *Registry) learnPeers(us []route.Upstream, mark route.Mark, at clock.Milli) {
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	kept := make([]route.Upstream, 0, len(us))
 	for _, u := range us {
 		if _, left := r.left[u.ID]; left {
@@ -249,8 +258,15 @@
 		u.Leaving = u.Leaving || r.upstreams[u.ID].Leaving
 		kept = append(kept, u)
 	}
-	r.mu.Unlock()
-	r.learnUpstreams(kept, mark, at)
+	until := r.clock.Now()
+	if until-r.upstreamsAt > proofLimit {
+		until += holdGone
+	}
+	r.takeList(kept, mark, at, func(id decide.UpstreamID) {
+		if _, held := r.gone[id]; !held {
+			r.gone[id] = until
+		}
+	})
 }
 
 // changeUpstreams takes changes that were right at an instant and a mark.
--- a/daemon/registry/registry_test.go
+++ b/daemon/registry/registry_test.go
@@ -232,6 +232,38 @@
 	}, time.Second, time.Millisecond)
 }
 
+// The store turned this VM away, and since then readers tell it. An upstream that left without a word is gone
+// by their word at once: kept for two seconds, as after an outage of the store, it would be sent
+// requests long after it had left.
+func TestAReadersWordOfAnUpstreamThatLeftHoldsAtOnce(t *testing.T) {
+	b, reader := newBench(t), newBench(t)
+	reader.Registry.clock = b.clock
+	b.large(reader.Registry)
+	b.store.down = true
+	b.watch()
+	require.True(t, b.Lost())
+	reader.store.upstreams, reader.store.at = upstreams("b"), 50
+	reader.list()
+	b.askReaders(b.ctx, b.readers().Others, 0)
+	require.Equal(t, 1, b.there())
+}
+
+// The store was away for all, and the entries of upstreams lapsed though they live. A peer that has just
+// started lists what is there and remembers nothing. By its word all upstreams would be gone
+// everywhere until they have registered again.
+func TestAStartedPeersListAfterAnOutageRemovesNothingAtOnce(t *testing.T) {
+	b := newBench(t)
+	b.clock.forward(5 * clock.Second)
+	b.learnPeers(upstreams("b"), 50, b.clock.Now())
+	require.Equal(t, 2, b.there())
+	b.clock.forward(holdGone - 100)
+	b.learnPeers(upstreams("b"), 51, b.clock.Now())
+	require.Equal(t, 2, b.there())
+	b.clock.forward(200)
+	b.learnPeers(upstreams("b"), 52, b.clock.Now())
+	require.Equal(t, 1, b.there())
+}
+
 // A peer that is cut off itself says what it knew long ago. Its word must not make
 // knowledge look fresh.
 func TestAnOldWordProvesNothing(t *testing.T) {
