--- a/scenarios/fleet/fleet.go
+++ b/scenarios/fleet/fleet.go
@@ -59,6 +59,7 @@
 			return f, err
 		}
 		f.upstreams[l.Address()] = l
+		r.Dies = f.Crash
 		r.Move(l.Address())
 	}
 	for i := range vms {
@@ -144,6 +145,7 @@
 	if err := l.Up(r.Listens()); err != nil {
 		return err
 	}
+	r.Dies = f.Crash
 	r.Move(l.Address())
 	return nil
 }
--- a/scenarios/platform_test.go
+++ b/scenarios/platform_test.go
@@ -221,3 +221,27 @@
 		require.NoError(t, v.AwaitReady(startLimit))
 	}
 }
+
+// A caller's request crashes each upstream that begins to run it, and the caller sends it again and again, each
+// time to another VM. Crashed upstreams are back after a second. If each VM had to find out for
+// itself, the service would be down for everybody for as long as the caller goes on.
+func TestPlatformKillerRequestIsMetByFewUpstreams(t *testing.T) {
+	f := newFleet(t, 3)
+	for _, r := range f.Platform.Desks {
+		r.Dies = func(r *standin.Runner) {
+			f.Crash(r)
+			time.AfterFunc(time.Second, func() { _ = f.Renew(r) })
+		}
+	}
+	c := standin.NewCaller("ward")
+	runs := 0
+	for i := range 9 {
+		a := c.CallLethal(f.VMs[i%3].Caller, "lookup")
+		require.NotEqual(t, http.StatusOK, a.Status)
+		runs += f.Platform.Runs(a.ID)
+		time.Sleep(200 * time.Millisecond)
+	}
+	require.Positive(t, runs)
+	require.LessOrEqual(t, runs, 3)
+	require.Eventually(t, func() bool { return c.Call(f.VMs[0].Caller, "lookup").Whole }, 5*time.Second, 100*time.Millisecond, "others are served")
+}
