span: engines that are slow by their own word get what others have no room for

Cause: nothing told a slow engine from a sound one.

Now the engines of a first byte that came late are asked for their pace (reports name it), slow ones are left to short work that nobody else has room for, and asked again until they are well.

--- a/daemon/placer/owner.go
+++ b/daemon/placer/owner.go
@@ -13,6 +13,7 @@
 	"snipeshift.example/lib/decide"
 	"snipeshift.example/lib/decide/gate"
 	"snipeshift.example/lib/decide/span"
+	"snipeshift.example/lib/exchange"
 	"snipeshift.example/lib/logline"
 	"snipeshift.example/lib/peer"
 	"snipeshift.example/lib/route"
@@ -49,7 +50,7 @@
 
 // Reports reads upstreams' own word on their load.
 type Reports interface {
-	Report(ctx context.Context, address string) (requests int, used decide.Tokens, err error)
+	Report(ctx context.Context, address string) (exchange.Load, error)
 }
 
 // Times of reports.
@@ -191,7 +192,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
 	defer cancel()
-	requests, used, err := o.Reports.Report(ctx, u.Address)
+	load, err := o.Reports.Report(ctx, u.Address)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if err != nil {
@@ -199,12 +200,12 @@
 		h.pool.Unreported(id)
 		return
 	}
-	h.pool.Report(id, requests, used)
-	if requests == 0 {
+	h.pool.Report(id, load)
+	if load.Requests == 0 && load.Pace <= 1 {
 		return
 	}
-	o.Log.Info().Str(logline.Key, logline.Report).Str("upstream", string(id)).Int("requests", requests).Int64("used", int64(used)).
-		Msg("an upstream in doubt reports")
+	o.Log.Info().Str(logline.Key, logline.Report).Str("upstream", string(id)).Int("requests", load.Requests).
+		Int64("used", int64(load.Used)).Float64("pace", load.Pace).Msg("an upstream in doubt reports")
 }
 
 // Ask implements Placer.Ask.
--- a/daemon/placer/placer_test.go
+++ b/daemon/placer/placer_test.go
@@ -16,6 +16,7 @@
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
 	"snipeshift.example/lib/decide/span"
+	"snipeshift.example/lib/exchange"
 	"snipeshift.example/lib/peer"
 	"snipeshift.example/lib/route"
 )
@@ -41,7 +42,7 @@
 // idle upstreams report no work.
 type idle struct{}
 
-func (idle) Report(context.Context, string) (int, decide.Tokens, error) { return 0, 0, nil }
+func (idle) Report(context.Context, string) (exchange.Load, error) { return exchange.Load{}, nil }
 
 func newOwner(t *testing.T, ids ...decide.UpstreamID) *Owner {
 	t.Helper()
@@ -222,9 +223,9 @@
 // counted upstreams report no work, and count how often they are asked.
 type counted struct{ asked atomic.Int64 }
 
-func (c *counted) Report(context.Context, string) (int, decide.Tokens, error) {
+func (c *counted) Report(context.Context, string) (exchange.Load, error) {
 	c.asked.Add(1)
-	return 0, 0, nil
+	return exchange.Load{}, nil
 }
 
 // All VMs start at once after a loss of power, and each gets requests before it has met any other. Each
--- a/lib/decide/span/engine.go
+++ b/lib/decide/span/engine.go
@@ -25,6 +25,10 @@
 	// doubtful is set from the moment at which the books are known to miss work
 	// there, until a report says what it is.
 	doubtful bool
+	// pace is how many times as long as usual work takes there, by its last report; zero if it
+	// never reported. Suspected is set if that should be asked.
+	pace      float64
+	suspected bool
 }
 
 // granted is a grant in the pool's books.
@@ -151,6 +155,7 @@
 		// Streams that are written meanwhile take their part of each pass.
 		read += r.engine.Pass(r.streams, r.context)
 	}
+	read *= max(r.pace, 1)
 	r.until = max(r.until, float64(now)) + read
 	r.grants[g.Grant.Request] = g
 	r.refresh()
--- a/lib/decide/span/foreign.go
+++ b/lib/decide/span/foreign.go
@@ -3,6 +3,7 @@
 import (
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
+	"snipeshift.example/lib/exchange"
 )
 
 // What goes wrong without this file: all VMs lose power, and the engines go on writing the
@@ -17,12 +18,13 @@
 const turnedRest clock.Milli = 150
 
 // Doubtful lists upstreams whose reports are wanted: all of a new owner's, those that turned a
-// request away, and those that held work which no grant explains. Engines of the first two
-// sorts get nothing until they have reported, or are known not to.
+// request away, those that held work which no grant explains, and those that are slow or
+// may be. Engines of the first two sorts get nothing until they have reported, or are known
+// not to.
 func (p *Pool) Doubtful() []decide.UpstreamID {
 	var ids []decide.UpstreamID
 	for _, r := range p.order {
-		if r.doubtful || r.foreign > 0 {
+		if r.doubtful || r.foreign > 0 || r.suspected || r.slow() {
 			ids = append(ids, r.ID)
 		}
 	}
@@ -39,23 +41,28 @@
 // Report takes an upstream's own word on its load. It is some hundred
 // milliseconds old, so grants newer than that are not in it, and what it counts
 // may have ended: it only ever adds work for which there is no grant.
-func (p *Pool) Report(id decide.UpstreamID, requests int, used decide.Tokens) {
+func (p *Pool) Report(id decide.UpstreamID, l exchange.Load) {
 	r := p.rows[id]
 	if r == nil {
 		return
 	}
-	r.doubtful = false
-	r.foreign = max(0, requests-r.streams)
+	doubted := r.doubtful || r.foreign > 0
+	r.doubtful, r.suspected, r.pace = false, false, max(1, l.Pace)
+	if !doubted {
+		// It was asked for its pace alone. The books are right, and its count of requests is older.
+		return
+	}
+	r.foreign = max(0, l.Requests-r.streams)
 	r.foreignUsed = 0
 	if r.foreign > 0 {
-		r.foreignUsed = max(0, used-r.known)
+		r.foreignUsed = max(0, l.Used-r.known)
 	}
 }
 
 // Unreported ends the doubt about an upstream that does not report.
 func (p *Pool) Unreported(id decide.UpstreamID) {
 	if r := p.rows[id]; r != nil {
-		r.doubtful, r.foreign, r.foreignUsed = false, 0, 0
+		r.doubtful, r.suspected, r.foreign, r.foreignUsed = false, false, 0, 0
 	}
 }
 
--- a/lib/decide/span/place.go
+++ b/lib/decide/span/place.go
@@ -76,9 +76,15 @@
 // others stay empty for long reads. An engine takes a request if the pass that
 // reads it stays within the shortest pause borne there.
 func (p *Pool) placeLight(now clock.Milli, a *Ask, cost float64) (plan, bool) {
-	for _, most := range []int{p.rules.Packed, math.MaxInt} {
+	for _, try := range []struct {
+		most int
+		slow bool
+	}{{p.rules.Packed, false}, {math.MaxInt, false}, {math.MaxInt, true}} {
 		for _, r := range p.order {
-			if first, ok := p.fitsLight(now, a, r, cost, most); ok {
+			if r.slow() != try.slow {
+				continue
+			}
+			if first, ok := p.fitsLight(now, a, r, cost, try.most); ok {
 				return plan{leader: r, part: cost, first: first, reason: "packed"}, true
 			}
 		}
@@ -95,8 +101,8 @@
 	if n >= min(most, r.engine.Slots) || r.free() < a.Prompt+a.Output {
 		return 0, false
 	}
-	pass := r.engine.Pass(n+1, r.context+a.Prompt)
-	read := r.debt(now) + cost
+	pass := r.pass(n+1, r.context+a.Prompt)
+	read := r.debt(now) + cost*max(r.pace, 1)
 	if !p.bears(r, a, read+pass) {
 		return 0, false
 	}
@@ -164,7 +170,7 @@
 		fit, _ := slices.BinarySearchFunc(slacks, part, func(slack, part float64) int { return cmp.Compare(part, slack) })
 		fit = max(fit, n)
 		if pl, ok := p.gather(now, &w.Ask, part, rows[:fit], n); ok {
-			pl.first += pl.leader.engine.Pass(pl.leader.streams+1, pl.leader.context+w.Prompt)
+			pl.first += pl.leader.pass(pl.leader.streams+1, pl.leader.context+w.Prompt)
 			pl.reason = "beside"
 			return pl, true
 		}
@@ -180,13 +186,14 @@
 		slack float64
 	}
 	rooms := make([]room, 0, len(p.order))
+	avoid := p.avoidsSlow()
 	for _, r := range p.order {
-		if !r.usable(now, a) || r.foreign > 0 || r.reading > 0 && !r.light() {
+		if !r.usable(now, a) || r.foreign > 0 || r.reading > 0 && !r.light() || avoid && r.slow() {
 			continue
 		}
 		slack := math.Inf(1)
 		if r.pause > 0 {
-			slack = p.rules.Beside*float64(r.pause) - r.engine.Pass(r.streams, r.context) - r.debt(now)
+			slack = p.rules.Beside*float64(r.pause) - r.pass(r.streams, r.context) - r.debt(now)
 		}
 		if slack > 0 {
 			rooms = append(rooms, room{r, slack})
@@ -208,9 +215,10 @@
 // freeForReads lists engines that may read a long prompt, from the end of the fixed order.
 func (p *Pool) freeForReads(now clock.Milli, a *Ask) []*row {
 	var free []*row
+	avoid := p.avoidsSlow()
 	for i := len(p.order) - 1; i >= 0; i-- {
 		r := p.order[i]
-		if r.usable(now, a) && r.reading == 0 && !r.light() {
+		if r.usable(now, a) && r.reading == 0 && !r.light() && !(avoid && r.slow()) {
 			free = append(free, r)
 		}
 	}
@@ -226,7 +234,7 @@
 	most := math.MinInt
 	fit := make([]*row, 0, len(free))
 	for _, r := range free {
-		leads := p.bears(r, a, r.debt(now)+part+r.engine.Pass(r.streams+1, r.context+a.Prompt))
+		leads := p.bears(r, a, r.debt(now)+part+r.pass(r.streams+1, r.context+a.Prompt))
 		if r.streams > 0 && !leads && !r.light() {
 			continue
 		}
--- a/lib/decide/span/pool.go
+++ b/lib/decide/span/pool.go
@@ -125,6 +125,7 @@
 	if g == nil || g.Writing {
 		return
 	}
+	g.suspect(now)
 	g.Writing, g.heard = true, now
 	rows := g.rows
 	for _, r := range rows {
--- a/lib/decide/span/pool_test.go
+++ b/lib/decide/span/pool_test.go
@@ -9,6 +9,7 @@
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
 	"snipeshift.example/lib/decide/gate"
+	"snipeshift.example/lib/exchange"
 	"snipeshift.example/lib/fault"
 	"snipeshift.example/lib/route"
 )
@@ -292,12 +293,12 @@
 	_, decided := b.ask(now, early)
 	require.False(t, decided, "nothing is sent to engines that may be full")
 	b.Withdraw(now, early.ID)
-	b.Report("e00", 16, 200_000)
-	b.Report("e01", 0, 0)
-	b.Report("e02", 0, 0)
+	b.Report("e00", exchange.Load{Requests: 16, Used: 200_000})
+	b.Report("e01", exchange.Load{})
+	b.Report("e02", exchange.Load{})
 	require.Equal(t, decide.UpstreamID("e01"), b.granted(now, b.note(now)).Leader.Upstream)
 	require.Equal(t, []decide.UpstreamID{"e00"}, b.Doubtful())
-	b.Report("e00", 0, 0)
+	b.Report("e00", exchange.Load{})
 	require.Equal(t, decide.UpstreamID("e00"), b.granted(now, b.note(now)).Leader.Upstream)
 }
 
@@ -573,3 +574,39 @@
 		require.GreaterOrEqual(t, used[id], 8)
 	}
 }
+
+// An engine works four times as slowly as it should. The first prompt whose part it read is late; from then on,
+// prompts that wait for its parts would all be, and streams on it pause for too long.
+func TestASlowEngineIsAskedAndGetsWhatOthersHaveNoRoomFor(t *testing.T) {
+	b := newBench(t, 4)
+	g := b.granted(now, b.history(now, 200_000))
+	require.Len(t, g.Helpers, 3)
+	require.Empty(t, b.Doubtful())
+	at := now + 2*g.First
+	b.First(at, g.Request)
+	b.End(at, g.Request, Done, "")
+	require.Len(t, b.Doubtful(), 4, "each of the four may be the slow one")
+	for _, id := range []decide.UpstreamID{"e01", "e02", "e03"} {
+		b.Report(id, exchange.Load{Requests: 1, Pace: 1})
+		require.Zero(t, b.rows[id].foreign, "its count is older than the books")
+	}
+	b.Report("e00", exchange.Load{Pace: 4})
+	require.Equal(t, []decide.UpstreamID{"e00"}, b.Doubtful(), "a slow one is asked again, until it is well")
+
+	g = b.granted(at, b.history(at, 200_000))
+	for _, pl := range append(g.Helpers, g.Leader) {
+		require.NotEqual(t, decide.UpstreamID("e00"), pl.Upstream)
+	}
+	b.End(at, g.Request, Done, "")
+	require.NotEqual(t, decide.UpstreamID("e00"), b.granted(at, b.note(at)).Leader.Upstream)
+	b.Report("e00", exchange.Load{Pace: 1})
+	require.Equal(t, decide.UpstreamID("e00"), b.granted(at, b.note(at)).Leader.Upstream)
+}
+
+// All engines are slow. Long prompts are read all the same.
+func TestSlowEnginesAreUsedIfThereAreNoOthers(t *testing.T) {
+	b := newBench(t, 2)
+	b.Report("e00", exchange.Load{Pace: 2})
+	b.Report("e01", exchange.Load{Pace: 2})
+	b.granted(now, b.history(now, 100_000))
+}
--- a/lib/decide/span/property_test.go
+++ b/lib/decide/span/property_test.go
@@ -9,6 +9,7 @@
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
 	"snipeshift.example/lib/decide/gate"
+	"snipeshift.example/lib/exchange"
 	"snipeshift.example/lib/route"
 )
 
@@ -42,7 +43,7 @@
 					p.End(at, rapid.SampledFrom(live).Draw(t, "end"), o, "")
 				}
 			case 5:
-				p.Report(us[rapid.IntRange(0, len(us)-1).Draw(t, "upstream")].ID, rapid.IntRange(0, 20).Draw(t, "requests"), 1000)
+				p.Report(us[rapid.IntRange(0, len(us)-1).Draw(t, "upstream")].ID, exchange.Load{Requests: rapid.IntRange(0, 20).Draw(t, "requests"), Used: 1000, Pace: float64(rapid.IntRange(0, 4).Draw(t, "pace"))})
 			}
 			for _, d := range p.Tick(at) {
 				if d.Action == Granted {
--- /dev/null
+++ b/lib/decide/span/slow.go
@@ -0,0 +1,51 @@
+package span
+
+import (
+	"snipeshift.example/lib/clock"
+	"snipeshift.example/lib/decide"
+)
+
+// What goes wrong without this file: an engine works four times as slowly as its data say, for seconds. It
+// takes its even part of each long prompt, and the prompt waits for it; short streams packed on
+// it pause for longer than they bear. One notices that a fifth of the engines being slow makes
+// half of the long prompts late. So an engine that took part in a late first byte is asked
+// for its pace, and one that is slow gets what others have no room for.
+
+const (
+	// lateFactor times the expected time to the first byte, and lateSlack more, make a first byte
+	// suspicious: on a day of changing load with sound engines one in a hundred is as late.
+	lateFactor             = 1.5
+	lateSlack  clock.Milli = 150
+	// slowPace is from which pace on an engine counts as slow: a part of a prompt read there
+	// keeps all others waiting for half of its time.
+	slowPace = 1.5
+)
+
+// slow tells whether the upstream works much more slowly than its data say.
+func (r *row) slow() bool { return r.pace >= slowPace }
+
+// pass is the time in milliseconds of one pass that writes streams with this many tokens of
+// context together, at the engine's present pace.
+func (r *row) pass(streams int, context decide.Tokens) float64 {
+	return max(r.pace, 1) * r.engine.Pass(streams, context)
+}
+
+// suspect notes the upstreams of a grant whose first byte came late.
+func (g *granted) suspect(now clock.Milli) {
+	if float64(now-g.at) <= lateFactor*float64(g.Grant.First)+float64(lateSlack) {
+		return
+	}
+	for _, r := range g.rows {
+		r.suspected = r.engine != nil
+	}
+}
+
+// avoidsSlow tells whether long prompts keep off slow engines: there are others.
+func (p *Pool) avoidsSlow() bool {
+	for _, r := range p.order {
+		if !r.Leaving && !r.slow() {
+			return true
+		}
+	}
+	return false
+}
--- a/lib/exchange/exchange.go
+++ b/lib/exchange/exchange.go
@@ -48,6 +48,16 @@
 	Ticket string
 }
 
+// Load is an upstream's own word on its work, some hundred milliseconds old.
+type Load struct {
+	// Requests are those that run and those that wait.
+	Requests int
+	// Used is the KV memory that cannot yield.
+	Used decide.Tokens
+	// Pace is how many times as long as usual its work takes; zero if it does not say.
+	Pace float64
+}
+
 // Word is what the header of an upstream's answer says of itself.
 type Word struct {
 	// Mine is set if the answer says that it belongs to the request that was sent.
