span: short requests are tried however long their answers may be

Found by reading the change: the probable time of writing, which keeps hopeless long prompts off the engines, was counted for short ones as well. One that comes again with a second left was refused at once if no slot was free, for an answer that may be short, although trying costs 20 ms of an engine. Now it counts for long prompts alone.

--- a/lib/decide/span/pool_test.go
+++ b/lib/decide/span/pool_test.go
@@ -511,6 +511,19 @@
 	b.granted(now, a)
 }
 
+// A short request comes again with one second left while all slots are taken, and answers of its kind take two
+// seconds on average. Its own may be short, and trying costs 20 ms: it waits for a slot.
+func TestAShortRequestWaitsHoweverLongItsAnswerMayBe(t *testing.T) {
+	b := newBench(t, 1)
+	for range engine.Slots {
+		b.runs(b.note(now))
+	}
+	a := b.note(now)
+	a.Deadline, a.Likely = now+1000, 1600
+	_, decided := b.ask(now, a)
+	require.False(t, decided)
+}
+
 // A burst of short work writes on every engine for ten seconds. A file of 45,000 tokens takes an
 // engine 270 ms, which no stream there bears as a pause. Kept waiting for an engine free of
 // short streams, it is late, although the engines could read for more than half of their time.
--- a/lib/decide/span/queue.go
+++ b/lib/decide/span/queue.go
@@ -17,17 +17,15 @@
 	cost, least float64
 	// heavy is set if the prompt is too long to be read among short streams.
 	heavy bool
-	// last is the latest instant at which the first byte is of use: the caller is still there,
-	// and what is left of its time will probably do for writing the answer.
+	// last is the latest instant at which the first byte is of use: the caller is still there, and
+	// after a long prompt what is left of its time will probably do for writing the answer.
+	// Short ones are tried all the same: it costs little, and the answer may be short.
 	last clock.Milli
 }
 
 // weigh works out what follows from the prompt's length.
 func (p *Pool) weigh(w *waiting) {
 	w.cost, w.least, w.heavy, w.last = 0, 0, false, w.Deadline
-	if p.engine != nil {
-		w.last -= clock.Milli(p.engine.Writing(w.Likely, w.Prompt))
-	}
 	if w.Patience > 0 {
 		w.last = min(w.last, w.Patience)
 	}
@@ -38,6 +36,7 @@
 	w.least = w.cost
 	if w.heavy = w.cost > p.rules.Light; w.heavy {
 		w.least = w.cost / float64(p.group())
+		w.last = min(w.last, w.Deadline-clock.Milli(p.engine.Writing(w.Likely, w.Prompt)))
 	}
 }
 
