span, daemon: a VM that has met nobody refuses nothing for pressure, and is not ready meanwhile

Now nothing is refused for pressure while all engines are in doubt, and a VM is ready only once it has met another or that half second is over; the balancer sends callers elsewhere.

--- a/daemon/placer/owner.go
+++ b/daemon/placer/owner.go
@@ -66,11 +66,11 @@
 	// startShare is the part of the floor, one in so many, that any other new owner has at
 	// once: a planned change of owner must not leave broken streams without a second try.
 	startShare = 4
-	// aloneWait is how long after its start an owner that has met no other member gives out no
+	// AloneWait is how long after its start an owner that has met no other member gives out no
 	// engines: members that start within 0.3 s of each other meet in that time, and their
 	// gates ask the one owner of all. Eighty owners that are alone ask all engines for
 	// their load, and then pack their requests on the same first one.
-	aloneWait = 500 * clock.Milli(1)
+	AloneWait = 500 * clock.Milli(1)
 	// askedLately is how recent a gate's question must be for a pool to be worth a look.
 	askedLately = clock.Second
 	// reportsAtOnce bounds the looks under way.
@@ -160,7 +160,7 @@
 	if len(ids) == 0 || o.Clock.Now()-h.asked > askedLately {
 		return
 	}
-	if o.Alone() && o.Clock.Now()-h.born < aloneWait {
+	if o.Alone() && o.Clock.Now()-h.born < AloneWait {
 		// Engines in doubt get nothing; gates ask again soon, here or at the owner of all.
 		return
 	}
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -84,6 +84,8 @@
 	peers    *peer.Server
 	store    *platform.Store
 	stopping chan struct{}
+	// born is when this life began.
+	born clock.Milli
 }
 
 // runRelay serves until ctx ends, then stops gracefully.
@@ -102,6 +104,7 @@
 		settings: s, lines: lines, log: relayLogger(s, lines), dialer: peer.NewDialer(peer.DialTCP).Within(peerDial), peers: peer.NewServer(),
 		store: platform.NewStore(s.Store), stopping: make(chan struct{}),
 	}
+	d.born = d.clock.Now()
 	incarnation := peer.Incarnation(time.Now().UnixMilli())
 	self := peer.Member{VM: s.Name, Incarnation: incarnation, Domain: s.Domain, Address: s.Advertise}
 	d.members = member.New(self, relayRules, d.dialer, seeds(s.Peers), d.clock)
@@ -265,8 +268,13 @@
 		return false
 	default:
 	}
+	now := d.clock.Now()
+	if d.members.Reached() == 0 && now-d.born < placer.AloneWait {
+		// It would only keep callers waiting; others take them until this VM has met one.
+		return false
+	}
 	v := d.registry.View()
-	return v.Table != nil && v.UpstreamsAt > 0 && d.clock.Now()-v.TableAt < d.settings.Bounds.Revoke
+	return v.Table != nil && v.UpstreamsAt > 0 && now-v.TableAt < d.settings.Bounds.Revoke
 }
 
 func (d *relayed) server(h http.Handler) *http.Server {
--- a/lib/decide/span/pool_test.go
+++ b/lib/decide/span/pool_test.go
@@ -623,3 +623,22 @@
 	b.Report("e01", exchange.Load{Pace: 2})
 	b.granted(now, b.history(now, 100_000))
 }
+
+// A VM starts and has met no other, so it waits half a second before it asks engines for their load. A request
+// that came at once is late by then, but there is no pressure: it is served when they have answered.
+func TestANewOwnerRefusesNothingForPressure(t *testing.T) {
+	b := newBench(t, 2)
+	b.Doubt()
+	a := b.note(now)
+	a.Patience = now + 2000
+	_, decided := b.ask(now, a)
+	require.False(t, decided)
+	at := now + 600
+	_, _ = b.Ask(at, a)
+	require.Empty(t, b.Tick(at))
+	b.Report("e00", exchange.Load{})
+	b.Report("e01", exchange.Load{})
+	ds := b.Tick(at + 1)
+	require.Len(t, ds, 1)
+	require.Equal(t, Granted, ds[0].Action)
+}
--- a/lib/decide/span/queue.go
+++ b/lib/decide/span/queue.go
@@ -53,6 +53,8 @@
 	waits, short bool
 	// full is set once no upstream has a slot left.
 	full bool
+	// blind is set while all engines are in doubt: nothing is known of what they can take.
+	blind bool
 }
 
 // Tick places and refuses what is queued.
@@ -63,7 +65,7 @@
 		return nil
 	}
 	var ds []Decision
-	o := round{pool: p, now: now, before: p.debts(now)}
+	o := round{pool: p, now: now, before: p.debts(now), blind: p.blind()}
 	for _, w := range p.sorted(now) {
 		if d, decided := o.decide(w); decided {
 			delete(p.queue, w.ID)
@@ -73,6 +75,19 @@
 	return ds
 }
 
+// blind tells whether all engines are in doubt, as for a new owner until they have reported.
+//
+// What goes wrong without it: the owner has placed nothing yet, so the rate at which it places late
+// requests is nothing, and it refuses the first ones for a pressure that is not there.
+func (p *Pool) blind() bool {
+	for _, r := range p.order {
+		if !r.Leaving && !(r.doubtful && r.engine != nil) {
+			return false
+		}
+	}
+	return true
+}
+
 // decide places one request, refuses it, or leaves it in the queue. Requests come in
 // the order of sorted. What finds its place now is never refused, whatever the last seconds
 // were like: an engine that is free and a caller turned away help nobody.
@@ -86,7 +101,7 @@
 		}
 	}
 	if w.heavy {
-		if d, hopeless := o.hopeless(w, late); hopeless {
+		if d, hopeless := o.hopeless(w, late); hopeless && !o.blind {
 			return d, true
 		}
 		o.count(w, late)
@@ -94,7 +109,7 @@
 	if yields {
 		return Decision{}, false
 	}
-	if late && !w.heavy {
+	if late && !w.heavy && !o.blind {
 		if d, stuck := o.pool.stuck(o.now, w, o.stuck); stuck {
 			return d, true
 		}
