registry: reading again after a rest is no return of the store

A VM whose own call had failed twenty seconds before had left the store to the readers since. When both readers were turned away it read for itself, took that for the first answer after an outage, and kept what its list lacked for 2.2 s more.

Now readers that vouch end an outage of one's own. A VM without watches reads for itself once their word is 1.8 s old (2.5 s before), there are three readers and more in such fleets, and a peer's list is doubted only if nobody had new knowledge for as long as a lapse takes.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -137,7 +137,7 @@
 	// leastReaders VMs read the store for all, and one more for each readersFor: a reader
 	// answers each other VM two or three times a second, which takes a tenth of a millisecond.
 	leastReaders = 2
-	readersFor   = 64
+	readersFor   = 32
 	// watchersMost is the size up to which every VM watches the store itself. News of one
 	// upstream costs a call of each: beside readers a dozen more are no load yet.
 	watchersMost = 12
--- a/daemon/registry/follow.go
+++ b/daemon/registry/follow.go
@@ -32,6 +32,7 @@
 	for ctx.Err() == nil {
 		if r.rests() {
 			mark, failures = 0, 0
+			r.vouched()
 			pause(ctx, lookEvery)
 			continue
 		}
@@ -59,6 +60,14 @@
 	}
 }
 
+// vouched notes that readers' word stands for ours. What we then read for ourselves is no first answer
+// after an outage, whatever became of our own calls before.
+func (r *Registry) vouched() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lost = false
+}
+
 // meet waits after a list until this VM may know whether others read for it.
 //
 // What goes wrong without it: all VMs start at once, and until they have met each takes
--- a/daemon/registry/peers.go
+++ b/daemon/registry/peers.go
@@ -31,6 +31,10 @@
 	// must be obeyed.
 	tellEvery = 300 * clock.Milli(1)
 	trustFor  = 1200 * clock.Milli(1)
+	// restLimit is how old the readers' word grows before a VM without watches reads for itself: a
+	// reader's own age, and a question more. If the ways of all readers are shut, news is known
+	// after as long.
+	restLimit = 1800 * clock.Milli(1)
 	// readerAge is the most that the word of a reader is old whose way to the store is open: one
 	// watch and the pause after news, and a tenth of a second on the way.
 	readerAge = watchWait + newsEvery + 100
--- a/daemon/registry/readers.go
+++ b/daemon/registry/readers.go
@@ -33,7 +33,7 @@
 	age := r.age()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return age <= proofLimit && r.clock.Now()-r.told <= trustFor
+	return age <= restLimit && r.clock.Now()-r.told <= trustFor
 }
 
 // wait is how long the next watch waits.
--- a/daemon/registry/registry.go
+++ b/daemon/registry/registry.go
@@ -65,6 +65,9 @@
 	// was away. Their entries lapse meanwhile though they live, and are back
 	// within two seconds of its return; all would be taken for gone at once.
 	holdGone = 2200 * clock.Milli(1)
+	// lapseLeast is how long upstreams must have been silent before their entries lapse: three
+	// heartbeats of 1.2 s. Knowledge that is younger has missed no lapse.
+	lapseLeast = 3600 * clock.Milli(1)
 	// leftKept is how long it is remembered that an upstream has left: longer than any
 	// peer's word may be on its way.
 	leftKept = 30 * clock.Second
@@ -259,7 +262,7 @@
 		kept = append(kept, u)
 	}
 	until := r.clock.Now()
-	if until-r.upstreamsAt > proofLimit {
+	if until-r.upstreamsAt > lapseLeast {
 		until += holdGone
 	}
 	r.takeList(kept, mark, at, func(id decide.UpstreamID) {
--- a/daemon/registry/registry_test.go
+++ b/daemon/registry/registry_test.go
@@ -248,6 +248,30 @@
 	require.Equal(t, 1, b.there())
 }
 
+// This VM once met a closed store, and readers have read for it since. Then the readers' ways are shut, and it reads for
+// itself: that is no return of the store. An upstream that has left without a word must not be kept as
+// after an outage: it would be sent requests for two seconds more, long after it had left.
+func TestReadingAgainAfterARestIsNoReturnOfTheStore(t *testing.T) {
+	b, reader := newBench(t), newBench(t)
+	reader.Registry.clock = b.clock
+	b.large(reader.Registry)
+	b.store.down = true
+	b.watch()
+	require.True(t, b.Lost())
+	b.store.down = false
+	b.askReaders(b.ctx, b.readers().Others, 0)
+	ctx, cancel := context.WithTimeout(b.ctx, 300*time.Millisecond)
+	defer cancel()
+	none := func(context.Context) (route.Mark, error) { return 1, nil }
+	b.follow(ctx, "upstreams", none, func(context.Context, route.Mark, clock.Milli) (route.Mark, error) { return 1, nil })
+	require.False(t, b.Lost(), "while it rests, readers vouch for what it knows")
+	b.clock.forward(restLimit + 1)
+	require.False(t, b.rests())
+	b.store.upstreams = upstreams("b")
+	b.list()
+	require.Equal(t, 1, b.there())
+}
+
 // The store was away for all, and the entries of upstreams lapsed though they live. A peer that has just
 // started lists what is there and remembers nothing. By its word all upstreams would be gone
 // everywhere until they have registered again.
--- a/scenarios/relay/relay.go
+++ b/scenarios/relay/relay.go
@@ -4,11 +4,13 @@
 package relay
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -114,7 +116,7 @@
 	if r.listener != nil || r.closed {
 		return nil
 	}
-	l, err := net.Listen("tcp", r.address) //nolint:noctx // closed by Down
+	l, err := listen(r.address)
 	if err != nil {
 		return err
 	}
@@ -123,6 +125,26 @@
 	return nil
 }
 
+// Listening again on an address that was just given up is tried for so long.
+const (
+	listenTries = 20
+	listenPause = 50 * time.Millisecond
+)
+
+// listen takes an address that may still be held for a moment.
+//
+// What goes wrong without the tries: a program is started between the opening and the closing of the
+// same address. Until it runs, its process holds a copy of the socket, and the address is in use.
+func listen(address string) (net.Listener, error) {
+	for try := 1; ; try++ {
+		l, err := net.Listen("tcp", address) //nolint:noctx // closed by Down
+		if err == nil || try == listenTries || !errors.Is(err, syscall.EADDRINUSE) {
+			return l, err
+		}
+		time.Sleep(listenPause)
+	}
+}
+
 // Down refuses new connections, as the system does for a process that is gone.
 func (r *Relay) Down() {
 	r.mu.Lock()
--- a/scenarios/relay/relay_test.go
+++ b/scenarios/relay/relay_test.go
@@ -87,11 +87,28 @@
 	requireWorks(t, dial(t, r))
 	r.Cut("me")
 	requireReset(t, c)
-	requireReset(t, dial(t, r))
+	// The reset may come before the connect returns, or after it.
+	if c, err := net.Dial("tcp", r.Address()); err == nil {
+		requireReset(t, c.(*net.TCPConn))
+	} else {
+		require.ErrorIs(t, err, syscall.ECONNRESET)
+	}
 	r.Heal("me")
 	requireWorks(t, dial(t, r))
 }
 
+// A program is started while an address is looked for, and holds a copy of the socket until it runs. The address is
+// in use for a moment, and nobody else has it.
+func TestAnAddressThatIsHeldForAMomentIsTaken(t *testing.T) {
+	r, err := New(NewFinder())
+	require.NoError(t, err)
+	t.Cleanup(r.Close)
+	held, err := net.Listen("tcp", r.Address())
+	require.NoError(t, err)
+	time.AfterFunc(150*time.Millisecond, func() { held.Close() })
+	require.NoError(t, r.Up("127.0.0.1:1"))
+}
+
 func TestSilentConnectionsStayOpenWhileNewOnesWork(t *testing.T) {
 	r := newRelay(t)
 	c := dial(t, r)
