--- a/daemon/registry/follow.go
+++ b/daemon/registry/follow.go
@@ -71,8 +71,8 @@
 // meet waits after a list until this VM may know whether others read for it.
 //
 // What goes wrong without it: all VMs start at once, and until they have met each takes
-// itself for a reader. Each opens two watches that nobody needs a moment later; with
-// eighty-six VMs a fifth of a day's calls were of such starts.
+// itself for a reader. Each opens two watches that nobody needs a moment later: with
+// eighty-six VMs 172 calls at each start of all.
 func (r *Registry) meet(ctx context.Context) {
 	if r.readers != nil {
 		pause(ctx, meetTime)
