platform, registry: entries are read one by one, and one that lies names no upstream

Cause: any writer may put an entry into the store. One that could not be decoded made the whole list fail, so that a VM that starts knew no upstream; an unknown state or a missing address counted as ready. One that replaces a sound entry takes its upstream out at once, without counting it as left, so that a reader's word brings it back to VMs that keep no watch. The start of a life (born) is read, orders lives, and an earlier one changes nothing.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -321,6 +321,7 @@
 	gauge("snipeshift_grants_live", float64(d.placer.Live()))
 	vm.WriteCounterUint64(w, "snipeshift_store_calls_total", calls)
 	vm.WriteCounterUint64(w, "snipeshift_store_failures_total", failed)
+	vm.WriteCounterUint64(w, "snipeshift_entries_unusable_total", d.registry.Barred())
 	vm.WriteCounterUint64(w, "snipeshift_log_dropped_total", d.lines.Dropped())
 	vm.WriteProcessMetrics(w)
 }
--- a/daemon/registry/follow.go
+++ b/daemon/registry/follow.go
@@ -150,25 +150,25 @@
 
 func (r *Registry) listUpstreams(ctx context.Context) (route.Mark, error) {
 	sent := r.clock.Now()
-	us, mark, err := r.store.Upstreams(ctx)
+	news, mark, err := r.store.Upstreams(ctx)
 	if err != nil {
 		return 0, err
 	}
-	r.learnUpstreams(us, mark, sent)
+	r.learnUpstreams(news, mark, sent)
 	return mark, nil
 }
 
 func (r *Registry) watchUpstreams(ctx context.Context, after route.Mark, wait clock.Milli) (route.Mark, error) {
 	sent := r.clock.Now()
-	us, gone, mark, err := r.store.WatchUpstreams(ctx, after, wait)
+	news, mark, err := r.store.WatchUpstreams(ctx, after, wait)
 	if err != nil {
 		return 0, err
 	}
 	at := sent
-	if len(us) == 0 && len(gone) == 0 {
+	if len(news.Upstreams) == 0 && len(news.Gone) == 0 && len(news.Unusable) == 0 {
 		at = r.asOf(sent, wait)
 	}
-	r.changeUpstreams(us, gone, mark, at)
+	r.changeUpstreams(news, mark, at)
 	return mark, nil
 }
 
--- a/daemon/registry/peers.go
+++ b/daemon/registry/peers.go
@@ -128,7 +128,7 @@
 	newer := reply.Word.Mark > r.mark
 	r.mu.Unlock()
 	if newer && len(reply.Upstreams) > 0 {
-		r.learnPeers(reply.Upstreams, reply.Word.Mark, sent-reply.UpstreamsAge)
+		r.learnPeers(route.News{Upstreams: reply.Upstreams, Unusable: reply.Unusable}, reply.Word.Mark, sent-reply.UpstreamsAge)
 	}
 	return true
 }
@@ -155,6 +155,9 @@
 		for _, u := range r.upstreams {
 			reply.Upstreams = append(reply.Upstreams, u)
 		}
+		for id, reason := range r.unusable {
+			reply.Unusable = append(reply.Unusable, route.Unusable{ID: id, Reason: reason})
+		}
 	}
 	return nil
 }
--- a/daemon/registry/registry.go
+++ b/daemon/registry/registry.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -28,8 +29,8 @@
 type Store interface {
 	Document(ctx context.Context) (*route.Document, route.Mark, error)
 	WatchDocument(ctx context.Context, after route.Mark, wait clock.Milli) (*route.Document, route.Mark, error)
-	Upstreams(ctx context.Context) ([]route.Upstream, route.Mark, error)
-	WatchUpstreams(ctx context.Context, after route.Mark, wait clock.Milli) ([]route.Upstream, []decide.UpstreamID, route.Mark, error)
+	Upstreams(ctx context.Context) (route.News, route.Mark, error)
+	WatchUpstreams(ctx context.Context, after route.Mark, wait clock.Milli) (route.News, route.Mark, error)
 }
 
 // Peers calls methods of other daemons.
@@ -116,14 +117,17 @@
 	// gone holds upstreams that the store no longer lists and that are kept for
 	// a while, with the instant of their end.
 	gone map[decide.UpstreamID]clock.Milli
-	// left holds upstreams that the store said are gone, and when. A peer's word
-	// never brings one back: it may be older than it says.
-	left        map[decide.UpstreamID]clock.Milli
+	// left holds upstreams that the store said are gone. A peer's word never brings one back
+	// in the life that left: it may be older than it says.
+	left map[decide.UpstreamID]leaver
+	// unusable holds entries that name no upstream, with what is wrong with each.
+	unusable    map[decide.UpstreamID]string
 	upstreamsAt clock.Milli
 	// mark is the position in the store's history at which upstreams were right.
 	mark       route.Mark
 	digest     uint64
 	generation uint64
+	barred     uint64
 	// lost is set while the store fails, back is when it answered again.
 	lost bool
 	back clock.Milli
@@ -138,6 +142,12 @@
 	watches map[string]context.CancelFunc
 }
 
+// leaver is an upstream that left.
+type leaver struct {
+	at   clock.Milli
+	born decide.Born
+}
+
 // Readers names the members that read the store for all.
 type Readers func() Roster
 
@@ -156,7 +166,7 @@
 	r := &Registry{
 		store: s, peers: p, clock: k, log: l, known: make(chan struct{}),
 		upstreams: map[decide.UpstreamID]route.Upstream{}, gone: map[decide.UpstreamID]clock.Milli{},
-		left: map[decide.UpstreamID]clock.Milli{}, watches: map[string]context.CancelFunc{},
+		left: map[decide.UpstreamID]leaver{}, unusable: map[decide.UpstreamID]string{}, watches: map[string]context.CancelFunc{},
 	}
 	r.view.Store(&View{})
 	return r
@@ -220,10 +230,11 @@
 }
 
 // learnUpstreams takes a whole list of the store's that was right at an instant and a mark.
-func (r *Registry) learnUpstreams(us []route.Upstream, mark route.Mark, at clock.Milli) {
+func (r *Registry) learnUpstreams(news route.News, mark route.Mark, at clock.Milli) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.takeList(us, mark, at, r.remove)
+	r.bar(news.Unusable)
+	r.takeList(news.Upstreams, mark, at, r.remove)
 }
 
 // takeList takes a whole list; remove is called for what it lacks. The lock is held.
@@ -250,15 +261,18 @@
 // while the store turns us away: peers that keep entries on suspicion tell no list. But if nobody
 // had new knowledge for long, the store was away for all, and a peer that has just started
 // does not know what lapsed meanwhile: then entries are kept as after our own first answer.
-func (r *Registry) learnPeers(us []route.Upstream, mark route.Mark, at clock.Milli) {
+func (r *Registry) learnPeers(news route.News, mark route.Mark, at clock.Milli) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	kept := make([]route.Upstream, 0, len(us))
-	for _, u := range us {
-		if _, left := r.left[u.ID]; left {
+	r.bar(news.Unusable)
+	kept := make([]route.Upstream, 0, len(news.Upstreams))
+	for _, u := range news.Upstreams {
+		if l, left := r.left[u.ID]; left && u.Born <= l.born {
 			continue
 		}
-		u.Leaving = u.Leaving || r.upstreams[u.ID].Leaving
+		if old := r.upstreams[u.ID]; u.Born <= old.Born {
+			u.Leaving = u.Leaving || old.Leaving
+		}
 		kept = append(kept, u)
 	}
 	until := r.clock.Now()
@@ -273,34 +287,77 @@
 }
 
 // changeUpstreams takes changes that were right at an instant and a mark.
-func (r *Registry) changeUpstreams(us []route.Upstream, gone []decide.UpstreamID, mark route.Mark, at clock.Milli) {
+func (r *Registry) changeUpstreams(news route.News, mark route.Mark, at clock.Milli) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, u := range us {
+	r.bar(news.Unusable)
+	for _, u := range news.Upstreams {
 		r.put(u, true)
 	}
-	for _, id := range gone {
+	for _, id := range news.Gone {
+		delete(r.unusable, id)
 		r.remove(id)
 	}
 	r.settle(mark, at)
 }
 
 // put enters an upstream, and writes a line of it if told. The lock is held.
+//
+// An entry of an earlier life than is known changes nothing: it was written before that life
+// ended, and held up on its way.
 func (r *Registry) put(u route.Upstream, tell bool) {
+	old, ok := r.upstreams[u.ID]
+	if ok && u.Born < old.Born {
+		return
+	}
 	delete(r.gone, u.ID)
 	delete(r.left, u.ID)
-	old, ok := r.upstreams[u.ID]
+	delete(r.unusable, u.ID)
 	if ok && old == u {
 		return
 	}
 	if tell {
 		r.log.Info().Str(logline.Key, logline.Upstream).Str("upstream", string(u.ID)).Str("service", string(u.Service)).
-			Str("address", u.Address).Bool("leaving", u.Leaving).Bool("new", !ok).Msg("upstream changed")
+			Str("address", u.Address).Bool("leaving", u.Leaving).Bool("new", !ok).Int64("born", int64(u.Born)).
+			Bool("reborn", ok && u.Born > old.Born).Msg("upstream changed")
 	}
 	r.upstreams[u.ID] = u
 	r.generation++
 }
 
+// unusableKept bounds what is remembered of entries that name no upstream, so that a writer that
+// fills the store costs no memory here.
+const unusableKept = 1024
+
+// bar takes upstreams out whose entries name none any more. The lock is held.
+//
+// The entry of an upstream that was there may be overwritten by somebody else. What it said before is
+// not true any more, so nothing is sent there until a sound entry stands in its place:
+// its own next heartbeat writes one. It has not left, so a peer may tell us that it is back. The line
+// for the log is written once for each reason.
+func (r *Registry) bar(us []route.Unusable) {
+	for _, u := range us {
+		if _, known := r.upstreams[u.ID]; known {
+			delete(r.upstreams, u.ID)
+			delete(r.gone, u.ID)
+			r.generation++
+		}
+		if r.unusable[u.ID] == u.Reason {
+			continue
+		}
+		if len(r.unusable) >= unusableKept {
+			clear(r.unusable)
+		}
+		r.unusable[u.ID] = u.Reason
+		r.barred++
+		r.log.Warn().Str(logline.Key, logline.Unusable).Str("upstream", string(u.ID)).Str("reason", u.Reason).
+			Msg("an entry names no upstream to use")
+	}
+}
+
+// Barred counts the entries that named no upstream, each once for each reason.
+func (r *Registry) Barred() uint64 { r.mu.Lock(); defer r.mu.Unlock(); return r.barred }
+
 // remove takes an upstream out, at once or, shortly after the store was away, a
 // while later. The lock is held.
 func (r *Registry) remove(id decide.UpstreamID) {
@@ -326,13 +383,13 @@
 			continue
 		}
 		delete(r.gone, id)
+		r.left[id] = leaver{now, r.upstreams[id].Born}
 		delete(r.upstreams, id)
-		r.left[id] = now
 		r.generation++
 		r.log.Info().Str(logline.Key, logline.Upstream).Str("upstream", string(id)).Bool("gone", true).Msg("upstream is gone")
 	}
-	for id, since := range r.left {
-		if now-since > leftKept {
+	for id, l := range r.left {
+		if now-l.at > leftKept {
 			delete(r.left, id)
 		}
 	}
@@ -356,6 +413,7 @@
 		if us[id].Leaving {
 			_, _ = d.WriteString("!")
 		}
+		_, _ = d.WriteString(strconv.FormatInt(int64(us[id].Born), 36))
 		_, _ = d.Write([]byte{0})
 	}
 	return d.Sum64()
--- a/lib/decide/api.go
+++ b/lib/decide/api.go
@@ -21,6 +21,9 @@
 	WorkspaceID string
 	// UpstreamID names an upstream of the document.
 	UpstreamID string
+	// Born is the Unix millisecond, by the upstream's own clock, at which one of its lives began; zero
+	// where it is not told. Lives of one upstream are told apart and ordered by it.
+	Born int64
 	// GateID names the VM and incarnation that holds the caller's connection.
 	GateID string
 	// GrantID is unique over owners: its upper bits come from Config.Epoch.
--- a/lib/exchange/exchange.go
+++ b/lib/exchange/exchange.go
@@ -56,6 +56,8 @@
 	Used decide.Tokens
 	// Pace is how many times as long as usual its work takes; zero if it does not say.
 	Pace float64
+	// Born is the life that speaks; zero if it does not say.
+	Born decide.Born
 }
 
 // Word is what the header of an upstream's answer says of itself.
--- a/lib/logline/logline.go
+++ b/lib/logline/logline.go
@@ -21,6 +21,8 @@
 	// Upstreams is the first list, Upstream a change of one.
 	Upstreams = "upstreams"
 	Upstream  = "upstream"
+	// Unusable is an entry of the store that names no upstream to use.
+	Unusable = "unusable"
 	// Unreachable and Reached are about dependencies: the store, an owner, a peer.
 	Unreachable = "unreachable"
 	Reached     = "reached"
@@ -46,6 +48,7 @@
 	Rejected:    "a document is not taken, and why",
 	Upstreams:   "the first list of upstreams is known",
 	Upstream:    "an upstream is new, changed, leaving or gone",
+	Unusable:    "an entry of the store names no upstream to use, and why; once for each reason",
 	Unreachable: "a dependency does not answer: the store, an owner, a peer",
 	Reached:     "a lost dependency answers again",
 	Owner:       "another VM is asked for the places of a service",
--- a/lib/peer/messages.go
+++ b/lib/peer/messages.go
@@ -184,6 +184,9 @@
 	// Upstreams is empty where the asker has the same ones.
 	Upstreams    []route.Upstream
 	UpstreamsAge clock.Milli
+	// Unusable are entries that name no upstream to use; told with Upstreams. Those that such an entry
+	// replaced have not left: they are back with their next heartbeat.
+	Unusable []route.Unusable
 	// Word is how far the knowledge goes from which the reply is made.
 	Word RegistryWord
 }
--- a/lib/route/doc.go
+++ b/lib/route/doc.go
@@ -130,9 +130,11 @@
 	Reading, Idle clock.Milli
 }
 
-// Upstream is one process that serves a service, in one life: another life has another ID.
+// Upstream is one process that serves a service, in one life.
 type Upstream struct {
-	ID      decide.UpstreamID
+	ID decide.UpstreamID
+	// Born tells its lives apart: an upstream that crashed may come back under its ID.
+	Born    decide.Born
 	Service ServiceID
 	// Address may serve another upstream once this one is gone.
 	Address string
@@ -142,3 +144,19 @@
 	// Leaving is set once it has announced that it will end; it takes no new request.
 	Leaving bool
 }
+
+// Unusable is an entry that names no upstream to use.
+type Unusable struct {
+	ID decide.UpstreamID
+	// Reason says what is wrong with the entry.
+	Reason string
+}
+
+// News is what the platform's store says of upstreams: all of them in a list, or what changed.
+type News struct {
+	Upstreams []Upstream
+	// Gone are those whose entries were removed; empty in a list.
+	Gone []decide.UpstreamID
+	// Unusable are entries that somebody wrote and that name no upstream to use.
+	Unusable []Unusable
+}
