span, relay, quarantine: a new life of an upstream starts with clean books

Cause: an upstream may start again under its id. The books kept its earlier life's grants, rest, pace and doubt for up to three seconds, the gate kept connections to a process that is gone, and two deaths of one id within two seconds counted as one. Now a later born, from the list or the upstream's own report, begins a row anew; a grant says the life it was made in, and what is told of an earlier one weighs nothing; connections are pooled by life; the quarantine counts deaths by life. Ruled out: cutting streams that still hang on the earlier life at once. A connection opened to the new life before its entry is known looks the same, and clocks may step.

--- a/daemon/caller/harness_test.go
+++ b/daemon/caller/harness_test.go
@@ -159,7 +159,7 @@
 	f.refunded += t
 }
 
-func (f *fakes) Died(p uint64, _ decide.UpstreamID) {
+func (f *fakes) Died(p uint64, _ decide.UpstreamID, _ decide.Born) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.deaths[p]++
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -173,7 +173,7 @@
 
 func upstreamTransport() *http.Transport {
 	return &http.Transport{
-		DialContext:        (&net.Dialer{Timeout: upstreamDial}).DialContext,
+		DialContext:        relay.DialLives((&net.Dialer{Timeout: upstreamDial}).DialContext),
 		DisableCompression: true, MaxIdleConnsPerHost: keptEach, IdleConnTimeout: upstreamIdle,
 		WriteBufferSize: 16 << 10,
 	}
--- a/daemon/quarantine/quarantine.go
+++ b/daemon/quarantine/quarantine.go
@@ -85,10 +85,10 @@
 // upstreams sends it again at once, the balancer hands it to another VM, which
 // hears of the deaths with the next heartbeat - half a second too late for a
 // third upstream. One would notice engines dying in a row under one workspace.
-func (q *Quarantine) Died(fingerprint uint64, u decide.UpstreamID) {
+func (q *Quarantine) Died(fingerprint uint64, u decide.UpstreamID, born decide.Born) {
 	q.mu.Lock()
 	now := q.clock.Now()
-	q.table.Died(now, fingerprint, u)
+	q.table.Died(now, fingerprint, u, born)
 	var word []peer.Suspect
 	for _, s := range q.table.Digest(now, maxTable) {
 		if s.Fingerprint == fingerprint {
--- a/daemon/relay/gate.go
+++ b/daemon/relay/gate.go
@@ -54,7 +54,7 @@
 	Check(fingerprint uint64) gate.Verdict
 	Begin(fingerprint uint64) bool
 	End(fingerprint uint64, whole bool)
-	Died(fingerprint uint64, u decide.UpstreamID)
+	Died(fingerprint uint64, u decide.UpstreamID, born decide.Born)
 }
 
 // Memory reserves KV memory on engines.
--- a/daemon/relay/harness_test.go
+++ b/daemon/relay/harness_test.go
@@ -124,10 +124,10 @@
 
 type noSuspects struct{ check gate.Verdict }
 
-func (n noSuspects) Check(uint64) gate.Verdict    { return n.check }
-func (noSuspects) Begin(uint64) bool              { return true }
-func (noSuspects) End(uint64, bool)               {}
-func (noSuspects) Died(uint64, decide.UpstreamID) {}
+func (n noSuspects) Check(uint64) gate.Verdict                 { return n.check }
+func (noSuspects) Begin(uint64) bool                           { return true }
+func (noSuspects) End(uint64, bool)                            {}
+func (noSuspects) Died(uint64, decide.UpstreamID, decide.Born) {}
 
 // world is a gate before upstreams that a test scripts.
 type world struct {
@@ -165,7 +165,7 @@
 		})
 	}
 	w.learn(2*clock.Second, "key")
-	transport := &http.Transport{DisableCompression: true}
+	transport := &http.Transport{DisableCompression: true, DialContext: DialLives((&net.Dialer{}).DialContext)}
 	t.Cleanup(transport.CloseIdleConnections)
 	w.needs = Needs{
 		Clock: clock.Boot{}, Log: &log.Logger{Level: log.FatalLevel}, Codec: testCodec{}, Placer: w.placer, Knowledge: w.known,
--- a/daemon/relay/send.go
+++ b/daemon/relay/send.go
@@ -67,21 +67,21 @@
 		return res
 	}
 	defer memory.free()
-	res = x.exchange(ctx, cancel, grant, memory.helpers(grant), v)
+	res = x.exchange(ctx, cancel, grant, host(u.Address, u.Born), memory.helpers(grant), v)
 	if res.suspicious && g.died(grant.Leader.Address) {
-		g.Suspects.Died(x.fingerprint, grant.Leader.Upstream)
+		g.Suspects.Died(x.fingerprint, u.ID, u.Born)
 		res.outcome = span.Unreachable
 	}
 	return res
 }
 
 // exchange is one request and its answer on one connection.
-func (x *flight) exchange(ctx context.Context, cancel context.CancelCauseFunc, grant span.Grant, helpers []exchange.Helper, v *registry.View) result {
+func (x *flight) exchange(ctx context.Context, cancel context.CancelCauseFunc, grant span.Grant, host string, helpers []exchange.Helper, v *registry.View) result {
 	w := newWatchdog(x.gate, grant.Leader.Address, x.firstLimits(grant), func() { cancel(errSilent) })
 	defer w.stop()
 	var wrote atomic.Bool
 	trace := &httptrace.ClientTrace{WroteHeaders: func() { wrote.Store(true) }, GotConn: func(httptrace.GotConnInfo) { wrote.Store(true) }}
-	r := x.outgoing(httptrace.WithClientTrace(ctx, trace), grant, helpers)
+	r := x.outgoing(httptrace.WithClientTrace(ctx, trace), grant, host, helpers)
 	resp, err := x.transport().RoundTrip(r)
 	if err != nil {
 		return x.broken(ctx, err, wrote.Load())
@@ -194,15 +194,15 @@
 // outgoing is the request for an upstream. Its body cannot be rewound, so that
 // http.Transport never sends it a second time by itself when a kept connection
 // turns out closed: only the flight decides on a second send.
-func (x *flight) outgoing(ctx context.Context, grant span.Grant, helpers []exchange.Helper) *http.Request {
-	u := &url.URL{Scheme: "http", Host: grant.Leader.Address, Opaque: x.r.RequestURI}
+func (x *flight) outgoing(ctx context.Context, grant span.Grant, host string, helpers []exchange.Helper) *http.Request {
+	u := &url.URL{Scheme: "http", Host: host, Opaque: x.r.RequestURI}
 	if strings.HasPrefix(x.r.RequestURI, "//") {
 		path, query, has := strings.Cut(x.r.RequestURI, "?")
 		plain, err := url.PathUnescape(path)
 		if err != nil {
 			plain = path
 		}
-		u = &url.URL{Scheme: "http", Host: grant.Leader.Address, Path: plain, RawPath: path, RawQuery: query, ForceQuery: has}
+		u = &url.URL{Scheme: "http", Host: host, Path: plain, RawPath: path, RawQuery: query, ForceQuery: has}
 	}
 	send := exchange.Send{
 		Upstream: grant.Leader.Upstream, Workspace: x.workspace(), Left: x.left(), Keyed: x.keyed, Helpers: helpers, Last: x.last,
--- a/lib/decide/gate/quarantine.go
+++ b/lib/decide/gate/quarantine.go
@@ -39,8 +39,9 @@
 	Deaths      int
 	// Left is how long the entry still holds.
 	Left clock.Milli
-	// Last is the upstream of the newest death counted, Ago the time since.
+	// Last is the upstream of the newest death counted, Born its life, Ago the time since.
 	Last decide.UpstreamID
+	Born decide.Born
 	Ago  clock.Milli
 }
 
@@ -60,8 +61,9 @@
 type entry struct {
 	deaths int
 	until  clock.Milli
-	// last is the upstream of the newest death counted, at when that was.
+	// last is the upstream of the newest death counted, born its life, at when that was.
 	last decide.UpstreamID
+	born decide.Born
 	at   clock.Milli
 }
 
@@ -110,15 +112,16 @@
 // An engine that dies under several copies of one request dies once. Counted by copy,
 // an alert lookup that many callers send in the same words would be refused to all of
 // them for half an hour because one engine lost power.
-func (q *Quarantine) Died(now clock.Milli, fingerprint uint64, u decide.UpstreamID) Verdict {
+// Lives that are told apart die apart, however soon one follows another.
+func (q *Quarantine) Died(now clock.Milli, fingerprint uint64, u decide.UpstreamID, born decide.Born) Verdict {
 	e := q.entries[fingerprint]
 	if e.until <= now {
 		e = entry{}
 	}
-	if e.deaths > 0 && e.last == u && now-e.at < sameDeath {
+	if e.deaths > 0 && e.last == u && e.born == born && (born > 0 || now-e.at < sameDeath) {
 		return q.Check(now, fingerprint)
 	}
-	q.put(now, fingerprint, entry{e.deaths + 1, now + q.hold, u, now})
+	q.put(now, fingerprint, entry{e.deaths + 1, now + q.hold, u, born, now})
 	return q.Check(now, fingerprint)
 }
 
@@ -143,7 +146,7 @@
 			e = entry{}
 		}
 		if s.Deaths > e.deaths || s.Deaths == e.deaths && now+left > e.until {
-			q.put(now, s.Fingerprint, entry{s.Deaths, max(e.until, now+left), s.Last, now - s.Ago})
+			q.put(now, s.Fingerprint, entry{s.Deaths, max(e.until, now+left), s.Last, s.Born, now - s.Ago})
 		}
 	}
 }
@@ -156,7 +159,7 @@
 			delete(q.entries, f)
 			continue
 		}
-		list = append(list, Suspect{f, e.deaths, e.until - now, e.last, now - e.at})
+		list = append(list, Suspect{f, e.deaths, e.until - now, e.last, e.born, now - e.at})
 	}
 	slices.SortFunc(list, worse)
 	return list[:min(limit, len(list))]
@@ -184,6 +187,6 @@
 	kept := q.Digest(now, suspectsKept/2)
 	clear(q.entries)
 	for _, s := range kept {
-		q.entries[s.Fingerprint] = entry{s.Deaths, now + s.Left, s.Last, now - s.Ago}
+		q.entries[s.Fingerprint] = entry{s.Deaths, now + s.Left, s.Last, s.Born, now - s.Ago}
 	}
 }
--- a/lib/decide/span/foreign.go
+++ b/lib/decide/span/foreign.go
@@ -43,9 +43,12 @@
 // may have ended: it only ever adds work for which there is no grant.
 func (p *Pool) Report(id decide.UpstreamID, l exchange.Load) {
 	r := p.rows[id]
-	if r == nil {
+	if r == nil || r.earlier(l.Born) {
 		return
 	}
+	if r.newer(l.Born) {
+		r.renew(l.Born)
+	}
 	doubted := r.doubtful || r.foreign > 0
 	r.doubtful, r.suspected, r.pace = false, false, max(1, l.Pace)
 	if !doubted {
--- /dev/null
+++ b/lib/decide/span/life.go
@@ -0,0 +1,44 @@
+package span
+
+import (
+	"slices"
+
+	"snipeshift.example/lib/decide"
+)
+
+// What goes wrong without this file: an engine crashes and starts again under the id that it had. It holds nothing,
+// and the books still count the reads, streams and memory of its earlier life, shut it out for that
+// life's failures, or take it for slow. One notices an idle engine that gets no work for seconds after its
+// return, or a burst that it gets when those grants lapse together.
+
+// newer tells whether a word of a life speaks of a later one than is known. An upstream that did
+// not tell its life before has not begun a new one by telling it.
+func (r *row) newer(born decide.Born) bool { return r.Born > 0 && born > r.Born }
+
+// earlier tells whether a word speaks of a life that is over.
+func (r *row) earlier(born decide.Born) bool { return born > 0 && born < r.Born }
+
+// renew forgets what was known of the upstream's earlier life. Its grants stay in the pool's table
+// until their gates have told how they ended, but weigh on the upstream no more.
+func (r *row) renew(born decide.Born) {
+	for _, g := range r.grants {
+		g.rows = slices.DeleteFunc(g.rows, func(x *row) bool { return x == r })
+	}
+	clear(r.grants)
+	u, e := r.Upstream, r.engine
+	u.Born = born
+	*r = row{Upstream: u, engine: e, grants: r.grants}
+}
+
+// born is the life of an upstream in which a grant was made; zero if it is not known.
+func (g *Grant) born(id decide.UpstreamID) decide.Born {
+	if g.Leader.Upstream == id {
+		return g.Leader.Born
+	}
+	for _, h := range g.Helpers {
+		if h.Upstream == id {
+			return h.Born
+		}
+	}
+	return 0
+}
--- a/lib/decide/span/place.go
+++ b/lib/decide/span/place.go
@@ -267,7 +267,7 @@
 func (p *Pool) grant(now clock.Milli, a *Ask, pl plan) Grant {
 	g := Grant{
 		Request: a.ID, Gate: a.Gate, Prompt: a.Prompt, Output: a.Output, Gap: a.Gap, Stream: a.Stream,
-		Leader: Place{Upstream: pl.leader.ID, Address: pl.leader.Address, Read: pl.part},
+		Leader: Place{Upstream: pl.leader.ID, Born: pl.leader.Born, Address: pl.leader.Address, Read: pl.part},
 		First:  clock.Milli(pl.first),
 	}
 	over := decide.Tokens(0)
@@ -277,7 +277,7 @@
 	for _, h := range pl.helpers {
 		keep := min(max(over, 0), h.free())
 		over -= keep
-		g.Helpers = append(g.Helpers, Place{Upstream: h.ID, Address: h.Address, Read: pl.part, Reserve: keep})
+		g.Helpers = append(g.Helpers, Place{Upstream: h.ID, Born: h.Born, Address: h.Address, Read: pl.part, Reserve: keep})
 	}
 	p.adopt(now, Live{Grant: g}, *a)
 	return g
--- a/lib/decide/span/pool.go
+++ b/lib/decide/span/pool.go
@@ -59,6 +59,13 @@
 			r = &row{grants: map[decide.RequestID]*granted{}}
 			p.rows[u.ID] = r
 		}
+		switch {
+		case r.newer(u.Born):
+			r.renew(u.Born)
+		case r.earlier(u.Born):
+			// The upstream's own word of a new life came before the list's.
+			u.Born = r.Born
+		}
 		r.Upstream, r.engine = u, p.engine
 	}
 	for id, r := range p.rows {
@@ -156,7 +163,7 @@
 	if culprit == "" {
 		culprit = g.Grant.Leader.Upstream
 	}
-	if r := p.rows[culprit]; r != nil {
+	if r := p.rows[culprit]; r != nil && !r.earlier(g.Grant.born(culprit)) {
 		r.health.note(now, o)
 		if o == Full {
 			r.turned(now)
@@ -194,7 +201,7 @@
 	p.grants[l.Grant.Request] = g
 	for _, pl := range append([]Place{l.Grant.Leader}, l.Grant.Helpers...) {
 		r := p.rows[pl.Upstream]
-		if r == nil {
+		if r == nil || r.earlier(pl.Born) {
 			continue
 		}
 		read := pl.Read
--- a/lib/decide/span/span.go
+++ b/lib/decide/span/span.go
@@ -69,7 +69,9 @@
 // Place is an upstream with the work that a grant puts on it.
 type Place struct {
 	Upstream decide.UpstreamID
-	Address  string
+	// Born is the upstream's life that was known when the place was chosen.
+	Born    decide.Born
+	Address string
 	// Reserve is the KV memory in tokens that must be reserved there before the
 	// request is sent; zero for none.
 	Reserve decide.Tokens
--- a/lib/peer/messages.go
+++ b/lib/peer/messages.go
@@ -197,8 +197,9 @@
 	Deaths      int
 	// Left is how long the entry still holds.
 	Left clock.Milli
-	// Last is the upstream of the newest death counted, Ago the time since.
+	// Last is the upstream of the newest death counted, Born its life, Ago the time since.
 	Last decide.UpstreamID
+	Born decide.Born
 	Ago  clock.Milli
 }
 
--- a/scenarios/fleet/fleet.go
+++ b/scenarios/fleet/fleet.go
@@ -138,10 +138,15 @@
 	r.Crash()
 }
 
-// Renew starts the next life of a runner at the same address.
-func (f *Fleet) Renew(old *standin.Runner) error {
+// Renew starts a runner with another id at the address of one that has ended.
+func (f *Fleet) Renew(old *standin.Runner) error { return f.follow(old, f.Platform.Renew) }
+
+// Revive starts the next life of a runner under its id, at the same address.
+func (f *Fleet) Revive(old *standin.Runner) error { return f.follow(old, f.Platform.Revive) }
+
+func (f *Fleet) follow(old *standin.Runner, start func(*standin.Runner) *standin.Runner) error {
 	l := f.Upstream(old)
-	r := f.Platform.Renew(old)
+	r := start(old)
 	if err := l.Up(r.Listens()); err != nil {
 		return err
 	}
--- a/scenarios/platform_test.go
+++ b/scenarios/platform_test.go
@@ -245,3 +245,54 @@
 	require.LessOrEqual(t, runs, 3)
 	require.Eventually(t, func() bool { return c.Call(f.VMs[0].Caller, "lookup").Whole }, 5*time.Second, 100*time.Millisecond, "others are served")
 }
+
+// Another writer puts entries into the store that name no upstream, and overwrites one that does. A VM that took
+// the whole list for unreadable would refuse every request; one that took them at their word would send requests to nowhere.
+func TestPlatformEntriesOfAnotherWriter(t *testing.T) {
+	f := newFleet(t, 3)
+	l := newLoad(f)
+	time.Sleep(time.Second)
+	for i, specification := range []any{
+		7, "bytes", nil,
+		[]string{},
+		map[string]any{},
+		map[string]any{"service": standin.Model, "address": "127.0.0.1:1", "state": "ready"},
+		map[string]any{"service": standin.Model, "address": "nowhere", "zone": "hall", "version": "v1", "slots": 16, "state": "ready", "cold_remaining_ms": 0, "sequence": 1},
+		map[string]any{"service": "nobody", "address": "127.0.0.1:1", "zone": "hall", "version": "v1", "slots": 16, "state": "ready", "cold_remaining_ms": 0, "sequence": 1},
+		map[string]any{"service": standin.Desk, "address": "127.0.0.1:1", "zone": "hall", "version": "v1", "slots": 16, "state": "starting", "cold_remaining_ms": 0, "sequence": 1},
+	} {
+		f.Platform.Forge(fmt.Sprintf("i-forged%d", i), specification)
+	}
+	spoilt := f.Platform.Models[0]
+	spoilt.Spoil(map[string]any{"service": 7})
+	time.Sleep(2 * time.Second)
+	spoilt.Register()
+	time.Sleep(time.Second)
+	l.end(t, f)
+	for _, v := range f.VMs {
+		v.Process.Kill()
+	}
+	for _, v := range f.VMs {
+		require.NoError(t, f.Start(v))
+	}
+	for _, v := range f.VMs {
+		require.NoError(t, v.AwaitReady(startLimit), "VMs that all start anew have the store's list alone")
+		require.True(t, standin.NewCaller("ward").Call(v.Caller, "draft").Whole)
+		require.NotEmpty(t, v.Process.Grep(`"event":"unusable"`), v.Name)
+	}
+}
+
+// An engine crashes under its streams and starts again under its id and address. They are continued by others, and
+// the engine gets work again: it would stand idle if the books still held what its earlier life had.
+func TestPlatformRunnerComesBackUnderItsID(t *testing.T) {
+	f := newFleet(t, 3)
+	l := newLoad(f)
+	time.Sleep(time.Second)
+	old := f.Platform.Models[0]
+	f.Crash(old)
+	time.Sleep(time.Second)
+	require.NoError(t, f.Revive(old))
+	revived := f.Platform.Models[0]
+	require.Eventually(t, func() bool { return revived.Ran() > 0 }, 3*time.Second, 50*time.Millisecond)
+	l.end(t, f)
+}
