--- a/daemon/relay/story.go
+++ b/daemon/relay/story.go
@@ -69,7 +69,7 @@
 	g.metrics.request(routeName, name, s.first, s.queued, total)
 	e = e.Str(logline.Key, logline.Request).Str("id", x.head.ID).Str("route", routeName).Str("service", string(x.service)).
 		Str("workspace", string(x.workspace())).Uint64("revision", s.revision).Int64("age", int64(s.age)).
-		Int64("prompt", int64(x.head.Prompt)).Int64("queued", int64(s.queued)).Str("reason", s.reason).
+		Int64("prompt", int64(x.head.Prompt)).Int64("left", int64(x.head.Left)).Str("last", x.head.Last).Int64("queued", int64(s.queued)).Str("reason", s.reason).
 		Int("waiting", s.waiting).Int("running", s.running).
 		Str("sends", strings.Join(s.sends, "; ")).Int64("first", int64(s.first)).Int64("pause", int64(s.pause)).
 		Int("events", s.events).Int64("total", int64(total)).Int("status", s.status).Str("outcome", name)
