span: an engine's report is held against the books of its own time, and lateness counts as work

Cause: reports are 200 ms old, and were held against the grants of now: each request granted meanwhile hid one that the engine still ran for a caller who was gone. And an overdue first byte told nothing until it came. Now a report is held against the grants of its moment (report_lag_ms), an overdue first byte makes its engine busy for as long again, and it is asked for its load.

--- a/daemon/placer/owner.go
+++ b/daemon/placer/owner.go
@@ -200,7 +200,7 @@
 		h.pool.Unreported(id)
 		return
 	}
-	h.pool.Report(id, load)
+	h.pool.Report(o.Clock.Now(), id, load)
 	if load.Requests == 0 && load.Pace <= 1 {
 		return
 	}
--- a/lib/decide/span/engine.go
+++ b/lib/decide/span/engine.go
@@ -25,6 +25,8 @@
 	// doubtful is set from the moment at which the books are known to miss work
 	// there, until a report says what it is.
 	doubtful bool
+	// ended is when requests ended here of which a report may still tell, oldest first.
+	ended []clock.Milli
 	// pace is how many times as long as usual work takes there, by its last report; zero if it
 	// never reported. Suspected is set if that should be asked.
 	pace      float64
@@ -48,13 +50,22 @@
 // out and the word of the end has not come.
 const overdue = 60.0
 
-// debt is the reading that is granted and not done, in milliseconds.
+// debt is the reading that is granted and not done, in milliseconds. An engine whose first byte
+// is late is taken to be busy for as long again: what holds it up is not in the books.
+//
+// What goes wrong without that: an engine still works for callers who are gone, or has died, and one
+// short request after the other is packed on it, each as late as the one before.
 func (r *row) debt(now clock.Milli) float64 {
 	left := max(0, r.until-float64(now))
-	if left < overdue && r.engine != nil && r.reading > 0 {
-		return overdue
+	if r.engine == nil || r.reading == 0 {
+		return left
 	}
-	return left
+	return max(left, overdue, float64(now-r.due))
+}
+
+// overruns tells whether a first byte is so late that the books must be missing work.
+func (r *row) overruns(now clock.Milli) bool {
+	return r.engine != nil && r.reading > 0 && now-r.due > lateSlack
 }
 
 // sums are what follows from a row's grants. They are worked out when grants change:
@@ -64,14 +75,16 @@
 	// will be, and context is their tokens.
 	streams int
 	context decide.Tokens
-	// reading counts the grants whose prompt is not read yet.
+	// reading counts the grants whose prompt is not read yet, and due is when the first byte of
+	// one of them should be there.
 	reading int
+	due     clock.Milli
 	// suspects counts the grants of requests that an upstream died of.
 	suspects int
 	// pause is the shortest pause that the streams bear; zero for none.
 	pause clock.Milli
-	// known is the KV memory in tokens that grants take.
-	known decide.Tokens
+	// taken is the KV memory in tokens that grants take.
+	taken decide.Tokens
 }
 
 // refresh works the sums out anew.
@@ -79,18 +92,21 @@
 	r.sums = sums{}
 	for _, g := range r.grants {
 		if !g.Writing {
+			if due := g.at + g.Grant.First; r.reading == 0 || due < r.due {
+				r.due = due
+			}
 			r.reading++
 		}
 		if g.ask.Suspect {
 			r.suspects++
 		}
 		if !g.leads(r) {
-			r.known += g.reserved(r)
+			r.taken += g.reserved(r)
 			continue
 		}
 		r.streams++
 		r.context += g.Grant.Prompt + g.Grant.Output
-		r.known += g.Grant.Prompt + g.Grant.Output - reserved(g.Grant.Helpers)
+		r.taken += g.Grant.Prompt + g.Grant.Output - reserved(g.Grant.Helpers)
 		if g.Grant.Gap > 0 && (r.pause == 0 || g.Grant.Gap < r.pause) {
 			r.pause = g.Grant.Gap
 		}
@@ -114,7 +130,7 @@
 }
 
 // used is the KV memory in tokens that is taken here.
-func (r *row) used() decide.Tokens { return r.foreignUsed + r.known }
+func (r *row) used() decide.Tokens { return r.foreignUsed + r.taken }
 
 func reserved(ps []Place) decide.Tokens {
 	var sum decide.Tokens
--- a/lib/decide/span/foreign.go
+++ b/lib/decide/span/foreign.go
@@ -38,10 +38,17 @@
 	}
 }
 
-// Report takes an upstream's own word on its load. It is some hundred
-// milliseconds old, so grants newer than that are not in it, and what it counts
-// may have ended: it only ever adds work for which there is no grant.
-func (p *Pool) Report(id decide.UpstreamID, l exchange.Load) {
+// arrives is what passes between a grant and its request's arrival at the upstream, in
+// milliseconds: two ways among VMs of a region, and one to the upstream.
+const arrives clock.Milli = 10
+
+// Report takes an upstream's own word on its load. It is some hundred milliseconds old: what was granted since
+// is not in it, and what has ended since still is. Only what it counts beyond the books of that
+// moment is work for which there is no grant.
+//
+// What goes wrong if it is held against the books of now: short requests that were granted meanwhile are taken for
+// the callers who are gone, the engine looks free by as many, and gets a dozen more than it can run.
+func (p *Pool) Report(now clock.Milli, id decide.UpstreamID, l exchange.Load) {
 	r := p.rows[id]
 	if r == nil || r.earlier(l.Born) {
 		return
@@ -49,17 +56,55 @@
 	if r.newer(l.Born) {
 		r.renew(l.Born)
 	}
-	doubted := r.doubtful || r.foreign > 0
+	doubted := r.doubtful || r.foreign > 0 || r.suspected
 	r.doubtful, r.suspected, r.pace = false, false, max(1, l.Pace)
 	if !doubted {
-		// It was asked for its pace alone. The books are right, and its count of requests is older.
+		// It was asked for its pace alone, and the books are right.
 		return
 	}
-	r.foreign = max(0, l.Requests-r.streams)
-	r.foreignUsed = 0
+	requests, used := r.known(now)
+	r.foreign, r.foreignUsed = max(0, l.Requests-requests), 0
 	if r.foreign > 0 {
-		r.foreignUsed = max(0, l.Used-r.known)
+		r.foreignUsed = max(0, l.Used-used)
+	}
+}
+
+// known is how many requests and how much memory a report of now tells of that grants explain. Whether
+// engines count the parts that they read for others, nothing says: they are taken as counted.
+func (r *row) known(now clock.Milli) (requests int, used decide.Tokens) {
+	at := now
+	if r.engine != nil {
+		at -= r.engine.Lag
+	}
+	for _, g := range r.grants {
+		if g.at+arrives > at {
+			continue
+		}
+		requests++
+		if !g.leads(r) {
+			used += g.reserved(r)
+			continue
+		}
+		used += g.Grant.Prompt + g.Grant.Output - reserved(g.Grant.Helpers)
+	}
+	for _, end := range r.ended {
+		if end > at {
+			requests++
+		}
+	}
+	return requests, used
+}
+
+// ends notes that a request, or its part, has ended here.
+func (r *row) ends(now clock.Milli) {
+	if r.engine == nil {
+		return
+	}
+	keep := 0
+	for keep < len(r.ended) && r.ended[keep] <= now-r.engine.Lag-arrives {
+		keep++
 	}
+	r.ended = append(r.ended[keep:], now)
 }
 
 // Unreported ends the doubt about an upstream that does not report.
--- a/lib/decide/span/life_test.go
+++ b/lib/decide/span/life_test.go
@@ -49,15 +49,15 @@
 	b := newBench(t, 0)
 	b.lives(5)
 	b.Doubt()
-	b.Report("e00", exchange.Load{Requests: 9, Used: 400_000, Pace: 4, Born: 5})
+	b.Report(now, "e00", exchange.Load{Requests: 9, Used: 400_000, Pace: 4, Born: 5})
 	r := b.rows["e00"]
 	require.True(t, r.slow())
 	r.health.shut(now)
-	b.Report("e00", exchange.Load{Pace: 1, Born: 6})
+	b.Report(now, "e00", exchange.Load{Pace: 1, Born: 6})
 	require.False(t, r.slow())
 	require.Zero(t, r.foreign)
 	require.True(t, r.health.open(now))
-	b.Report("e00", exchange.Load{Requests: 9, Pace: 4, Born: 5})
+	b.Report(now, "e00", exchange.Load{Requests: 9, Pace: 4, Born: 5})
 	require.False(t, r.slow(), "the word of a life that is over")
 	b.granted(now, b.note(now))
 }
--- a/lib/decide/span/pool.go
+++ b/lib/decide/span/pool.go
@@ -138,6 +138,7 @@
 	for _, r := range rows {
 		if !g.leads(r) && !holds(g.Grant.Helpers, r.ID) {
 			delete(r.grants, id)
+			r.ends(now)
 		}
 		r.settle(now)
 	}
@@ -223,6 +224,7 @@
 	delete(p.grants, id)
 	for _, r := range g.rows {
 		delete(r.grants, id)
+		r.ends(now)
 		r.settle(now)
 	}
 }
--- a/lib/decide/span/pool_test.go
+++ b/lib/decide/span/pool_test.go
@@ -16,7 +16,7 @@
 
 // engine is that of today's deployments, by its published figures.
 var engine = route.Engine{
-	Slots: 16, Memory: 450_000, Step: 0.925, Writer: 0.00483, Context: 0.00254, Read: 256, Pairs: 0.0917, Stride: 46, Hop: 0.1,
+	Slots: 16, Memory: 450_000, Step: 0.925, Writer: 0.00483, Context: 0.00254, Read: 256, Pairs: 0.0917, Stride: 46, Hop: 0.1, Lag: 200,
 }
 
 const now clock.Milli = 1_000_000
@@ -293,12 +293,12 @@
 	_, decided := b.ask(now, early)
 	require.False(t, decided, "nothing is sent to engines that may be full")
 	b.Withdraw(now, early.ID)
-	b.Report("e00", exchange.Load{Requests: 16, Used: 200_000})
-	b.Report("e01", exchange.Load{})
-	b.Report("e02", exchange.Load{})
+	b.Report(now, "e00", exchange.Load{Requests: 16, Used: 200_000})
+	b.Report(now, "e01", exchange.Load{})
+	b.Report(now, "e02", exchange.Load{})
 	require.Equal(t, decide.UpstreamID("e01"), b.granted(now, b.note(now)).Leader.Upstream)
 	require.Equal(t, []decide.UpstreamID{"e00"}, b.Doubtful())
-	b.Report("e00", exchange.Load{})
+	b.Report(now, "e00", exchange.Load{})
 	require.Equal(t, decide.UpstreamID("e00"), b.granted(now, b.note(now)).Leader.Upstream)
 }
 
@@ -600,10 +600,10 @@
 	b.End(at, g.Request, Done, "")
 	require.Len(t, b.Doubtful(), 4, "each of the four may be the slow one")
 	for _, id := range []decide.UpstreamID{"e01", "e02", "e03"} {
-		b.Report(id, exchange.Load{Requests: 1, Pace: 1})
+		b.Report(at, id, exchange.Load{Requests: 1, Pace: 1})
 		require.Zero(t, b.rows[id].foreign, "its count is older than the books")
 	}
-	b.Report("e00", exchange.Load{Pace: 4})
+	b.Report(at, "e00", exchange.Load{Pace: 4})
 	require.Equal(t, []decide.UpstreamID{"e00"}, b.Doubtful(), "a slow one is asked again, until it is well")
 
 	g = b.granted(at, b.history(at, 200_000))
@@ -612,15 +612,53 @@
 	}
 	b.End(at, g.Request, Done, "")
 	require.NotEqual(t, decide.UpstreamID("e00"), b.granted(at, b.note(at)).Leader.Upstream)
-	b.Report("e00", exchange.Load{Pace: 1})
+	b.Report(now, "e00", exchange.Load{Pace: 1})
 	require.Equal(t, decide.UpstreamID("e00"), b.granted(at, b.note(at)).Leader.Upstream)
 }
 
+// A new owner's engines work for callers who are gone. Their report is 200 ms old: it counts those callers, and
+// none of the requests that were granted since. Taken for them, the engine would look free for as many more, and
+// short requests would queue there for a second.
+func TestAReportIsHeldAgainstTheBooksOfItsTime(t *testing.T) {
+	b := newBench(t, 2)
+	b.Doubt()
+	b.Report(now, "e00", exchange.Load{Requests: 10, Used: 50_000})
+	b.Report(now, "e01", exchange.Load{Requests: 10, Used: 50_000})
+	for range 4 {
+		b.runs(b.note(now))
+	}
+	for _, at := range []clock.Milli{now + 100, now + 200} {
+		b.Report(at, "e00", exchange.Load{Requests: 10, Used: 50_000})
+		require.Equal(t, 10, b.rows["e00"].foreign)
+	}
+	b.Report(now+300, "e00", exchange.Load{Requests: 12, Used: 60_000})
+	require.Equal(t, 12-b.rows["e00"].streams, b.rows["e00"].foreign)
+	require.Positive(t, b.rows["e00"].streams)
+	for id := range b.grants {
+		b.End(now+300, id, Done, "")
+	}
+	b.Report(now+400, "e00", exchange.Load{Requests: 12, Used: 60_000})
+	require.Less(t, b.rows["e00"].foreign, 12, "some of those that it still counts have ended since")
+}
+
+// An engine has more to do than the books say, or has died: a first byte is overdue. The next short request must not wait
+// behind it, though the books show room there, and its owner asks it at once what it has.
+func TestAnOverdueFirstByteMovesTheNextRequestElsewhere(t *testing.T) {
+	b := newBench(t, 2)
+	late := b.granted(now, b.note(now))
+	require.Equal(t, decide.UpstreamID("e00"), late.Leader.Upstream)
+	at := now + late.First + lateSlack + 100
+	require.Equal(t, decide.UpstreamID("e01"), b.granted(at, b.note(at)).Leader.Upstream)
+	require.Equal(t, []decide.UpstreamID{"e00"}, b.Doubtful())
+	b.First(at+10, late.Request)
+	require.Equal(t, decide.UpstreamID("e00"), b.granted(at+10, b.note(at+10)).Leader.Upstream, "it has caught up")
+}
+
 // All engines are slow. Long prompts are read all the same.
 func TestSlowEnginesAreUsedIfThereAreNoOthers(t *testing.T) {
 	b := newBench(t, 2)
-	b.Report("e00", exchange.Load{Pace: 2})
-	b.Report("e01", exchange.Load{Pace: 2})
+	b.Report(now, "e00", exchange.Load{Pace: 2})
+	b.Report(now, "e01", exchange.Load{Pace: 2})
 	b.granted(now, b.history(now, 100_000))
 }
 
@@ -636,8 +674,8 @@
 	at := now + 600
 	_, _ = b.Ask(at, a)
 	require.Empty(t, b.Tick(at))
-	b.Report("e00", exchange.Load{})
-	b.Report("e01", exchange.Load{})
+	b.Report(now, "e00", exchange.Load{})
+	b.Report(now, "e01", exchange.Load{})
 	ds := b.Tick(at + 1)
 	require.Len(t, ds, 1)
 	require.Equal(t, Granted, ds[0].Action)
--- a/lib/decide/span/property_test.go
+++ b/lib/decide/span/property_test.go
@@ -43,7 +43,7 @@
 					p.End(at, rapid.SampledFrom(live).Draw(t, "end"), o, "")
 				}
 			case 5:
-				p.Report(us[rapid.IntRange(0, len(us)-1).Draw(t, "upstream")].ID, exchange.Load{Requests: rapid.IntRange(0, 20).Draw(t, "requests"), Used: 1000, Pace: float64(rapid.IntRange(0, 4).Draw(t, "pace"))})
+				p.Report(at, us[rapid.IntRange(0, len(us)-1).Draw(t, "upstream")].ID, exchange.Load{Requests: rapid.IntRange(0, 20).Draw(t, "requests"), Used: 1000, Pace: float64(rapid.IntRange(0, 4).Draw(t, "pace"))})
 			}
 			for _, d := range p.Tick(at) {
 				if d.Action == Granted {
@@ -68,8 +68,8 @@
 		if r.streams > engine.Slots {
 			t.Fatalf("%s has %d streams", r.ID, r.streams)
 		}
-		if r.known > engine.Memory {
-			t.Fatalf("%s has %d tokens", r.ID, r.known)
+		if r.taken > engine.Memory {
+			t.Fatalf("%s has %d tokens", r.ID, r.taken)
 		}
 	}
 }
--- a/lib/decide/span/spare.go
+++ b/lib/decide/span/spare.go
@@ -41,6 +41,9 @@
 func (p *Pool) look(now clock.Milli) {
 	engines, reading := 0, 0
 	for _, r := range p.order {
+		if r.overruns(now) {
+			r.suspected = true
+		}
 		if r.engine == nil || r.Leaving || r.light() {
 			continue
 		}
--- a/lib/route/doc.go
+++ b/lib/route/doc.go
@@ -111,6 +111,8 @@
 	Stride int
 	// Hop is milliseconds added to each step of a prompt that spans engines.
 	Hop float64
+	// Lag is how old an engine's own report on its load is.
+	Lag clock.Milli
 }
 
 // Workspace is a team that is charged, with its keys.
