--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -20,6 +20,7 @@
 	"snipeshift.example/daemon/relay"
 	"snipeshift.example/daemon/settings"
 	"snipeshift.example/lib/clock"
+	"snipeshift.example/lib/dial"
 	"snipeshift.example/lib/logline"
 	"snipeshift.example/lib/peer"
 	"snipeshift.example/platform"
@@ -101,7 +102,7 @@
 func newRelayed(s *settings.Relay) (*relayed, error) {
 	lines := logline.NewWriter(os.Stdout, logQueue)
 	d := &relayed{
-		settings: s, lines: lines, log: relayLogger(s, lines), dialer: peer.NewDialer(peer.DialTCP).Within(peerDial), peers: peer.NewServer(),
+		settings: s, lines: lines, log: relayLogger(s, lines), dialer: peer.NewDialer(dialPeer).Within(peerDial), peers: peer.NewServer(),
 		store: platform.NewStore(s.Store), stopping: make(chan struct{}),
 	}
 	d.born = d.clock.Now()
@@ -133,6 +134,14 @@
 	return d, g.err
 }
 
+// hedged opens connections to peers.
+var hedged = dial.Hedged((&net.Dialer{}).DialContext, dial.Again)
+
+// dialPeer implements peer.Dial.
+func dialPeer(ctx context.Context, address string) (net.Conn, error) {
+	return hedged(ctx, "tcp", address)
+}
+
 const (
 	// leastReaders VMs read the store for all, and one more for each readersFor: a reader
 	// answers each other VM two or three times a second, which takes a tenth of a millisecond.
@@ -173,7 +182,7 @@
 
 func upstreamTransport() *http.Transport {
 	return &http.Transport{
-		DialContext:        relay.DialLives((&net.Dialer{Timeout: upstreamDial}).DialContext),
+		DialContext:        relay.DialLives(dial.Hedged((&net.Dialer{Timeout: upstreamDial}).DialContext, dial.Again)),
 		DisableCompression: true, MaxIdleConnsPerHost: keptEach, IdleConnTimeout: upstreamIdle,
 		WriteBufferSize: 16 << 10,
 	}
--- a/daemon/relay/life.go
+++ b/daemon/relay/life.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"snipeshift.example/lib/decide"
+	"snipeshift.example/lib/dial"
 )
 
 // What goes wrong without this file: an engine crashes behind a cut, where no packet tells of it, and starts again under
@@ -25,15 +26,12 @@
 	return lifeMark + strconv.FormatInt(int64(born), 36) + "." + address
 }
 
-// Dial connects to the address that a pooled host stands for.
-type Dial func(ctx context.Context, network, address string) (net.Conn, error)
-
 // DialLives makes a dial of addresses into one that takes hosts of lives as well.
-func DialLives(dial Dial) Dial {
+func DialLives(d dial.Dial) dial.Dial {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		if rest, ok := strings.CutPrefix(address, lifeMark); ok {
 			_, address, _ = strings.Cut(rest, ".")
 		}
-		return dial(ctx, network, address)
+		return d(ctx, network, address)
 	}
 }
