span, placer: an owner that knows of nobody serves short requests from a few engines of its own

Hypothesis: after a loss of power VMs know routes and engines 20 ms after their start, and then wait for up to half a second until they meet somebody, since only three of them are seeds and these may start last; requests that reach a living VM meanwhile queue for 120 to 366 ms, where 300 are the aim. Change: until it has met somebody, or for half a second, an owner spreads short requests over eight engines of its own choice, asks only these for their load, and lets long prompts wait. It is ready meanwhile.

--- a/daemon/placer/owner.go
+++ b/daemon/placer/owner.go
@@ -66,10 +66,9 @@
 	// startShare is the part of the floor, one in so many, that any other new owner has at
 	// once: a planned change of owner must not leave broken streams without a second try.
 	startShare = 4
-	// AloneWait is how long after its start an owner that has met no other member gives out no
-	// engines: members that start within 0.3 s of each other meet in that time, and their
-	// gates ask the one owner of all. Eighty owners that are alone ask all engines for
-	// their load, and then pack their requests on the same first one.
+	// AloneWait is how long after its start an owner that has met no other member takes it that there are
+	// others, and uses a few engines of its own: members that start within 0.3 s of each other meet in that
+	// time, and their gates ask the one owner of all.
 	AloneWait = 500 * clock.Milli(1)
 	// askedLately is how recent a gate's question must be for a pool to be worth a look.
 	askedLately = clock.Second
@@ -82,7 +81,8 @@
 	Clock     Clock
 	Knowledge Knowledge
 	Reports   Reports
-	// Alone tells whether no other member was ever heard of.
+	// Name is that of this VM, and Alone tells whether no other member was ever heard of.
+	Name  string
 	Alone func() bool
 	Log   *log.Logger
 }
@@ -139,6 +139,7 @@
 	}
 	o.mu.Unlock()
 	h.mu.Lock()
+	h.pool.Apart(o.Alone() && o.Clock.Now()-h.born < AloneWait, o.Name)
 	if v := o.Knowledge.View(); v.Generation != h.generation && v.Table != nil {
 		first := h.generation == 0
 		h.generation = v.Generation
@@ -160,10 +161,6 @@
 	if len(ids) == 0 || o.Clock.Now()-h.asked > askedLately {
 		return
 	}
-	if o.Alone() && o.Clock.Now()-h.born < AloneWait {
-		// Engines in doubt get nothing; gates ask again soon, here or at the owner of all.
-		return
-	}
 	h.looking = true
 	go func() {
 		var g errgroup.Group
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -115,7 +115,7 @@
 	d.members.Add(d.registry, q)
 	kept := upstreamTransport()
 	engines := platform.NewEngines(kept)
-	d.owner = placer.NewOwner(placer.OwnerNeeds{Clock: d.clock, Knowledge: d.registry, Reports: engines, Alone: func() bool { return d.members.Reached() == 0 }, Log: d.log}, placer.Budget{
+	d.owner = placer.NewOwner(placer.OwnerNeeds{Clock: d.clock, Knowledge: d.registry, Reports: engines, Name: string(s.Name), Alone: func() bool { return d.members.Reached() == 0 }, Log: d.log}, placer.Budget{
 		Share: budgetShare * s.Budget.Share, Floor: budgetShare * s.Budget.Floor, Window: s.Budget.Window,
 	})
 	id := peer.Gate(s.Name, incarnation)
@@ -278,10 +278,6 @@
 	default:
 	}
 	now := d.clock.Now()
-	if d.members.Reached() == 0 && now-d.born < placer.AloneWait {
-		// It would only keep callers waiting; others take them until this VM has met one.
-		return false
-	}
 	v := d.registry.View()
 	return v.Table != nil && v.UpstreamsAt > 0 && now-v.TableAt < d.settings.Bounds.Revoke
 }
--- /dev/null
+++ b/lib/decide/span/apart.go
@@ -0,0 +1,63 @@
+package span
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"snipeshift.example/lib/clock"
+	"snipeshift.example/lib/decide"
+)
+
+// The load of this file is that of a loss of power of all VMs: they start within a third of a second, and until they have met,
+// each has callers and knows of nobody. If each waited, short requests that reach a VM that is up would be late
+// already (364 ms in the queue, where 300 are the aim); if each packed its requests as an owner of
+// all does, all of them would pack on the same first engine. So an owner that knows of nobody
+// uses a few engines of its own choice, asks only these for their load, and spreads its requests over them.
+
+// apartEngines is how many engines such an owner uses. In the third of a second it gets some ten short requests; eighty-six
+// owners that each ask eight engines for their load ask less than half as often as seventy-eight would be
+// asked by ten.
+const apartEngines = 8
+
+// apart is the way of an owner that knows of nobody.
+type apart struct {
+	on   bool
+	seed string
+}
+
+// Apart tells the pool whether its owner knows of no other one; seed names the owner.
+func (p *Pool) Apart(on bool, seed string) {
+	p.apart = apart{on: on, seed: seed}
+}
+
+// order ranks an upstream for one owner: for each owner otherwise.
+func (a apart) order(id decide.UpstreamID) uint64 {
+	return xxhash.Sum64String(a.seed + "\x00" + string(id))
+}
+
+// own lists the upstreams that the owner uses while it knows of nobody.
+func (p *Pool) own() []*row {
+	rows := slices.DeleteFunc(slices.Clone(p.order), func(r *row) bool { return r.Leaving })
+	slices.SortFunc(rows, func(x, y *row) int { return cmp.Compare(p.apart.order(x.ID), p.apart.order(y.ID)) })
+	return rows[:min(apartEngines, len(rows))]
+}
+
+// placeApart puts a short request on the engine of the owner's own that has fewest. Long prompts wait until
+// owners have met: each needs many engines, and others would give out the same.
+func (p *Pool) placeApart(now clock.Milli, w *waiting) (plan, bool) {
+	if w.heavy {
+		return plan{}, false
+	}
+	var best plan
+	least := math.MaxInt
+	for _, r := range p.own() {
+		n := r.streams + r.foreign
+		if first, ok := p.fitsLight(now, &w.Ask, r, w.cost, math.MaxInt); ok && n < least {
+			best, least = plan{leader: r, part: w.cost, first: first, reason: "apart"}, n
+		}
+	}
+	return best, best.leader != nil
+}
--- a/lib/decide/span/foreign.go
+++ b/lib/decide/span/foreign.go
@@ -23,7 +23,11 @@
 // not to.
 func (p *Pool) Doubtful() []decide.UpstreamID {
 	var ids []decide.UpstreamID
-	for _, r := range p.order {
+	rows := p.order
+	if p.apart.on {
+		rows = p.own()
+	}
+	for _, r := range rows {
 		if r.doubtful || r.foreign > 0 || r.suspected || r.slow() {
 			ids = append(ids, r.ID)
 		}
--- a/lib/decide/span/place.go
+++ b/lib/decide/span/place.go
@@ -45,6 +45,8 @@
 	switch {
 	case w.cost == 0:
 		return p.placePlain(now, &w.Ask)
+	case p.apart.on:
+		return p.placeApart(now, w)
 	case w.heavy:
 		return p.placeHeavy(now, w, beside)
 	default:
--- a/lib/decide/span/pool.go
+++ b/lib/decide/span/pool.go
@@ -37,6 +37,7 @@
 	grants map[decide.RequestID]*granted
 	spare  spare
 	turn   turn
+	apart  apart
 	// budget bounds the sends beyond the first of each request.
 	budget *gate.Budget
 }
--- a/lib/decide/span/queue.go
+++ b/lib/decide/span/queue.go
@@ -100,11 +100,15 @@
 	return ds
 }
 
-// blind tells whether all engines are in doubt, as for a new owner until they have reported.
+// blind tells whether all engines are in doubt, as for a new owner until they have reported, or the owner
+// knows of nobody and uses few of them.
 //
 // What goes wrong without it: the owner has placed nothing yet, so the rate at which it places late
 // requests is nothing, and it refuses the first ones for a pressure that is not there.
 func (p *Pool) blind() bool {
+	if p.apart.on {
+		return true
+	}
 	for _, r := range p.order {
 		if !r.Leaving && !(r.doubtful && r.engine != nil) {
 			return false
