--- a/lib/decide/span/turn.go
+++ b/lib/decide/span/turn.go
@@ -41,7 +41,7 @@
 	saved float64
 	// mean is the mean reading of the long prompts asked for, in milliseconds.
 	mean float64
-	// large and others are the shares of long prompts that were served of late.
+	// large and others are what became of the last long prompts of either size.
 	large, others fate
 	// next is the prompt whose turn it is; empty for none.
 	next decide.RequestID
@@ -49,8 +49,11 @@
 	held int
 }
 
-// fate is the share that was served of the last prompts of one size.
-type fate struct{ refused float64 }
+// fate is what became of the last prompts of one size.
+type fate struct {
+	// refused is the share of them that was refused, from 0 to 1.
+	refused float64
+}
 
 // ends takes what became of one more prompt.
 func (f *fate) ends(refused bool) {
