span: grants that are presented to a new owner are in the reports it asks for

Found on reading the change again: a report is held against the grants older than itself, and a presented grant counted as made at its presentation. After a change of owner each running stream counted twice, as a grant and as work that no grant explains, until the next report. Test first: TestPresentedGrantsAreInTheReport, six streams taken for twelve before.

--- a/lib/decide/span/engine.go
+++ b/lib/decide/span/engine.go
@@ -38,6 +38,8 @@
 	Live
 	ask Ask
 	at  clock.Milli
+	// presented is set for a grant of another owner's: it is older than at.
+	presented bool
 	// heard is when its gate last named it.
 	heard clock.Milli
 	rows  []*row
--- a/lib/decide/span/foreign.go
+++ b/lib/decide/span/foreign.go
@@ -81,7 +81,7 @@
 		at -= r.engine.Lag
 	}
 	for _, g := range r.grants {
-		if g.at+arrives > at {
+		if !g.presented && g.at+arrives > at {
 			continue
 		}
 		requests++
--- a/lib/decide/span/pool.go
+++ b/lib/decide/span/pool.go
@@ -187,6 +187,7 @@
 		g := p.grants[l.Grant.Request]
 		if g == nil {
 			g = p.adopt(now, l, Ask{ID: l.Grant.Request, Gate: gate})
+			g.presented = true
 		}
 		g.heard = now
 		if l.Writing {
--- a/lib/decide/span/pool_test.go
+++ b/lib/decide/span/pool_test.go
@@ -641,6 +641,21 @@
 	require.Less(t, b.rows["e00"].foreign, 12, "some of those that it still counts have ended since")
 }
 
+// The owner of a service is killed, and gates present to the next one what runs. Those grants are older than the report that it
+// asks for, which counts them. Taken for callers who are gone, they would count twice, and engines with room for as many would look full.
+func TestPresentedGrantsAreInTheReport(t *testing.T) {
+	before, b := newBench(t, 1), newBench(t, 1)
+	var live []Live
+	for range 6 {
+		live = append(live, Live{Grant: before.runs(before.note(now)), Writing: true})
+	}
+	b.Doubt()
+	b.Present(now, "g", live)
+	b.Report(now+5, "e00", exchange.Load{Requests: 6, Used: 40_000})
+	require.Zero(t, b.rows["e00"].foreign)
+	require.Equal(t, 6, b.rows["e00"].streams)
+}
+
 // An engine has more to do than the books say, or has died: a first byte is overdue. The next short request must not wait
 // behind it, though the books show room there, and its owner asks it at once what it has.
 func TestAnOverdueFirstByteMovesTheNextRequestElsewhere(t *testing.T) {
