registry: a flood of entries that name no upstream costs neither memory nor log; tests wait for conditions

Found on reading the change again: beyond 1,024 such entries the memory of them was cleared, so a writer that keeps more than that in the store had each of them logged again with every list. Now those beyond are left out without a line. Tests of the new scenarios and of hedged connects wait for what they need in place of sleeping (five sleeps fewer). TestAFloodOfLyingEntriesIsBounded.

--- a/daemon/registry/registry.go
+++ b/daemon/registry/registry.go
@@ -325,8 +325,8 @@
 	r.generation++
 }
 
-// unusableKept bounds what is remembered of entries that name no upstream, so that a writer that
-// fills the store costs no memory here.
+// unusableKept bounds what is remembered and logged of entries that name no upstream, so that a writer that
+// fills the store costs neither memory here nor the log. Some thousand upstreams are the largest fleet planned for.
 const unusableKept = 1024
 
 // bar takes upstreams out whose entries name none any more. The lock is held.
@@ -345,8 +345,8 @@
 		if r.unusable[u.ID] == u.Reason {
 			continue
 		}
-		if len(r.unusable) >= unusableKept {
-			clear(r.unusable)
+		if _, known := r.unusable[u.ID]; !known && len(r.unusable) >= unusableKept {
+			continue
 		}
 		r.unusable[u.ID] = u.Reason
 		r.barred++
--- a/daemon/registry/registry_test.go
+++ b/daemon/registry/registry_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -541,6 +542,24 @@
 	require.Equal(t, 1, b.there())
 }
 
+// Another writer fills the store with entries, time and again. Neither memory nor the log may grow with them.
+func TestAFloodOfLyingEntriesIsBounded(t *testing.T) {
+	b := newBench(t)
+	ids := make([]decide.UpstreamID, 3*unusableKept)
+	for i := range ids {
+		ids[i] = decide.UpstreamID(fmt.Sprint("forged", i))
+	}
+	for range 2 {
+		news := broken("no state", ids...)
+		news.Upstreams = upstreams("a", "b")
+		b.learnUpstreams(news, 9, b.clock.Now())
+	}
+	require.Len(t, b.unusable, unusableKept)
+	require.Equal(t, 2, b.there())
+	b.changeUpstreams(broken("no state", "a"), 10, b.clock.Now())
+	require.Equal(t, 1, b.there(), "a spoilt entry is obeyed all the same")
+}
+
 // In a large fleet most VMs learn of upstreams from a reader alone. One whose entry was spoilt for a moment must
 // be used again by all of them: it has not left.
 func TestASpoiltEntryIsSoundAgainByAReadersWord(t *testing.T) {
--- a/lib/dial/dial_test.go
+++ b/lib/dial/dial_test.go
@@ -53,8 +53,12 @@
 // Two attempts may succeed. The one that is not used must not stay open at the other end.
 func TestTheOtherConnectionIsClosed(t *testing.T) {
 	l := &lossy{}
+	begun, both := atomic.Int64{}, make(chan struct{})
 	slow := func(ctx context.Context, network, address string) (net.Conn, error) {
-		time.Sleep(30 * time.Millisecond)
+		if begun.Add(1) == 2 {
+			close(both)
+		}
+		<-both
 		return l.dial(ctx, network, address)
 	}
 	_, err := Hedged(slow, 10*time.Millisecond)(context.Background(), "tcp", "a:1")
--- a/scenarios/platform_test.go
+++ b/scenarios/platform_test.go
@@ -75,6 +75,18 @@
 	}
 }
 
+// enough answers are some of each route from each VM.
+const enough = 30
+
+// more waits until so many more requests are answered.
+func (l *load) more(t *testing.T, answers int) {
+	t.Helper()
+	goal := l.count() + answers
+	require.Eventually(t, func() bool { return l.count() >= goal }, startLimit, 10*time.Millisecond)
+}
+
+func (l *load) count() int { l.mu.Lock(); defer l.mu.Unlock(); return l.answers }
+
 // end stops the load and requires that each request got its whole answer.
 func (l *load) end(t *testing.T, f *fleet.Fleet) {
 	t.Helper()
@@ -251,13 +263,17 @@
 func TestPlatformEntriesOfAnotherWriter(t *testing.T) {
 	f := newFleet(t, 3)
 	l := newLoad(f)
-	time.Sleep(time.Second)
+	l.more(t, enough)
 	f.Platform.Forge()
 	spoilt := f.Platform.Models[0]
 	spoilt.Spoil()
-	time.Sleep(2 * time.Second)
+	for _, v := range f.VMs {
+		require.Eventually(t, func() bool { return len(v.Process.Grep(`"upstream":"`+spoilt.ID()+`","reason"`)) > 0 }, startLimit, 20*time.Millisecond, v.Name)
+	}
+	l.more(t, enough)
 	spoilt.Register()
-	time.Sleep(time.Second)
+	before := spoilt.Ran()
+	require.Eventually(t, func() bool { return spoilt.Ran() > before }, startLimit, 20*time.Millisecond, "it is used again")
 	l.end(t, f)
 	for _, v := range f.VMs {
 		v.Process.Kill()
@@ -277,10 +293,10 @@
 func TestPlatformRunnerComesBackUnderItsID(t *testing.T) {
 	f := newFleet(t, 3)
 	l := newLoad(f)
-	time.Sleep(time.Second)
+	l.more(t, enough)
 	old := f.Platform.Models[0]
 	f.Crash(old)
-	time.Sleep(time.Second)
+	l.more(t, enough)
 	require.NoError(t, f.Revive(old))
 	revived := f.Platform.Models[0]
 	require.Eventually(t, func() bool { return revived.Ran() > 0 }, 3*time.Second, 50*time.Millisecond)
