--- a/scenarios/platform_test.go
+++ b/scenarios/platform_test.go
@@ -78,10 +78,10 @@
 // enough answers are some of each route from each VM.
 const enough = 30
 
-// more waits until so many more requests are answered.
-func (l *load) more(t *testing.T, answers int) {
+// more waits until enough more requests are answered.
+func (l *load) more(t *testing.T) {
 	t.Helper()
-	goal := l.count() + answers
+	goal := l.count() + enough
 	require.Eventually(t, func() bool { return l.count() >= goal }, startLimit, 10*time.Millisecond)
 }
 
@@ -263,14 +263,14 @@
 func TestPlatformEntriesOfAnotherWriter(t *testing.T) {
 	f := newFleet(t, 3)
 	l := newLoad(f)
-	l.more(t, enough)
+	l.more(t)
 	f.Platform.Forge()
 	spoilt := f.Platform.Models[0]
 	spoilt.Spoil()
 	for _, v := range f.VMs {
 		require.Eventually(t, func() bool { return len(v.Process.Grep(`"upstream":"`+spoilt.ID()+`","reason"`)) > 0 }, startLimit, 20*time.Millisecond, v.Name)
 	}
-	l.more(t, enough)
+	l.more(t)
 	spoilt.Register()
 	before := spoilt.Ran()
 	require.Eventually(t, func() bool { return spoilt.Ran() > before }, startLimit, 20*time.Millisecond, "it is used again")
@@ -293,10 +293,10 @@
 func TestPlatformRunnerComesBackUnderItsID(t *testing.T) {
 	f := newFleet(t, 3)
 	l := newLoad(f)
-	l.more(t, enough)
+	l.more(t)
 	old := f.Platform.Models[0]
 	f.Crash(old)
-	l.more(t, enough)
+	l.more(t)
 	require.NoError(t, f.Revive(old))
 	revived := f.Platform.Models[0]
 	require.Eventually(t, func() bool { return revived.Ran() > 0 }, 3*time.Second, 50*time.Millisecond)
