daemon: a relaying VM collects as usual again

Cause: collecting at a quarter of growth takes 12 to 25 in 100 more processor time, and VMs there have as little as 0.12 of a core, so an owner that is one of them decides later.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -31,10 +31,6 @@
 	// memoryShare of the VM's memory is what the runtime may fill before it
 	// collects at any cost: bytes that the kernel holds for connections count too.
 	memoryShare = 0.6
-	// collectAt is by how many hundredths of what is in use the runtime's memory may grow before it collects. With the
-	// usual 100 a VM's peak was 22.6 MB on a calm day and 18.7 on one with a loss of power, with 25 16.7 and
-	// 14.9, for 0.002 of a core more (six VMs under 55 requests/s, one run each).
-	collectAt = 25
 	// bodiesShare of it is what requests' bodies may fill: each is held until its answer
 	// is over, and once more while it is written.
 	bodiesShare = 0.25
@@ -95,7 +91,6 @@
 
 // runRelay serves until ctx ends, then stops gracefully.
 func runRelay(ctx context.Context, s *settings.Relay) error {
-	debug.SetGCPercent(collectAt)
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.Memory) * (1 << 20)))
 	d, err := newRelayed(s)
 	if err != nil {
