--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"runtime/debug"
+	"slices"
 	"time"
 
 	vm "github.com/VictoriaMetrics/metrics"
@@ -81,6 +82,7 @@
 	dialer   *peer.Dialer
 	members  *member.Members
 	registry *registry.Registry
+	readers  readers
 	owner    *placer.Owner
 	placer   *placer.Client
 	gate     *relay.Gate
@@ -112,7 +114,8 @@
 	self := peer.Member{VM: s.Name, Incarnation: incarnation, Domain: s.Domain, Address: s.Advertise, Cores: int(s.Cores * thousandths), Link: int(s.Link)}
 	d.members = member.New(self, relayRules, d.dialer, seeds(s.Peers), d.clock)
 	d.registry = registry.New(d.store, d.dialer, d.clock, d.log)
-	d.registry.ReadBy(d.readers)
+	d.readers = readers{self: s.Name, seed: slices.Contains(s.Peers, s.Advertise)}
+	d.registry.ReadBy(d.roster)
 	q := quarantine.New(d.clock, d.members, d.dialer)
 	d.members.Add(d.registry, q)
 	kept := upstreamTransport()
@@ -144,31 +147,8 @@
 	return hedged(ctx, "tcp", address)
 }
 
-const (
-	// leastReaders VMs read the store for all, and one more for each readersFor: a reader
-	// answers each other VM two or three times a second, which takes a tenth of a millisecond.
-	leastReaders = 2
-	readersFor   = 32
-	// watchersMost is the size up to which every VM watches the store itself. News of one
-	// upstream costs a call of each: beside readers a dozen more are no load yet.
-	watchersMost = 12
-)
-
-// readers implements registry.Readers.
-func (d *relayed) readers() registry.Roster {
-	live := d.members.Live()
-	ranked := member.Rank("registry", live)
-	ranked = ranked[:min(len(ranked), leastReaders+len(live)/readersFor)]
-	rs := registry.Roster{Others: make([]peer.Member, 0, len(ranked)), Large: len(live) > watchersMost}
-	for _, m := range ranked {
-		if m.VM == d.settings.Name {
-			rs.Self = true
-			continue
-		}
-		rs.Others = append(rs.Others, m)
-	}
-	return rs
-}
+// roster implements registry.Readers.
+func (d *relayed) roster() registry.Roster { return d.readers.roster(d.members.Live()) }
 
 // seeds are the addresses of the settings.
 type seeds []string
--- a/daemon/registry/follow.go
+++ b/daemon/registry/follow.go
@@ -16,38 +16,63 @@
 // Run follows the store until ctx ends.
 func (r *Registry) Run(ctx context.Context) error {
 	var g errgroup.Group
-	g.Go(func() error { r.follow(ctx, "routes", r.listDocument, r.watchDocument); return nil })
-	g.Go(func() error { r.follow(ctx, "upstreams", r.listUpstreams, r.watchUpstreams); return nil })
+	g.Go(func() error { r.follow(ctx, r.documents()); return nil })
+	g.Go(func() error { r.follow(ctx, r.entries()); return nil })
 	g.Go(func() error { r.sweep(ctx); return nil })
 	g.Go(func() error { r.confirm(ctx); return nil })
 	return g.Wait()
 }
 
+// feed is one kind of the store's objects that is followed.
+type feed struct {
+	name  string
+	list  func(context.Context) (route.Mark, error)
+	watch func(context.Context, route.Mark, clock.Milli) (route.Mark, error)
+	// wait is how long a watch waits at a VM that reads for others.
+	wait clock.Milli
+	// leads is set for the feed whose calls find out whether the store is back.
+	leads bool
+}
+
+func (r *Registry) documents() feed {
+	return feed{name: "routes", list: r.listDocument, watch: r.watchDocument, wait: watchWait, leads: true}
+}
+
+func (r *Registry) entries() feed {
+	return feed{name: "upstreams", list: r.listUpstreams, watch: r.watchUpstreams, wait: newsWait}
+}
+
 // follow lists once and then watches from there; after an error, or once others have read
 // for this VM, it lists anew, since events may have been missed.
-func (r *Registry) follow(ctx context.Context, what string, list func(context.Context) (route.Mark, error),
-	watch func(context.Context, route.Mark, clock.Milli) (route.Mark, error),
-) {
+func (r *Registry) follow(ctx context.Context, f feed) {
+	r.bootstrap(ctx)
 	var mark route.Mark
-	failures := 0
+	failures, busy := 0, false
 	for ctx.Err() == nil {
-		if r.rests() {
-			mark, failures = 0, 0
+		if r.rests(f) {
+			mark, failures, busy = 0, 0, false
 			r.vouched()
+			if f.leads {
+				r.failing.Store(false)
+			}
 			pause(ctx, lookEvery)
 			continue
 		}
+		r.yield(ctx, f)
 		var err error
 		listed := mark == 0
 		if listed {
-			mark, err = list(ctx)
+			mark, err = f.list(ctx)
 		} else {
-			mark, err = r.next(ctx, what, mark, watch)
+			mark, busy, err = r.next(ctx, f, mark, busy)
 		}
 		if ctx.Err() != nil {
 			return
 		}
-		r.reach(what, err)
+		if f.leads {
+			r.failing.Store(err != nil)
+		}
+		r.reach(f.name, err)
 		if err == nil {
 			failures = 0
 			if listed {
@@ -61,6 +86,35 @@
 	}
 }
 
+// yieldLongest bounds how long a feed leaves it to the other one to find out whether the store is back.
+const yieldLongest = 5
+
+// yield lets one of the two feeds ask whether the store is back: the calls of an outage are half as many.
+// A store that fails for that feed's objects alone must not stop the other.
+func (r *Registry) yield(ctx context.Context, f feed) {
+	for i := 0; i < yieldLongest && !f.leads && r.failing.Load() && ctx.Err() == nil; i++ {
+		pause(ctx, lookEvery)
+	}
+}
+
+// bootstrap waits for a peer that hands over what it knows.
+//
+// A VM that starts alone, after a release or a crash, joins a fleet that knows all: it needs no call
+// of the store. Where all start at once nobody knows anything, and each lists after the wait.
+func (r *Registry) bootstrap(ctx context.Context) {
+	if r.readers == nil || r.readers().Seed || r.rests(r.documents()) {
+		return
+	}
+	t := time.NewTimer(bootstrapLeast + rand.N(bootstrapSpread))
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	case <-r.known:
+		r.meet(ctx)
+	}
+}
+
 // vouched notes that readers' word stands for ours. What we then read for ourselves is no first answer
 // after an outage, whatever became of our own calls before.
 func (r *Registry) vouched() {
@@ -80,28 +134,32 @@
 	}
 }
 
-// next watches once from a mark, and returns the one to go on from.
-func (r *Registry) next(ctx context.Context, what string, mark route.Mark,
-	watch func(context.Context, route.Mark, clock.Milli) (route.Mark, error),
-) (route.Mark, error) {
+// next watches once from a mark, and returns the one to go on from; zero asks for a list. Busy tells whether news ended the
+// watch, now and before.
+func (r *Registry) next(ctx context.Context, f feed, mark route.Mark, busy bool) (route.Mark, bool, error) {
 	began := r.clock.Now()
-	wait := r.wait()
-	watching, end := r.watching(ctx, what, wait)
-	next, err := watch(watching, mark, wait)
+	wait := r.wait(f)
+	watching, end := r.watching(ctx, f.name, wait)
+	next, err := f.watch(watching, mark, wait)
 	ended := watching.Err() != nil
 	end()
 	if err != nil && ended && ctx.Err() == nil {
-		// We ended it ourselves: what came before the mark is known still.
-		return mark, nil
+		// We ended it ourselves, for want of proof: a list proves at once.
+		return 0, false, nil
+	}
+	least := newsEvery
+	if busy {
+		least = newsBusy
 	}
-	if rest := newsEvery - (r.clock.Now() - began); err == nil && rest > 0 {
+	rest := least - (r.clock.Now() - began)
+	if err == nil && rest > 0 {
 		pause(ctx, rest.Duration())
 	}
-	return next, err
+	return next, rest > 0, err
 }
 
-// backOff waits before a failed call is made again: longer after each failure, but for
-// the members that read for all.
+// backOff waits before a failed call is made again: longer after each failure and, in a fleet that
+// leaves the store to a few, the longer the further behind the readers this VM stands.
 //
 // What goes wrong without it: the store is away for ten seconds, and a hundred VMs make eight
 // hundred calls a second all the while, which the store must turn away, and which meet it
@@ -109,20 +167,26 @@
 // to all within a second; a VM that becomes a reader stops waiting.
 func (r *Registry) backOff(ctx context.Context, failures int) {
 	wait := retryWait << min(failures, retryDoublings)
+	if r.readers != nil {
+		wait = max(wait, min(time.Duration(r.readers().Rank)*retryRank, retryLongest))
+	}
 	wait = wait/2 + rand.N(wait)
-	if r.reads() {
+	if r.leads() {
 		wait = retryWait/2 + rand.N(retryWait)
 	}
 	for wait > 0 && ctx.Err() == nil {
 		step := min(wait, lookEvery)
 		pause(ctx, step)
 		wait -= step
-		if r.reads() && wait > retryWait {
+		if r.leads() && wait > retryWait {
 			wait = retryWait
 		}
 	}
 }
 
+// leads tells whether this VM stands before all others.
+func (r *Registry) leads() bool { return r.readers == nil || r.readers().Self }
+
 func (r *Registry) listDocument(ctx context.Context) (route.Mark, error) {
 	sent := r.clock.Now()
 	d, mark, err := r.store.Document(ctx)
--- /dev/null
+++ b/daemon/registry/handover.go
@@ -0,0 +1,62 @@
+package registry
+
+import (
+	"snipeshift.example/lib/clock"
+	"snipeshift.example/lib/peer"
+	"snipeshift.example/lib/route"
+)
+
+// Limits of handing documents over to peers.
+const (
+	// handoverMost documents are handed over in handoverSpan. A document of 1,100 routes is 20 KB packed, so on the
+	// smallest link planned for, of 20 Mbit/s, they take half of the span.
+	handoverMost = 8
+	handoverSpan = 100 * clock.Milli(1)
+)
+
+// handover limits how many documents a VM hands over at a time.
+//
+// What goes wrong without it: three hundred VMs start at once and ask the first few that know the document. The answers
+// share one small link, none is there within its time, and heartbeats wait behind them. Whoever is turned away asks the
+// next peer that knows, or the store.
+type handover struct {
+	clock Clock
+	// began is the start of the present span, and count what was handed over in it.
+	began clock.Milli
+	count int
+}
+
+// admit tells whether one more document may be handed over now, and counts it.
+func (h *handover) admit() bool {
+	now := h.clock.Now()
+	if now-h.began >= handoverSpan {
+		h.began, h.count = now, 0
+	}
+	h.count++
+	return h.count <= handoverMost
+}
+
+// packed is one document as it goes over the wire. Packing takes some milliseconds of a small VM's
+// processor, and twenty VMs ask for the same one.
+type packed struct {
+	revision route.Revision
+	bytes    []byte
+}
+
+// hand adds the document to a reply. The lock is held.
+func (r *Registry) hand(args *peer.RegistryWord, reply *peer.RegistryReply) error {
+	d := r.table.Document()
+	if !args.Packs {
+		reply.Document = d
+		return nil
+	}
+	if r.packed.revision != d.Revision || r.packed.bytes == nil {
+		b, err := peer.PackDocument(d)
+		if err != nil {
+			return err
+		}
+		r.packed = packed{d.Revision, b}
+	}
+	reply.Packed = r.packed.bytes
+	return nil
+}
--- a/daemon/registry/peers.go
+++ b/daemon/registry/peers.go
@@ -20,29 +20,28 @@
 	beatTime = 500 * clock.Milli(1)
 	// fetchTimeout bounds the fetching from a peer, which is milliseconds away.
 	fetchTimeout = 400 * time.Millisecond
-	// askAfter is how old our knowledge grows before a reader is asked, and
+	// askAfter is how old the proof of our document grows in a small fleet before a reader is asked, and
 	// lookEvery the time between two looks at its age.
-	askAfter  = clock.Second
+	askAfter  = watchWait
 	lookEvery = 200 * time.Millisecond
 	// tellEvery is the time between two questions of a VM that keeps no watch of its own, and
-	// trustFor how long it relies on the last answer. With one reader silent or shut off, news
-	// is known after 1.3 s at the most; with all silent the VM reads for itself 1.4 s after the last
-	// answer. Both are within the two seconds in which a leaving upstream and a new document
-	// must be obeyed.
+	// trustFor how long it relies on the last answer. Members are asked in turn, so with one of them silent or shut
+	// off, news passes one layer after 0.8 s at the most, and two layers within the two seconds in which a leaving
+	// upstream and a new document must be obeyed.
 	tellEvery = 300 * clock.Milli(1)
 	trustFor  = 1200 * clock.Milli(1)
-	// restLimit is how old the readers' word grows before a VM without watches reads for itself: a
-	// reader's own age, and a question more. If the ways of all readers are shut, news is known
-	// after as long.
-	restLimit = 1800 * clock.Milli(1)
 	// readerAge is the most that the word of a reader is old whose way to the store is open: one
 	// watch and the pause after news, and a tenth of a second on the way.
-	readerAge = watchWait + newsEvery + 100
-	// proofLimit is how old it may grow before we read for ourselves. News reaches us
-	// by a reader's word within askAfter and lookEvery, whatever the age that it
-	// proves: after each change of an upstream a reader's own proof is up to two
-	// waits old, and with a lower limit the whole fleet would read for itself then.
-	proofLimit = 2*watchWait + 500
+	readerAge = watchWait + newsBusy + 100
+	// restLimit is how old the proof grows before the first VM behind the readers reads for itself, if they answer and their
+	// own ways to the store are shut: a reader's age, and two questions in each of two layers.
+	restLimit = readerAge + 2*(tellEvery+100)
+	// rankStep is added to it for each VM that stands before. What goes wrong without it: the store is away for eight
+	// seconds, readers answer as ever, and after two of them each of three hundred VMs calls the store for itself, over and over:
+	// two outages cost 6,000 calls. The first VM that gets through is asked by all, since it stands before them.
+	rankStep = 300 * clock.Milli(1)
+	// proofLimit is how old the proof grows in a small fleet before a VM reads for itself.
+	proofLimit = readerAge + 650
 )
 
 // Fill implements member.Part.
@@ -55,7 +54,7 @@
 // word is how far our knowledge goes. What is kept on suspicion is no knowledge. The
 // lock is held.
 func (r *Registry) word() peer.RegistryWord {
-	var w peer.RegistryWord
+	w := peer.RegistryWord{Shut: r.lost}
 	now := r.clock.Now()
 	if r.table != nil {
 		w.Revision, w.RevisionAge = r.table.Revision(), now-r.tableAt
@@ -107,7 +106,7 @@
 func (r *Registry) fetch(ctx context.Context, from peer.Member) bool {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
-	args := &peer.RegistryWord{}
+	args := &peer.RegistryWord{Packs: true}
 	r.mu.Lock()
 	if r.table != nil {
 		args.Revision = r.table.Revision()
@@ -116,13 +115,20 @@
 	r.mu.Unlock()
 	sent := r.clock.Now()
 	var reply peer.RegistryReply
-	if err := r.peers.Call(ctx, from.Address, Name+".Tell", args, &reply); err != nil {
+	err := r.peers.Call(ctx, from.Address, Name+".Tell", args, &reply)
+	r.mu.Lock()
+	r.noteShut(from.VM, err != nil || reply.Word.Shut)
+	r.mu.Unlock()
+	if err != nil {
 		r.log.Warn().Str(logline.Key, logline.Unreachable).Str("dependency", string(from.VM)).Err(err).Msg("a peer that knows more does not tell")
 		return false
 	}
 	r.learnWord(reply.Word, sent)
-	if reply.Document != nil {
-		r.learnDocument(reply.Document, sent-reply.DocumentAge, string(from.VM))
+	if reply.Busy {
+		return false
+	}
+	if !r.takeDocument(&reply, sent, from.VM) {
+		return false
 	}
 	r.mu.Lock()
 	newer := reply.Word.Mark > r.mark
@@ -133,6 +139,22 @@
 	return true
 }
 
+// takeDocument takes the document of a reply, and tells whether it could be read.
+func (r *Registry) takeDocument(reply *peer.RegistryReply, sent clock.Milli, from peer.VM) bool {
+	d := reply.Document
+	if len(reply.Packed) > 0 {
+		var err error
+		if d, err = peer.UnpackDocument(reply.Packed); err != nil {
+			r.log.Error().Str(logline.Key, logline.Rejected).Str("from", string(from)).Err(err).Msg("a peer's document cannot be read")
+			return false
+		}
+	}
+	if d != nil {
+		r.learnDocument(d, sent-reply.DocumentAge, string(from))
+	}
+	return true
+}
+
 // Receiver answers peers over net/rpc.
 type Receiver struct{ registry *Registry }
 
@@ -145,9 +167,17 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.clock.Now()
+	newer := r.table != nil && r.table.Revision() > args.Revision
+	if newer && args.Packs && !r.handover.admit() {
+		reply.Busy = true
+		return nil
+	}
 	reply.Word = r.word()
-	if r.table != nil && r.table.Revision() > args.Revision {
-		reply.Document, reply.DocumentAge = r.table.Document(), now-r.tableAt
+	if newer {
+		reply.DocumentAge = now - r.tableAt
+		if err := r.hand(args, reply); err != nil {
+			return err
+		}
 	}
 	if r.upstreamsAt > 0 && len(r.gone) == 0 && r.digest != args.Digest {
 		reply.UpstreamsAge = now - r.upstreamsAt
--- a/daemon/registry/readers.go
+++ b/daemon/registry/readers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"time"
 
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/peer"
@@ -18,44 +19,113 @@
 // whose readers' way is shut, reads for itself until that changes.
 func (r *Registry) ReadBy(rs Readers) { r.readers = rs }
 
-// reads tells whether this VM is one of those that read for all.
-func (r *Registry) reads() bool { return r.readers == nil || r.readers().Self }
+// reads tells whether this VM proves for all that what is known is new: it is the first of those whose
+// way to the store is open.
+func (r *Registry) reads() bool {
+	if r.readers == nil {
+		return true
+	}
+	rs := r.readers()
+	return rs.Self || r.ahead(rs) == 0
+}
+
+// keepers is how many VMs keep watches while all are well: one may be cut off from the store and bring no news.
+const keepers = 2
+
+// stepsIn tells whether too few of those that stand before this VM have an open way to the store, so that it must keep watches.
+//
+// What goes wrong without it: the store turns a third of the VMs away, those that read for all among them. They answer
+// as ever, and only the age of what they know tells of it: an upstream that left was sent requests for seven seconds more.
+func (r *Registry) stepsIn(rs Roster) bool { return r.ahead(rs) < keepers }
 
-// rests tells whether this VM leaves the store to the readers: they answer, and their
-// word is new.
-func (r *Registry) rests() bool {
+// ahead counts those that stand before this VM and do not say that their way to the store is shut; many where
+// it asks others than these.
+func (r *Registry) ahead(rs Roster) int {
+	if rs.Rank > len(rs.Others) {
+		return rs.Rank
+	}
+	now := r.clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	open := 0
+	for _, m := range rs.Others[:rs.Rank] {
+		if now >= r.shut[m.VM] {
+			open++
+		}
+	}
+	return open
+}
+
+// noteShut remembers whether a member said that its way to the store is shut, or was silent. The lock is held.
+func (r *Registry) noteShut(m peer.VM, shut bool) {
+	if shut {
+		r.shut[m] = r.clock.Now() + shutFor
+		return
+	}
+	delete(r.shut, m)
+}
+
+// open are the first members whose way to the store is not known to be shut; all if there is none.
+func (r *Registry) open(ms []peer.Member) []peer.Member {
+	now := r.clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var open []peer.Member
+	for _, m := range ms {
+		if now >= r.shut[m.VM] && len(open) < askedMost {
+			open = append(open, m)
+		}
+	}
+	if len(open) == 0 {
+		return ms
+	}
+	return open
+}
+
+// rests tells whether this VM leaves a feed to others: those it asks answer, and what they know is new, or it is the
+// part of VMs nearer to the readers to step in for them.
+func (r *Registry) rests(f feed) bool {
 	if r.readers == nil {
 		return false
 	}
-	if rs := r.readers(); rs.Self || !rs.Large {
+	rs := r.readers()
+	if rs.Self || !rs.Large || r.stepsIn(rs) {
 		return false
 	}
-	age := r.age()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return age <= restLimit && r.clock.Now()-r.told <= trustFor
+	now := r.clock.Now()
+	later := clock.Milli(max(rs.Rank-len(rs.Others), 0)) * rankStep
+	if r.tableAt == 0 {
+		return r.told > 0 && now-r.started <= youngLimit+later
+	}
+	at, limit := r.tableAt, restLimit
+	if !f.leads {
+		at, limit = r.upstreamsAt, restLimit+newsWait
+	}
+	return now-at <= limit+later && now-r.told <= trustFor
 }
 
-// wait is how long the next watch waits.
-func (r *Registry) wait() clock.Milli {
+// wait is how long the next watch of a feed waits.
+func (r *Registry) wait(f feed) clock.Milli {
 	if r.reads() || r.age() > proofLimit {
-		return watchWait
+		return f.wait
 	}
 	return longWait
 }
 
-// age is that of the older part of what is known.
+// age is that of the proof that the document known here is the newest.
 func (r *Registry) age() clock.Milli {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.clock.Now() - min(r.tableAt, r.upstreamsAt)
+	return r.clock.Now() - r.tableAt
 }
 
 // watching is the context of one watch. A long one is ended when our knowledge is not proved
 // new any more.
 func (r *Registry) watching(ctx context.Context, what string, wait clock.Milli) (context.Context, context.CancelFunc) {
 	watching, cancel := context.WithCancel(ctx)
-	if wait == watchWait {
+	if wait < longWait {
 		return watching, cancel
 	}
 	r.mu.Lock()
@@ -77,37 +147,59 @@
 	// VMs begin with different readers, so that each answers its share.
 	turn := rand.IntN(1 << 16)
 	for ctx.Err() == nil {
-		pause(ctx, lookEvery)
+		pause(ctx, r.lookAgain())
 		rs := r.readers()
 		if !r.due(rs) {
 			continue
 		}
-		if !rs.Self {
-			turn = r.askReaders(ctx, rs.Others, turn)
-		}
-		if rs.Self || r.age() > proofLimit {
+		turn = r.askReaders(ctx, rs.Others, turn)
+		if r.reads() || r.age() > proofLimit {
 			r.endLong()
 		}
 	}
 }
 
-// due tells whether a reader should be asked now. In a large fleet the question also brings the
-// news, so it is put often; in a small one only once our knowledge grows old.
+// lookAgain is the time until the age of our knowledge is looked at again.
+func (r *Registry) lookAgain() time.Duration {
+	select {
+	case <-r.known:
+		return lookEvery
+	default:
+		return youngEvery
+	}
+}
+
+// due tells whether others should be asked now. In a large fleet the question also brings the
+// news, so it is put often; in a small one, and by a reader, only once our knowledge grows old.
 func (r *Registry) due(rs Roster) bool {
-	if rs.Large && !rs.Self {
+	if r.reads() {
+		return r.age() > readerAge || r.askAhead(rs)
+	}
+	if rs.Large {
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		return r.clock.Now()-r.told >= tellEvery
+		return r.clock.Now()-r.told >= tellEvery || r.tableAt == 0
 	}
 	return r.age() > askAfter
 }
 
+// askAhead tells whether a VM that stands in for others should ask whether their way is open again.
+func (r *Registry) askAhead(rs Roster) bool {
+	if rs.Self {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.clock.Now()-r.told >= tellEvery
+}
+
 // askReaders asks readers in turn until one answers whose word is new, and returns the turn of
 // the next question.
 //
 // What goes wrong without the turn: the way of one reader to the store is shut, and those who ask
 // only that one learn of an upstream's leaving seconds later than the others.
-func (r *Registry) askReaders(ctx context.Context, readers []peer.Member, turn int) int {
+func (r *Registry) askReaders(ctx context.Context, others []peer.Member, turn int) int {
+	readers := r.open(others)
 	for range readers {
 		sent := r.clock.Now()
 		answered := r.fetch(ctx, readers[turn%len(readers)])
--- /dev/null
+++ b/daemon/registry/readers_test.go
@@ -0,0 +1,167 @@
+package registry
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"snipeshift.example/lib/clock"
+	"snipeshift.example/lib/peer"
+	"snipeshift.example/lib/route"
+)
+
+// The store turns a third of the VMs away, and both that read for all are among them. They answer as ever, with a
+// document that is young enough for a while. An upstream leaves meanwhile without a word, and
+// requests are sent to it seconds after it may exit: the next VM must read both kinds of objects at once.
+func TestAVMStepsInForReadersThatAreShutOff(t *testing.T) {
+	b, first, second := newBench(t), newBench(t), newBench(t)
+	first.Registry.clock, second.Registry.clock = b.clock, b.clock
+	b.peers = byAddress{"first": first.Registry, "second": second.Registry}
+	others := []peer.Member{{VM: "first", Address: "first"}, {VM: "second", Address: "second"}}
+	b.ReadBy(func() Roster { return Roster{Others: others, Rank: 2, Large: true} })
+	b.askReaders(b.ctx, others, 0)
+	require.True(t, b.rests(b.documents()))
+	require.True(t, b.rests(b.entries()))
+
+	for _, r := range []*bench{first, second} {
+		r.store.down = true
+		r.watch()
+	}
+	turn := b.askReaders(b.ctx, others, 0)
+	b.askReaders(b.ctx, others, turn)
+	require.False(t, b.rests(b.documents()))
+	require.False(t, b.rests(b.entries()))
+	b.list()
+	require.False(t, b.rests(b.entries()), "it has just listed, and goes on reading")
+	require.True(t, b.reads(), "it proves for all")
+
+	first.store.down = false
+	first.list()
+	b.clock.forward(shutFor)
+	b.askReaders(b.ctx, others, 0)
+	require.False(t, b.reads(), "a reader's way is open again, and it proves")
+	second.store.down = false
+	second.list()
+	b.clock.forward(shutFor)
+	b.askReaders(b.ctx, others, 1)
+	require.True(t, b.rests(b.entries()), "both are open again")
+}
+
+// The first reader is shut off, and the VMs behind it must not all read in its place: two that are open suffice.
+func TestOnlyAsManyVMsStepInAsAreNeeded(t *testing.T) {
+	b, shut, open := newBench(t), newBench(t), newBench(t)
+	shut.Registry.clock, open.Registry.clock = b.clock, b.clock
+	shut.store.down = true
+	shut.watch()
+	b.peers = byAddress{"shut": shut.Registry, "open": open.Registry, "next": open.Registry}
+	others := []peer.Member{{VM: "shut", Address: "shut"}, {VM: "open", Address: "open"}, {VM: "next", Address: "next"}}
+	rank := 2
+	b.ReadBy(func() Roster { return Roster{Others: others[:rank], Rank: rank, Large: true} })
+	turn := b.askReaders(b.ctx, others, 0)
+	b.askReaders(b.ctx, others, turn)
+	require.False(t, b.rests(b.documents()), "one before it is open")
+	require.False(t, b.reads(), "that one proves")
+	require.Equal(t, others[1:], b.open(others), "a member that is shut off is not asked for a while")
+	rank = 3
+	require.True(t, b.rests(b.documents()), "two before it are open")
+}
+
+// A VM starts again in a fleet that knows all. It lists the store twice, as every VM does after a release, though any peer
+// could have told it.
+func TestAVMThatJoinsIsToldByAPeer(t *testing.T) {
+	b, known := newBench(t), newBench(t)
+	young := New(b.store, direct{known.Registry}, b.clock, b.log)
+	known.Registry.clock = b.clock
+	young.ReadBy(func() Roster { return Roster{Others: []peer.Member{{VM: "known"}}, Rank: 2, Large: true} })
+	ctx, cancel := context.WithTimeout(b.ctx, 900*time.Millisecond)
+	defer cancel()
+	calls := 0
+	f := feed{
+		name: "routes", leads: true,
+		list:  func(context.Context) (route.Mark, error) { calls++; return 1, nil },
+		watch: func(context.Context, route.Mark, clock.Milli) (route.Mark, error) { calls++; return 1, nil },
+	}
+	go func() { _ = young.Run(ctx) }()
+	beat := &peer.BeatArgs{From: peer.Member{VM: "known"}}
+	known.Fill("", beat)
+	young.Learn(beat, true)
+	young.follow(ctx, f)
+	require.NotNil(t, young.View().Table)
+	require.Zero(t, calls)
+}
+
+// Three hundred VMs start at once and ask the first one that knows the document. It tells a few at a time; all at once they
+// would share its small link, and none would have it in time.
+func TestADocumentIsHandedOverToAFewAtATime(t *testing.T) {
+	b := newBench(t)
+	v := NewReceiver(b.Registry)
+	ask := func() *peer.RegistryReply {
+		var reply peer.RegistryReply
+		require.NoError(t, v.Tell(&peer.RegistryWord{Packs: true}, &reply))
+		return &reply
+	}
+	for range handoverMost {
+		d, err := peer.UnpackDocument(ask().Packed)
+		require.NoError(t, err)
+		require.Equal(t, route.Revision(1), d.Revision)
+	}
+	require.True(t, ask().Busy)
+	b.clock.forward(handoverSpan)
+	require.NotEmpty(t, ask().Packed)
+}
+
+// A peer's document arrives damaged. It must not be taken for an answer, nor end the VM.
+func TestADamagedDocumentIsNotTaken(t *testing.T) {
+	b := newBench(t)
+	require.False(t, b.takeDocument(&peer.RegistryReply{Packed: []byte("no document")}, b.clock.Now(), "peer"))
+	require.Equal(t, route.Revision(1), b.View().Table.Revision())
+}
+
+// While the store is away one of the two kinds of objects is asked for, not both, and the other follows once the first is answered.
+func TestOneFeedFindsOutThatTheStoreIsBack(t *testing.T) {
+	b := newBench(t)
+	b.failing.Store(true)
+	began := time.Now()
+	back := time.AfterFunc(50*time.Millisecond, func() { b.failing.Store(false) })
+	defer back.Stop()
+	b.yield(b.ctx, b.entries())
+	require.GreaterOrEqual(t, time.Since(began), 50*time.Millisecond)
+	b.failing.Store(true)
+	began = time.Now()
+	b.yield(b.ctx, b.documents())
+	require.Less(t, time.Since(began), lookEvery)
+	b.yield(b.ctx, b.entries())
+	require.Less(t, time.Since(began), 2*yieldLongest*lookEvery, "a store that fails for one kind alone does not stop the other")
+}
+
+// Upstreams register one after the other. Each ends a watch, so watches follow each other less often while that goes on.
+func TestWatchesWaitLongerWhileNewsFollowsNews(t *testing.T) {
+	b := newBench(t)
+	f := feed{watch: func(_ context.Context, after route.Mark, _ clock.Milli) (route.Mark, error) { return after + 1, nil }, wait: watchWait}
+	began := time.Now()
+	_, busy, err := b.next(b.ctx, f, 1, false)
+	require.NoError(t, err)
+	require.True(t, busy)
+	require.Less(t, time.Since(began), newsBusy.Duration())
+	began = time.Now()
+	_, _, err = b.next(b.ctx, f, 2, busy)
+	require.NoError(t, err)
+	require.GreaterOrEqual(t, time.Since(began), newsBusy.Duration())
+}
+
+// A watch is ended since nothing proves our knowledge any more. A further watch would prove it only after its wait, and keys
+// would be refused meanwhile: a list proves at once.
+func TestAWatchEndedForWantOfProofIsFollowedByAList(t *testing.T) {
+	b, reader := newBench(t), newBench(t)
+	b.readBy(reader.Registry, false)
+	f := feed{name: "routes", wait: watchWait, watch: func(ctx context.Context, _ route.Mark, _ clock.Milli) (route.Mark, error) {
+		b.endLong()
+		return 0, errors.Join(ctx.Err(), errDown)
+	}}
+	mark, _, err := b.next(b.ctx, f, 7, false)
+	require.NoError(t, err)
+	require.Zero(t, mark)
+}
--- a/daemon/registry/registry.go
+++ b/daemon/registry/registry.go
@@ -43,25 +43,51 @@
 
 // Times of following.
 const (
-	// watchWait is how long a watch waits for news at a VM that reads for others, or
-	// for itself alone. Its end without news is proof that nothing has changed;
-	// the wait bounds how old our knowledge grows, and how long a watch that
-	// went silent goes unnoticed, on a calm day.
+	// watchWait is how long a watch of the document waits at a VM that reads for others, or for itself
+	// alone. News ends it at once; its end without news proves that nothing has changed, so the wait bounds how
+	// old the proof of a key grows and how long a watch that went silent goes unnoticed. Until then nobody
+	// steps in, and an upstream that leaves must be known to all within three seconds.
 	watchWait = clock.Second
+	// newsWait is the same for upstreams. No request needs a proof of their age, so the wait only
+	// bounds how long a watch that went silent goes unnoticed; another reader brings the news meanwhile.
+	newsWait = 2500 * clock.Milli(1)
+	// shutFor is how long a member is passed over that said that its way to the store is shut.
+	shutFor = 2 * clock.Second
+	// askedMost is how many members are asked in turn.
+	askedMost = 3
 	// longWait is how long a watch waits at a VM to which others prove that its
 	// knowledge is new. News ends it at once all the same.
 	longWait = 15 * clock.Second
-	// newsEvery is the least time between two watches. When all upstreams register at
-	// once, each entry would else cost a call of every VM; now what comes within the
-	// time comes in one answer, and the first news still comes at once.
+	// newsEvery is the least time between two watches, and newsBusy the same once one piece of news has followed
+	// the other. When all upstreams register at once, each entry would else cost a call of every VM; now what comes within
+	// the time comes in one answer, and the first news still comes at once. The busy time and two layers of
+	// members that ask each other stay within the two seconds in which a leaving upstream must be known.
 	newsEvery = 250 * clock.Milli(1)
+	newsBusy  = 500 * clock.Milli(1)
 	// retryWait is the pause after a failed call. Members that read for all keep to it: the
 	// store's return is known to all by their word. Others double it up to
 	// retryDoublings times, to four seconds: as long as keys are served without proof.
 	retryWait      = 250 * time.Millisecond
 	retryDoublings = 4
+	// retryRank is the least pause for each VM that stands nearer to the readers, so that three hundred VMs make
+	// some ten calls a second together.
+	retryRank = 500 * time.Millisecond
+	// retryLongest bounds the pause of a VM far behind the readers. It may find itself cut off from its peers
+	// meanwhile, and must read for itself then.
+	retryLongest = 8 * time.Second
 	// meetTime is about how long VMs that start together need to meet and to ask a reader once.
 	meetTime = 400 * time.Millisecond
+	// bootstrapLeast, and up to bootstrapSpread more, is how long a VM that starts waits for a peer to hand over what it
+	// knows before it lists the store. A peer of the settings answers within 20 ms if it is up; where all start together
+	// some list first, and the others have it from them. Requests are held meanwhile; short ones
+	// are due 300 ms after they came.
+	bootstrapLeast  = 100 * time.Millisecond
+	bootstrapSpread = 200 * time.Millisecond
+	// youngLimit is how long after its start a VM without any document leaves it to the members that it asks to read
+	// the first one, if they answer.
+	youngLimit = 600 * clock.Milli(1)
+	// youngEvery is the time between two questions meanwhile.
+	youngEvery = 50 * time.Millisecond
 	// holdGone is how long upstreams that are missing are kept after the store
 	// was away. Their entries lapse meanwhile though they live, and are back
 	// within two seconds of its return; all would be taken for gone at once.
@@ -138,8 +164,17 @@
 	knownOnce sync.Once
 	// readers names those who read for all; nil where each VM reads for itself.
 	readers Readers
-	// told is when a reader last answered.
+	// told is when one of the members that this VM asks last answered.
 	told clock.Milli
+	// failing is set while the last call for the document failed.
+	failing atomic.Bool
+	// shut holds members whose way to the store was shut, until an instant.
+	shut map[peer.VM]clock.Milli
+	// started is when this life began.
+	started clock.Milli
+	// handover limits what this VM hands over whole, and packed is the document as it is handed over.
+	handover handover
+	packed   packed
 	// watches holds the ends of the long watches under way.
 	watches map[string]context.CancelFunc
 }
@@ -155,11 +190,16 @@
 
 // Roster is who reads the store.
 type Roster struct {
-	// Others are the readers but this VM.
+	// Others are the members that this VM asks: those that keep watches and those that step in for them, in
+	// this order, or in a large fleet some that ask these.
 	Others []peer.Member
-	// Self is set if this VM is one of them.
+	// Self is set if this VM proves for all, by short watches, that what is known is new.
 	Self bool
-	// Large is set if the fleet is too large for watches of each VM.
+	// Rank is the place of this VM in the order in which VMs step in for readers whose way to the store is shut.
+	Rank int
+	// Seed is set if the settings of others name this VM: they ask it at their start, so it lists the store at once.
+	Seed bool
+	// Large is set if the fleet is too large for a watch of this VM: news comes to it by those it asks.
 	Large bool
 }
 
@@ -168,8 +208,10 @@
 	r := &Registry{
 		store: s, peers: p, clock: k, log: l, known: make(chan struct{}),
 		upstreams: map[decide.UpstreamID]route.Upstream{}, gone: map[decide.UpstreamID]clock.Milli{},
+		shut: map[peer.VM]clock.Milli{},
 		left: map[decide.UpstreamID]leaver{}, unusable: map[decide.UpstreamID]string{}, watches: map[string]context.CancelFunc{},
 	}
+	r.handover.clock, r.started = k, k.Now()
 	r.view.Store(&View{})
 	return r
 }
@@ -282,7 +324,7 @@
 		kept = append(kept, u)
 	}
 	until := r.clock.Now()
-	if until-r.upstreamsAt > lapseLeast {
+	if until-max(r.tableAt, r.upstreamsAt) > lapseLeast {
 		until += holdGone
 	}
 	r.takeList(kept, mark, at, func(id decide.UpstreamID) {
--- a/daemon/registry/registry_test.go
+++ b/daemon/registry/registry_test.go
@@ -293,10 +293,10 @@
 	ctx, cancel := context.WithTimeout(b.ctx, 300*time.Millisecond)
 	defer cancel()
 	none := func(context.Context) (route.Mark, error) { return 1, nil }
-	b.follow(ctx, "upstreams", none, func(context.Context, route.Mark, clock.Milli) (route.Mark, error) { return 1, nil })
+	b.follow(ctx, feed{name: "upstreams", list: none, watch: func(context.Context, route.Mark, clock.Milli) (route.Mark, error) { return 1, nil }})
 	require.False(t, b.Lost(), "while it rests, readers vouch for what it knows")
 	b.clock.forward(restLimit + 1)
-	require.False(t, b.rests())
+	require.False(t, b.rests(b.documents()))
 	b.store.upstreams = upstreams("b")
 	b.list()
 	require.Equal(t, 1, b.there())
@@ -346,7 +346,7 @@
 		}
 		return after + 1, nil
 	}
-	b.follow(ctx, "test", list, watch)
+	b.follow(ctx, feed{name: "test", list: list, watch: watch, wait: watchWait})
 	require.Equal(t, []string{"list", "watch", "watch", "list", "watch"}, calls)
 }
 
@@ -391,7 +391,12 @@
 // readers of a test: one other, or this VM itself.
 func (b *bench) readBy(other *Registry, self bool) {
 	b.peers = direct{other}
-	b.ReadBy(func() Roster { return Roster{Others: []peer.Member{{VM: "reader"}}, Self: self} })
+	b.ReadBy(func() Roster {
+		if self {
+			return Roster{Others: []peer.Member{{VM: "reader"}}, Self: true}
+		}
+		return Roster{Others: []peer.Member{{VM: "reader"}}, Rank: 1}
+	})
 }
 
 // Each VM that proves by short watches that it knows the newest makes two calls a
@@ -400,15 +405,15 @@
 	b, reader := newBench(t), newBench(t)
 	reader.Registry.clock = b.clock
 	b.readBy(reader.Registry, false)
-	require.Equal(t, longWait, b.wait())
+	require.Equal(t, longWait, b.wait(b.documents()))
 	b.readBy(reader.Registry, true)
-	require.Equal(t, watchWait, b.wait(), "a reader reads")
+	require.Equal(t, watchWait, b.wait(b.documents()), "a reader reads")
 	b.readBy(reader.Registry, false)
 	b.clock.forward(proofLimit + 1)
-	require.Equal(t, watchWait, b.wait(), "without proof it reads for itself")
+	require.Equal(t, watchWait, b.wait(b.documents()), "without proof it reads for itself")
 	reader.list()
 	b.fetch(b.ctx, peer.Member{VM: "reader"})
-	require.Equal(t, longWait, b.wait())
+	require.Equal(t, longWait, b.wait(b.documents()))
 }
 
 // A long watch goes silent, and the readers are gone as well. The watch must end, or this
@@ -455,14 +460,16 @@
 		watches++
 		return after + 1, nil
 	}
-	b.follow(ctx, "test", list, watch)
+	b.follow(ctx, feed{name: "test", list: list, watch: watch, wait: watchWait})
 	require.LessOrEqual(t, watches, 4)
 }
 
 // large lets one other read for a fleet in which VMs keep no watches.
 func (b *bench) large(reader *Registry) {
 	b.peers = direct{reader}
-	b.ReadBy(func() Roster { return Roster{Others: []peer.Member{{VM: "reader"}}, Large: true} })
+	b.ReadBy(func() Roster {
+		return Roster{Others: []peer.Member{{VM: "reader"}, {VM: "reader-2"}}, Rank: 2, Large: true}
+	})
 }
 
 // A hundred VMs each keep two watches open, and fifteen upstreams are taken away one after
@@ -472,9 +479,9 @@
 	b, reader := newBench(t), newBench(t)
 	reader.Registry.clock = b.clock
 	b.large(reader.Registry)
-	require.False(t, b.rests(), "no reader has answered yet")
+	require.False(t, b.rests(b.documents()), "no reader has answered yet")
 	turn := b.askReaders(b.ctx, b.readers().Others, 0)
-	require.True(t, b.rests())
+	require.True(t, b.rests(b.documents()))
 
 	reader.store.upstreams, reader.store.at = upstreams("b"), 50
 	reader.list()
@@ -484,7 +491,7 @@
 	require.Equal(t, 1, b.there())
 
 	b.clock.forward(trustFor + 1)
-	require.False(t, b.rests(), "a reader that is silent is not relied on")
+	require.False(t, b.rests(b.documents()), "a reader that is silent is not relied on")
 }
 
 // The way of the readers to the store is shut, and they answer as ever. Whoever relies on
@@ -493,11 +500,11 @@
 	b, reader := newBench(t), newBench(t)
 	reader.Registry.clock = b.clock
 	b.large(reader.Registry)
-	b.clock.forward(proofLimit + 1)
+	b.clock.forward(restLimit + 1)
 	b.askReaders(b.ctx, b.readers().Others, 0)
-	require.False(t, b.rests())
+	require.False(t, b.rests(b.documents()))
 	b.list()
-	require.True(t, b.rests())
+	require.True(t, b.rests(b.documents()))
 }
 
 // One of two readers is shut off from the store and answers as ever. A VM that asked it first
@@ -506,7 +513,9 @@
 	b, shut, well := newBench(t), newBench(t), newBench(t)
 	shut.Registry.clock, well.Registry.clock = b.clock, b.clock
 	b.peers = byAddress{"shut": shut.Registry, "well": well.Registry}
-	b.ReadBy(func() Roster { return Roster{Others: []peer.Member{{Address: "shut"}, {Address: "well"}}, Large: true} })
+	b.ReadBy(func() Roster {
+		return Roster{Others: []peer.Member{{VM: "shut", Address: "shut"}, {VM: "well", Address: "well"}}, Rank: 2, Large: true}
+	})
 	b.clock.forward(readerAge + 1)
 	well.store.upstreams, well.store.at = upstreams("b"), 50
 	well.list()
@@ -533,7 +542,7 @@
 	began = time.Now()
 	self := time.AfterFunc(50*time.Millisecond, func() { b.promoted.Store(true) })
 	defer self.Stop()
-	b.ReadBy(func() Roster { return Roster{Others: []peer.Member{{VM: "reader"}}, Self: b.promoted.Load()} })
+	b.ReadBy(func() Roster { return Roster{Others: []peer.Member{{VM: "reader"}}, Rank: 1, Self: b.promoted.Load()} })
 	b.backOff(b.ctx, 5)
 	require.Less(t, time.Since(began), 4*retryWait)
 }
