registry: calls of the store are counted by feed, call and reason

Cause: the largest price of a large fleet could only be read from the platform's bill; what made the calls was found by log lines of a scratch copy.

The metric snipeshift_store_calls_total now has the labels feed, call and role. Ruled out: one counter for each place in the code; the role says what an operator can act on. No behaviour changes. Test: TestCallsAreCountedByTheirReason.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"os"
@@ -298,7 +299,7 @@
 	d.gate.WriteMetrics(w)
 	v := d.registry.View()
 	now := d.clock.Now()
-	calls, failed := d.store.Calls()
+	_, failed := d.store.Calls()
 	gauge := func(name string, value float64) { vm.WriteGaugeFloat64(w, name, value) }
 	if v.Table != nil {
 		gauge("snipeshift_document_revision", float64(v.Table.Revision()))
@@ -309,7 +310,9 @@
 	}
 	gauge("snipeshift_members", float64(len(d.members.Live())))
 	gauge("snipeshift_grants_live", float64(d.placer.Live()))
-	vm.WriteCounterUint64(w, "snipeshift_store_calls_total", calls)
+	for c, n := range d.registry.Calls() {
+		vm.WriteCounterUint64(w, fmt.Sprintf(`snipeshift_store_calls_total{feed=%q,call=%q,role=%q}`, c.Feed, c.Name(), c.Role), n)
+	}
 	vm.WriteCounterUint64(w, "snipeshift_store_failures_total", failed)
 	vm.WriteCounterUint64(w, "snipeshift_entries_unusable_total", d.registry.Barred())
 	vm.WriteCounterUint64(w, "snipeshift_log_dropped_total", d.lines.Dropped())
--- /dev/null
+++ b/daemon/registry/calls.go
@@ -0,0 +1,82 @@
+package registry
+
+import "sync"
+
+// Role is why a VM called the store.
+type Role string
+
+// The roles of a caller of the store.
+const (
+	// Prover proves for all, by short watches, that what is known is new.
+	Prover Role = "prover"
+	// Watcher keeps long watches.
+	Watcher Role = "watcher"
+	// StandIn steps in for VMs before it whose way to the store is shut.
+	StandIn Role = "standin"
+	// Starter has just started and knows nothing yet.
+	Starter Role = "starter"
+	// Alone reads since those it asks are silent, or know nothing new.
+	Alone Role = "alone"
+)
+
+// Call is one kind of calls of the store.
+type Call struct {
+	// Feed is "routes" or "upstreams".
+	Feed   string
+	Role   Role
+	Listed bool
+}
+
+// Name is "list" or "watch".
+func (c Call) Name() string {
+	if c.Listed {
+		return "list"
+	}
+	return "watch"
+}
+
+// calls counts the calls of the store, which are priced. It is safe for concurrent use.
+type calls struct {
+	mu     sync.Mutex
+	counts map[Call]uint64
+}
+
+func (c *calls) add(k Call) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.counts == nil {
+		c.counts = map[Call]uint64{}
+	}
+	c.counts[k]++
+}
+
+// Calls returns how many calls of each kind were made.
+func (r *Registry) Calls() map[Call]uint64 {
+	r.calls.mu.Lock()
+	defer r.calls.mu.Unlock()
+	counts := make(map[Call]uint64, len(r.calls.counts))
+	for k, n := range r.calls.counts {
+		counts[k] = n
+	}
+	return counts
+}
+
+// role is why this VM calls the store now.
+func (r *Registry) role() Role {
+	if r.readers == nil {
+		return Prover
+	}
+	rs := r.readers()
+	switch {
+	case rs.Self:
+		return Prover
+	case r.View().Table == nil:
+		return Starter
+	case !rs.Large:
+		return Watcher
+	case r.stepsIn(rs):
+		return StandIn
+	default:
+		return Alone
+	}
+}
--- a/daemon/registry/follow.go
+++ b/daemon/registry/follow.go
@@ -61,6 +61,7 @@
 		r.yield(ctx, f)
 		var err error
 		listed := mark == 0
+		r.calls.add(Call{Feed: f.name, Role: r.role(), Listed: listed})
 		if listed {
 			mark, err = f.list(ctx)
 		} else {
--- a/daemon/registry/readers_test.go
+++ b/daemon/registry/readers_test.go
@@ -191,3 +191,17 @@
 	require.NotNil(t, young.View().Table)
 	require.Zero(t, calls)
 }
+
+// A day's calls of the store are priced, and whoever looks for the dear ones must see who made them and why.
+func TestCallsAreCountedByTheirReason(t *testing.T) {
+	b, reader := newBench(t), newBench(t)
+	reader.Registry.clock = b.clock
+	b.large(reader.Registry)
+	require.Equal(t, Alone, b.role())
+	b.ReadBy(func() Roster { return Roster{Self: true, Seed: true} })
+	ctx, cancel := context.WithTimeout(b.ctx, 50*time.Millisecond)
+	defer cancel()
+	b.follow(ctx, feed{name: "routes", list: func(context.Context) (route.Mark, error) { return 0, errDown }})
+	require.Equal(t, map[Call]uint64{{Feed: "routes", Role: Prover, Listed: true}: 1}, b.Calls())
+	require.Equal(t, "list", Call{Listed: true}.Name())
+}
--- a/daemon/registry/registry.go
+++ b/daemon/registry/registry.go
@@ -176,6 +176,7 @@
 	patience time.Duration
 	// young is when that wait ends.
 	young clock.Milli
+	calls calls
 	// handover limits what this VM hands over whole, and packed is the document as it is handed over.
 	handover handover
 	packed   packed
