registry: standard terms for polling, bootstrap and proof

The package spoke of looks, telling, meeting and vouching; it now polls, checks, awaits members and clears an outage. Names alone: no behaviour changes, the wire names are what they were.

--- a/daemon/registry/follow.go
+++ b/daemon/registry/follow.go
@@ -51,11 +51,11 @@
 	for ctx.Err() == nil {
 		if r.rests(f) {
 			mark, failures, busy = 0, 0, false
-			r.vouched()
+			r.clearOutage()
 			if f.leads {
 				r.failing.Store(false)
 			}
-			pause(ctx, lookEvery)
+			pause(ctx, checkEvery)
 			continue
 		}
 		r.yield(ctx, f)
@@ -73,11 +73,11 @@
 		if f.leads {
 			r.failing.Store(err != nil)
 		}
-		r.reach(f.name, err)
+		r.noteStore(f.name, err)
 		if err == nil {
 			failures = 0
 			if listed {
-				r.meet(ctx)
+				r.awaitMembers(ctx)
 			}
 			continue
 		}
@@ -94,7 +94,7 @@
 // A store that fails for that feed's objects alone must not stop the other.
 func (r *Registry) yield(ctx context.Context, f feed) {
 	for i := 0; i < yieldLongest && !f.leads && r.failing.Load() && ctx.Err() == nil; i++ {
-		pause(ctx, lookEvery)
+		pause(ctx, checkEvery)
 	}
 }
 
@@ -106,32 +106,32 @@
 	if r.readers == nil || r.readers().Seed || r.rests(r.documents()) {
 		return
 	}
-	t := time.NewTimer(r.patience)
+	t := time.NewTimer(r.bootstrapWait)
 	defer t.Stop()
 	select {
 	case <-ctx.Done():
 	case <-t.C:
 	case <-r.known:
-		r.meet(ctx)
+		r.awaitMembers(ctx)
 	}
 }
 
-// vouched notes that readers' word stands for ours. What we then read for ourselves is no first answer
+// clearOutage notes that readers' word stands for ours. What we then read for ourselves is no first answer
 // after an outage, whatever became of our own calls before.
-func (r *Registry) vouched() {
+func (r *Registry) clearOutage() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.lost = false
 }
 
-// meet waits after a list until this VM may know whether others read for it.
+// awaitMembers waits after a list until this VM may know whether others read for it.
 //
 // What goes wrong without it: all VMs start at once, and until they have met each takes
 // itself for a reader. Each opens two watches that nobody needs a moment later: with
 // eighty-six VMs 172 calls at each start of all.
-func (r *Registry) meet(ctx context.Context) {
+func (r *Registry) awaitMembers(ctx context.Context) {
 	if r.readers != nil {
-		pause(ctx, meetTime)
+		pause(ctx, joinTime)
 	}
 }
 
@@ -176,7 +176,7 @@
 		wait = retryWait/2 + rand.N(retryWait)
 	}
 	for wait > 0 && ctx.Err() == nil {
-		step := min(wait, lookEvery)
+		step := min(wait, checkEvery)
 		pause(ctx, step)
 		wait -= step
 		if r.leads() && wait > retryWait {
@@ -261,8 +261,8 @@
 // answer itself may have been held up for any time.
 func (r *Registry) asOf(sent, wait clock.Milli) clock.Milli { return min(sent+wait, r.clock.Now()) }
 
-// reach notes whether the store answers.
-func (r *Registry) reach(what string, err error) {
+// noteStore notes whether the store answers.
+func (r *Registry) noteStore(what string, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	switch {
--- a/daemon/registry/peers.go
+++ b/daemon/registry/peers.go
@@ -21,21 +21,21 @@
 	// fetchTimeout bounds the fetching from a peer, which is milliseconds away.
 	fetchTimeout = 400 * time.Millisecond
 	// askAfter is how old the proof of our document grows in a small fleet before a reader is asked, and
-	// lookEvery the time between two looks at its age.
-	askAfter  = watchWait
-	lookEvery = 200 * time.Millisecond
-	// tellEvery is the time between two questions of a VM that keeps no watch of its own, and
-	// trustFor how long it relies on the last answer. Members are asked in turn, so with one of them silent or shut
+	// checkEvery the time between two checks of its age.
+	askAfter   = watchWait
+	checkEvery = 200 * time.Millisecond
+	// pollEvery is the time between two questions of a VM that keeps no watch of its own, and
+	// pollExpiry how long it relies on the last answer. Members are asked in turn, so with one of them silent or shut
 	// off, news passes one layer after 0.8 s at the most, and two layers within the two seconds in which a leaving
 	// upstream and a new document must be obeyed.
-	tellEvery = 300 * clock.Milli(1)
-	trustFor  = 1200 * clock.Milli(1)
+	pollEvery  = 300 * clock.Milli(1)
+	pollExpiry = 1200 * clock.Milli(1)
 	// readerAge is the most that the word of a reader is old whose way to the store is open: one
 	// watch and the pause after news, and a tenth of a second on the way.
 	readerAge = watchWait + newsBusy + 100
 	// restLimit is how old the proof grows before the first VM behind the readers reads for itself, if they answer and their
 	// own ways to the store are shut: a reader's age, and two questions in each of two layers.
-	restLimit = readerAge + 2*(tellEvery+100)
+	restLimit = readerAge + 2*(pollEvery+100)
 	// rankStep is added to it for each VM that stands before. What goes wrong without it: the store is away for eight
 	// seconds, readers answer as ever, and after two of them each of three hundred VMs calls the store for itself, over and over:
 	// two outages cost 6,000 calls. The first VM that gets through is asked by all, since it stands before them.
--- a/daemon/registry/readers.go
+++ b/daemon/registry/readers.go
@@ -97,13 +97,13 @@
 	now := r.clock.Now()
 	later := clock.Milli(max(rs.Rank-len(rs.Others), 0)) * rankStep
 	if r.tableAt == 0 {
-		return r.told > 0 && now-r.young <= youngLimit+later
+		return r.polled > 0 && now-r.bootstrapped <= bootstrapLimit+later
 	}
 	at, limit := r.tableAt, restLimit
 	if !f.leads {
 		at, limit = r.upstreamsAt, restLimit+newsWait
 	}
-	return now-at <= limit+later && now-r.told <= trustFor
+	return now-at <= limit+later && now-r.polled <= pollExpiry
 }
 
 // wait is how long the next watch of a feed waits.
@@ -147,7 +147,7 @@
 	// VMs begin with different readers, so that each answers its share.
 	turn := rand.IntN(1 << 16)
 	for ctx.Err() == nil {
-		pause(ctx, r.lookAgain())
+		pause(ctx, r.checkInterval())
 		rs := r.readers()
 		if !r.due(rs) {
 			continue
@@ -159,13 +159,13 @@
 	}
 }
 
-// lookAgain is the time until the age of our knowledge is looked at again.
-func (r *Registry) lookAgain() time.Duration {
+// checkInterval is the time until the age of our knowledge is checked again.
+func (r *Registry) checkInterval() time.Duration {
 	select {
 	case <-r.known:
-		return lookEvery
+		return checkEvery
 	default:
-		return youngEvery
+		return bootstrapPoll
 	}
 }
 
@@ -178,7 +178,7 @@
 	if rs.Large {
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		return r.clock.Now()-r.told >= tellEvery || r.tableAt == 0
+		return r.clock.Now()-r.polled >= pollEvery || r.tableAt == 0
 	}
 	return r.age() > askAfter
 }
@@ -190,7 +190,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.clock.Now()-r.told >= tellEvery
+	return r.clock.Now()-r.polled >= pollEvery
 }
 
 // askReaders asks readers in turn until one answers whose word is new, and returns the turn of
@@ -208,7 +208,7 @@
 			continue
 		}
 		r.mu.Lock()
-		r.told = sent
+		r.polled = sent
 		r.mu.Unlock()
 		if r.age() <= readerAge {
 			break
--- a/daemon/registry/readers_test.go
+++ b/daemon/registry/readers_test.go
@@ -132,9 +132,9 @@
 	b.failing.Store(true)
 	began = time.Now()
 	b.yield(b.ctx, b.documents())
-	require.Less(t, time.Since(began), lookEvery)
+	require.Less(t, time.Since(began), checkEvery)
 	b.yield(b.ctx, b.entries())
-	require.Less(t, time.Since(began), 2*yieldLongest*lookEvery, "a store that fails for one kind alone does not stop the other")
+	require.Less(t, time.Since(began), 2*yieldLongest*checkEvery, "a store that fails for one kind alone does not stop the other")
 }
 
 // Upstreams register one after the other. Each ends a watch, so watches follow each other less often while that goes on.
@@ -179,7 +179,7 @@
 	known.Fill("", beat)
 	tell := time.AfterFunc(5*bootstrapTime, func() { young.Learn(beat, true); close(told) })
 	defer tell.Stop()
-	ctx, cancel := context.WithTimeout(b.ctx, 5*bootstrapTime+meetTime/2)
+	ctx, cancel := context.WithTimeout(b.ctx, 5*bootstrapTime+joinTime/2)
 	defer cancel()
 	calls := 0
 	young.follow(ctx, feed{
--- a/daemon/registry/registry.go
+++ b/daemon/registry/registry.go
@@ -75,8 +75,8 @@
 	// retryLongest bounds the pause of a VM far behind the readers. It may find itself cut off from its peers
 	// meanwhile, and must read for itself then.
 	retryLongest = 8 * time.Second
-	// meetTime is about how long VMs that start together need to meet and to ask a reader once.
-	meetTime = 400 * time.Millisecond
+	// joinTime is about how long VMs that start together need to meet and to ask a reader once.
+	joinTime = 400 * time.Millisecond
 	// bootstrapTime is how long a VM that starts waits for a peer to hand over what it knows before it lists the store.
 	// A peer of the settings that is up answers within 12 ms. Where all start together nobody knows anything, and requests that
 	// come meanwhile are due 300 ms later: with waits of 100 to 300 ms 6 of 31 short requests of such a
@@ -85,11 +85,11 @@
 	// FirstWait is the same wait at the first start of all VMs of a deployment: no caller is there yet, and it is time enough to
 	// meet and to be told. 295 VMs that each list both kinds of objects make 590 calls.
 	FirstWait = clock.Second
-	// youngLimit is how long after this wait a VM without any document leaves it to the members that it asks to read
+	// bootstrapLimit is how long after this wait a VM without any document leaves it to the members that it asks to read
 	// the first one, if they answer.
-	youngLimit = 600 * clock.Milli(1)
-	// youngEvery is the time between two questions meanwhile.
-	youngEvery = 50 * time.Millisecond
+	bootstrapLimit = 600 * clock.Milli(1)
+	// bootstrapPoll is the time between two questions meanwhile.
+	bootstrapPoll = 50 * time.Millisecond
 	// holdGone is how long upstreams that are missing are kept after the store
 	// was away. Their entries lapse meanwhile though they live, and are back
 	// within two seconds of its return; all would be taken for gone at once.
@@ -166,17 +166,17 @@
 	knownOnce sync.Once
 	// readers names those who read for all; nil where each VM reads for itself.
 	readers Readers
-	// told is when one of the members that this VM asks last answered.
-	told clock.Milli
+	// polled is when one of the members that this VM asks last answered.
+	polled clock.Milli
 	// failing is set while the last call for the document failed.
 	failing atomic.Bool
 	// shut holds members whose way to the store was shut, until an instant.
 	shut map[peer.VM]clock.Milli
-	// patience is how long this VM waits at its start for a peer to hand over what it knows.
-	patience time.Duration
-	// young is when that wait ends.
-	young clock.Milli
-	calls calls
+	// bootstrapWait is how long this VM waits at its start for a peer to hand over what it knows.
+	bootstrapWait time.Duration
+	// bootstrapped is when that wait ends.
+	bootstrapped clock.Milli
+	calls        calls
 	// handover limits what this VM hands over whole, and packed is the document as it is handed over.
 	handover handover
 	packed   packed
@@ -224,8 +224,8 @@
 
 // Await sets how long this VM waits for a peer to hand over what it knows before it lists the store. It is called before Run.
 func (r *Registry) Await(d clock.Milli) {
-	r.patience = d.Duration()
-	r.young = r.clock.Now() + d
+	r.bootstrapWait = d.Duration()
+	r.bootstrapped = r.clock.Now() + d
 }
 
 // View returns what is known now.
--- a/daemon/registry/registry_test.go
+++ b/daemon/registry/registry_test.go
@@ -129,17 +129,17 @@
 func (b *bench) list() {
 	b.t.Helper()
 	_, err := b.listDocument(b.ctx)
-	b.reach("routes", err)
+	b.noteStore("routes", err)
 	_, err = b.listUpstreams(b.ctx)
-	b.reach("upstreams", err)
+	b.noteStore("upstreams", err)
 }
 
 func (b *bench) watch() {
 	b.t.Helper()
 	_, err := b.watchDocument(b.ctx, 1, watchWait)
-	b.reach("routes", err)
+	b.noteStore("routes", err)
 	_, err = b.watchUpstreams(b.ctx, 1, watchWait)
-	b.reach("upstreams", err)
+	b.noteStore("upstreams", err)
 }
 
 func (b *bench) there() int { return len(b.View().Upstreams["s"]) }
@@ -485,12 +485,12 @@
 
 	reader.store.upstreams, reader.store.at = upstreams("b"), 50
 	reader.list()
-	b.clock.forward(tellEvery)
+	b.clock.forward(pollEvery)
 	require.True(t, b.due(b.readers()))
 	b.askReaders(b.ctx, b.readers().Others, turn)
 	require.Equal(t, 1, b.there())
 
-	b.clock.forward(trustFor + 1)
+	b.clock.forward(pollExpiry + 1)
 	require.False(t, b.rests(b.documents()), "a reader that is silent is not relied on")
 }
 
