--- a/lib/peer/dialer_test.go
+++ b/lib/peer/dialer_test.go
@@ -50,18 +50,7 @@
 // about a second and the next call uses a fresh connection.
 func TestSilentConnectionIsThrownAway(t *testing.T) {
 	address, release := startServer(t)
-	var silent atomic.Bool
-	var dials atomic.Int32
-	d := NewDialer(func(ctx context.Context, a string) (net.Conn, error) {
-		c, err := DialTCP(ctx, a)
-		if err != nil {
-			return nil, err
-		}
-		if dials.Add(1) == 1 {
-			return &muteConn{Conn: c, silent: &silent}, nil
-		}
-		return c, nil
-	})
+	d, silent, dials := newMuteDialer()
 	defer d.Close()
 	require.NoError(t, d.Call(context.Background(), address, ProbeMethod, Empty{}, &Empty{}))
 	silent.Store(true)
@@ -77,6 +66,22 @@
 	require.Equal(t, int32(2), dials.Load())
 }
 
+// newMuteDialer returns a dialer whose first connection can be silenced, and counts its dials.
+func newMuteDialer() (d *Dialer, silent *atomic.Bool, dials *atomic.Int32) {
+	silent, dials = &atomic.Bool{}, &atomic.Int32{}
+	d = NewDialer(func(ctx context.Context, a string) (net.Conn, error) {
+		c, err := DialTCP(ctx, a)
+		if err != nil {
+			return nil, err
+		}
+		if dials.Add(1) == 1 {
+			return &muteConn{Conn: c, silent: silent}, nil
+		}
+		return c, nil
+	})
+	return d, silent, dials
+}
+
 // muteConn swallows writes once silent, as a forgotten connection does.
 type muteConn struct {
 	net.Conn
@@ -95,18 +100,7 @@
 func TestASilentConnectionIsThrownAwayThoughItsCallsAreShort(t *testing.T) {
 	address, release := startServer(t)
 	defer close(release)
-	var silent atomic.Bool
-	var dials atomic.Int32
-	d := NewDialer(func(ctx context.Context, a string) (net.Conn, error) {
-		c, err := DialTCP(ctx, a)
-		if err != nil {
-			return nil, err
-		}
-		if dials.Add(1) == 1 {
-			return &muteConn{Conn: c, silent: &silent}, nil
-		}
-		return c, nil
-	})
+	d, silent, dials := newMuteDialer()
 	defer d.Close()
 	call := func() error {
 		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
