span, placer, member: standard terms for isolation, refusals and acknowledged parts

apart, fate, sliver, blind, hosted and courier become isolation, refusals, besideRead, unreported, ownedPool and AckedPart.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PROGRAMS := daemon operator emulator bench
 BIN := $(CURDIR)/bin
 
-.PHONY: build run test chaos soak fmt lint bench-decide bench-path
+.PHONY: build run test chaos soak regress fmt lint bench-decide bench-path
 
 build:
 	@mkdir -p $(BIN)
@@ -34,6 +34,11 @@
 soak:
 	cd scenarios && SOAK=$(SOAK) SOAKFOR=$(SOAKFOR) go test -count=1 -v -timeout 15m -run 'TestSoak$$' .
 
+# regress plays the regression set of deployments and compares it with the kept figures: PLAYER is the
+# program that plays days, SITES the folder of the deployments. Not part of CI; half an hour and more.
+regress:
+	@PLAYER=$(PLAYER) SITES=$(SITES) SET="$(SET)" deploy/regress.sh
+
 fmt:
 	gofumpt -w $$(git ls-files '*.go')
 
--- a/daemon/member/members.go
+++ b/daemon/member/members.go
@@ -43,9 +43,9 @@
 	Learn(b *peer.BeatArgs, reply bool)
 }
 
-// Courier is a Part that must know which of its beats arrived. Answers to
+// AckedPart is a Part that must know which of its beats arrived. Answers to
 // beats of others carry nothing of it.
-type Courier interface {
+type AckedPart interface {
 	Part
 	// Load adds to a beat. At most one beat to a member is under way.
 	Load(to peer.Member, b *peer.BeatArgs)
@@ -71,8 +71,8 @@
 	mu    sync.Mutex
 	table *Table
 	parts []Part
-	// couriers are those of the parts that are couriers.
-	couriers []Courier
+	// acked are those of the parts that are acked.
+	acked []AckedPart
 	// busy holds the addresses with a beat under way, one at a time each.
 	busy map[string]bool
 	// views are the digests that members told last.
@@ -97,8 +97,8 @@
 func (m *Members) Add(ps ...Part) {
 	m.parts = append(m.parts, ps...)
 	for _, p := range ps {
-		if c, ok := p.(Courier); ok {
-			m.couriers = append(m.couriers, c)
+		if c, ok := p.(AckedPart); ok {
+			m.acked = append(m.acked, c)
 		}
 	}
 }
@@ -276,14 +276,14 @@
 	limited, cancel := context.WithTimeout(ctx, m.period().Duration())
 	defer cancel()
 	args := m.message(to.VM)
-	for _, c := range m.couriers {
+	for _, c := range m.acked {
 		c.Load(to, args)
 	}
 	var reply peer.BeatArgs
 	err := m.caller.Call(limited, to.Address, Name+".Beat", args, &reply)
 	if err == nil {
 		m.learn(&reply, true)
-		for _, c := range m.couriers {
+		for _, c := range m.acked {
 			c.Arrived(to)
 		}
 		return
--- a/daemon/placer/owner.go
+++ b/daemon/placer/owner.go
@@ -94,11 +94,11 @@
 	budget Budget
 
 	mu    sync.Mutex
-	pools map[route.ServiceID]*hosted
+	pools map[route.ServiceID]*ownedPool
 }
 
-// hosted is one pool with those who wait for its decisions.
-type hosted struct {
+// ownedPool is one pool with those who wait for its decisions.
+type ownedPool struct {
 	mu   sync.Mutex
 	pool *span.Pool
 	// born is when the pool was made here.
@@ -117,11 +117,11 @@
 
 // NewOwner returns an owner without pools.
 func NewOwner(n OwnerNeeds, b Budget) *Owner {
-	return &Owner{OwnerNeeds: n, budget: b, pools: map[route.ServiceID]*hosted{}}
+	return &Owner{OwnerNeeds: n, budget: b, pools: map[route.ServiceID]*ownedPool{}}
 }
 
 // host returns a service's pool, told of what is known now, locked.
-func (o *Owner) host(s route.ServiceID) *hosted {
+func (o *Owner) host(s route.ServiceID) *ownedPool {
 	o.mu.Lock()
 	h := o.pools[s]
 	if h == nil {
@@ -131,7 +131,7 @@
 			since = o.Clock.Now() + settleTime
 		}
 		budget.GrowFrom(since)
-		h = &hosted{
+		h = &ownedPool{
 			born: o.Clock.Now(), pool: span.New(span.DefaultRules, budget),
 			waiters: map[decide.RequestID]chan span.Decision{}, kept: map[decide.RequestID]span.Decision{},
 		}
@@ -139,7 +139,7 @@
 	}
 	o.mu.Unlock()
 	h.mu.Lock()
-	h.pool.Apart(o.Alone() && o.Clock.Now()-h.born < AloneWait, o.Name)
+	h.pool.Isolate(o.Alone() && o.Clock.Now()-h.born < AloneWait, o.Name)
 	if v := o.Knowledge.View(); v.Generation != h.generation && v.Table != nil {
 		first := h.generation == 0
 		h.generation = v.Generation
@@ -152,7 +152,7 @@
 }
 
 // look asks upstreams in doubt for their load, while there are any. The pool's lock is held.
-func (o *Owner) look(s route.ServiceID, h *hosted) {
+func (o *Owner) look(s route.ServiceID, h *ownedPool) {
 	v := o.Knowledge.View()
 	if h.looking || v.Table == nil || v.Table.Service(s) == nil || v.Table.Service(s).Engine == nil {
 		return
@@ -180,7 +180,7 @@
 }
 
 // report takes one upstream's word into the books.
-func (o *Owner) report(h *hosted, id decide.UpstreamID, u *route.Upstream) {
+func (o *Owner) report(h *ownedPool, id decide.UpstreamID, u *route.Upstream) {
 	if u == nil {
 		h.mu.Lock()
 		defer h.mu.Unlock()
@@ -266,7 +266,7 @@
 }
 
 // tick decides what can be decided and hands it out. The pool's lock is held.
-func (o *Owner) tick(h *hosted, now clock.Milli) {
+func (o *Owner) tick(h *ownedPool, now clock.Milli) {
 	for _, d := range h.pool.Tick(now) {
 		if c := h.waiters[d.Request]; c != nil {
 			delete(h.waiters, d.Request)
@@ -285,7 +285,7 @@
 
 // keepTicking looks at the queue again and again while something waits there.
 // The pool's lock is held.
-func (o *Owner) keepTicking(h *hosted) {
+func (o *Owner) keepTicking(h *ownedPool) {
 	if h.ticking || h.pool.Counts().Queued == 0 {
 		return
 	}
--- a/daemon/placer/placer_test.go
+++ b/daemon/placer/placer_test.go
@@ -246,7 +246,7 @@
 	var reply AskReply
 	require.NoError(t, o.Ask(&AskArgs{Service: "s", Ask: question("r1"), Wait: 200}, &reply))
 	require.True(t, reply.Decided)
-	require.Equal(t, "apart", reply.Reason)
+	require.Equal(t, "isolated", reply.Reason)
 	require.LessOrEqual(t, reports.asked.Load(), int64(8))
 
 	long := question("r2")
--- a/daemon/usage/usage.go
+++ b/daemon/usage/usage.go
@@ -184,7 +184,7 @@
 	return us
 }
 
-// Load implements member.Courier: a neighbour gets what it is not known to have.
+// Load implements member.AckedPart: a neighbour gets what it is not known to have.
 func (b *Book) Load(to peer.Member, m *peer.BeatArgs) {
 	if !b.keeps(to) {
 		return
@@ -214,7 +214,7 @@
 	return false
 }
 
-// Arrived implements member.Courier.
+// Arrived implements member.AckedPart.
 func (b *Book) Arrived(to peer.Member) {
 	l := life{to.VM, to.Incarnation}
 	b.mu.Lock()
@@ -242,4 +242,4 @@
 	}
 }
 
-var _ member.Courier = (*Book)(nil)
+var _ member.AckedPart = (*Book)(nil)
--- a/lib/decide/span/foreign.go
+++ b/lib/decide/span/foreign.go
@@ -24,7 +24,7 @@
 func (p *Pool) Doubtful() []decide.UpstreamID {
 	var ids []decide.UpstreamID
 	rows := p.order
-	if p.apart.on {
+	if p.isolation.on {
 		rows = p.own()
 	}
 	for _, r := range rows {
--- a/lib/decide/span/apart.go
+++ b/lib/decide/span/isolated.go
@@ -17,36 +17,36 @@
 // all does, all of them would pack on the same first engine. So an owner that knows of nobody
 // uses a few engines of its own choice, asks only these for their load, and spreads its requests over them.
 
-// apartEngines is how many engines such an owner uses: in the third of a second it gets some ten short requests. Eighty-six
+// isolatedEngines is how many engines such an owner uses: in the third of a second it gets some ten short requests. Eighty-six
 // owners ask 688 times for a load, where each asking all of 78 engines would be 6,708.
-const apartEngines = 8
+const isolatedEngines = 8
 
-// apart is the way of an owner that knows of nobody.
-type apart struct {
+// isolation is the way of an owner that knows of nobody.
+type isolation struct {
 	on   bool
 	seed string
 }
 
-// Apart tells the pool whether its owner knows of no other one; seed names the owner.
-func (p *Pool) Apart(on bool, seed string) {
-	p.apart = apart{on: on, seed: seed}
+// Isolate tells the pool whether its owner knows of no other one; seed names the owner.
+func (p *Pool) Isolate(on bool, seed string) {
+	p.isolation = isolation{on: on, seed: seed}
 }
 
 // order ranks an upstream for one owner: for each owner otherwise.
-func (a apart) order(id decide.UpstreamID) uint64 {
-	return xxhash.Sum64String(a.seed + "\x00" + string(id))
+func (i isolation) order(id decide.UpstreamID) uint64 {
+	return xxhash.Sum64String(i.seed + "\x00" + string(id))
 }
 
 // own lists the upstreams that the owner uses while it knows of nobody.
 func (p *Pool) own() []*row {
 	rows := slices.DeleteFunc(slices.Clone(p.order), func(r *row) bool { return r.Leaving })
-	slices.SortFunc(rows, func(x, y *row) int { return cmp.Compare(p.apart.order(x.ID), p.apart.order(y.ID)) })
-	return rows[:min(apartEngines, len(rows))]
+	slices.SortFunc(rows, func(x, y *row) int { return cmp.Compare(p.isolation.order(x.ID), p.isolation.order(y.ID)) })
+	return rows[:min(isolatedEngines, len(rows))]
 }
 
-// placeApart puts a short request on the engine of the owner's own that has fewest. Long prompts wait until
+// placeIsolated puts a short request on the engine of the owner's own that has fewest. Long prompts wait until
 // owners have met: each needs many engines, and others would give out the same.
-func (p *Pool) placeApart(now clock.Milli, w *waiting) (plan, bool) {
+func (p *Pool) placeIsolated(now clock.Milli, w *waiting) (plan, bool) {
 	if w.heavy {
 		return plan{}, false
 	}
@@ -55,7 +55,7 @@
 	for _, r := range p.own() {
 		n := r.streams + r.foreign
 		if first, ok := p.fitsLight(now, &w.Ask, r, w.cost, math.MaxInt); ok && n < least {
-			best, least = plan{leader: r, part: w.cost, first: first, reason: "apart"}, n
+			best, least = plan{leader: r, part: w.cost, first: first, reason: "isolated"}, n
 		}
 	}
 	return best, best.leader != nil
--- a/lib/decide/span/apart_test.go
+++ b/lib/decide/span/isolated_test.go
@@ -15,7 +15,7 @@
 	all := map[decide.UpstreamID]int{}
 	for vm := range 6 {
 		b := newBench(t, 23)
-		b.Apart(true, fmt.Sprint("vm-", vm))
+		b.Isolate(true, fmt.Sprint("vm-", vm))
 		for range 8 {
 			g := b.granted(now, b.note(now))
 			require.Less(t, float64(g.First), 300.0)
@@ -32,15 +32,15 @@
 func TestAnOwnerThatKnowsOfNobodyUsesItsOwnEngines(t *testing.T) {
 	b := newBench(t, 23)
 	b.Doubt()
-	b.Apart(true, "vm-1")
-	require.Len(t, b.Doubtful(), apartEngines)
-	b.Apart(false, "vm-1")
+	b.Isolate(true, "vm-1")
+	require.Len(t, b.Doubtful(), isolatedEngines)
+	b.Isolate(false, "vm-1")
 	require.Len(t, b.Doubtful(), 23)
 	b = newBench(t, 23)
-	b.Apart(true, "vm-1")
+	b.Isolate(true, "vm-1")
 	long := b.history(now, 200_000)
 	_, decided := b.ask(now, long)
 	require.False(t, decided)
-	b.Apart(false, "vm-1")
+	b.Isolate(false, "vm-1")
 	require.Len(t, b.Tick(now), 1)
 }
--- a/lib/decide/span/place.go
+++ b/lib/decide/span/place.go
@@ -20,9 +20,9 @@
 // the gate and to the engine, and half a pass.
 const settleTime = 30.0
 
-// sliver is the reading in milliseconds of one engine beside short streams, while enough engines are
+// besideRead is the reading in milliseconds of one engine beside short streams, while enough engines are
 // there: about as long as the pass that writes them, so that their pauses double at the most.
-const sliver = 60.0
+const besideRead = 60.0
 
 // firstPass is the usual time of the pass whose end brings the first event.
 const firstPass = 60.0
@@ -45,8 +45,8 @@
 	switch {
 	case w.cost == 0:
 		return p.placePlain(now, &w.Ask)
-	case p.apart.on:
-		return p.placeApart(now, w)
+	case p.isolation.on:
+		return p.placeIsolated(now, w)
 	case w.heavy:
 		return p.placeHeavy(now, w, beside)
 	default:
@@ -159,7 +159,7 @@
 // the engines could read for more than half of the time.
 func (p *Pool) placeBeside(now clock.Milli, w *waiting, need int) (plan, bool) {
 	rows, slacks := p.slacks(now, &w.Ask)
-	for n := max(need, int(math.Ceil(w.cost/sliver))); n <= min(p.group(), len(rows)); n++ {
+	for n := max(need, int(math.Ceil(w.cost/besideRead))); n <= min(p.group(), len(rows)); n++ {
 		part := w.cost / float64(n)
 		if slacks[n-1] < part {
 			continue
--- a/lib/decide/span/pool.go
+++ b/lib/decide/span/pool.go
@@ -34,10 +34,10 @@
 	order []*row
 	queue map[decide.RequestID]*waiting
 	// grants holds every live grant.
-	grants map[decide.RequestID]*granted
-	spare  spare
-	turn   turn
-	apart  apart
+	grants    map[decide.RequestID]*granted
+	spare     spare
+	turn      turn
+	isolation isolation
 	// budget bounds the sends beyond the first of each request.
 	budget *gate.Budget
 }
--- a/lib/decide/span/queue.go
+++ b/lib/decide/span/queue.go
@@ -74,8 +74,8 @@
 	waits, short bool
 	// full is set once no upstream has a slot left.
 	full bool
-	// blind is set while all engines are in doubt: nothing is known of what they can take.
-	blind bool
+	// unreported is set while all engines are in doubt: nothing is known of what they can take.
+	unreported bool
 }
 
 // Tick places and refuses what is queued.
@@ -87,7 +87,7 @@
 	}
 	var ds []Decision
 	p.turn.choose(now, p.queue, p.group())
-	o := round{pool: p, now: now, before: p.debts(now), blind: p.blind()}
+	o := round{pool: p, now: now, before: p.debts(now), unreported: p.unreported()}
 	for _, w := range p.sorted(now) {
 		if d, decided := o.decide(w); decided {
 			delete(p.queue, w.ID)
@@ -100,13 +100,13 @@
 	return ds
 }
 
-// blind tells whether all engines are in doubt, as for a new owner until they have reported, or the owner
+// unreported tells whether all engines are in doubt, as for a new owner until they have reported, or the owner
 // knows of nobody and uses few of them.
 //
 // What goes wrong without it: the owner has placed nothing yet, so the rate at which it places late
 // requests is nothing, and it refuses the first ones for a pressure that is not there.
-func (p *Pool) blind() bool {
-	if p.apart.on {
+func (p *Pool) unreported() bool {
+	if p.isolation.on {
 		return true
 	}
 	for _, r := range p.order {
@@ -130,7 +130,7 @@
 		}
 	}
 	if w.heavy {
-		if d, hopeless := o.hopeless(w, late); hopeless && !o.blind {
+		if d, hopeless := o.hopeless(w, late); hopeless && !o.unreported {
 			return d, true
 		}
 		o.count(w, late)
@@ -138,7 +138,7 @@
 	if yields {
 		return Decision{}, false
 	}
-	if late && !w.heavy && !o.blind {
+	if late && !w.heavy && !o.unreported {
 		if d, stuck := o.pool.stuck(o.now, w, o.stuck); stuck {
 			return d, true
 		}
--- a/lib/decide/span/turn.go
+++ b/lib/decide/span/turn.go
@@ -30,8 +30,8 @@
 	// starvedBelow is the share of large prompts served, against that of the others, below which reading is
 	// kept for them. Where they fare better they need no help, and keeping some costs the others.
 	starvedBelow = 0.85
-	// fateOver is over about how many prompts these shares are taken.
-	fateOver = 20.0
+	// refusalOver is over about how many prompts these shares are taken.
+	refusalOver = 20.0
 	// meanOver is over about how many long prompts the mean reading is taken.
 	meanOver = 50.0
 )
@@ -43,7 +43,7 @@
 	// mean is the mean reading of the long prompts asked for, in milliseconds.
 	mean float64
 	// large and others are what became of the last long prompts of either size.
-	large, others fate
+	large, others refusals
 	// next is the prompt whose turn it is; empty for none.
 	next decide.RequestID
 	// urgency is that of next: engines are held from no work that is more urgent.
@@ -52,19 +52,19 @@
 	held int
 }
 
-// fate is what became of the last prompts of one size.
-type fate struct {
+// refusals is how often the last prompts of one size were refused.
+type refusals struct {
 	// refused is the share of them that was refused, from 0 to 1.
 	refused float64
 }
 
 // ends takes what became of one more prompt.
-func (f *fate) ends(refused bool) {
-	r := 0.0
+func (r *refusals) ends(refused bool) {
+	share := 0.0
 	if refused {
-		r = 1
+		share = 1
 	}
-	f.refused += (r - f.refused) / fateOver
+	r.refused += (share - r.refused) / refusalOver
 }
 
 // ends takes what became of a long prompt.
