--- a/daemon/registry/calls.go
+++ b/daemon/registry/calls.go
@@ -1,6 +1,10 @@
 package registry
 
-import "sync"
+import (
+	"sync"
+
+	"snipeshift.example/lib/logline"
+)
 
 // Role is why a VM called the store.
 type Role string
@@ -17,6 +21,8 @@
 	Starter Role = "starter"
 	// Alone reads since those it asks are silent, or know nothing new.
 	Alone Role = "alone"
+	// Follower makes no calls: others tell it what is new.
+	Follower Role = "follower"
 )
 
 // Call is one kind of calls of the store.
@@ -61,6 +67,19 @@
 	return counts
 }
 
+// noteRole writes a line if this VM's part in reading the store has changed, and returns its present part.
+func (r *Registry) noteRole(rs Roster, before Role) Role {
+	now := r.role()
+	if r.rests(r.documents()) {
+		now = Follower
+	}
+	if now != before {
+		r.log.Info().Str(logline.Key, logline.Reader).Str("role", string(now)).Str("before", string(before)).Int("rank", rs.Rank).
+			Int("open", r.ahead(rs)).Int64("age", int64(r.age())).Msg("this VM has another part in reading the store")
+	}
+	return now
+}
+
 // role is why this VM calls the store now.
 func (r *Registry) role() Role {
 	if r.readers == nil {
--- a/daemon/registry/readers.go
+++ b/daemon/registry/readers.go
@@ -146,9 +146,11 @@
 	}
 	// VMs begin with different readers, so that each answers its share.
 	turn := rand.IntN(1 << 16)
+	role := Starter
 	for ctx.Err() == nil {
 		pause(ctx, r.checkInterval())
 		rs := r.readers()
+		role = r.noteRole(rs, role)
 		if !r.due(rs) {
 			continue
 		}
--- a/daemon/registry/readers_test.go
+++ b/daemon/registry/readers_test.go
@@ -1,11 +1,14 @@
 package registry
 
 import (
+	"bytes"
 	"context"
 	"errors"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/phuslu/log"
 	"github.com/stretchr/testify/require"
 
 	"snipeshift.example/lib/clock"
@@ -205,3 +208,25 @@
 	require.Equal(t, map[Call]uint64{{Feed: "routes", Role: Prover, Listed: true}: 1}, b.Calls())
 	require.Equal(t, "list", Call{Listed: true}.Name())
 }
+
+// A VM steps in for others, and the log must say when and why: whoever looks for the cause of a stale document asks first who
+// read the store at that time.
+func TestAChangeOfPartIsLoggedOnce(t *testing.T) {
+	b, reader := newBench(t), newBench(t)
+	reader.Registry.clock = b.clock
+	b.large(reader.Registry)
+	var lines bytes.Buffer
+	b.log = &log.Logger{Level: log.InfoLevel, Writer: log.IOWriter{Writer: &lines}}
+	b.askReaders(b.ctx, b.readers().Others, 0)
+	role := b.noteRole(b.readers(), Starter)
+	require.Equal(t, Follower, role)
+	require.Equal(t, Follower, b.noteRole(b.readers(), role))
+	require.Equal(t, 1, strings.Count(lines.String(), `"event":"reader"`))
+	reader.store.down = true
+	reader.watch()
+	for turn := range 2 {
+		b.askReaders(b.ctx, b.readers().Others, turn)
+	}
+	require.Equal(t, StandIn, b.noteRole(b.readers(), role))
+	require.Contains(t, lines.String(), `"role":"standin","before":"follower","rank":2,"open":0`)
+}
--- a/lib/logline/logline.go
+++ b/lib/logline/logline.go
@@ -26,6 +26,8 @@
 	// Unreachable and Reached are about dependencies: the store, an owner, a peer.
 	Unreachable = "unreachable"
 	Reached     = "reached"
+	// Reader is a change of a VM's part in reading the store.
+	Reader = "reader"
 	// Owner tells that another VM is asked for the places of a service.
 	Owner = "owner"
 	// Report is an upstream's word on work that no grant explains.
@@ -51,6 +53,7 @@
 	Unusable:    "an entry of the store names no upstream to use, and why; once for each reason",
 	Unreachable: "a dependency does not answer: the store, an owner, a peer",
 	Reached:     "a lost dependency answers again",
+	Reader:      "a VM has another part in reading the store: its rank, how many before it have an open way, the age of its document",
 	Owner:       "another VM is asked for the places of a service",
 	Report:      "an upstream's word on work that no grant explains, or its silence",
 	Silent:      "an upstream neither answers nor takes connections; the send is given up",
