registry: upstreams that vanish together with half of their service are kept for a while

The store was silent for 1.5 s and its entries lapsed. A VM with long watches noticed nothing; the first of the VMs had just said that it is shut off, so this one stepped in, listed, took all upstreams out at once and refused everything for 0.7 s (kept logs: `gone` of seven upstreams 3 ms after the other VM's `unreachable`).

Now upstreams are kept 1.8 s that vanish from a list or by news together with half of their service, unless they had said that they leave. It is below the 2 s after which one that left must get nothing.

Ruled out: to take any VM that says it is shut off for an outage of the store.

Unit test: TestUpstreamsThatVanishTogetherAreKeptForAWhile fails without the change.

--- a/daemon/registry/registry.go
+++ b/daemon/registry/registry.go
@@ -94,6 +94,12 @@
 	// was away. Their entries lapse meanwhile though they live, and are back
 	// within two seconds of its return; all would be taken for gone at once.
 	holdGone = 2200 * clock.Milli(1)
+	// massHold is how long upstreams are kept that vanish together with half of their service. A VM that had nothing to ask
+	// while the store was away, or only a watch that waited, knows nothing of the outage; the upstreams live, and
+	// register again within about a second. It is less than the two seconds after which one that left must get nothing.
+	massHold = 1800 * clock.Milli(1)
+	// massLeast is how many upstreams of a service make a mass.
+	massLeast = 2
 	// lapseLeast is how long upstreams must have been silent before their entries lapse: three
 	// heartbeats of 1.2 s. Knowledge that is younger has missed no lapse.
 	lapseLeast = 3600 * clock.Milli(1)
@@ -147,6 +153,8 @@
 	// gone holds upstreams that the store no longer lists and that are kept for
 	// a while, with the instant of their end.
 	gone map[decide.UpstreamID]clock.Milli
+	// mass holds those of the news being taken that vanish together with half of their service.
+	mass map[decide.UpstreamID]bool
 	// left holds upstreams that the store said are gone. A peer's word never brings one back
 	// in the life that left: it may be older than it says.
 	left map[decide.UpstreamID]leaver
@@ -294,9 +302,25 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.bar(news.Unusable)
+	r.mass = r.massOf(r.missing(news.Upstreams))
 	r.takeList(news.Upstreams, mark, at, r.remove)
 }
 
+// missing are the upstreams known that a list lacks. The lock is held.
+func (r *Registry) missing(us []route.Upstream) []decide.UpstreamID {
+	listed := make(map[decide.UpstreamID]bool, len(us))
+	for _, u := range us {
+		listed[u.ID] = true
+	}
+	var ids []decide.UpstreamID
+	for id := range r.upstreams {
+		if !listed[id] {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // takeList takes a whole list; remove is called for what it lacks. The lock is held.
 func (r *Registry) takeList(us []route.Upstream, mark route.Mark, at clock.Milli, remove func(decide.UpstreamID)) {
 	listed := make(map[decide.UpstreamID]bool, len(us))
@@ -354,6 +378,7 @@
 	for _, u := range news.Upstreams {
 		r.put(u, true)
 	}
+	r.mass = r.massOf(news.Gone)
 	for _, id := range news.Gone {
 		delete(r.unusable, id)
 		r.remove(id)
@@ -361,6 +386,32 @@
 	r.settle(mark, at)
 }
 
+// massOf lists those of some upstreams that vanish together with half of their service. The lock is held.
+//
+// What goes wrong where these are taken out at once: the store is away for a second and a half, and its entries lapse. A VM that reads by
+// long watches notices nothing of the outage, or steps in for another just after it; then one answer takes all
+// upstreams away, and for a second every request is refused for want of any.
+func (r *Registry) massOf(ids []decide.UpstreamID) map[decide.UpstreamID]bool {
+	gone := map[route.ServiceID]int{}
+	for _, id := range ids {
+		if u, ok := r.upstreams[id]; ok && !u.Leaving {
+			gone[u.Service]++
+		}
+	}
+	all := map[route.ServiceID]int{}
+	for _, u := range r.upstreams {
+		all[u.Service]++
+	}
+	mass := map[decide.UpstreamID]bool{}
+	for _, id := range ids {
+		u := r.upstreams[id]
+		if n := gone[u.Service]; !u.Leaving && n >= massLeast && 2*n >= all[u.Service] {
+			mass[id] = true
+		}
+	}
+	return mass
+}
+
 // put enters an upstream, and writes a line of it if told. The lock is held.
 //
 // An entry of an earlier life than is known changes nothing: it was written before that life
@@ -432,7 +483,11 @@
 		// This is the first answer after the store was away.
 		back = now
 	}
-	r.gone[id] = max(now, back+holdGone)
+	until := max(now, back+holdGone)
+	if r.mass[id] {
+		until = max(until, now+massHold)
+	}
+	r.gone[id] = until
 }
 
 // settle ends those whose time is over and publishes. The lock is held.
--- a/daemon/registry/registry_test.go
+++ b/daemon/registry/registry_test.go
@@ -318,6 +318,36 @@
 	require.Equal(t, 1, b.there())
 }
 
+// The store was away and its entries lapsed, but the watch of this VM waited all the while and says only that all upstreams of a service
+// are gone. They register again within a second; taken out at once, every request would be refused for want of any. One that leaves
+// alone is gone at once all the same, and so is one that has said that it leaves.
+func TestUpstreamsThatVanishTogetherAreKeptForAWhile(t *testing.T) {
+	b := newBench(t)
+	b.changeUpstreams(route.News{Gone: []decide.UpstreamID{"a", "b"}}, 60, b.clock.Now())
+	require.Equal(t, 2, b.there())
+	b.clock.forward(clock.Second)
+	b.changeUpstreams(list(upstreams("a")), 61, b.clock.Now())
+	b.clock.forward(massHold)
+	b.changeUpstreams(route.News{}, 62, b.clock.Now())
+	require.Equal(t, 1, b.there(), "b did not come back")
+	b.changeUpstreams(route.News{Gone: []decide.UpstreamID{"a"}}, 63, b.clock.Now())
+	require.Equal(t, 0, b.there(), "one alone is gone at once")
+
+	b.list()
+	b.store.upstreams = nil
+	b.list()
+	require.Equal(t, 2, b.there(), "a list that lacks them says no more than a watch")
+	b.clock.forward(massHold)
+	b.list()
+	require.Equal(t, 0, b.there())
+
+	leaving := upstreams("c", "d")
+	leaving[0].Leaving, leaving[1].Leaving = true, true
+	b.changeUpstreams(list(leaving), 64, b.clock.Now())
+	b.changeUpstreams(route.News{Gone: []decide.UpstreamID{"c", "d"}}, 65, b.clock.Now())
+	require.Equal(t, 0, b.there(), "they had said so")
+}
+
 // A peer that is cut off itself says what it knew long ago. Its word must not make
 // knowledge look fresh.
 func TestAnOldWordProvesNothing(t *testing.T) {
