--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -18,6 +18,7 @@
 	"snipeshift.example/daemon/member"
 	"snipeshift.example/daemon/placer"
 	"snipeshift.example/daemon/quarantine"
+	"snipeshift.example/daemon/readers"
 	"snipeshift.example/daemon/registry"
 	"snipeshift.example/daemon/relay"
 	"snipeshift.example/daemon/settings"
@@ -83,7 +84,7 @@
 	dialer   *peer.Dialer
 	members  *member.Members
 	registry *registry.Registry
-	readers  readers
+	readers  *readers.Readers
 	owner    *placer.Owner
 	placer   *placer.Client
 	gate     *relay.Gate
@@ -115,7 +116,7 @@
 	self := peer.Member{VM: s.Name, Incarnation: incarnation, Domain: s.Domain, Address: s.Advertise, Cores: int(s.Cores * thousandths), Link: int(s.Link)}
 	d.members = member.New(self, relayRules, d.dialer, seeds(s.Peers), d.clock)
 	d.registry = registry.New(d.store, d.dialer, d.clock, d.log)
-	d.readers = readers{self: s.Name, seed: slices.Contains(s.Peers, s.Advertise)}
+	d.readers = readers.New(s.Name, slices.Contains(s.Peers, s.Advertise))
 	d.registry.ReadBy(d.roster)
 	if s.First {
 		d.registry.Await(registry.FirstWait)
@@ -152,7 +153,7 @@
 }
 
 // roster implements registry.Readers.
-func (d *relayed) roster() registry.Roster { return d.readers.roster(d.members.Live()) }
+func (d *relayed) roster() registry.Roster { return d.readers.Roster(d.members.Live()) }
 
 // seeds are the addresses of the settings.
 type seeds []string
--- a/daemon/readers.go
+++ b/daemon/readers/readers.go
@@ -1,4 +1,8 @@
-package main
+// Package readers works out which VMs read the platform's store for all, and whom each VM asks.
+//
+// All VMs that know the same members work out the same order, so nothing is agreed on: while they differ, some
+// VMs ask others than they should, and a few more read.
+package readers
 
 import (
 	"slices"
@@ -28,8 +32,8 @@
 	watchersMost = 12
 )
 
-// readers works out who reads the store and whom this VM asks.
-type readers struct {
+// Readers is what one VM works out. It is safe for concurrent use.
+type Readers struct {
 	self peer.VM
 	// seed is set if the settings of others name this VM.
 	seed bool
@@ -41,8 +45,11 @@
 	last registry.Roster
 }
 
-// roster is registry.Readers for the live members.
-func (r *readers) roster(live []peer.Member) registry.Roster {
+// New returns the readers as a VM sees them; seed is set if the settings of others name it.
+func New(self peer.VM, seed bool) *Readers { return &Readers{self: self, seed: seed} }
+
+// Roster is the part of this VM among the live members.
+func (r *Readers) Roster(live []peer.Member) registry.Roster {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	same := len(live) == len(r.live) && (len(live) == 0 || &live[0] == &r.live[0])
--- a/daemon/readers_test.go
+++ b/daemon/readers/readers_test.go
@@ -1,4 +1,4 @@
-package main
+package readers
 
 import (
 	"fmt"
