span, relay: engines that decline to help are not asked again at once

The answer names the engine at fault, but only this request kept away from it, and from the sound leader as well.

Ruled out: the change of owner (the holder was the same all the time).

Change: the pool keeps an engine that declined out of groups for a second, doubling; a spread prompt is tried twelve times; only the engine at fault is avoided.

--- a/daemon/relay/harness_test.go
+++ b/daemon/relay/harness_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -90,12 +91,13 @@
 	if p.refuse != "" {
 		return placer.AskReply{Decided: true, Fault: p.refuse, Reason: "test"}, nil
 	}
-	for _, u := range p.upstreams {
-		avoid := false
-		for _, id := range a.Avoid {
-			avoid = avoid || id == u.ID
+	for _, h := range p.helpers {
+		if slices.Contains(a.Avoid, h.Upstream) {
+			return placer.AskReply{Decided: true, Fault: fault.Unavailable, Reason: "none"}, nil
 		}
-		if !avoid {
+	}
+	for _, u := range p.upstreams {
+		if !slices.Contains(a.Avoid, u.ID) {
 			return placer.AskReply{Decided: true, Grant: span.Grant{Request: a.ID, Leader: span.Place{Upstream: u.ID, Address: u.Address}, Helpers: p.helpers, First: 100}}, nil
 		}
 	}
--- a/daemon/relay/reserve.go
+++ b/daemon/relay/reserve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -44,8 +45,8 @@
 }
 
 // reserve sets memory aside on the helpers that must hold a part of the prompt,
-// on all of them or on none.
-func (x *flight) reserve(ctx context.Context, grant span.Grant) (*reservation, bool) {
+// on all of them or on none. If one of them does not give it, it is named.
+func (x *flight) reserve(ctx context.Context, grant span.Grant) (*reservation, decide.UpstreamID) {
 	r := &reservation{gate: x.gate, id: x.head.ID, stop: func() {}}
 	for i, p := range grant.Helpers {
 		if p.Reserve > 0 {
@@ -53,37 +54,43 @@
 		}
 	}
 	if len(r.held) == 0 {
-		return r, true
+		return r, ""
 	}
-	if !r.all(ctx) {
+	if culprit := r.all(ctx); culprit != "" {
 		r.free()
-		return r, false
+		return r, culprit
 	}
 	work, stop := context.WithCancel(ctx)
 	r.stop = stop
 	r.done.Go(func() { r.renew(work) })
-	return r, true
+	return r, ""
 }
 
-// all orders all memory at once and tells whether all of it was given.
-func (r *reservation) all(ctx context.Context) bool {
+// all orders all memory at once, and names a helper that did not give it.
+func (r *reservation) all(ctx context.Context) decide.UpstreamID {
 	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
 	var g errgroup.Group
-	for _, h := range r.held {
+	failed := make([]bool, len(r.held))
+	for i, h := range r.held {
 		g.Go(func() error {
 			got, err := r.gate.Memory.Reserve(ctx, h.place.Address, h.ticket, h.place.Reserve, reserveHold)
 			if err == nil && !got {
 				err = errReserve
 			}
 			if err != nil {
+				failed[i] = true
 				r.gate.Log.Warn().Str(logline.Key, logline.Reserve).Str("id", r.id).Str("upstream", string(h.place.Upstream)).
 					Int64("tokens", int64(h.place.Reserve)).Err(err).Msg("no memory reserved")
 			}
 			return err
 		})
 	}
-	return g.Wait() == nil
+	_ = g.Wait() // each failure is logged
+	if i := slices.Index(failed, true); i >= 0 {
+		return r.held[i].place.Upstream
+	}
+	return ""
 }
 
 // renew keeps the memory until the send is over.
--- a/daemon/relay/reserve_test.go
+++ b/daemon/relay/reserve_test.go
@@ -103,3 +103,27 @@
 	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
 	require.Equal(t, []span.Outcome{span.Full}, w.placer.outcomes)
 }
+
+// A prompt is spread over engines of which many leave without anybody knowing: each time one of them turns the whole away, within milliseconds. Others
+// could read it for seconds still. A caller that is told after four tries that there is no room comes back to the same.
+func TestASpreadPromptIsTriedUntilItFindsEnginesThatStay(t *testing.T) {
+	leaving := func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Id", r.Header.Get("Id"))
+		w.Header().Set("Idle", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	handlers := make([]http.HandlerFunc, 9)
+	for i := range handlers {
+		handlers[i] = leaving
+	}
+	w := newWorld(t, append(handlers, whole("body"))...)
+	resp, _, err := w.call("POST", "/again/x", "prompt")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode, "alone it is tried four times")
+
+	w.placer.helpers = []span.Place{{Upstream: "u9", Address: w.placer.upstreams[9].Address}}
+	resp, body, err := w.call("POST", "/again/x", "prompt")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	require.Equal(t, "body", body)
+}
--- a/daemon/relay/run.go
+++ b/daemon/relay/run.go
@@ -12,9 +12,13 @@
 	"snipeshift.example/lib/route"
 )
 
-// idleSends is how many upstreams may turn a request away without running it
-// before it is refused: each one costs the caller a way there and back.
-const idleSends = 4
+// idleSends is how many times a request may be turned away without having run before it is refused: each time
+// costs the caller a way there and back. groupSends is that for a prompt that is spread over engines, of
+// which one that declines turns the whole away: beside the seconds that it takes to read, a few ways are nothing.
+const (
+	idleSends  = 4
+	groupSends = 12
+)
 
 // verdict is what becomes of a request after one send.
 type verdict uint8
@@ -61,10 +65,7 @@
 		if res.failure != nil {
 			failure = res.failure
 		}
-		x.avoid = append(x.avoid, grant.Leader.Upstream)
-		if res.culprit != "" {
-			x.avoid = append(x.avoid, res.culprit)
-		}
+		x.avoid = append(x.avoid, avoided(grant, res))
 		switch res.verdict {
 		case answered:
 			return nil
@@ -79,7 +80,7 @@
 		if ctx.Err() != nil {
 			return x.ended(ctx, sent > 0)
 		}
-		if !x.again(sent, turned) {
+		if !x.again(sent, turned, len(grant.Helpers) > 0) {
 			return x.conclude(failure, x.exhausted(sent, res))
 		}
 	}
@@ -98,15 +99,27 @@
 	return nil
 }
 
-// again tells whether the request may be sent once more.
-func (x *flight) again(sent, turned int) bool {
+// avoided is the upstream that the next send keeps away from: the one at fault.
+func avoided(grant span.Grant, res result) decide.UpstreamID {
+	if res.culprit != "" {
+		return res.culprit
+	}
+	return grant.Leader.Upstream
+}
+
+// again tells whether the request may be sent once more; spread tells whether several engines were to read it.
+func (x *flight) again(sent, turned int, spread bool) bool {
+	most := idleSends
+	if spread {
+		most = groupSends
+	}
 	if sent > 0 && x.route.Repeat == route.Once {
 		return false
 	}
 	if x.begun && x.route.Repeat != route.Resumable {
 		return false
 	}
-	return sent < x.route.Attempts && turned < idleSends
+	return sent < x.route.Attempts && turned < most
 }
 
 // exhausted is the answer after the last send.
--- a/daemon/relay/send.go
+++ b/daemon/relay/send.go
@@ -61,9 +61,9 @@
 	defer func() { g.Suspects.End(x.fingerprint, res.verdict == answered) }()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	memory, ok := x.reserve(ctx, grant)
-	if !ok {
-		res = result{verdict: idle, outcome: span.Full, err: errReserve}
+	memory, culprit := x.reserve(ctx, grant)
+	if culprit != "" {
+		res = result{verdict: idle, outcome: span.Full, err: errReserve, culprit: culprit}
 		return res
 	}
 	defer memory.free()
--- a/lib/decide/span/books.go
+++ b/lib/decide/span/books.go
@@ -35,8 +35,10 @@
 	// Debt is the reading in milliseconds that should be left there.
 	Debt float64
 	// Strikes, Shut and Rest are its health; Shut is how long it is still left alone.
-	Strikes     int
-	Shut, Rest  clock.Milli
+	Strikes    int
+	Shut, Rest clock.Milli
+	// Helps is how long it is still not asked to read parts for others, Declined the length of that time.
+	Helps, Declined clock.Milli
 	Foreign     int
 	ForeignUsed decide.Tokens
 	Pace        float64
@@ -60,6 +62,7 @@
 		b.Upstreams = append(b.Upstreams, Condition{
 			Upstream: r.ID, Born: r.Born, Debt: max(0, r.until-float64(now)),
 			Strikes: r.health.strikes, Shut: max(0, r.health.until-now), Rest: r.health.rest,
+			Helps: max(0, r.health.helps-now), Declined: r.health.declined,
 			Foreign: r.foreign, ForeignUsed: r.foreignUsed, Pace: r.pace, Doubtful: r.doubtful, Suspected: r.suspected,
 		})
 	}
@@ -82,10 +85,13 @@
 		}
 		r.refresh()
 		r.until = float64(now) + c.Debt
-		r.health = health{strikes: c.Strikes, rest: c.Rest}
+		r.health = health{strikes: c.Strikes, rest: c.Rest, declined: c.Declined}
 		if c.Shut > 0 {
 			r.health.until = now + c.Shut
 		}
+		if c.Helps > 0 {
+			r.health.helps = now + c.Helps
+		}
 		r.foreign, r.foreignUsed, r.pace = c.Foreign, c.ForeignUsed, c.Pace
 		r.doubtful, r.suspected = c.Doubtful, c.Suspected
 	}
--- a/lib/decide/span/health.go
+++ b/lib/decide/span/health.go
@@ -24,6 +24,9 @@
 	until clock.Milli
 	// rest is the length of the last shutting out.
 	rest clock.Milli
+	// helps is when it may be asked again to read a part for another engine, declined the length of the last
+	// time for which it was not.
+	helps, declined clock.Milli
 }
 
 // open tells whether requests may be sent.
@@ -33,7 +36,7 @@
 func (h *health) note(now clock.Milli, o Outcome) {
 	switch o {
 	case Done:
-		*h = health{}
+		*h = health{helps: h.helps, declined: h.declined}
 	case Unreachable:
 		h.shut(now)
 	case Silent, Broken:
@@ -53,3 +56,25 @@
 	h.rest = min(max(firstShut, 2*h.rest), longestShut)
 	h.until = now + h.rest
 }
+
+// Times for which an engine that declined to read a part for another one is not asked to.
+const (
+	firstDeclined   = clock.Second
+	longestDeclined = 8 * clock.Second
+)
+
+// decline notes that the engine did not read a part for another one.
+//
+// What goes wrong without it: engines are emptied while the store does not answer, so nobody knows that they leave. They finish what they
+// have, and decline parts of new prompts. Of 60 engines 17 leave: each prompt that is spread over a dozen meets one, four
+// times in a row, and is refused although the other engines idle.
+func (h *health) decline(now clock.Milli) {
+	if now < h.helps {
+		return
+	}
+	h.declined = min(max(firstDeclined, 2*h.declined), longestDeclined)
+	h.helps = now + h.declined
+}
+
+// helped notes that it read a part.
+func (h *health) helped() { h.helps, h.declined = 0, 0 }
--- a/lib/decide/span/place.go
+++ b/lib/decide/span/place.go
@@ -185,7 +185,7 @@
 	rooms := make([]room, 0, len(p.order))
 	avoid := p.avoidsSlow()
 	for _, r := range p.order {
-		if !r.usable(now, a) || r.foreign > 0 || r.reading > 0 && !r.light() || avoid && r.slow() {
+		if !r.usable(now, a) || now < r.health.helps || r.foreign > 0 || r.reading > 0 && !r.light() || avoid && r.slow() {
 			continue
 		}
 		slack := math.Inf(1)
@@ -215,7 +215,7 @@
 	avoid := p.avoidsSlow()
 	for i := len(p.order) - 1; i >= 0; i-- {
 		r := p.order[i]
-		if r.usable(now, a) && r.reading == 0 && !r.light() && !(avoid && r.slow()) {
+		if r.usable(now, a) && now >= r.health.helps && r.reading == 0 && !r.light() && !(avoid && r.slow()) {
 			free = append(free, r)
 		}
 	}
--- a/lib/decide/span/pool.go
+++ b/lib/decide/span/pool.go
@@ -141,6 +141,9 @@
 	g.Writing, g.heard = true, now
 	rows := g.rows
 	for _, r := range rows {
+		if !g.leads(r) {
+			r.health.helped()
+		}
 		if !g.leads(r) && !holds(g.Grant.Helpers, r.ID) {
 			delete(r.grants, id)
 			r.ends(now)
@@ -171,7 +174,10 @@
 	}
 	if r := p.rows[culprit]; r != nil && !r.earlier(g.Grant.born(culprit)) {
 		r.health.note(now, o)
-		if o == Full {
+		switch {
+		case o == Full && !g.leads(r):
+			r.health.decline(now)
+		case o == Full:
 			r.turned(now)
 		}
 	}
