--- a/bench/passes/load.go
+++ b/bench/passes/load.go
@@ -16,6 +16,21 @@
 	}
 }
 
+// Grouped is an engine of a larger fleet: fewer slots, less memory, longer passes.
+var Grouped = route.Engine{
+	Slots: 12, Memory: 382_500, Step: 0.925, Writer: 0.00483, Context: 0.00254, Read: 256, Pairs: 0.0917, Stride: 52, Hop: 0.1,
+}
+
+// fleet are the lengths and rates of a fleet of sixty engines whose histories are three hundred thousand tokens long.
+var fleet = []Kind{
+	{Name: "note", Rate: 76.4, Mean: 4960, Spread: 0.9, Most: 23_800, Events: 33, EventSpread: 0.7, Aim: 300, Gap: 200, Time: 10_000, Worth: 1.4},
+	{Name: "file", Rate: 12.2, Mean: 45_000, Spread: 0.5, Most: 110_000, Events: 20, EventSpread: 0.6, Aim: 1500, Gap: 500, Time: 10_000, Worth: 2.6},
+	{Name: "history", Rate: 2.08, Mean: 300_000, Spread: 0.55, Most: 1_000_000, Events: 16.5, EventSpread: 0.5, Aim: 4000, Gap: 800, Time: 15_000, Worth: 30},
+}
+
+// long is a phase that does not end.
+var long = [][]float64{{0.32, 1.3, 2.8}}
+
 // shifting is a day in phases: long work and short work press in turn.
 var shifting = [][]float64{{0.32, 1.3, 2.8}, {2.5, 0.5, 0.05}, {0.34, 1.3, 2.7}}
 
@@ -27,6 +42,9 @@
 	load := func(engines int, scale float64, ks []Kind, phases [][]float64) *Load {
 		return &Load{Kinds: ks, Phases: phases, PhaseTime: 10_000, Scale: scale, Engines: engines, Engine: Engine, Length: 34_000}
 	}
+	grouped := func(scale float64, phases [][]float64) *Load {
+		return &Load{Kinds: fleet, Phases: phases, PhaseTime: 10_000, Scale: scale, Engines: 60, Engine: Grouped, Length: 34_000}
+	}
 	small, large := kinds(39.5, 2.87, 1.19), kinds(50.5, 3.66, 1.52)
 	return map[string]*Load{
 		"shift18":  load(18, 0.83, small, shifting),
@@ -35,6 +53,9 @@
 		"flood14":  load(14, 1, small, flood),
 		"press18":  load(18, 1.1, small, shifting),
 		"press23":  load(23, 1.1, large, shifting),
+		"long60":   grouped(1, long),
+		"press60":  grouped(1.15, long),
+		"shift60":  grouped(1, shifting),
 		"steady18": load(18, 1, small, nil),
 		"steady23": load(23, 1, large, nil),
 	}
--- a/daemon/relay/gate.go
+++ b/daemon/relay/gate.go
@@ -177,11 +177,15 @@
 		return err
 	}
 	x.fingerprint = x.hash()
+	x.story.read = x.passed()
 	ctx, cancel := context.WithDeadlineCause(x.r.Context(), x.clockDeadline(), errDeadline)
 	defer cancel()
 	return x.run(ctx)
 }
 
+// passed is the time since the request's arrival.
+func (x *flight) passed() clock.Milli { return x.gate.Clock.Now() - x.arrived }
+
 // admit finds the route and proves the workspace.
 func (x *flight) admit() *fault.Error {
 	g := x.gate
--- a/daemon/relay/run.go
+++ b/daemon/relay/run.go
@@ -58,6 +58,7 @@
 		if err != nil {
 			return x.conclude(failure, x.truthful(ctx, sent, err))
 		}
+		x.story.place(x.passed())
 		res := x.send(ctx, grant)
 		x.gate.Placer.End(grant.Request, res.outcome, res.culprit)
 		x.story.send(grant, res)
--- a/daemon/relay/send.go
+++ b/daemon/relay/send.go
@@ -80,7 +80,14 @@
 	w := newWatchdog(x.gate, grant.Leader.Address, x.firstLimits(grant), func() { cancel(errSilent) })
 	defer w.stop()
 	var wrote atomic.Bool
-	trace := &httptrace.ClientTrace{WroteHeaders: func() { wrote.Store(true) }, GotConn: func(httptrace.GotConnInfo) { wrote.Store(true) }}
+	trace := &httptrace.ClientTrace{
+		WroteHeaders: func() { wrote.Store(true) },
+		GotConn: func(httptrace.GotConnInfo) {
+			wrote.Store(true)
+			x.story.connected.Store(int64(x.passed()))
+		},
+		WroteRequest: func(httptrace.WroteRequestInfo) { x.story.sent.Store(int64(x.passed())) },
+	}
 	r := x.outgoing(httptrace.WithClientTrace(ctx, trace), grant, host, helpers)
 	resp, err := x.transport().RoundTrip(r)
 	if err != nil {
--- a/daemon/relay/story.go
+++ b/daemon/relay/story.go
@@ -3,6 +3,7 @@
 import (
 	"strconv"
 	"strings"
+	"sync/atomic"
 
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide/span"
@@ -15,6 +16,10 @@
 	revision uint64
 	// age is that of the document when the request came.
 	age clock.Milli
+	// read is when the whole request was here and its key looked up, as a span since its arrival; so are placed, connected and sent
+	// of the last send: its place was given, its connection was there, its bytes were written.
+	read                    clock.Milli
+	placed, connected, sent atomic.Int64
 	// queued is the time spent waiting for places.
 	queued clock.Milli
 	reason string
@@ -27,6 +32,13 @@
 	sends            []string
 }
 
+// place notes that a place was given: the next send begins.
+func (s *story) place(after clock.Milli) {
+	s.placed.Store(int64(after))
+	s.connected.Store(0)
+	s.sent.Store(0)
+}
+
 // begin notes the first byte of an answer.
 func (s *story) begin(after clock.Milli, status int) { s.first, s.status = after, status }
 
@@ -70,6 +82,7 @@
 	e = e.Str(logline.Key, logline.Request).Str("id", x.head.ID).Str("route", routeName).Str("service", string(x.service)).
 		Str("workspace", string(x.workspace())).Uint64("revision", s.revision).Int64("age", int64(s.age)).
 		Int64("prompt", int64(x.head.Prompt)).Int64("left", int64(x.head.Left)).Str("last", x.head.Last).Int64("queued", int64(s.queued)).Str("reason", s.reason).
+		Int64("read", int64(s.read)).Int64("placed", s.placed.Load()).Int64("connected", s.connected.Load()).Int64("sent", s.sent.Load()).
 		Int("waiting", s.waiting).Int("running", s.running).
 		Str("sends", strings.Join(s.sends, "; ")).Int64("first", int64(s.first)).Int64("pause", int64(s.pause)).
 		Int("events", s.events).Int64("total", int64(total)).Int("status", s.status).Str("outcome", name)
--- a/operator/commands/explain.go
+++ b/operator/commands/explain.go
@@ -16,8 +16,10 @@
 func init() { register(explainCommand) }
 
 const (
-	flagSince = "since"
-	flagUntil = "until"
+	flagSince  = "since"
+	flagUntil  = "until"
+	flagStages = "stages"
+	flagPlot   = "plot"
 )
 
 func explainCommand() *cli.Command {
@@ -25,11 +27,13 @@
 		Name:      "explain",
 		Usage:     "find the cause of a failed or late request in the logs of all VMs",
 		ArgsUsage: "[ID] FILE...",
-		Description: "With --since or --until it sums up a span of time in place of one request. A FILE of - is the " +
-			"standard input.",
+		Description: "With --since or --until it sums up a span of time in place of one request. With --stages it tells how long " +
+			"requests take in each part of their way, by kind and by how many came in that second. A FILE of - is the standard input.",
 		Flags: []cli.Flag{
 			&cli.TimestampFlag{Name: flagSince, Usage: "sum up from this `TIME` on, such as 2006-01-02T15:04:05Z", Config: cli.TimestampConfig{Layouts: []string{time.RFC3339}}},
 			&cli.TimestampFlag{Name: flagUntil, Usage: "sum up to this `TIME`", Config: cli.TimestampConfig{Layouts: []string{time.RFC3339}}},
+			&cli.BoolFlag{Name: flagStages, Usage: "tell the time in each stage of requests' way"},
+			&cli.StringFlag{Name: flagPlot, Usage: "with --stages, draw it to `FILE` (.svg, .png or .pdf)"},
 		},
 		Action: runExplain,
 	}
@@ -39,9 +43,12 @@
 	span := c.IsSet(flagSince) || c.IsSet(flagUntil)
 	args := c.Args().Slice()
 	least := 2
-	if span {
+	if span || c.Bool(flagStages) {
 		least = 1
 	}
+	if c.IsSet(flagPlot) && !c.Bool(flagStages) {
+		return usageError("--plot draws what --stages tells: name both")
+	}
 	if len(args) < least {
 		return usageError("name an id and the logs of all VMs: snipeshift explain ID FILE..., or --since TIME FILE...")
 	}
@@ -51,6 +58,9 @@
 		return err
 	}
 	out := c.Root().Writer
+	if c.Bool(flagStages) {
+		return runStages(c, explain.Between(lines, c.Timestamp(flagSince), c.Timestamp(flagUntil)))
+	}
 	if span {
 		printWindow(out, explain.Span(lines, c.Timestamp(flagSince), c.Timestamp(flagUntil)))
 		return nil
--- a/operator/explain/explain.go
+++ b/operator/explain/explain.go
@@ -35,6 +35,11 @@
 	Age       int64  `json:"age"`
 	Prompt    int64  `json:"prompt"`
 	Queued    int64  `json:"queued"`
+	// Read, Placed, Connected and Sent are spans since the arrival; the last three are of the last send.
+	Read      int64  `json:"read"`
+	Placed    int64  `json:"placed"`
+	Connected int64  `json:"connected"`
+	Sent      int64  `json:"sent"`
 	Reason    string `json:"reason"`
 	Waiting   int    `json:"waiting"`
 	Running   int    `json:"running"`
@@ -178,6 +183,17 @@
 	return out
 }
 
+// Between are the lines from one instant to another; zero instants are open ends.
+func Between(lines []Line, since, until time.Time) []Line {
+	var out []Line
+	for _, l := range lines {
+		if (since.IsZero() || !l.Time.Before(since)) && (until.IsZero() || !l.Time.After(until)) {
+			out = append(out, l)
+		}
+	}
+	return out
+}
+
 // Window counts what happened in a span of time.
 type Window struct {
 	Requests int
@@ -190,10 +206,7 @@
 // Span sums up what happened from one instant to another; zero instants are open ends.
 func Span(lines []Line, since, until time.Time) Window {
 	w := Window{Outcomes: map[string]int{}, Beliefs: map[string]int{}}
-	for _, l := range lines {
-		if !since.IsZero() && l.Time.Before(since) || !until.IsZero() && l.Time.After(until) {
-			continue
-		}
+	for _, l := range Between(lines, since, until) {
 		if l.Event == logline.Request {
 			w.Requests++
 			w.Outcomes[outcome(l)]++
