--- a/lib/decide/span/books.go
+++ b/lib/decide/span/books.go
@@ -39,9 +39,9 @@
 	Shut, Rest clock.Milli
 	// Helps is how long it is still not asked to read parts for others, Declined the length of that time.
 	Helps, Declined clock.Milli
-	Foreign     int
-	ForeignUsed decide.Tokens
-	Pace        float64
+	Foreign         int
+	ForeignUsed     decide.Tokens
+	Pace            float64
 	// Doubtful and Suspected ask for its report.
 	Doubtful, Suspected bool
 }
--- a/lib/decide/span/queue.go
+++ b/lib/decide/span/queue.go
@@ -1,7 +1,6 @@
 package span
 
 import (
-	"cmp"
 	"slices"
 
 	"snipeshift.example/lib/clock"
@@ -88,7 +87,7 @@
 	var ds []Decision
 	p.turn.choose(now, p.queue, p.group())
 	o := round{pool: p, now: now, before: p.debts(now), unreported: p.unreported()}
-	for _, w := range p.sorted(now) {
+	for _, w := range p.ordered(now) {
 		if d, decided := o.decide(w); decided {
 			delete(p.queue, w.ID)
 			if w.heavy {
@@ -118,7 +117,7 @@
 }
 
 // decide places one request, refuses it, or leaves it in the queue. Requests come in
-// the order of sorted. What finds its place now is never refused, whatever the last seconds
+// the order of placing. What finds its place now is never refused, whatever the last seconds
 // were like: an engine that is free and a caller turned away help nobody.
 func (o *round) decide(w *waiting) (Decision, bool) {
 	late := w.late(o.now)
@@ -222,45 +221,6 @@
 	return d
 }
 
-// sorted is the queue in the order of placing: those that can still come in time
-// before the late ones, since a late one is worth a quarter whenever it comes;
-// then by urgency; then what engines read soonest, which serves most callers when
-// engines are short; then by aim or deadline.
-func (p *Pool) sorted(now clock.Milli) []*waiting {
-	ws := make([]*waiting, 0, len(p.queue))
-	for _, w := range p.queue {
-		ws = append(ws, w)
-	}
-	slices.SortFunc(ws, func(x, y *waiting) int {
-		return cmp.Or(
-			cmp.Compare(x.rank(now), y.rank(now)),
-			cmp.Compare(x.Urgency, y.Urgency),
-			cmp.Compare(x.least, y.least),
-			cmp.Compare(x.due(now), y.due(now)),
-			cmp.Compare(x.ID, y.ID),
-		)
-	})
-	return ws
-}
-
-// rank is 0 for what is in time, 1 for what is late.
-func (w *waiting) rank(now clock.Milli) int {
-	if w.late(now) {
-		return 1
-	}
-	return 0
-}
-
-// late tells whether the aim can't be met any more.
-func (w *waiting) late(now clock.Milli) bool { return float64(w.Aim-now) < settleTime+w.least }
-
-func (w *waiting) due(now clock.Milli) clock.Milli {
-	if w.late(now) {
-		return w.last
-	}
-	return w.Aim
-}
-
 // refuse tells whether a queued request can no longer be served.
 func (p *Pool) refuse(now clock.Milli, w *waiting) (Decision, bool) {
 	d := Decision{Action: Refused, Request: w.ID, Gate: w.Gate}
