--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"os"
 	"runtime/debug"
 	"slices"
@@ -209,7 +210,7 @@
 	part("ready door", func() error { return listenAndServe(ctx, ready, s.Ready) })
 	servers := []*http.Server{ready}
 	if s.Metrics != "" {
-		m := d.server(http.HandlerFunc(d.writeMetrics))
+		m := d.server(d.insight())
 		part("metrics door", func() error { return listenAndServe(ctx, m, s.Metrics) })
 		servers = append(servers, m)
 	}
@@ -302,6 +303,15 @@
 	}
 }
 
+// insight serves metrics, and profiles of the processor and the memory: on a VM whose processor is used up nothing else tells by what.
+func (d *relayed) insight() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("/debug/pprof/", pprof.Index)
+	mux.HandleFunc("/debug/pprof/profile", pprof.Profile)
+	mux.HandleFunc("/", d.writeMetrics)
+	return mux
+}
+
 // writeMetrics writes all metrics in the text format of Prometheus.
 func (d *relayed) writeMetrics(w http.ResponseWriter, _ *http.Request) {
 	d.gate.WriteMetrics(w)
--- a/daemon/settings/relay.go
+++ b/daemon/settings/relay.go
@@ -62,7 +62,7 @@
 	"ready":         {Need: true, Text: "where the balancer asks whether this VM takes callers, IP number and port"},
 	"peer":          {Need: true, Text: "where other daemons connect, IP number and port; the network between VMs is trusted"},
 	"advertise":     {Text: "what other daemons are told to connect to, where it differs from peer"},
-	"metrics":       {Text: "where metrics are served, IP number and port; empty for nowhere"},
+	"metrics":       {Text: "where metrics and profiles (/debug/pprof/) are served, IP number and port; empty for nowhere"},
 	"store":         {Need: true, Text: "the platform's store, IP number and port"},
 	"peers":         {Text: "peers to try first"},
 	"first":         {Text: "true at the first start of all VMs of the deployment, when no caller is there yet"},
--- a/scenarios/fleet/fleet.go
+++ b/scenarios/fleet/fleet.go
@@ -21,6 +21,8 @@
 	Name   string
 	Caller string
 	ready  string
+	// Metrics is where metrics and profiles are served.
+	Metrics string
 	// Peer carries what other VMs say to it.
 	Peer *relay.Relay
 	// Process is its present life.
@@ -98,7 +100,7 @@
 // add prepares a VM.
 func (f *Fleet) add(name string) error {
 	v := &VM{Name: name, settings: filepath.Join(f.dir, name+".hujson")}
-	for _, door := range []*string{&v.Caller, &v.ready, &v.door} {
+	for _, door := range []*string{&v.Caller, &v.ready, &v.door, &v.Metrics} {
 		a, err := relay.FreeAddress()
 		if err != nil {
 			return err
@@ -110,8 +112,8 @@
 		return err
 	}
 	f.VMs = append(f.VMs, v)
-	text := fmt.Sprintf(`{"name": %q, "domain": "hall", "caller": %q, "ready": %q, "peer": %q, "advertise": %q, "store": %q, "peers": [%q], "bounds": {"grace": %d}}`,
-		v.Name, v.Caller, v.ready, v.door, v.Peer.Address(), f.Store.Address(), f.VMs[0].Peer.Address(), grace)
+	text := fmt.Sprintf(`{"name": %q, "domain": "hall", "caller": %q, "ready": %q, "metrics": %q, "peer": %q, "advertise": %q, "store": %q, "peers": [%q], "bounds": {"grace": %d}}`,
+		v.Name, v.Caller, v.ready, v.Metrics, v.door, v.Peer.Address(), f.Store.Address(), f.VMs[0].Peer.Address(), grace)
 	return os.WriteFile(v.settings, []byte(text), 0o600)
 }
 
