--- a/lib/decide/span/order.go
+++ b/lib/decide/span/order.go
@@ -9,12 +9,12 @@
 
 // The load of this file is a phase of long prompts of very unlike lengths, about as many as the engines can read. Read shortest
 // first, the largest wait until their aims are lost, though the others had time; read by their aims alone, each
-// one too many makes all behind it late. So they are read by their aims, and where one would miss its aim behind those
-// before it, the longest of them is put back: as few as possible are late.
+// one too many makes all behind it late. So large prompts are read by their aims, and where one would miss its aim behind those
+// before it, the largest of them is put back: as few as possible are late.
 
 // ordered is the queue in the order of placing: those that can still come in time before the late ones, since a late one is
-// worth a quarter whenever it comes; then by urgency; then short ones, which take engines for milliseconds, before long ones. Long ones in time go
-// by their aims, all others by what engines read soonest, which serves most callers.
+// worth a quarter whenever it comes; then by urgency; then what engines read soonest, which serves most callers. Large
+// prompts in time go by their aims, after all that is read sooner.
 func (p *Pool) ordered(now clock.Milli) []*waiting {
 	ws := make([]*waiting, 0, len(p.queue))
 	for _, w := range p.queue {
@@ -27,7 +27,7 @@
 		for to < len(ws) && ws[to].class(now) == ws[from].class(now) && ws[to].Urgency == ws[from].Urgency {
 			to++
 		}
-		if ws[from].class(now) == longInTime {
+		if ws[from].class(now) == largeInTime {
 			ahead = p.putBack(now, ws[from:to], ahead)
 		}
 		from = to
@@ -37,20 +37,21 @@
 
 // The classes of queued requests, in the order of placing.
 const (
-	shortInTime = iota
-	longInTime
+	soonInTime = iota
+	largeInTime
 	late
 )
 
-// class is that of a request now.
+// class is that of a request now. A prompt counts as large if a whole group could not read it beside short streams: what can be
+// read there competes with short requests for moments, not with large prompts for engines.
 func (w *waiting) class(now clock.Milli) int {
 	switch {
 	case w.late(now):
 		return late
-	case w.heavy:
-		return longInTime
+	case w.heavy && w.least > besideRead:
+		return largeInTime
 	default:
-		return shortInTime
+		return soonInTime
 	}
 }
 
@@ -67,40 +68,46 @@
 	if first != 0 {
 		return first
 	}
-	if x.class(now) == longInTime {
+	if x.class(now) == largeInTime {
 		return cmp.Or(cmp.Compare(x.slack(now), y.slack(now)), cmp.Compare(x.ID, y.ID))
 	}
 	return cmp.Or(cmp.Compare(x.least, y.least), cmp.Compare(x.due(now), y.due(now)), cmp.Compare(x.ID, y.ID))
 }
 
-// putBack orders long prompts, which come by their slack. It takes and returns the time in milliseconds that the engines need to read
+// putBack orders large prompts, which come by their slack. It takes and returns the time in milliseconds that the engines need to read
 // what is kept before them. The order of Moore and Hodgson: with the engines taken for one that is as fast as all of
 // them, no other one has fewer late.
-func (p *Pool) putBack(now clock.Milli, long []*waiting, ahead float64) float64 {
+func (p *Pool) putBack(now clock.Milli, large []*waiting, ahead float64) float64 {
 	engines := float64(max(p.spare.engines, 1))
-	kept := make([]*waiting, 0, len(long))
+	kept := make([]*waiting, 0, len(large))
 	var back []*waiting
-	for _, w := range long {
+	for _, w := range large {
 		kept = append(kept, w)
 		ahead += w.cost / engines
 		if ahead <= w.slack(now)+w.least {
 			continue
 		}
-		longest := 0
-		for i, k := range kept {
-			if k.cost > kept[longest].cost {
-				longest = i
-			}
-		}
-		ahead -= kept[longest].cost / engines
-		back = append(back, kept[longest])
-		kept = slices.Delete(kept, longest, longest+1)
+		i := largest(kept)
+		ahead -= kept[i].cost / engines
+		back = append(back, kept[i])
+		kept = slices.Delete(kept, i, i+1)
 	}
 	slices.SortStableFunc(back, func(x, y *waiting) int { return cmp.Compare(x.least, y.least) })
-	copy(long, append(kept, back...))
+	copy(large, append(kept, back...))
 	return ahead
 }
 
+// largest is the index of the prompt that takes engines longest.
+func largest(ws []*waiting) int {
+	most := 0
+	for i, w := range ws {
+		if w.cost > ws[most].cost {
+			most = i
+		}
+	}
+	return most
+}
+
 // slack is how long a long prompt can still wait, in milliseconds.
 func (w *waiting) slack(now clock.Milli) float64 { return float64(w.Aim-now) - settleTime - w.least }
 
--- a/lib/decide/span/order_test.go
+++ b/lib/decide/span/order_test.go
@@ -21,18 +21,18 @@
 
 // A large prompt has waited for most of its aim while smaller ones, that have just come, can wait. Were they read first, as they are read
 // sooner, it would be late for nothing.
-func TestALongPromptGoesByItsAim(t *testing.T) {
+func TestALargePromptGoesByItsAim(t *testing.T) {
 	b := newBench(t, 20)
 	large := b.history(now-1500, 500_000)
-	small := b.history(now, 100_000)
+	smaller := b.history(now, 200_000)
+	b.Ask(now, smaller)
 	b.Ask(now, large)
-	b.Ask(now, small)
-	require.Equal(t, []decide.RequestID{large.ID, small.ID}, b.names(now))
+	require.Equal(t, []decide.RequestID{large.ID, smaller.ID}, b.names(now))
 }
 
 // More long prompts wait than the engines read by their aims. If all went by their aims, the first one would make
 // all others late: the longest is put back, and the others are in time.
-func TestTheLongestIsPutBackWhereOthersWouldBeLate(t *testing.T) {
+func TestTheLargestIsPutBackWhereOthersWouldBeLate(t *testing.T) {
 	b := newBench(t, 4)
 	large := b.history(now-200, 400_000) // 8.9 s of reading on one engine, 2.2 s on all four
 	b.Ask(now, large)
@@ -47,14 +47,15 @@
 	require.ElementsMatch(t, small, names[:6])
 }
 
-// Short requests take engines for milliseconds and are due in 300: none of them waits behind a long prompt, unless that is more urgent.
-func TestShortRequestsGoBeforeLongOnes(t *testing.T) {
+// Short requests take engines for milliseconds and are due in 300; prompts of some ten thousand tokens can be read beside short streams, as long
+// as no short request waits. None of them waits behind a large prompt, unless that is more urgent.
+func TestWhatIsReadSoonGoesBeforeLargePrompts(t *testing.T) {
 	b := newBench(t, 20)
-	long, short := b.history(now-2500, 150_000), b.note(now)
+	large, short, middle := b.history(now-2000, 200_000), b.note(now), b.history(now, 45_000)
 	urgent := b.history(now, 200_000)
-	urgent.Urgency, long.Urgency, short.Urgency = 0, 1, 1
-	for _, a := range []Ask{long, short, urgent} {
+	urgent.Urgency, large.Urgency, short.Urgency, middle.Urgency = 0, 1, 1, 1
+	for _, a := range []Ask{large, short, middle, urgent} {
 		b.Ask(now, a)
 	}
-	require.Equal(t, []decide.RequestID{urgent.ID, short.ID, long.ID}, b.names(now))
+	require.Equal(t, []decide.RequestID{urgent.ID, middle.ID, short.ID, large.ID}, b.names(now))
 }
