--- a/lib/decide/span/order.go
+++ b/lib/decide/span/order.go
@@ -13,7 +13,7 @@
 // before it, the largest of them is put back: as few as possible are late.
 
 // ordered is the queue in the order of placing: those that can still come in time before the late ones, since a late one is
-// worth a quarter whenever it comes; then by urgency; then what engines read soonest, which serves most callers. Large
+// worth a quarter whenever it comes; then by urgency; then what takes engines for the shortest time, which serves most callers. Large
 // prompts in time go by their aims, after all that is read sooner.
 func (p *Pool) ordered(now clock.Milli) []*waiting {
 	ws := make([]*waiting, 0, len(p.queue))
@@ -71,7 +71,16 @@
 	if x.class(now) == largeInTime {
 		return cmp.Or(cmp.Compare(x.slack(now), y.slack(now)), cmp.Compare(x.ID, y.ID))
 	}
-	return cmp.Or(cmp.Compare(x.least, y.least), cmp.Compare(x.due(now), y.due(now)), cmp.Compare(x.ID, y.ID))
+	return cmp.Or(cmp.Compare(x.takes(), y.takes()), cmp.Compare(x.due(now), y.due(now)), cmp.Compare(x.ID, y.ID))
+}
+
+// takes is for how long engines are taken at the least, in milliseconds: a prompt that several read beside short streams
+// takes each for one part.
+func (w *waiting) takes() float64 {
+	if w.heavy {
+		return max(w.least, besideRead)
+	}
+	return w.least
 }
 
 // putBack orders large prompts, which come by their slack. It takes and returns the time in milliseconds that the engines need to read
--- a/lib/decide/span/queue.go
+++ b/lib/decide/span/queue.go
@@ -196,10 +196,14 @@
 	return true
 }
 
+// pressingLeft is what must be left of a late prompt's time, beyond twice its reading, for it to make way still: a group of engines comes
+// free within it.
+const pressingLeft = 1500.0
+
 // pressing tells whether a late request has so little time left that it must not
 // make way for others any more.
 func (w *waiting) pressing(now clock.Milli) bool {
-	return float64(w.last-now) < 4*w.least+float64(3*clock.Second)
+	return float64(w.last-now) < 2*w.least+pressingLeft
 }
 
 // admit grants what has found its place, unless it is a repeat beyond the budget: a
