--- a/daemon/placer/owner.go
+++ b/daemon/placer/owner.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/phuslu/log"
+
 	"snipeshift.example/daemon/registry"
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
