--- a/daemon/holder/schedule_test.go
+++ b/daemon/holder/schedule_test.go
@@ -93,7 +93,7 @@
 	return s.vms[i]
 }
 
-// reaches tells whether a call from one VM to another is answered.
+// reaches reports whether a call from one VM to another is answered.
 func (s *schedule) reaches(from, to *simulated) bool {
 	if from == to {
 		return true
@@ -250,7 +250,7 @@
 	return most
 }
 
-// agreed tells whether all VMs follow one holder that is live.
+// agreed reports whether all VMs follow one holder that is live.
 func (s *schedule) agreed() bool {
 	first, ok := s.vms[0].table.Of(service)
 	if !ok {
--- a/daemon/holder/table.go
+++ b/daemon/holder/table.go
@@ -45,7 +45,7 @@
 	return hs
 }
 
-// Learn takes a word about a holder, and tells whether it replaces what was known.
+// Learn takes a word about a holder, and reports whether it replaces what was known.
 func (t *Table) Learn(h peer.Holder) bool {
 	known, ok := t.rows[h.Service]
 	if ok && !newer(h, known) {
@@ -55,7 +55,7 @@
 	return true
 }
 
-// newer tells whether word x replaces word y. VMs that became holder at the same epoch did not know of each other:
+// newer reports whether word x replaces word y. VMs that became holder at the same epoch did not know of each other:
 // the one with more processor keeps the service, and among equals a hash decides, the same on all VMs.
 func newer(x, y peer.Holder) bool {
 	return cmp.Or(
@@ -70,7 +70,7 @@
 	return xxhash.Sum64String(string(h.Service) + "\x00" + string(h.VM))
 }
 
-// Holds tells whether this VM holds a service.
+// Holds reports whether this VM holds a service.
 func (t *Table) Holds(s route.ServiceID) bool {
 	h, ok := t.rows[s]
 	return ok && is(h, t.self)
@@ -91,7 +91,7 @@
 	return h, true
 }
 
-// is tells whether a member is the holder, in the same life.
+// is reports whether a member is the holder, in the same life.
 func is(h peer.Holder, m peer.Member) bool { return h.VM == m.VM && h.Incarnation == m.Incarnation }
 
 // Member finds the holder of a service among the live members.
--- a/daemon/member/owner.go
+++ b/daemon/member/owner.go
@@ -63,10 +63,9 @@
 // Strong returns the members with at least half of the most processor and half of the most link; all of them where no
 // settings say. If no member has both, it goes by the processor alone.
 //
-// The load: a fleet of 295 VMs of which 280 have 0.19 of a core and 20 Mbit/s, and 550 short requests a
-// second for one service. The owner of the service gets three messages a request. Drawn among all it was one of the
-// small ones: its answers took 85 ms for one in ten while nothing waited in its queue, and 7 in 100 short
-// requests were late.
+// The load: a fleet most of whose VMs are small, and hundreds of short requests a second for one service. Whoever places them gets
+// three messages a request. A small VM's processor is used up by them: it answers late while nothing waits in its
+// queue, and short requests are late for it.
 func Strong(members []peer.Member) []peer.Member {
 	cores, link := most(members)
 	both := with(members, func(m peer.Member) bool { return m.Cores*strongPart >= cores && m.Link*strongPart >= link })
--- a/daemon/placer/client.go
+++ b/daemon/placer/client.go
@@ -41,7 +41,7 @@
 	// are 3 ms away; a pause of an owner's processor, whose share is cut every
 	// tenth of a second, takes up to 60.
 	answerSlack = 180 * clock.Milli(1)
-	// presentEvery is how often an owner is told of all live grants, so that a
+	// presentEvery is how often all live grants are presented to an owner, so that a
 	// lost word of an end does not cost it an engine for long.
 	presentEvery = time.Second
 )
--- a/daemon/placer/hold.go
+++ b/daemon/placer/hold.go
@@ -157,7 +157,7 @@
 }
 
 // take makes this VM the holder of a service, unless the holder is another one than at the epoch before by now. If there was one before, gates are
-// told at once, and nothing is decided until they have said what runs.
+// informed at once, and nothing is decided until they have presented what runs.
 func (o *Owner) take(s route.ServiceID, before uint64, cause string) {
 	o.taking.Lock()
 	defer o.taking.Unlock()
@@ -193,7 +193,7 @@
 	h.gathering = false
 	o.tick(h, o.Clock.Now())
 	o.keepTicking(h)
-	o.look(s, h)
+	o.pollReports(s, h)
 }
 
 // announce tells all members who holds a service. What it returns is closed once all have answered or failed to: each has
@@ -209,7 +209,7 @@
 		self := o.Members.Self()
 		for _, m := range o.Members.Live() {
 			if m.VM != self.VM {
-				g.Go(func() error { o.tellHolder(m, x); return nil })
+				g.Go(func() error { o.announceTo(m, x); return nil })
 			}
 		}
 		_ = g.Wait() // announcements return no errors
@@ -217,8 +217,8 @@
 	return done
 }
 
-// tellHolder announces a holder to one member. One that does not hear of it learns it from heartbeats or answers.
-func (o *Owner) tellHolder(m peer.Member, x peer.Holder) {
+// announceTo announces a holder to one member. One that does not hear of it learns it from heartbeats or answers.
+func (o *Owner) announceTo(m peer.Member, x peer.Holder) {
 	ctx, cancel := context.WithTimeout(context.Background(), announceWait.Duration())
 	defer cancel()
 	var known peer.Holder
--- a/daemon/placer/holders.go
+++ b/daemon/placer/holders.go
@@ -98,7 +98,7 @@
 	return h.table.Of(s)
 }
 
-// Holds tells whether this VM holds a service.
+// Holds reports whether this VM holds a service.
 func (h *Holders) Holds(s route.ServiceID) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/daemon/placer/messages.go
+++ b/daemon/placer/messages.go
@@ -52,7 +52,7 @@
 	Waited clock.Milli
 	// Moved is set if nothing was decided and another VM is to be asked.
 	Moved bool
-	// Holder is set if another VM holds the service than the one whose epoch the gate told.
+	// Holder is set if another VM holds the service than the one whose epoch the gate gave.
 	Holder *peer.Holder
 }
 
--- a/daemon/placer/owner.go
+++ b/daemon/placer/owner.go
@@ -25,23 +25,22 @@
 const (
 	// longestWait bounds how long a question waits for its decision.
 	longestWait = clock.Second
-	// busyQueue is the length of a queue from which on it is looked at by the clock
-	// alone. A flood of a hundred queued requests makes a look cost some 20 us;
-	// with a look for each of a thousand messages a second, an owner with 0.4 of a core
-	// answers too late, is passed over, and its successor goes the same way.
+	// busyQueue is the length of a queue from which on it is scanned by the clock alone. With a scan for
+	// each of a thousand messages a second, an owner with a part of a core answers too late, is passed over, and its
+	// successor goes the same way.
 	busyQueue = 32
-	// tickEvery is the time between two looks at a queue: estimates run out and
+	// tickEvery is the time between two scans of a queue: estimates run out and
 	// aims pass without any message.
 	tickEvery = 10 * time.Millisecond
 	// keptDecisions bounds the answers that wait for their gates to ask again.
 	keptDecisions = 4096
-	// settleTime is how long an owner that has met no other member gives out none of the
+	// settleTime is how long an owner that knows no other member gives out none of the
 	// budget's floor: members that start together need about as long to agree on one.
 	settleTime = 3 * clock.Second
 	// startShare is the part of the floor, one in so many, that any other new owner has at
 	// once: a planned change of owner must not leave broken streams without a second try.
 	startShare = 4
-	// AloneWait is how long after its start an owner that has met no other member takes it that there are
+	// AloneWait is how long after its start an owner that knows no other member takes it that there are
 	// others, and uses a few engines of its own: members that start within 0.3 s of each other meet in that
 	// time, and their gates ask the one owner of all.
 	AloneWait = 500 * clock.Milli(1)
@@ -60,7 +59,7 @@
 	Clock     Clock
 	Knowledge Knowledge
 	Reports   Reports
-	// Name is that of this VM, and Alone tells whether no other member was ever heard of.
+	// Name is that of this VM, and Alone reports whether no other member was ever heard of.
 	Name  string
 	Alone func() bool
 	// Holders tells who holds a service; Members and Peers are for asking them.
@@ -88,16 +87,16 @@
 	pool *span.Pool
 	// born is when the pool was made here.
 	born clock.Milli
-	// generation is that of the knowledge which the pool was told.
+	// generation is that of the knowledge which the pool has.
 	generation uint64
 	// waiters are those who wait for a decision: the gate, and whoever asks in its place beside.
 	waiters map[decide.RequestID][]chan span.Decision
 	// kept holds refusals that came while no question was waiting.
 	kept map[decide.RequestID]span.Decision
-	// ticking is set while a goroutine looks at the queue, looking while one
+	// ticking is set while a goroutine scans the queue, polling while one
 	// asks upstreams for their load.
-	ticking, looking bool
-	// asked is when a gate asked last: a pool that nobody asks for looks at nothing.
+	ticking, polling bool
+	// asked is when a gate asked last: a pool that nobody asks for polls nothing.
 	asked clock.Milli
 	// gathering is set while gates tell a new holder what runs. Nothing is decided meanwhile.
 	gathering bool
@@ -110,7 +109,7 @@
 	return o
 }
 
-// host returns a service's pool, told of what is known now, locked.
+// host returns a service's pool, with what is known now, locked.
 func (o *Owner) host(s route.ServiceID) *ownedPool {
 	o.mu.Lock()
 	h := o.pools[s]
@@ -152,7 +151,7 @@
 	}
 	h := o.host(args.Service)
 	h.asked = now
-	o.look(args.Service, h)
+	o.pollReports(args.Service, h)
 	if d, ok := h.kept[a.ID]; ok {
 		delete(h.kept, a.ID)
 		h.mu.Unlock()
@@ -241,7 +240,7 @@
 	}
 }
 
-// keepTicking looks at the queue again and again while something waits there.
+// keepTicking scans the queue again and again while something waits there.
 // The pool's lock is held.
 func (o *Owner) keepTicking(h *ownedPool) {
 	if h.ticking || h.pool.Counts().Queued == 0 {
@@ -266,7 +265,7 @@
 	now := o.Clock.Now()
 	h := o.host(args.Service)
 	defer h.mu.Unlock()
-	defer o.look(args.Service, h)
+	defer o.pollReports(args.Service, h)
 	switch args.Event {
 	case First:
 		h.pool.First(now, args.Request)
--- a/daemon/placer/poll.go
+++ b/daemon/placer/poll.go
@@ -142,7 +142,7 @@
 	return min(max(clock.Milli(2*h.longest), leastHedge), longestHedge)
 }
 
-// allow tells whether another VM may be asked beside, and counts it if so.
+// allow reports whether another VM may be asked beside, and counts it if so.
 func (h *hedges) allow() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/daemon/placer/reports.go
+++ b/daemon/placer/reports.go
@@ -13,35 +13,35 @@
 	"snipeshift.example/lib/route"
 )
 
-// Reports reads upstreams' own word on their load.
+// Reports reads upstreams' reports of their load.
 type Reports interface {
 	Report(ctx context.Context, address string) (exchange.Load, error)
 }
 
 // Times of reports.
 const (
-	// reportEvery is the time between two looks at upstreams in doubt. Their word is
-	// some 200 ms old, and each look costs them a little.
+	// reportEvery is the time between two polls of upstreams in doubt. Their reports are
+	// some 200 ms old, and each poll costs them a little.
 	reportEvery = 300 * time.Millisecond
-	// reportTimeout bounds a look at an upstream, which is milliseconds away.
+	// reportTimeout bounds a poll of an upstream, which is milliseconds away.
 	reportTimeout = 150 * time.Millisecond
-	// askedLately is how recent a gate's question must be for a pool to be worth a look.
+	// askedLately is how recent a gate's question must be for a pool to be worth polling.
 	askedLately = clock.Second
-	// reportsAtOnce bounds the looks under way.
+	// reportsAtOnce bounds the polls under way.
 	reportsAtOnce = 16
 )
 
-// look asks upstreams in doubt for their load, while there are any. The pool's lock is held.
-func (o *Owner) look(s route.ServiceID, h *ownedPool) {
+// pollReports asks upstreams in doubt for their load, while there are any. The pool's lock is held.
+func (o *Owner) pollReports(s route.ServiceID, h *ownedPool) {
 	v := o.Knowledge.View()
-	if h.looking || h.gathering || v.Table == nil || v.Table.Service(s) == nil || v.Table.Service(s).Engine == nil {
+	if h.polling || h.gathering || v.Table == nil || v.Table.Service(s) == nil || v.Table.Service(s).Engine == nil {
 		return
 	}
 	ids := h.pool.Doubtful()
 	if len(ids) == 0 || o.Clock.Now()-h.asked > askedLately {
 		return
 	}
-	h.looking = true
+	h.polling = true
 	go func() {
 		var g errgroup.Group
 		g.SetLimit(reportsAtOnce)
@@ -49,17 +49,17 @@
 			u := v.Upstream(s, func(u *route.Upstream) bool { return u.ID == id })
 			g.Go(func() error { o.report(h, id, u); return nil })
 		}
-		_ = g.Wait() // the looks return no errors
+		_ = g.Wait() // the polls return no errors
 		time.Sleep(reportEvery)
 		h.mu.Lock()
 		defer h.mu.Unlock()
-		h.looking = false
+		h.polling = false
 		o.tick(h, o.Clock.Now())
-		o.look(s, h)
+		o.pollReports(s, h)
 	}()
 }
 
-// report takes one upstream's word into the books.
+// report takes one upstream's report into the books.
 func (o *Owner) report(h *ownedPool, id decide.UpstreamID, u *route.Upstream) {
 	if u == nil {
 		h.mu.Lock()
--- a/daemon/placer/silent.go
+++ b/daemon/placer/silent.go
@@ -41,7 +41,7 @@
 	return &silent{log: l, members: m, peers: p, vms: map[peer.VM]peer.Incarnation{}}
 }
 
-// is tells whether a VM is passed over.
+// is reports whether a VM is passed over.
 func (s *silent) is(m peer.Member) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -75,7 +75,7 @@
 	}
 }
 
-// cutOff tells whether several VMs are silent and none has answered since: asking yet others would make callers late.
+// cutOff reports whether several VMs are silent and none has answered since: asking yet others would make callers late.
 func (s *silent) cutOff() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/daemon/readers/readers.go
+++ b/daemon/readers/readers.go
@@ -22,8 +22,8 @@
 	// what they know.
 	stepIn = 6
 	// relayers VMs ask the watchers, and all others ask two of these. One answers thirteen VMs of 450, each two or three
-	// times a second. With a reader for each 32 VMs in place of the second layer 295
-	// VMs had eleven, and their watches were most of the store's calls on a calm day.
+	// times a second. Were there a reader for each
+	// 32 VMs instead, their watches would be most of the store's calls in a large fleet.
 	relayers = 32
 	// asked is how many relayers each VM asks in turn.
 	asked = 2
--- a/daemon/relay/gate.go
+++ b/daemon/relay/gate.go
@@ -156,7 +156,7 @@
 	if err != nil && !x.begun {
 		x.refuse(err)
 	}
-	x.tell(err)
+	x.logEnd(err)
 	if err != nil && x.begun {
 		// Only a broken connection tells the caller that its answer is not whole.
 		panic(http.ErrAbortHandler)
--- a/daemon/relay/refuse.go
+++ b/daemon/relay/refuse.go
@@ -11,7 +11,7 @@
 	"snipeshift.example/lib/fault"
 )
 
-// Times that refused callers are told to wait.
+// Times after which refused callers are asked to come back.
 const (
 	// startRetry is for a VM that does not know enough yet or any more: another
 	// VM takes the repeat, so it can come soon.
@@ -35,7 +35,7 @@
 func (x *flight) left() clock.Milli { return x.deadline - x.gate.Clock.Now() }
 
 // status is the HTTP status of a fault. A request that is kept off engines because it
-// killed some is told apart from one that is wrong in itself: it did not run this
+// killed some is kept apart from one that is wrong in itself: it did not run this
 // time, and nothing else about it is known.
 func status(err *fault.Error) int {
 	if err.Kind == fault.Quarantined {
--- a/daemon/relay/run.go
+++ b/daemon/relay/run.go
@@ -108,7 +108,7 @@
 	return grant.Leader.Upstream
 }
 
-// again tells whether the request may be sent once more; spread tells whether several engines were to read it.
+// again reports whether the request may be sent once more; spread reports whether several engines were to read it.
 func (x *flight) again(sent, turned int, spread bool) bool {
 	most := idleSends
 	if spread {
@@ -190,8 +190,7 @@
 	}
 }
 
-// likelyShare is the part of the most that an answer may have which it has on average: 0.38 to
-// 0.43 of it by kind of request on a measured day.
+// likelyShare is the part of the most that an answer may have which it has on average.
 const likelyShare = 0.4
 
 // likely is how many tokens are probably still to be written. It is never the caller's guess
--- a/daemon/relay/story.go
+++ b/daemon/relay/story.go
@@ -63,8 +63,8 @@
 	s.sends = append(s.sends, text)
 }
 
-// tell writes the one line of a request.
-func (x *flight) tell(err *fault.Error) {
+// logEnd writes the one line of a request.
+func (x *flight) logEnd(err *fault.Error) {
 	g := x.gate
 	s := &x.story
 	total := g.Clock.Now() - x.arrived
--- a/daemon/relay/watchdog.go
+++ b/daemon/relay/watchdog.go
@@ -31,19 +31,19 @@
 	// service may take to answer what may be repeated.
 	aimFactor                 = 2
 	patienceLeast clock.Milli = 150
-	// lookAfter is how long after the expected time the first look at a silent
-	// engine comes, and lookEvery the time between two.
-	lookAfter clock.Milli = 300
-	lookEvery clock.Milli = 600
-	// deathWait bounds a look: whether a new connection is taken.
+	// probeAfter is how long after the expected time the first probe of a silent
+	// engine comes, and probeEvery the time between two.
+	probeAfter clock.Milli = 300
+	probeEvery clock.Milli = 600
+	// deathWait bounds a probe: whether a new connection is taken.
 	deathWait = 150 * time.Millisecond
 )
 
 // limits are the times of one silence.
 type limits struct {
-	// look is when the upstream is looked at, and again every lookEvery; zero for never.
-	look clock.Milli
-	// most is when the silence is taken for a failure whatever the looks say.
+	// probe is when the upstream is probed, and again every probeEvery; zero for never.
+	probe clock.Milli
+	// most is when the silence is taken for a failure whatever the probes say.
 	most clock.Milli
 }
 
@@ -54,7 +54,7 @@
 	case x.route.Repeat == route.Once:
 		return limits{most: x.left() + clock.Second}
 	case x.route.Stream:
-		return limits{look: grant.First + lookAfter, most: firstFactor*grant.First + firstSlack}
+		return limits{probe: grant.First + probeAfter, most: firstFactor*grant.First + firstSlack}
 	default:
 		return limits{most: max(aimFactor*x.route.Aim, patienceLeast)}
 	}
@@ -62,7 +62,7 @@
 
 // nextLimits bound a pause within an answer.
 func (x *flight) nextLimits() limits {
-	return limits{look: x.route.Gap + lookAfter, most: min(max(clock.Milli(silenceShare*float64(x.route.Patience)), silenceLeast), silenceMost)}
+	return limits{probe: x.route.Gap + probeAfter, most: min(max(clock.Milli(silenceShare*float64(x.route.Patience)), silenceLeast), silenceMost)}
 }
 
 // watchdog ends a send whose upstream is silent.
@@ -71,26 +71,26 @@
 // connection, so the request would wait out its time, and memory that helpers
 // reserved for it would be renewed all the while. An engine that is merely busy is
 // silent as well, and giving it up throws its work away. So a silent upstream is
-// looked at by a new connection, and only one that takes none is given up early.
+// probed by a new connection, and only one that takes none is given up early.
 type watchdog struct {
 	gate    *Gate
 	address string
-	bark    func()
+	giveUp  func()
 
 	mu    sync.Mutex
-	look  *time.Timer
+	probe *time.Timer
 	most  *time.Timer
 	ended bool
 }
 
 // newWatchdog starts with the wait for the first byte.
-func newWatchdog(g *Gate, address string, l limits, bark func()) *watchdog {
-	w := &watchdog{gate: g, address: address, bark: bark}
-	w.most = time.AfterFunc(l.most.Duration(), bark)
-	if l.look > 0 {
+func newWatchdog(g *Gate, address string, l limits, giveUp func()) *watchdog {
+	w := &watchdog{gate: g, address: address, giveUp: giveUp}
+	w.most = time.AfterFunc(l.most.Duration(), giveUp)
+	if l.probe > 0 {
 		w.mu.Lock()
 		defer w.mu.Unlock()
-		w.look = time.AfterFunc(l.look.Duration(), w.check)
+		w.probe = time.AfterFunc(l.probe.Duration(), w.check)
 	}
 	return w
 }
@@ -103,12 +103,12 @@
 		return
 	}
 	w.most.Reset(l.most.Duration())
-	if w.look != nil {
-		w.look.Reset(l.look.Duration())
+	if w.probe != nil {
+		w.probe.Reset(l.probe.Duration())
 	}
 }
 
-// gone tells whether two looks in a row fail: a single packet may be lost.
+// gone reports whether two probes in a row fail: a single packet may be lost.
 func (g *Gate) gone(address string) bool {
 	for range 2 {
 		if !g.died(address) {
@@ -118,18 +118,18 @@
 	return true
 }
 
-// check looks at the upstream.
+// check probes the upstream.
 func (w *watchdog) check() {
-	defer guard.Report(w.gate.Log, "look at a silent upstream")
+	defer guard.Report(w.gate.Log, "probe of a silent upstream")
 	if w.gate.gone(w.address) {
 		w.gate.Log.Warn().Str(logline.Key, logline.Silent).Str("address", w.address).Msg("a silent upstream takes no connection")
-		w.bark()
+		w.giveUp()
 		return
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if !w.ended {
-		w.look.Reset(lookEvery.Duration())
+		w.probe.Reset(probeEvery.Duration())
 	}
 }
 
@@ -138,8 +138,8 @@
 	defer w.mu.Unlock()
 	w.ended = true
 	w.most.Stop()
-	if w.look != nil {
-		w.look.Stop()
+	if w.probe != nil {
+		w.probe.Stop()
 	}
 }
 
--- a/lib/decide/span/books.go
+++ b/lib/decide/span/books.go
@@ -50,8 +50,8 @@
 func (p *Pool) Books(now clock.Milli) Books {
 	p.expire(now)
 	b := Books{
-		Busy: p.spare.busy, Served: p.spare.served,
-		Saved: p.turn.saved, Mean: p.turn.mean, LargeRefused: p.turn.large.refused, OthersRefused: p.turn.others.refused,
+		Busy: p.headroom.busy, Served: p.headroom.served,
+		Saved: p.large.saved, Mean: p.large.mean, LargeRefused: p.large.large.refused, OthersRefused: p.large.others.refused,
 	}
 	for _, g := range p.grants {
 		b.Grants = append(b.Grants, BookedGrant{
@@ -95,9 +95,9 @@
 		r.foreign, r.foreignUsed, r.pace = c.Foreign, c.ForeignUsed, c.Pace
 		r.doubtful, r.suspected = c.Doubtful, c.Suspected
 	}
-	p.spare = spare{busy: b.Busy, at: now, engines: p.spare.engines, served: b.Served}
-	p.turn.saved, p.turn.mean = b.Saved, b.Mean
-	p.turn.large.refused, p.turn.others.refused = b.LargeRefused, b.OthersRefused
+	p.headroom = headroom{busy: b.Busy, at: now, engines: p.headroom.engines, served: b.Served}
+	p.large.saved, p.large.mean = b.Saved, b.Mean
+	p.large.large.refused, p.large.others.refused = b.LargeRefused, b.OthersRefused
 }
 
 // Suspect asks for the reports of all upstreams, and uses them meanwhile: the owner before is lost, and with it perhaps gates whose
--- a/lib/decide/span/engine.go
+++ b/lib/decide/span/engine.go
@@ -45,7 +45,7 @@
 	rows  []*row
 }
 
-// leads tells whether the grant's answer is written on r.
+// leads reports whether the grant's answer is written on r.
 func (g *granted) leads(r *row) bool { return g.Grant.Leader.Upstream == r.ID }
 
 // overdue is the reading in milliseconds that is assumed where the estimate has run
@@ -65,7 +65,7 @@
 	return max(left, overdue, float64(now-r.due))
 }
 
-// overruns tells whether a first byte is so late that the books must be missing work.
+// overruns reports whether a first byte is so late that the books must be missing work.
 func (r *row) overruns(now clock.Milli) bool {
 	return r.engine != nil && r.reading > 0 && now-r.due > lateSlack
 }
@@ -125,7 +125,7 @@
 	return 0
 }
 
-// light tells whether any stream here bears only short pauses. What no grant
+// light reports whether any stream here bears only short pauses. What no grant
 // explains is taken for such streams: most requests are.
 func (r *row) light() bool {
 	return r.foreign > 0 || r.pause > 0 && r.pause <= lightPause
@@ -154,7 +154,7 @@
 // usual is the KV memory in tokens of the upstream while it has no grants.
 func (r *row) usual() decide.Tokens { return r.engine.Memory - r.engine.Memory/16 }
 
-// usable tells whether a new request may go there at all.
+// usable reports whether a new request may go there at all.
 func (r *row) usable(now clock.Milli, a *Ask) bool {
 	if r.Leaving || !r.health.open(now) || r.doubtful && r.engine != nil {
 		return false
--- a/lib/decide/span/spare.go
+++ b/lib/decide/span/headroom.go
@@ -13,21 +13,21 @@
 // Its caller is better served by a refusal while there is time to come back. So
 // late prompts are kept only as far as the engines' spare time will serve them.
 const (
-	// spareWindow is the time over which the engines' spare time is averaged: about as
+	// headroomWindow is the time over which the engines' spare time is averaged: about as
 	// long as two long reads, so that the gap between two does not count as calm.
-	spareWindow = 4000.0
-	// leastSpare is the share of the engines' time that is counted on for late
+	headroomWindow = 4000.0
+	// leastHeadroom is the share of the engines' time that is counted on for late
 	// prompts under any pressure: phases of pressure end.
-	leastSpare = 0.1
+	leastHeadroom = 0.1
 	// stuckAfter is how long a short request is late before it is taken for stuck: a
 	// moment without a free slot is no pressure.
 	stuckAfter = 200 * clock.Milli(1)
-	// longestRetry bounds what a refused caller is told to wait.
+	// longestRetry bounds the time after which a refused caller is asked to come back.
 	longestRetry = 4 * clock.Second
 )
 
-// spare follows how much of the time of engines for long reads is left over.
-type spare struct {
+// headroom follows how much of the time of engines for long reads is left over.
+type headroom struct {
 	// busy is the averaged share of those engines that read, at the instant at.
 	busy float64
 	at   clock.Milli
@@ -37,8 +37,8 @@
 	served float64
 }
 
-// look takes the present state of the engines into the average.
-func (p *Pool) look(now clock.Milli) {
+// observe takes the present state of the engines into the average.
+func (p *Pool) observe(now clock.Milli) {
 	engines, reading := 0, 0
 	for _, r := range p.order {
 		if r.overruns(now) {
@@ -56,17 +56,17 @@
 	if engines > 0 {
 		share = float64(reading) / float64(engines)
 	}
-	keep := math.Exp(-float64(now-p.spare.at) / spareWindow)
-	p.spare = spare{busy: keep*p.spare.busy + (1-keep)*share, at: now, engines: engines, served: keep * p.spare.served}
+	keep := math.Exp(-float64(now-p.headroom.at) / headroomWindow)
+	p.headroom = headroom{busy: keep*p.headroom.busy + (1-keep)*share, at: now, engines: engines, served: keep * p.headroom.served}
 }
 
 // placed counts a late short request that found its place.
-func (s *spare) placed() { s.served += 1 / spareWindow }
+func (h *headroom) placed() { h.served += 1 / headroomWindow }
 
-// stuck tells whether a late short request behind this many others will be of no use
-// any more when its turn comes, at the rate of the last seconds.
+// stuck reports whether a late short request behind this many others will be of no use
+// any more when it is placed, at the rate of the last seconds.
 func (p *Pool) stuck(now clock.Milli, w *waiting, ahead int) (Decision, bool) {
-	wait := float64(ahead+1) / max(p.spare.served, 1/spareWindow)
+	wait := float64(ahead+1) / max(p.headroom.served, 1/headroomWindow)
 	if w.cost == 0 || now-w.Aim < stuckAfter || float64(w.last-now) > wait+w.least {
 		return Decision{}, false
 	}
@@ -84,9 +84,9 @@
 	return sum
 }
 
-// willBeLate tells whether a long prompt in time will miss its aim behind this much reading.
+// willBeLate reports whether a long prompt in time will miss its aim behind this much reading.
 func (p *Pool) willBeLate(now clock.Milli, w *waiting, before float64) bool {
-	return float64(w.Aim-now) < settleTime+w.least+before/float64(max(p.spare.engines, 1))
+	return float64(w.Aim-now) < settleTime+w.least+before/float64(max(p.headroom.engines, 1))
 }
 
 // refusal tells a caller to come back when half of the time is over that it would have
@@ -98,14 +98,14 @@
 
 // rate is how much reading the engines do beside what is in time, in milliseconds
 // of one engine for each millisecond.
-func (s spare) rate() float64 {
-	return max(leastSpare, 1-s.busy) * float64(max(s.engines, 1))
+func (h headroom) rate() float64 {
+	return max(leastHeadroom, 1-h.busy) * float64(max(h.engines, 1))
 }
 
-// hopeless tells whether a late long prompt will not be served by its deadline,
+// hopeless reports whether a late long prompt will not be served by its deadline,
 // behind this much reading of other late ones, and how long that reading takes.
 func (p *Pool) hopeless(now clock.Milli, w *waiting, ahead float64) (Decision, bool) {
-	rate := p.spare.rate()
+	rate := p.headroom.rate()
 	wait := ahead / rate
 	reading := w.cost / rate
 	if float64(w.last-now) > wait+max(reading, w.least) {
--- a/lib/decide/span/health.go
+++ b/lib/decide/span/health.go
@@ -29,7 +29,7 @@
 	helps, declined clock.Milli
 }
 
-// open tells whether requests may be sent.
+// open reports whether requests may be sent.
 func (h *health) open(now clock.Milli) bool { return now >= h.until }
 
 // note takes the end of one send.
--- a/lib/decide/span/isolated.go
+++ b/lib/decide/span/isolated.go
@@ -45,7 +45,7 @@
 }
 
 // placeIsolated puts a short request on the engine of the owner's own that has fewest. Long prompts wait until
-// owners have met: each needs many engines, and others would give out the same.
+// owners know of each other: each needs many engines, and others would give out the same.
 func (p *Pool) placeIsolated(now clock.Milli, w *waiting) (plan, bool) {
 	if w.heavy {
 		return plan{}, false
--- a/lib/decide/span/life.go
+++ b/lib/decide/span/life.go
@@ -11,15 +11,15 @@
 // life's failures, or take it for slow. One notices an idle engine that gets no work for seconds after its
 // return, or a burst that it gets when those grants lapse together.
 
-// newer tells whether a word of a life speaks of a later one than is known. An upstream that did
+// newer reports whether a word of a life speaks of a later one than is known. An upstream that did
 // not tell its life before has not begun a new one by telling it.
 func (r *row) newer(born decide.Born) bool { return r.Born > 0 && born > r.Born }
 
-// earlier tells whether a word speaks of a life that is over.
+// earlier reports whether a word speaks of a life that is over.
 func (r *row) earlier(born decide.Born) bool { return born > 0 && born < r.Born }
 
 // renew forgets what was known of the upstream's earlier life. Its grants stay in the pool's table
-// until their gates have told how they ended, but weigh on the upstream no more.
+// until their gates have reported how they ended, but weigh on the upstream no more.
 func (r *row) renew(born decide.Born) {
 	for _, g := range r.grants {
 		g.rows = slices.DeleteFunc(g.rows, func(x *row) bool { return x == r })
--- a/lib/decide/span/order.go
+++ b/lib/decide/span/order.go
@@ -87,7 +87,7 @@
 // what is kept before them. The order of Moore and Hodgson: with the engines taken for one that is as fast as all of
 // them, no other one has fewer late.
 func (p *Pool) putBack(now clock.Milli, large []*waiting, ahead float64) float64 {
-	engines := float64(max(p.spare.engines, 1))
+	engines := float64(max(p.headroom.engines, 1))
 	kept := make([]*waiting, 0, len(large))
 	var back []*waiting
 	for _, w := range large {
@@ -120,7 +120,7 @@
 // slack is how long a long prompt can still wait, in milliseconds.
 func (w *waiting) slack(now clock.Milli) float64 { return float64(w.Aim-now) - settleTime - w.least }
 
-// late tells whether the aim can't be met any more.
+// late reports whether the aim can't be met any more.
 func (w *waiting) late(now clock.Milli) bool { return float64(w.Aim-now) < settleTime+w.least }
 
 func (w *waiting) due(now clock.Milli) clock.Milli {
--- a/lib/decide/span/order_test.go
+++ b/lib/decide/span/order_test.go
@@ -11,7 +11,7 @@
 
 // names are the ids of queued requests in the order of placing.
 func (b *bench) names(at clock.Milli) []decide.RequestID {
-	b.look(at)
+	b.observe(at)
 	var ids []decide.RequestID
 	for _, w := range b.ordered(at) {
 		ids = append(ids, w.ID)
--- a/lib/decide/span/place.go
+++ b/lib/decide/span/place.go
@@ -94,7 +94,7 @@
 	return plan{}, false
 }
 
-// fitsLight tells whether a short request fits on r and when its first byte comes.
+// fitsLight reports whether a short request fits on r and when its first byte comes.
 func (p *Pool) fitsLight(now clock.Milli, a *Ask, r *row, cost float64, most int) (float64, bool) {
 	if !r.usable(now, a) {
 		return 0, false
@@ -116,7 +116,7 @@
 	return first, true
 }
 
-// bears tells whether a pass of this many milliseconds stays within what the
+// bears reports whether a pass of this many milliseconds stays within what the
 // streams on r, and the request itself, bear as a pause.
 func (p *Pool) bears(r *row, a *Ask, pass float64) bool {
 	pause := r.pause
@@ -139,7 +139,7 @@
 	if need > p.group() {
 		return plan{}, false
 	}
-	free := p.turn.leaves(w, p.freeForReads(now, a))
+	free := p.large.leaves(w, p.freeForReads(now, a))
 	for n := min(int(math.Ceil(cost/p.rules.Part)), p.rules.Group, len(free)); n >= need; n-- {
 		if pl, ok := p.gather(now, a, cost/float64(n), free, n); ok {
 			return pl, true
--- a/lib/decide/span/pool.go
+++ b/lib/decide/span/pool.go
@@ -35,8 +35,8 @@
 	queue map[decide.RequestID]*waiting
 	// grants holds every live grant.
 	grants    map[decide.RequestID]*granted
-	spare     spare
-	turn      turn
+	headroom  headroom
+	large     largeShare
 	isolation isolation
 	// budget bounds the sends beyond the first of each request.
 	budget *gate.Budget
@@ -103,12 +103,12 @@
 	p.weigh(w)
 	p.queue[a.ID] = w
 	if w.heavy {
-		p.turn.asks(w.cost)
+		p.large.asks(w.cost)
 	}
 	return Grant{}, false
 }
 
-// Queued tells whether a request waits here.
+// Queued reports whether a request waits here.
 func (p *Pool) Queued(id decide.RequestID) bool { return p.queue[id] != nil }
 
 // expire forgets what no gate asks after any more.
@@ -152,7 +152,7 @@
 	}
 }
 
-// holds tells whether memory is reserved at an upstream.
+// holds reports whether memory is reserved at an upstream.
 func holds(hs []Place, id decide.UpstreamID) bool {
 	for _, h := range hs {
 		if h.Upstream == id {
--- a/lib/decide/span/pool_test.go
+++ b/lib/decide/span/pool_test.go
@@ -567,7 +567,7 @@
 		b.First(at+99, g.Request)
 		b.End(at+99, g.Request, Done, "")
 	}
-	b.spare.busy = 0.95
+	b.headroom.busy = 0.95
 	a := b.history(at, 600_000)
 	a.Deadline = at + 6000
 	b.granted(at, a)
--- a/lib/decide/span/queue.go
+++ b/lib/decide/span/queue.go
@@ -60,7 +60,7 @@
 	return max(p.rules.Light, p.rules.Safety*float64(a.Gap)-pass)
 }
 
-// round is one look at the whole queue.
+// round is one scan of the whole queue.
 type round struct {
 	pool *Pool
 	now  clock.Milli
@@ -80,18 +80,18 @@
 // Tick places and refuses what is queued.
 func (p *Pool) Tick(now clock.Milli) []Decision {
 	p.expire(now)
-	p.look(now)
+	p.observe(now)
 	if len(p.queue) == 0 {
 		return nil
 	}
 	var ds []Decision
-	p.turn.choose(now, p.queue, p.group())
+	p.large.choose(now, p.queue, p.group())
 	o := round{pool: p, now: now, before: p.debts(now), unreported: p.unreported()}
 	for _, w := range p.ordered(now) {
 		if d, decided := o.decide(w); decided {
 			delete(p.queue, w.ID)
 			if w.heavy {
-				p.turn.ends(w, d.Action == Refused)
+				p.large.ends(w, d.Action == Refused)
 			}
 			ds = append(ds, d)
 		}
@@ -99,7 +99,7 @@
 	return ds
 }
 
-// unreported tells whether all engines are in doubt, as for a new owner until they have reported, or the owner
+// unreported reports whether all engines are in doubt, as for a new owner until they have reported, or the owner
 // knows of nobody and uses few of them.
 //
 // What goes wrong without it: the owner has placed nothing yet, so the rate at which it places late
@@ -150,7 +150,7 @@
 // hopeless refuses a long prompt that is late, or will be, and will not be served by its
 // deadline.
 func (o *round) hopeless(w *waiting, late bool) (Decision, bool) {
-	if w.ID == o.pool.turn.next || !late && !o.pool.willBeLate(o.now, w, o.before) {
+	if w.ID == o.pool.large.next || !late && !o.pool.willBeLate(o.now, w, o.before) {
 		return Decision{}, false
 	}
 	return o.pool.hopeless(o.now, w, o.ahead)
@@ -180,12 +180,12 @@
 		return Decision{}, false
 	}
 	if late && !w.heavy {
-		o.pool.spare.placed()
+		o.pool.headroom.placed()
 	}
 	return o.pool.admit(o.now, w, pl), true
 }
 
-// full tells whether no upstream has a slot left, so that nothing else in the queue
+// full reports whether no upstream has a slot left, so that nothing else in the queue
 // needs to be tried.
 func (p *Pool) full(now clock.Milli) bool {
 	for _, r := range p.order {
@@ -200,7 +200,7 @@
 // free within it.
 const pressingLeft = 1500.0
 
-// pressing tells whether a late request has so little time left that it must not
+// pressing reports whether a late request has so little time left that it must not
 // make way for others any more.
 func (w *waiting) pressing(now clock.Milli) bool {
 	return float64(w.last-now) < 2*w.least+pressingLeft
@@ -220,12 +220,12 @@
 	}
 	d.Grant = p.grant(now, a, pl)
 	if w.heavy {
-		p.turn.grants(w.ID, w.cost)
+		p.large.grants(w.ID, w.cost)
 	}
 	return d
 }
 
-// refuse tells whether a queued request can no longer be served.
+// refuse reports whether a queued request can no longer be served.
 func (p *Pool) refuse(now clock.Milli, w *waiting) (Decision, bool) {
 	d := Decision{Action: Refused, Request: w.ID, Gate: w.Gate}
 	if float64(w.last-now) < w.least+float64(leastWork) {
@@ -239,7 +239,7 @@
 	return d, false
 }
 
-// any tells whether some upstream may take the request at all, now or later.
+// any reports whether some upstream may take the request at all, now or later.
 func (p *Pool) any(now clock.Milli, a *Ask) bool {
 	for _, r := range p.order {
 		if r.Leaving || !r.health.open(now) || slices.Contains(a.Avoid, r.ID) {
--- a/lib/decide/span/turn.go
+++ b/lib/decide/span/share.go
@@ -9,17 +9,15 @@
 	"snipeshift.example/lib/decide"
 )
 
-// The load of this file is more long prompts than the engines can read, of very unlike lengths. What engines read soonest
-// goes first, which serves most callers, so the largest prompts never find as many free engines as they need: of
-// the largest tenth of a kind 0.40 were served where 0.85 of all were. So a part of the reading is kept for
+// The load of this file is more long prompts than the engines can read, of very unlike lengths. Where some must be late
+// the largest are, which serves most callers, so these never find as many free engines as they need, and one
+// notices that they are served half as often as others. So a part of the reading is kept for
 // them: it is saved up while others are read, and once it suffices for a large prompt that waits,
 // engines that become free are held for it.
 
 const (
 	// keptShare is what is saved for large prompts of each millisecond that is read for others, while they are
-	// starved. In the model's flood of 1.2 times what engines read 0.39 of the largest tenth came in time, 0.14 with
-	// nothing kept, and of all 0.88 in place of 0.91; at 0.25 0.30 and 0.88. At 0.25 one played day of three
-	// still served the largest tenth less than half as often as all, at 0.4 and 0.6 none; 0.6 served others less.
+	// starved. With much less the largest are still served half as often as others; more serves the others less.
 	keptShare = 0.4
 	// keptMost bounds what is saved, in milliseconds of reading, so that a calm hour does not give large
 	// prompts all engines for a minute.
@@ -36,15 +34,15 @@
 	meanOver = 50.0
 )
 
-// turn saves reading for large prompts.
-type turn struct {
+// largeShare saves reading for large prompts.
+type largeShare struct {
 	// saved is the reading in milliseconds that is kept for them.
 	saved float64
 	// mean is the mean reading of the long prompts asked for, in milliseconds.
 	mean float64
 	// large and others are what became of the last long prompts of either size.
 	large, others refusals
-	// next is the prompt whose turn it is; empty for none.
+	// next is the prompt that is next; empty for none.
 	next decide.RequestID
 	// urgency is that of next: engines are held from no work that is more urgent.
 	urgency decide.Urgency
@@ -68,7 +66,7 @@
 }
 
 // ends takes what became of a long prompt.
-func (t *turn) ends(w *waiting, refused bool) {
+func (t *largeShare) ends(w *waiting, refused bool) {
 	if t.isLarge(w) {
 		t.large.ends(refused)
 		return
@@ -76,11 +74,11 @@
 	t.others.ends(refused)
 }
 
-// starved tells whether large prompts are served much less often than others.
-func (t *turn) starved() bool { return 1-t.large.refused < starvedBelow*(1-t.others.refused) }
+// starved reports whether large prompts are served much less often than others.
+func (t *largeShare) starved() bool { return 1-t.large.refused < starvedBelow*(1-t.others.refused) }
 
 // asks takes a new long prompt into the mean.
-func (t *turn) asks(cost float64) {
+func (t *largeShare) asks(cost float64) {
 	if t.mean == 0 {
 		t.mean = cost
 	}
@@ -88,7 +86,7 @@
 }
 
 // grants notes that a long prompt is read.
-func (t *turn) grants(id decide.RequestID, cost float64) {
+func (t *largeShare) grants(id decide.RequestID, cost float64) {
 	if id == t.next {
 		t.next, t.held = "", 0
 		t.saved = max(0, t.saved-cost)
@@ -99,13 +97,13 @@
 	}
 }
 
-// isLarge tells whether a long prompt is one of those for which reading is kept.
-func (t *turn) isLarge(w *waiting) bool { return w.heavy && w.cost >= largeFrom*t.mean }
+// isLarge reports whether a long prompt is one of those for which reading is kept.
+func (t *largeShare) isLarge(w *waiting) bool { return w.heavy && w.cost >= largeFrom*t.mean }
 
-// choose finds whose turn it is: the largest prompt that can be in time, once enough is saved for it. Smaller ones do not
+// choose finds that is next: the largest prompt that can be in time, once enough is saved for it. Smaller ones do not
 // use up meanwhile what is saved: they find engines sooner by themselves. One that has waited for most of its aim
 // needs more engines at once than come free until then, and is passed over.
-func (t *turn) choose(now clock.Milli, queue map[decide.RequestID]*waiting, group int) {
+func (t *largeShare) choose(now clock.Milli, queue map[decide.RequestID]*waiting, group int) {
 	t.next, t.held = "", 0
 	var largest *waiting
 	for _, w := range queue {
@@ -122,7 +120,7 @@
 }
 
 // before orders large prompts: the largest first, then the one that needs fewest engines.
-func (t *turn) before(x, y *waiting, now clock.Milli) bool {
+func (t *largeShare) before(x, y *waiting, now clock.Milli) bool {
 	return cmp.Or(cmp.Compare(y.cost, x.cost), cmp.Compare(x.needs(now), y.needs(now)), cmp.Compare(x.ID, y.ID)) < 0
 }
 
@@ -140,10 +138,10 @@
 	return int(math.Ceil(w.cost / left))
 }
 
-// leaves are the free engines that a long prompt may have: those not held for the one whose turn it is. Those are
+// leaves are the free engines that a long prompt may have: those not held for the one that is next. Those are
 // held that write nothing: its parts are longer than the pauses that other streams bear. Short requests and more
 // urgent prompts are not bound by it.
-func (t *turn) leaves(w *waiting, free []*row) []*row {
+func (t *largeShare) leaves(w *waiting, free []*row) []*row {
 	if t.next == "" || t.next == w.ID || w.Urgency < t.urgency {
 		return free
 	}
--- a/lib/decide/span/turn_test.go
+++ b/lib/decide/span/share_test.go
@@ -104,7 +104,7 @@
 		f.Ask(f.at, a)
 		f.step(100)
 	}
-	require.Zero(t, f.turn.saved)
+	require.Zero(t, f.large.saved)
 	require.Greater(t, f.share(0, 1_000_000), 0.97)
 }
 
@@ -112,16 +112,16 @@
 func starve(t *testing.T) (b *bench, large Ask) {
 	t.Helper()
 	b = newBench(t, 8)
-	b.turn.mean = 1000
+	b.large.mean = 1000
 	for range 8 {
 		require.Empty(t, b.granted(now, b.history(now, 30_000)).Helpers)
 	}
-	b.turn.saved = keptMost
+	b.large.saved = keptMost
 	large = b.history(now, 420_000)
 	large.Urgency = 1
 	_, placed := b.ask(now, large)
 	require.False(t, placed)
-	require.Equal(t, large.ID, b.turn.next)
+	require.Equal(t, large.ID, b.large.next)
 	return b, large
 }
 
--- a/lib/decide/span/slow.go
+++ b/lib/decide/span/slow.go
@@ -7,13 +7,13 @@
 
 // What goes wrong without this file: an engine works four times as slowly as its data say, for seconds. It
 // takes its even part of each long prompt, and the prompt waits for it; short streams packed on
-// it pause for longer than they bear. One notices that a fifth of the engines being slow makes
-// nearly half of the longest prompts late or lost (21 of 47, 9 of 47 with sound engines). So an engine that took part in a late first byte is asked
+// it pause for longer than they bear. One notices long prompts that are late or lost although
+// most engines are sound. So an engine that took part in a late first byte is asked
 // for its pace, and one that is slow gets what others have no room for.
 
 const (
 	// lateFactor times the expected time to the first byte, and lateSlack more, make a first byte
-	// suspicious. Over 66 days without slow engines that cost 1,192 reports for 161,676 requests.
+	// suspicious: on sound engines fewer than one in a hundred is.
 	lateFactor             = 1.5
 	lateSlack  clock.Milli = 150
 	// slowPace is from which pace on an engine counts as slow: a part of a prompt read there
@@ -21,7 +21,7 @@
 	slowPace = 1.5
 )
 
-// slow tells whether the upstream works much more slowly than its data say.
+// slow reports whether the upstream works much more slowly than its data say.
 func (r *row) slow() bool { return r.pace >= slowPace }
 
 // pass is the time in milliseconds of one pass that writes streams with this many tokens of
@@ -40,7 +40,7 @@
 	}
 }
 
-// avoidsSlow tells whether long prompts keep off slow engines: there are others.
+// avoidsSlow reports whether long prompts keep off slow engines: there are others.
 func (p *Pool) avoidsSlow() bool {
 	for _, r := range p.order {
 		if !r.Leaving && !r.slow() {
--- a/lib/decide/span/span.go
+++ b/lib/decide/span/span.go
@@ -157,8 +157,7 @@
 	// Safety is the share of a pause that a pass may fill.
 	Safety float64
 	// Beside is that share for a pass which reads a part of a long prompt beside short
-	// streams: the rest is for short prompts that come meanwhile. In the model's flood of
-	// three times the usual load 0.90 of them came in time at 0.7, 0.88 at 0.9.
+	// streams: the rest is for short prompts that come meanwhile.
 	Beside float64
 }
 
--- a/lib/route/cost.go
+++ b/lib/route/cost.go
@@ -13,9 +13,7 @@
 const (
 	// usualWriters is how many streams an engine writes beside one more, most of the time.
 	usualWriters = 4
-	// stalls is by how much the reads of other requests lengthen the writing of an answer:
-	// measured 1.2 ms a token after prompts of 5,000 tokens and 2.2 ms after 200,000 over a
-	// day of changing load, against 0.96 and 1.55 without reads.
+	// stalls is by how much the reads of other requests lengthen the writing of an answer.
 	stalls = 1.3
 )
 
