--- a/lib/logline/logline.go
+++ b/lib/logline/logline.go
@@ -28,8 +28,6 @@
 	Reached     = "reached"
 	// Reader is a change of a VM's part in reading the store.
 	Reader = "reader"
-	// Owner tells that another VM is asked for the places of a service.
-	Owner = "owner"
 	// Holder tells that another VM holds a service, and how this VM knows.
 	Holder = "holder"
 	// Report is an upstream's word on work that no grant explains.
@@ -56,7 +54,6 @@
 	Unreachable: "a dependency does not answer: the store, an owner, a peer",
 	Reached:     "a lost dependency answers again",
 	Reader:      "a VM has another part in reading the store: its rank, how many before it have an open way, the age of its document",
-	Owner:       "another VM is asked for the places of a service",
 	Holder:      "another VM holds a service: its epoch, and how this VM knows",
 	Report:      "an upstream's word on work that no grant explains, or its silence",
 	Silent:      "an upstream neither answers nor takes connections; the send is given up",
--- a/operator/explain/explain.go
+++ b/operator/explain/explain.go
@@ -56,7 +56,8 @@
 	Upstream   string `json:"upstream"`
 	Address    string `json:"address"`
 	Owner      string `json:"owner"`
-	Before     string `json:"before"`
+	Epoch      uint64 `json:"epoch"`
+	Cause      string `json:"cause"`
 	Dependency string `json:"dependency"`
 	Peer       string `json:"peer"`
 	Leaving    bool   `json:"leaving"`
@@ -149,7 +150,7 @@
 	case r.Outcome == "unavailable" && strings.Contains(r.Error, "old"):
 		return fmt.Sprintf("what is known is too old: %s%s", r.Error, lost(context, "store"))
 	case r.Outcome == "overloaded" && r.Sends == "", r.Outcome == "unavailable" && r.Sends == "":
-		return fmt.Sprintf("no place in %d ms (%s): %d waited and %d ran when it was asked%s", r.Queued, r.Reason, r.Waiting, r.Running, lost(context, "owner"))
+		return fmt.Sprintf("no place in %d ms (%s): %d waited and %d ran when it was asked%s%s", r.Queued, r.Reason, r.Waiting, r.Running, lost(context, "owner"), changed(context, r))
 	case r.Outcome == "canceled" && r.Sends == "":
 		return fmt.Sprintf("its caller left after %d ms in the queue: %d waited and %d ran", r.Queued, r.Waiting, r.Running)
 	case r.Outcome != "ok":
@@ -157,7 +158,7 @@
 	case strings.Contains(r.Sends, ";"):
 		return fmt.Sprintf("served, after an earlier send failed: %s", r.Sends)
 	case r.Queued >= slowQueue:
-		return fmt.Sprintf("served, after %d of %d ms to the first byte in the queue: %d waited and %d ran", r.Queued, r.First, r.Waiting, r.Running)
+		return fmt.Sprintf("served, after %d of %d ms to the first byte in the queue: %d waited and %d ran%s", r.Queued, r.First, r.Waiting, r.Running, changed(context, r))
 	case r.Pause >= slowPause:
 		return fmt.Sprintf("served, with a pause of %d ms by upstream %s", r.Pause, r.Sends)
 	default:
@@ -194,6 +195,17 @@
 	return out
 }
 
+// changed tells when the request's service got another holder while it waited.
+func changed(context []Line, r Line) string {
+	began := arrival(r)
+	for _, l := range context {
+		if l.Event == logline.Holder && l.Service == r.Service && l.Time.After(began) {
+			return fmt.Sprintf("; %s held the service from %s on (epoch %d, %s)", l.Owner, l.Time.UTC().Format("15:04:05.000"), l.Epoch, l.Cause)
+		}
+	}
+	return ""
+}
+
 // Window counts what happened in a span of time.
 type Window struct {
 	Requests int
@@ -229,7 +241,7 @@
 	switch l.Event {
 	case logline.Unreachable, logline.Reached:
 		return strings.TrimSpace(l.Dependency + " " + l.Peer)
-	case logline.Owner:
+	case logline.Holder:
 		return l.Service + " " + l.Owner
 	case logline.Upstream:
 		switch {
