holder: a holder that is not among the live members yet is asked, not replaced

VMs that start together hear of the holder by gossip long before they have the whole list of members; each that did not list it and ranked first among the few it knew took the service over, announced itself, and all followed one after the other, each with empty books.

Change: a word about a holder carries its address; only a later life of its VM among the members, or its silence, makes room for another.

--- a/daemon/holder/table.go
+++ b/daemon/holder/table.go
@@ -86,26 +86,34 @@
 	if t.rows[s].Epoch != before {
 		return t.rows[s], false
 	}
-	h := peer.Holder{Service: s, VM: m.VM, Incarnation: m.Incarnation, Epoch: before + 1, Cores: m.Cores}
+	h := Of(s, m, before+1)
 	t.rows[s] = h
 	return h, true
 }
 
+// Of is the word that a member holds a service.
+func Of(s route.ServiceID, m peer.Member, epoch uint64) peer.Holder {
+	return peer.Holder{Service: s, VM: m.VM, Incarnation: m.Incarnation, Address: m.Address, Epoch: epoch, Cores: m.Cores}
+}
+
 // is reports whether a member is the holder, in the same life.
 func is(h peer.Holder, m peer.Member) bool { return h.VM == m.VM && h.Incarnation == m.Incarnation }
 
-// Member finds the holder of a service among the live members.
+// Member is the holder of a service as a member, unless a later life of its VM is among the live ones.
+//
+// What goes wrong if it had to be among them: hundreds of VMs start together, and each hears of the holder long before it has the
+// whole list of members. Each that does not list it yet takes the service over, and all gates follow one after the other.
 func (t *Table) Member(s route.ServiceID, live []peer.Member) (peer.Member, bool) {
 	h, ok := t.rows[s]
 	if !ok {
 		return peer.Member{}, false
 	}
 	for _, m := range live {
-		if is(h, m) {
-			return m, true
+		if m.VM == h.VM {
+			return m, m.Incarnation == h.Incarnation
 		}
 	}
-	return peer.Member{}, false
+	return peer.Member{VM: h.VM, Incarnation: h.Incarnation, Address: h.Address, Cores: h.Cores}, true
 }
 
 // Step is what a VM does with a question for a place.
--- a/daemon/holder/table_test.go
+++ b/daemon/holder/table_test.go
@@ -59,6 +59,20 @@
 	require.Equal(t, peer.Incarnation(2), to.Incarnation)
 }
 
+// Hundreds of VMs start together. One of them has heard who holds the service, and knows only a few members so far, among which it ranks
+// first. It asks the holder: were each such VM to take the service over, gates would follow one after the other, and each
+// would begin with empty books.
+func TestAHolderThatIsNotListedYetIsAsked(t *testing.T) {
+	h, _ := New(a).Take(service, 0)
+	x := New(b)
+	x.Learn(h)
+	few := []peer.Member{b, c}
+	step, to := x.Route(service, false, few, few)
+	require.Equal(t, Forward, step)
+	require.Equal(t, a.Address, to.Address)
+	require.Equal(t, a.VM, x.Candidates(service, few, few, none)[0].VM)
+}
+
 // Two questions find the holder silent at the same moment. Only one of them may make this VM the holder: each change is announced to all
 // VMs and has them present what runs.
 func TestOnlyOneOfTwoQuestionsChangesTheHolder(t *testing.T) {
--- a/daemon/placer/hold.go
+++ b/daemon/placer/hold.go
@@ -272,7 +272,7 @@
 	h := o.host(s)
 	books := h.pool.Books(o.Clock.Now())
 	h.mu.Unlock()
-	args := &TakeArgs{Holder: peer.Holder{Service: s, VM: to.VM, Incarnation: to.Incarnation, Epoch: epoch + 1, Cores: to.Cores}, Books: books}
+	args := &TakeArgs{Holder: holder.Of(s, to, epoch+1), Books: books}
 	ctx, cancel := context.WithTimeout(ctx, handOverWait.Duration())
 	defer cancel()
 	if err := o.Peers.Call(ctx, to.Address, Name+".Take", args, &peer.Empty{}); err != nil {
--- a/lib/peer/messages.go
+++ b/lib/peer/messages.go
@@ -174,6 +174,8 @@
 	Service     route.ServiceID
 	VM          VM
 	Incarnation Incarnation
+	// Address is that of its peer door: a VM that starts hears of the holder before it knows all members.
+	Address string
 	// Epoch rises with each change of holder.
 	Epoch uint64
 	// Cores is the holder's share of the processor in thousandths of a core. It decides between two VMs that became
