--- a/daemon/placer/placer_test.go
+++ b/daemon/placer/placer_test.go
@@ -345,3 +345,22 @@
 		t.Fatal("the first one still waits")
 	}
 }
+
+// A VM becomes the owner of three thousand upstreams after all VMs were lost, and knows nothing of what they still write. If it asked all of them at
+// once, its processor would be used up, and gates would take it for silent. It asks some at a time, and short requests
+// are served by these meanwhile.
+func TestANewOwnerOfThousandsOfUpstreamsAsksSomeAtATime(t *testing.T) {
+	const upstreams = 3000
+	reports := &counted{}
+	ids := make([]decide.UpstreamID, upstreams)
+	for i := range ids {
+		ids[i] = decide.UpstreamID(fmt.Sprintf("e%04d", i))
+	}
+	o := newOwner(t, ids...)
+	o.Reports = reports
+	var reply AskReply
+	require.NoError(t, o.Ask(&AskArgs{Service: "s", Ask: question("r1"), Wait: 250}, &reply))
+	require.True(t, reply.Decided)
+	require.LessOrEqual(t, reports.asked.Load(), int64(reportsEach))
+	require.Eventually(t, func() bool { return reports.asked.Load() > reportsEach }, 2*time.Second, 10*time.Millisecond, "the others follow")
+}
--- a/daemon/placer/reports.go
+++ b/daemon/placer/reports.go
@@ -29,6 +29,9 @@
 	askedLately = clock.Second
 	// reportsAtOnce bounds the polls under way.
 	reportsAtOnce = 16
+	// reportsEach bounds the polls of one round. A new owner doubts all upstreams: if it polled thousands at once, its processor would be
+	// used up, it would be silent, and its successor would go the same way. Short work needs the first of the order.
+	reportsEach = 128
 )
 
 // pollReports asks upstreams in doubt for their load, while there are any. The pool's lock is held.
@@ -38,6 +41,7 @@
 		return
 	}
 	ids := h.pool.Doubtful()
+	ids = ids[:min(len(ids), reportsEach)]
 	if len(ids) == 0 || o.Clock.Now()-h.asked > askedLately {
 		return
 	}
