caller: a refusal for want of owners says that the key is unknown

It refused 31 copies as not run, by then true of the other copy no more, without saying that nobody had looked the key up.

Change: such a refusal says Snipeshift-Key: unknown, as docs/API.md promises of refusals whose key could not be looked up. The test fails without it.

--- a/daemon/caller/gate_test.go
+++ b/daemon/caller/gate_test.go
@@ -217,6 +217,17 @@
 	}, 5*time.Second, 5*time.Millisecond)
 }
 
+// VMs lose each other, and copies of one notice reach both sides. One side runs it; on the other no owner answers, so nobody looks its key up. Told
+// only that it did not run, its caller would send it anew under another key, and residents get it twice.
+func TestARefusalForWantOfOwnersSaysThatTheKeyIsUnknown(t *testing.T) {
+	b := newBench(t, wholeAnswer)
+	b.fakes.lost = true
+	a := b.post("/v1/chat/completions", ask, headerKind, "send", headerKey, "k1")
+	require.Equal(t, 504, a.status, "its time is over before owners are given up")
+	require.Equal(t, "no", a.ran())
+	require.Equal(t, "unknown", a.header.Get(headerKnown))
+}
+
 func TestRepeatOfAnAnsweredKeyGetsTheKeptAnswer(t *testing.T) {
 	b := newBench(t, wholeAnswer)
 	b.fakes.claim = peer.ClaimReply{State: peer.ClaimDone, Status: 200, Answer: []byte(`{"kept":true}`)}
--- a/daemon/caller/harness_test.go
+++ b/daemon/caller/harness_test.go
@@ -58,6 +58,8 @@
 	deaths map[uint64]int
 	claim  peer.ClaimReply
 	refuse *peer.Fault
+	// lost owners do not answer.
+	lost bool
 	// limited is what every question for tokens is answered.
 	limited clock.Milli
 	// pools are the refusals of single pools.
@@ -73,6 +75,9 @@
 	switch a := args.(type) {
 	case peer.AcquireArgs:
 		f.acquired = append(f.acquired, a)
+		if f.lost {
+			return errors.New("no answer")
+		}
 		r := reply.(*peer.AcquireReply)
 		if r.Fault = f.refuse; f.refuse != nil {
 			return nil
--- a/daemon/caller/serve.go
+++ b/daemon/caller/serve.go
@@ -255,7 +255,7 @@
 				return gr, nil
 			}
 			if ctx.Err() != nil {
-				return granted{}, g.nobody(ctx)
+				return granted{}, g.nobody(ctx, q)
 			}
 			if answered && (refused == nil || hopeful(e, refused)) {
 				refused = e
@@ -265,7 +265,7 @@
 			return granted{}, refused
 		}
 		if ctx.Err() != nil || time.Now().After(until) {
-			return granted{}, g.nobody(ctx)
+			return granted{}, g.nobody(ctx, q)
 		}
 		wait(ctx, lookAgain)
 	}
@@ -283,12 +283,19 @@
 	return e.Retry < than.Retry
 }
 
-// nobody is the refusal when no owner answered in time.
-func (g *Gate) nobody(ctx context.Context) *fault.Error {
+// nobody is the refusal when no owner answered in time. Nobody has looked its key up then.
+//
+// What goes wrong without that word: VMs lose each other, a caller's copies of one notice reach both sides, and one side runs it
+// while the other is told by no owner whether it may. It says "not run", and the caller sends the notice anew, under another key.
+func (g *Gate) nobody(ctx context.Context, q *request) *fault.Error {
+	e := fault.New(fault.Unavailable, "no VM answers for this model or service").WithRetry(2000)
 	if ctx.Err() != nil {
-		return ended(ctx).WithRan(fault.RanNo)
+		e = ended(ctx).WithRan(fault.RanNo)
+	}
+	if !q.kind.Repeat && q.ticket == nil {
+		e = e.WithKey(fault.KeyUnknown)
 	}
-	return fault.New(fault.Unavailable, "no VM answers for this model or service").WithRetry(2000)
+	return e
 }
 
 // ask asks the owners of a pool in turn; answered is false when none could be reached.
