soak: a key counts as taken away from the moment at which that began

The soak notes the instant only once the store's stand-in has returned, which takes longer on a busy machine; the VM had the new document already, so it obeyed.

The check is as strict as before: a 401 before the taking away began is a fault, and so is a run later than the bound after its confirmation.

--- a/scenarios/soak/check.go
+++ b/scenarios/soak/check.go
@@ -135,7 +135,7 @@
 			return errRan
 		}
 	case http.StatusUnauthorized:
-		if c.workspace != other || c.end().Before(r.withdrawn) {
+		if c.workspace != other || c.end().Before(r.withdrawing) {
 			return errDenied
 		}
 	case http.StatusBadRequest, http.StatusForbidden, http.StatusNotFound:
--- a/scenarios/soak/run.go
+++ b/scenarios/soak/run.go
@@ -25,8 +25,9 @@
 	// spells holds the faults that were played.
 	spells []spell
 	calls  []call
-	// withdrawn is when the key of the second workspace was taken away.
-	withdrawn time.Time
+	// withdrawing and withdrawn are when the taking away of the second workspace's key began and was confirmed: in between a
+	// VM may know of it already, and need not.
+	withdrawing, withdrawn time.Time
 	routes    int
 	// store orders faults of the store: one at a time.
 	store sync.Mutex
@@ -73,10 +74,11 @@
 	}
 	play.Go(func() {
 		time.Sleep(length / 2)
+		began := time.Now()
 		r.fleet.Platform.Withdraw(other)
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		r.withdrawn = time.Now()
+		r.withdrawing, r.withdrawn = began, time.Now()
 	})
 	play.Wait()
 	for _, v := range r.fleet.VMs {
