--- a/scenarios/soak/run.go
+++ b/scenarios/soak/run.go
@@ -28,7 +28,7 @@
 	// withdrawing and withdrawn are when the taking away of the second workspace's key began and was confirmed: in between a
 	// VM may know of it already, and need not.
 	withdrawing, withdrawn time.Time
-	routes    int
+	routes                 int
 	// store orders faults of the store: one at a time.
 	store sync.Mutex
 }
