relay, placer: what an upstream says of its own limit is read, logged and counted

The codec reads the limit of each answer, also of one that turns a request away, fails or has only begun a stream. A gate keeps the newest statement on each upstream, logs each change (event limit) and exposes it (snipeshift_upstream_limit). No decision uses it yet.

A statement is ordered by an instant at which it certainly held: the arrival of an answer that names a limit, the sending of the request of one that names none. So an answer that was overtaken doesn't end a limit.

--- a/daemon/placer/client.go
+++ b/daemon/placer/client.go
@@ -10,6 +10,7 @@
 	"snipeshift.example/daemon/guard"
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
+	"snipeshift.example/lib/decide/ratelimit"
 	"snipeshift.example/lib/decide/span"
 	"snipeshift.example/lib/peer"
 	"snipeshift.example/lib/route"
@@ -63,6 +64,8 @@
 	presented map[route.ServiceID]uint64
 	// live holds the grants in use.
 	live map[decide.RequestID]*use
+	// limits holds what upstreams say of the rate of requests that they take.
+	limits map[route.ServiceID]*ratelimit.Table
 }
 
 // use is a grant in use.
@@ -76,6 +79,7 @@
 	c := &Client{
 		clock: k, log: l, members: m, peers: p, own: own, holders: own.Holders, gate: gate,
 		silent: newSilent(l, m, p), presented: map[route.ServiceID]uint64{}, live: map[decide.RequestID]*use{},
+		limits: map[route.ServiceID]*ratelimit.Table{},
 	}
 	c.holders.Follow(c.followed)
 	return c
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -24,9 +24,12 @@
 	"snipeshift.example/daemon/relay"
 	"snipeshift.example/daemon/settings"
 	"snipeshift.example/lib/clock"
+	"snipeshift.example/lib/decide"
+	"snipeshift.example/lib/decide/ratelimit"
 	"snipeshift.example/lib/dial"
 	"snipeshift.example/lib/logline"
 	"snipeshift.example/lib/peer"
+	"snipeshift.example/lib/route"
 	"snipeshift.example/platform"
 )
 
@@ -336,6 +339,9 @@
 		gauge(fmt.Sprintf("snipeshift_service_epoch{service=%q}", x.Service), float64(x.Epoch))
 		gauge(fmt.Sprintf("snipeshift_service_held{service=%q}", x.Service), holds)
 	}
+	d.placer.Limits(func(s route.ServiceID, u decide.UpstreamID, rate ratelimit.PerSecond) {
+		gauge(fmt.Sprintf("snipeshift_upstream_limit{service=%q,upstream=%q}", s, u), float64(rate))
+	})
 	vm.WriteCounterUint64(w, "snipeshift_questions_hedged_total", d.placer.Hedged())
 	for c, n := range d.registry.Calls() {
 		vm.WriteCounterUint64(w, fmt.Sprintf(`snipeshift_store_calls_total{feed=%q,call=%q,role=%q}`, c.Feed, c.Name(), c.Role), n)
--- a/daemon/relay/gate.go
+++ b/daemon/relay/gate.go
@@ -18,6 +18,7 @@
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
 	"snipeshift.example/lib/decide/gate"
+	"snipeshift.example/lib/decide/ratelimit"
 	"snipeshift.example/lib/decide/span"
 	"snipeshift.example/lib/exchange"
 	"snipeshift.example/lib/fault"
@@ -44,6 +45,8 @@
 	First(id decide.RequestID)
 	End(id decide.RequestID, o span.Outcome, culprit decide.UpstreamID)
 	Withdraw(s route.ServiceID, id decide.RequestID)
+	// Limit takes what an answer says of its upstream's limit.
+	Limit(s route.ServiceID, u decide.UpstreamID, st ratelimit.Statement)
 }
 
 // Knowledge is what is known of routes and upstreams.
--- a/daemon/relay/harness_test.go
+++ b/daemon/relay/harness_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -23,6 +24,7 @@
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
 	"snipeshift.example/lib/decide/gate"
+	"snipeshift.example/lib/decide/ratelimit"
 	"snipeshift.example/lib/decide/span"
 	"snipeshift.example/lib/exchange"
 	"snipeshift.example/lib/fault"
@@ -49,7 +51,11 @@
 }
 
 func (testCodec) Word(resp *http.Response, id string) exchange.Word {
-	return exchange.Word{Mine: resp.Header.Get("Id") == id, Genuine: resp.Header.Get("Mark") != "", Idle: resp.Header.Get("Idle") != ""}
+	word := exchange.Word{Mine: resp.Header.Get("Id") == id, Genuine: resp.Header.Get("Mark") != "", Idle: resp.Header.Get("Idle") != ""}
+	if rate, err := strconv.ParseFloat(resp.Header.Get("Limit"), 64); err == nil {
+		word.Limit = exchange.Limit{Named: true, Rate: ratelimit.PerSecond(rate)}
+	}
+	return word
 }
 
 func (testCodec) Answer(to, from http.Header) {
@@ -71,6 +77,7 @@
 	mu        sync.Mutex
 	upstreams []route.Upstream
 	outcomes  []span.Outcome
+	limits    *ratelimit.Table
 	// wait is how long a place takes to come, during which during is called.
 	wait   time.Duration
 	during func()
@@ -114,6 +121,12 @@
 
 func (p *inTurn) Withdraw(route.ServiceID, decide.RequestID) {}
 
+func (p *inTurn) Limit(_ route.ServiceID, u decide.UpstreamID, st ratelimit.Statement) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.limits.Learn(u, st)
+}
+
 // fixed is knowledge that a test sets.
 type fixed struct {
 	mu   sync.Mutex
@@ -171,7 +184,7 @@
 
 func newWorld(t *testing.T, upstreams ...http.HandlerFunc) *world {
 	t.Helper()
-	w := &world{t: t, placer: &inTurn{}, known: unknown()}
+	w := &world{t: t, placer: &inTurn{limits: ratelimit.NewTable()}, known: unknown()}
 	for i, h := range upstreams {
 		s := httptest.NewServer(h)
 		t.Cleanup(s.Close)
--- a/daemon/relay/relay_test.go
+++ b/daemon/relay/relay_test.go
@@ -467,3 +467,62 @@
 		require.LessOrEqual(t, total, len(b))
 	})
 }
+
+// An upstream names its limit while it turns requests away, fails, or has only begun a stream. A gate that reads whole answers alone
+// would flood it.
+func TestEveryAnswerOfAnUpstreamMayNameItsLimit(t *testing.T) {
+	for name, answer := range map[string]http.HandlerFunc{
+		"turned away": func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Idle", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		},
+		"failed": func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Id", r.Header.Get("Id"))
+			w.Header().Set("Mark", "m")
+			w.WriteHeader(http.StatusInternalServerError)
+		},
+		"stream": streamed(stream(1, 2)),
+	} {
+		w := newWorld(t, func(rw http.ResponseWriter, r *http.Request) {
+			rw.Header().Set("Limit", "2.5")
+			answer(rw, r)
+		})
+		_, _, _ = w.call(http.MethodPost, "/stream/", "")
+		s, ok := w.placer.limits.Of("u0")
+		require.True(t, ok, name)
+		require.True(t, s.Named, name)
+		require.InDelta(t, 2.5, float64(s.Rate), 0, name)
+	}
+}
+
+// An answer without a limit is on its way while another one names it. Its request was sent before, so it does not say that the
+// limit is over.
+func TestAnOvertakenAnswerEndsNoLimit(t *testing.T) {
+	release := make(chan struct{})
+	var calls atomic.Int64
+	w := newWorld(t, func(rw http.ResponseWriter, r *http.Request) {
+		switch calls.Add(1) {
+		case 1:
+			<-release
+		case 2:
+			rw.Header().Set("Limit", "2.5")
+		}
+		whole("answer")(rw, r)
+	})
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_, _, _ = w.call(http.MethodPost, "/once/", "")
+	}()
+	require.Eventually(t, func() bool { return calls.Load() == 1 }, time.Second, time.Millisecond)
+	_, _, _ = w.call(http.MethodPost, "/once/", "")
+	close(release)
+	<-done
+	s, _ := w.placer.limits.Of("u0")
+	require.True(t, s.Named)
+	require.Eventually(t, func() bool {
+		_, _, _ = w.call(http.MethodPost, "/once/", "")
+		s, _ = w.placer.limits.Of("u0")
+		return !s.Named
+	}, time.Second, time.Millisecond, "requests that are sent later are answered without a limit")
+}
--- a/daemon/relay/send.go
+++ b/daemon/relay/send.go
@@ -15,8 +15,11 @@
 	"github.com/zeebo/errs"
 
 	"snipeshift.example/daemon/registry"
+	"snipeshift.example/lib/clock"
+	"snipeshift.example/lib/decide/ratelimit"
 	"snipeshift.example/lib/decide/span"
 	"snipeshift.example/lib/exchange"
+	"snipeshift.example/lib/logline"
 	"snipeshift.example/lib/route"
 )
 
@@ -89,12 +92,14 @@
 		WroteRequest: func(httptrace.WroteRequestInfo) { x.story.sent.Store(int64(x.passed())) },
 	}
 	r := x.outgoing(httptrace.WithClientTrace(ctx, trace), grant, host, helpers)
+	sent := x.gate.Clock.Now()
 	resp, err := x.transport().RoundTrip(r)
 	if err != nil {
 		return x.broken(ctx, err, wrote.Load())
 	}
 	defer resp.Body.Close()
 	word := x.gate.Codec.Word(resp, x.head.ID)
+	x.noteLimit(word, grant.Leader, sent)
 	if culprit := v.Upstream(x.service, func(u *route.Upstream) bool { return u.Address == word.Culprit }); culprit != nil {
 		res := x.judge(ctx, resp, word, grant, w)
 		res.culprit = culprit.ID
@@ -103,6 +108,23 @@
 	return x.judge(ctx, resp, word, grant, w)
 }
 
+// noteLimit passes on what an answer says of its upstream's limit. Each answer may name one, also one that turns the request away;
+// that the limit is over shows in a whole one alone. Sent is when the request was sent.
+func (x *flight) noteLimit(word exchange.Word, leader span.Place, sent clock.Milli) {
+	g := x.gate
+	if word.Limit.Unreadable != "" {
+		g.Log.Warn().Str(logline.Key, logline.Limit).Str("service", string(x.service)).Str("upstream", string(leader.Upstream)).
+			Str("value", word.Limit.Unreadable).Msg("an upstream names a limit that is no rate")
+	}
+	switch {
+	case word.Stranger:
+	case word.Limit.Named:
+		g.Placer.Limit(x.service, leader.Upstream, ratelimit.Statement{Named: true, Rate: word.Limit.Rate, Born: leader.Born, At: g.Clock.Now()})
+	case word.Limit.Unreadable == "" && word.Mine && word.Genuine && !word.Idle:
+		g.Placer.Limit(x.service, leader.Upstream, ratelimit.Statement{Born: leader.Born, At: sent})
+	}
+}
+
 // judge decides what an answer is worth by its header, and passes it on.
 func (x *flight) judge(ctx context.Context, resp *http.Response, word exchange.Word, grant span.Grant, w *watchdog) result {
 	switch {
--- a/lib/exchange/exchange.go
+++ b/lib/exchange/exchange.go
@@ -6,6 +6,7 @@
 import (
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
+	"snipeshift.example/lib/decide/ratelimit"
 	"snipeshift.example/lib/route"
 )
 
@@ -73,4 +74,14 @@
 	Stranger bool
 	// Culprit is the address of the upstream at fault, where the answer names another one.
 	Culprit string
+	Limit   Limit
+}
+
+// Limit is what an answer says of the requests that its upstream takes from all VMs together.
+type Limit struct {
+	// Named is set if the answer names a limit, of Rate.
+	Named bool
+	Rate  ratelimit.PerSecond
+	// Unreadable is what stands in place of a rate, quoted, if it is none.
+	Unreadable string
 }
--- a/lib/logline/logline.go
+++ b/lib/logline/logline.go
@@ -37,6 +37,8 @@
 	// Reserve and Release are orders about memory that failed.
 	Reserve = "reserve"
 	Release = "release"
+	// Limit is a change of the requests a second that an upstream takes from all VMs together.
+	Limit = "limit"
 )
 
 // Meanings has one line for each event.
@@ -59,4 +61,5 @@
 	Silent:      "an upstream neither answers nor takes connections; the send is given up",
 	Reserve:     "memory for a part of a prompt could not be reserved",
 	Release:     "reserved memory could not be freed; it lapses by itself",
+	Limit:       "an upstream names how many requests a second it takes from all VMs together, changes that or names it no more; and how this VM knows",
 }
