--- a/scenarios/fleet/fleet.go
+++ b/scenarios/fleet/fleet.go
@@ -61,7 +61,7 @@
 			return f, err
 		}
 		f.upstreams[l.Address()] = l
-		r.Dies = f.Crash
+		r.Dies, r.Origin = f.Crash, l.Source
 		r.Move(l.Address())
 	}
 	for i := range vms {
@@ -152,7 +152,7 @@
 	if err := l.Up(r.Listens()); err != nil {
 		return err
 	}
-	r.Dies = f.Crash
+	r.Dies, r.Origin = f.Crash, l.Source
 	r.Move(l.Address())
 	return nil
 }
--- a/scenarios/platform_limit_test.go
+++ b/scenarios/platform_limit_test.go
@@ -20,6 +20,9 @@
 	kept = 6 * time.Second
 )
 
+// nobody excuses no VM.
+func nobody(string, time.Time, time.Time) bool { return false }
+
 // limit has the first runner of each service name a limit.
 func limit(f *fleet.Fleet) []*standin.Runner {
 	f.Platform.Models[0].Limit(engineLimit)
@@ -36,7 +39,7 @@
 	from := time.Now().Add(learnt)
 	time.Sleep(learnt + kept)
 	for _, r := range limited {
-		require.Empty(t, r.Exceeded(from))
+		require.Empty(t, r.Exceeded(nobody))
 		require.Greater(t, r.Arrived(from), 2, "it gets what it takes")
 	}
 	for _, r := range limited {
@@ -57,7 +60,6 @@
 	l := newLoad(f)
 	l.more(t)
 	limited := limit(f)
-	from := time.Now().Add(learnt)
 	time.Sleep(learnt)
 	for _, v := range f.VMs {
 		v.Process.Kill()
@@ -67,7 +69,7 @@
 		time.Sleep(kept / 4)
 	}
 	for _, r := range limited {
-		require.Empty(t, r.Exceeded(from))
+		require.Empty(t, r.Exceeded(nobody))
 	}
 	close(l.stop)
 	l.wg.Wait()
--- a/scenarios/relay/conn.go
+++ b/scenarios/relay/conn.go
@@ -95,6 +95,13 @@
 	}
 }
 
+// reaches tells whether the target sees the connection come from an address.
+func (c *conn) reaches(address string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.far != nil && c.far.LocalAddr().String() == address
+}
+
 // lost passes a broken end on to the other one, unless the link is silent.
 func (c *conn) lost() {
 	if !c.silent(Both) {
--- a/scenarios/relay/relay.go
+++ b/scenarios/relay/relay.go
@@ -300,6 +300,25 @@
 	}
 }
 
+// Source names who dialled the connection that reaches the target from an address; empty if there is none.
+func (r *Relay) Source(address string) string {
+	r.mu.Lock()
+	var found *conn
+	for c := range r.conns {
+		if c.reaches(address) {
+			found = c
+		}
+	}
+	r.mu.Unlock()
+	if found == nil {
+		return ""
+	}
+	<-found.found
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return found.source
+}
+
 func (r *Relay) add(c *conn) (target string, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/scenarios/soak/check.go
+++ b/scenarios/soak/check.go
@@ -100,6 +100,9 @@
 	for _, f := range p.Faults() {
 		errs = append(errs, errors.New(f))
 	}
+	for _, text := range p.Exceeded(r.excused) {
+		errs = append(errs, errors.New(text))
+	}
 	errs = append(errs, r.after()...)
 	r.log("ends of %d calls: %v", len(calls), ends(calls))
 	return errors.Join(errs...)
@@ -179,6 +182,31 @@
 	return false
 }
 
+// excusedAfter is how long after a fault of its own a VM still need not know what others do.
+const excusedAfter = 3 * time.Second
+
+// excused tells whether a VM was stopped, killed, standing still or cut off from other VMs in a span.
+func (r *Run) excused(vm string, from, to time.Time) bool {
+	for _, s := range r.spells {
+		if s.to.Add(excusedAfter).Before(from) || s.from.After(to) {
+			continue
+		}
+		switch s.fault.Kind {
+		case Kill, Freeze, Stop:
+			if s.vm.Name == vm {
+				return true
+			}
+		case Cut, Reset, Silence, Delay:
+			other := r.fleet.VMs[s.fault.Other%len(r.fleet.VMs)]
+			if s.fault.End == Peer && (s.vm.Name == vm || other.Name == vm) {
+				return true
+			}
+		default:
+		}
+	}
+	return false
+}
+
 // calmAfter is how long the traces of a fault may last: an owner's books know of grants that have
 // ended for three seconds, upstreams are shut out for four, lapsed entries kept for two.
 const calmAfter = 5 * time.Second
--- a/scenarios/soak/plan.go
+++ b/scenarios/soak/plan.go
@@ -32,6 +32,7 @@
 	Drain    Kind = "drain"    // an upstream announces that it leaves, goes, and another comes
 	Sick     Kind = "sick"     // an upstream does what Trouble says
 	Document Kind = "document" // the operator adds a route
+	Limit    Kind = "limit"    // an upstream names a limit for some time
 )
 
 // weights say how often each kind comes.
@@ -78,6 +79,8 @@
 	Held    time.Duration
 	Mode    standin.Mode
 	Trouble standin.Trouble
+	// Rate is the limit that an upstream names, in requests a second.
+	Rate float64
 	// At is when it begins, from the start of the schedule; Span how long it lasts.
 	At, Span time.Duration
 }
@@ -90,6 +93,8 @@
 		s += fmt.Sprintf(" to %s %d, ways %d, fresh %v, held %v", f.End, f.Other, f.Ways, f.Fresh, f.Held)
 	case Crash, Drain, Sick:
 		s += fmt.Sprintf(" upstream %d, trouble %d", f.Other, f.Trouble)
+	case Limit:
+		s += fmt.Sprintf(" upstream %d, %.1f a second", f.Other, f.Rate)
 	case Outage, Lapse:
 		s += fmt.Sprintf(" mode %d", f.Mode)
 	default:
@@ -130,6 +135,24 @@
 			at += p.between(0, seriesGap)
 		}
 	}
+	return append(out, limits(seed, length)...)
+}
+
+// Times and sizes of limits that upstreams name.
+const (
+	leastLimited = 4 * time.Second
+	mostLimited  = 9 * time.Second
+	mostRate     = 6
+	limitPause   = 5 * time.Second
+)
+
+// limits are drawn by themselves, so that the other faults of a seed stay what they were.
+func limits(seed uint64, length time.Duration) []Fault {
+	p := planner{rand.New(rand.NewPCG(seed, 1))}
+	var out []Fault
+	for at := p.between(0, limitPause); at < length; at += p.between(0, limitPause) {
+		out = append(out, Fault{Kind: Limit, Other: p.IntN(wide), Rate: float64(p.IntN(10*mostRate)) / 10, At: at, Span: p.between(leastLimited, mostLimited)})
+	}
 	return out
 }
 
--- a/scenarios/soak/run.go
+++ b/scenarios/soak/run.go
@@ -135,6 +135,12 @@
 	case Crash, Drain, Sick:
 		us := r.fleet.Platform.Runners()
 		return r.upstream(f, us[f.Other%len(us)])
+	case Limit:
+		us := r.fleet.Platform.Runners()
+		u := us[f.Other%len(us)]
+		u.Limit(f.Rate)
+		time.Sleep(f.Span)
+		u.Limit(-1)
 	case Document:
 		r.mu.Lock()
 		r.routes++
