registry, platform: a position in the store's history is an era and a revision

In a drill the store comes back from a copy some seconds old, and gives revisions out again.

Cause: positions were compared as plain numbers (max in settle, > in learnWord and fetch), and the store's list was believed whatever was known before. A watch from a position that exists again was taken for its continuation, and a document below the one in force was confirmed by the next watch without news.

Now route.Position orders by era, then revision; an answer of another era than its question's position is followed by a list, one of an earlier era than known is an error. A change of era is one event (log line era, metric) that ends all watches.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -347,6 +347,8 @@
 		vm.WriteCounterUint64(w, fmt.Sprintf(`snipeshift_store_calls_total{feed=%q,call=%q,role=%q}`, c.Feed, c.Name(), c.Role), n)
 	}
 	vm.WriteCounterUint64(w, "snipeshift_store_failures_total", failed)
+	gauge("snipeshift_store_era", float64(d.registry.Era()))
+	vm.WriteCounterUint64(w, "snipeshift_store_eras_total", d.registry.Eras())
 	vm.WriteCounterUint64(w, "snipeshift_entries_unusable_total", d.registry.Barred())
 	vm.WriteCounterUint64(w, "snipeshift_log_dropped_total", d.lines.Dropped())
 	vm.WriteProcessMetrics(w)
--- a/daemon/registry/follow.go
+++ b/daemon/registry/follow.go
@@ -26,8 +26,8 @@
 // feed is one kind of the store's objects that is followed.
 type feed struct {
 	name  string
-	list  func(context.Context) (route.Mark, error)
-	watch func(context.Context, route.Mark, clock.Milli) (route.Mark, error)
+	list  func(context.Context) (route.Position, error)
+	watch func(context.Context, route.Position, clock.Milli) (route.Position, error)
 	// wait is how long a watch waits at a VM that reads for others.
 	wait clock.Milli
 	// leads is set for the feed whose calls find out whether the store is back.
@@ -46,11 +46,11 @@
 // for this VM, it lists anew, since events may have been missed.
 func (r *Registry) follow(ctx context.Context, f feed) {
 	r.bootstrap(ctx)
-	var mark route.Mark
+	var at route.Position
 	failures, busy := 0, false
 	for ctx.Err() == nil {
 		if r.rests(f) {
-			mark, failures, busy = 0, 0, false
+			at, failures, busy = route.Position{}, 0, false
 			r.clearOutage()
 			if f.leads {
 				r.failing.Store(false)
@@ -60,12 +60,15 @@
 		}
 		r.yield(ctx, f)
 		var err error
-		listed := mark == 0
+		if at.Era != r.Era() {
+			at = route.Position{}
+		}
+		listed := at == route.Position{}
 		r.calls.add(Call{Feed: f.name, Role: r.role(), Listed: listed})
 		if listed {
-			mark, err = f.list(ctx)
+			at, err = f.list(ctx)
 		} else {
-			mark, busy, err = r.next(ctx, f, mark, busy)
+			at, busy, err = r.next(ctx, f, at, busy)
 		}
 		if ctx.Err() != nil {
 			return
@@ -81,7 +84,7 @@
 			}
 			continue
 		}
-		mark = 0
+		at = route.Position{}
 		r.backOff(ctx, failures)
 		failures++
 	}
@@ -135,18 +138,18 @@
 	}
 }
 
-// next watches once from a mark, and returns the one to go on from; zero asks for a list. Busy tells whether news ended the
+// next watches once from a position, and returns the one to go on from; zero asks for a list. Busy tells whether news ended the
 // watch, now and before.
-func (r *Registry) next(ctx context.Context, f feed, mark route.Mark, busy bool) (route.Mark, bool, error) {
+func (r *Registry) next(ctx context.Context, f feed, at route.Position, busy bool) (route.Position, bool, error) {
 	began := r.clock.Now()
 	wait := r.wait(f)
 	watching, end := r.watching(ctx, f.name, wait)
-	next, err := f.watch(watching, mark, wait)
+	next, err := f.watch(watching, at, wait)
 	ended := watching.Err() != nil
 	end()
 	if err != nil && ended && ctx.Err() == nil {
-		// We ended it ourselves, for want of proof: a list proves at once.
-		return 0, false, nil
+		// We ended it ourselves, for want of proof or in another era: a list proves at once.
+		return route.Position{}, false, nil
 	}
 	least := newsEvery
 	if busy {
@@ -188,38 +191,46 @@
 // leads tells whether this VM stands before all others.
 func (r *Registry) leads() bool { return r.readers == nil || r.readers().Self }
 
-func (r *Registry) listDocument(ctx context.Context) (route.Mark, error) {
+func (r *Registry) listDocument(ctx context.Context) (route.Position, error) {
 	sent := r.clock.Now()
-	d, mark, err := r.store.Document(ctx)
-	if errors.Is(err, route.ErrDocument) {
-		r.reject(err)
-		return mark, nil
+	d, at, err := r.store.Document(ctx)
+	if err != nil && !errors.Is(err, route.ErrDocument) {
+		return route.Position{}, err
+	}
+	if era := r.enter(at.Era); era != nil {
+		return route.Position{}, era
 	}
 	if err != nil {
-		return 0, err
+		r.reject(err)
+		return at, nil
 	}
 	r.learnDocument(d, sent, fromStore)
-	return mark, nil
+	return at, nil
 }
 
-func (r *Registry) watchDocument(ctx context.Context, after route.Mark, wait clock.Milli) (route.Mark, error) {
+func (r *Registry) watchDocument(ctx context.Context, after route.Position, wait clock.Milli) (route.Position, error) {
 	sent := r.clock.Now()
-	d, mark, err := r.store.WatchDocument(ctx, after, wait)
-	if errors.Is(err, route.ErrDocument) {
-		r.reject(err)
-		return mark, nil
+	d, at, err := r.store.WatchDocument(ctx, after, wait)
+	if err != nil && !errors.Is(err, route.ErrDocument) {
+		return route.Position{}, err
+	}
+	if at.Era != after.Era {
+		return route.Position{}, r.enter(at.Era)
 	}
 	if err != nil {
-		return 0, err
+		r.reject(err)
+		return at, nil
 	}
 	if d != nil {
 		r.learnDocument(d, sent, fromStore)
-		return mark, nil
+		return at, nil
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.confirmDocument(r.asOf(sent, wait))
-	return mark, nil
+	if !r.behind {
+		r.confirmDocument(r.asOf(sent, wait))
+	}
+	return at, nil
 }
 
 // reject notes that what stands in the place of the document cannot be read. The last one stays in force, but nothing
@@ -232,28 +243,34 @@
 	r.log.Error().Str(logline.Key, logline.Rejected).Int64("age", int64(r.clock.Now()-r.tableAt)).Err(err).Msg("document is not taken")
 }
 
-func (r *Registry) listUpstreams(ctx context.Context) (route.Mark, error) {
+func (r *Registry) listUpstreams(ctx context.Context) (route.Position, error) {
 	sent := r.clock.Now()
-	news, mark, err := r.store.Upstreams(ctx)
+	news, at, err := r.store.Upstreams(ctx)
 	if err != nil {
-		return 0, err
+		return route.Position{}, err
 	}
-	r.learnUpstreams(news, mark, sent)
-	return mark, nil
+	if err := r.enter(at.Era); err != nil {
+		return route.Position{}, err
+	}
+	r.learnUpstreams(news, at, sent)
+	return at, nil
 }
 
-func (r *Registry) watchUpstreams(ctx context.Context, after route.Mark, wait clock.Milli) (route.Mark, error) {
+func (r *Registry) watchUpstreams(ctx context.Context, after route.Position, wait clock.Milli) (route.Position, error) {
 	sent := r.clock.Now()
-	news, mark, err := r.store.WatchUpstreams(ctx, after, wait)
+	news, at, err := r.store.WatchUpstreams(ctx, after, wait)
 	if err != nil {
-		return 0, err
+		return route.Position{}, err
+	}
+	if at.Era != after.Era {
+		return route.Position{}, r.enter(at.Era)
 	}
-	at := sent
+	right := sent
 	if len(news.Upstreams) == 0 && len(news.Gone) == 0 && len(news.Unusable) == 0 {
-		at = r.asOf(sent, wait)
+		right = r.asOf(sent, wait)
 	}
-	r.changeUpstreams(news, mark, at)
-	return mark, nil
+	r.changeUpstreams(news, at, right)
+	return at, nil
 }
 
 // asOf is the instant that the end of a watch without news speaks of: the store
@@ -284,8 +301,9 @@
 	for ctx.Err() == nil {
 		pause(ctx, 200*time.Millisecond)
 		r.mu.Lock()
-		if len(r.gone) > 0 {
-			r.settle(0, 0)
+		believed := r.believe()
+		if believed || len(r.gone) > 0 {
+			r.settle(route.Position{}, 0)
 		}
 		r.mu.Unlock()
 	}
--- a/daemon/registry/peers.go
+++ b/daemon/registry/peers.go
@@ -54,13 +54,14 @@
 // word is how far our knowledge goes. What is kept on suspicion is no knowledge. The
 // lock is held.
 func (r *Registry) word() peer.RegistryWord {
-	w := peer.RegistryWord{Shut: r.lost}
+	w := peer.RegistryWord{Shut: r.lost, Era: r.era}
 	now := r.clock.Now()
 	if r.table != nil {
 		w.Revision, w.RevisionAge = r.table.Revision(), now-r.tableAt
 	}
 	if r.upstreamsAt > 0 && len(r.gone) == 0 {
-		w.Digest, w.DigestAge, w.Mark = r.digest, now-r.upstreamsAt, r.mark
+		w.Digest, w.DigestAge = r.digest, now-r.upstreamsAt
+		w.MarkEra, w.Mark = r.position.Era, r.position.Mark
 	}
 	return w
 }
@@ -82,6 +83,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	ask := false
+	if w.Era > r.era {
+		r.change(w.Era, fromPeer)
+	}
 	if w.Revision > 0 {
 		switch {
 		case r.table == nil || w.Revision > r.table.Revision():
@@ -94,8 +98,8 @@
 		at := now - w.DigestAge
 		switch {
 		case w.Digest == r.digest && at > r.upstreamsAt:
-			r.settle(w.Mark, at)
-		case w.Digest != r.digest && w.Mark > r.mark:
+			r.settle(w.Position(), at)
+		case w.Digest != r.digest && w.Position().After(r.position):
 			ask = true
 		}
 	}
@@ -131,10 +135,10 @@
 		return false
 	}
 	r.mu.Lock()
-	newer := reply.Word.Mark > r.mark
+	newer := reply.Word.Position().After(r.position)
 	r.mu.Unlock()
 	if newer && len(reply.Upstreams) > 0 {
-		r.learnPeers(route.News{Upstreams: reply.Upstreams, Unusable: reply.Unusable}, reply.Word.Mark, sent-reply.UpstreamsAge)
+		r.learnPeers(route.News{Upstreams: reply.Upstreams, Unusable: reply.Unusable}, reply.Word.Position(), sent-reply.UpstreamsAge)
 	}
 	return true
 }
--- a/daemon/registry/readers.go
+++ b/daemon/registry/readers.go
@@ -125,15 +125,12 @@
 	return r.clock.Now() - r.tableAt
 }
 
-// watching is the context of one watch. A long one is ended when our knowledge is not proved
-// new any more.
+// watching is the context of one watch. It is ended when the store's era changes, a long one when our knowledge is
+// not proved new any more.
 func (r *Registry) watching(ctx context.Context, what string, wait clock.Milli) (context.Context, context.CancelFunc) {
 	watching, cancel := context.WithCancel(ctx)
-	if wait < longWait {
-		return watching, cancel
-	}
 	r.mu.Lock()
-	r.watches[what] = cancel
+	r.watches[what] = watch{cancel, wait >= longWait}
 	r.mu.Unlock()
 	return watching, func() {
 		r.mu.Lock()
@@ -227,7 +224,9 @@
 func (r *Registry) endLong() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, cancel := range r.watches {
-		cancel()
+	for _, w := range r.watches {
+		if w.long {
+			w.end()
+		}
 	}
 }
--- a/daemon/registry/readers_test.go
+++ b/daemon/registry/readers_test.go
@@ -84,8 +84,11 @@
 	calls := 0
 	f := feed{
 		name: "routes", leads: true,
-		list:  func(context.Context) (route.Mark, error) { calls++; return 1, nil },
-		watch: func(context.Context, route.Mark, clock.Milli) (route.Mark, error) { calls++; return 1, nil },
+		list: func(context.Context) (route.Position, error) { calls++; return route.Position{Mark: 1}, nil },
+		watch: func(context.Context, route.Position, clock.Milli) (route.Position, error) {
+			calls++
+			return route.Position{Mark: 1}, nil
+		},
 	}
 	go func() { _ = young.Run(ctx) }()
 	beat := &peer.BeatArgs{From: peer.Member{VM: "known"}}
@@ -143,14 +146,16 @@
 // Upstreams register one after the other. Each ends a watch, so watches follow each other less often while that goes on.
 func TestWatchesWaitLongerWhileNewsFollowsNews(t *testing.T) {
 	b := newBench(t)
-	f := feed{watch: func(_ context.Context, after route.Mark, _ clock.Milli) (route.Mark, error) { return after + 1, nil }, wait: watchWait}
+	f := feed{watch: func(_ context.Context, after route.Position, _ clock.Milli) (route.Position, error) {
+		return next(after), nil
+	}, wait: watchWait}
 	began := time.Now()
-	_, busy, err := b.next(b.ctx, f, 1, false)
+	_, busy, err := b.next(b.ctx, f, mark(1), false)
 	require.NoError(t, err)
 	require.True(t, busy)
 	require.Less(t, time.Since(began), newsBusy.Duration())
 	began = time.Now()
-	_, _, err = b.next(b.ctx, f, 2, busy)
+	_, _, err = b.next(b.ctx, f, mark(2), busy)
 	require.NoError(t, err)
 	require.GreaterOrEqual(t, time.Since(began), newsBusy.Duration())
 }
@@ -160,13 +165,13 @@
 func TestAWatchEndedForWantOfProofIsFollowedByAList(t *testing.T) {
 	b, reader := newBench(t), newBench(t)
 	b.readBy(reader.Registry, false)
-	f := feed{name: "routes", wait: watchWait, watch: func(ctx context.Context, _ route.Mark, _ clock.Milli) (route.Mark, error) {
+	f := feed{name: "routes", wait: watchWait, watch: func(ctx context.Context, _ route.Position, _ clock.Milli) (route.Position, error) {
 		b.endLong()
-		return 0, errors.Join(ctx.Err(), errDown)
+		return route.Position{}, errors.Join(ctx.Err(), errDown)
 	}}
-	mark, _, err := b.next(b.ctx, f, 7, false)
+	at, _, err := b.next(b.ctx, f, mark(7), false)
 	require.NoError(t, err)
-	require.Zero(t, mark)
+	require.Zero(t, at)
 }
 
 // Three hundred VMs start for the first time and each lists both kinds of objects, though no caller is there yet and the first
@@ -187,8 +192,11 @@
 	calls := 0
 	young.follow(ctx, feed{
 		name: "routes", leads: true,
-		list:  func(context.Context) (route.Mark, error) { calls++; return 1, nil },
-		watch: func(context.Context, route.Mark, clock.Milli) (route.Mark, error) { calls++; return 1, nil },
+		list: func(context.Context) (route.Position, error) { calls++; return route.Position{Mark: 1}, nil },
+		watch: func(context.Context, route.Position, clock.Milli) (route.Position, error) {
+			calls++
+			return route.Position{Mark: 1}, nil
+		},
 	})
 	<-told
 	require.NotNil(t, young.View().Table)
@@ -204,7 +212,7 @@
 	b.ReadBy(func() Roster { return Roster{Self: true, Seed: true} })
 	ctx, cancel := context.WithTimeout(b.ctx, 50*time.Millisecond)
 	defer cancel()
-	b.follow(ctx, feed{name: "routes", list: func(context.Context) (route.Mark, error) { return 0, errDown }})
+	b.follow(ctx, feed{name: "routes", list: func(context.Context) (route.Position, error) { return route.Position{Mark: 0}, errDown }})
 	require.Equal(t, map[Call]uint64{{Feed: "routes", Role: Prover, Listed: true}: 1}, b.Calls())
 	require.Equal(t, "list", Call{Listed: true}.Name())
 }
--- a/daemon/registry/registry.go
+++ b/daemon/registry/registry.go
@@ -24,10 +24,10 @@
 
 // Store is the platform's store.
 type Store interface {
-	Document(ctx context.Context) (*route.Document, route.Mark, error)
-	WatchDocument(ctx context.Context, after route.Mark, wait clock.Milli) (*route.Document, route.Mark, error)
-	Upstreams(ctx context.Context) (route.News, route.Mark, error)
-	WatchUpstreams(ctx context.Context, after route.Mark, wait clock.Milli) (route.News, route.Mark, error)
+	Document(ctx context.Context) (*route.Document, route.Position, error)
+	WatchDocument(ctx context.Context, after route.Position, wait clock.Milli) (*route.Document, route.Position, error)
+	Upstreams(ctx context.Context) (route.News, route.Position, error)
+	WatchUpstreams(ctx context.Context, after route.Position, wait clock.Milli) (route.News, route.Position, error)
 }
 
 // Peers calls methods of other daemons.
@@ -143,8 +143,14 @@
 	mu      sync.Mutex
 	table   *route.Table
 	tableAt clock.Milli
-	// unread is set while something that cannot be read stands in the place of the document.
-	unread    bool
+	// unread is set while something that cannot be read stands in the place of the document, behind while the store
+	// has an earlier one than is in force here.
+	unread, behind bool
+	// era is the latest one of the store that is known, and entered when it began as far as this VM knows; zero for the first one.
+	era     route.Era
+	entered clock.Milli
+	// doubted holds entries of the copy that the store came back from and that say less than was known, until they are believed.
+	doubted   map[decide.UpstreamID]route.Upstream
 	upstreams map[decide.UpstreamID]route.Upstream
 	// gone holds upstreams that the store no longer lists and that are kept for
 	// a while, with the instant of their end.
@@ -157,8 +163,8 @@
 	// unusable holds entries that name no upstream, with what is wrong with each.
 	unusable    map[decide.UpstreamID]string
 	upstreamsAt clock.Milli
-	// mark is the position in the store's history at which upstreams were right.
-	mark       route.Mark
+	// position is the place in the store's history at which upstreams were right.
+	position   route.Position
 	digest     uint64
 	generation uint64
 	barred     uint64
@@ -185,7 +191,15 @@
 	handover handover
 	packed   packed
 	// watches holds the ends of the long watches under way.
-	watches map[string]context.CancelFunc
+	watches map[string]watch
+	// eras counts the changes of the store's era that were noticed.
+	eras atomic.Uint64
+}
+
+// watch is a watch under way.
+type watch struct {
+	end  context.CancelFunc
+	long bool
 }
 
 // leaver is an upstream that left.
@@ -218,7 +232,7 @@
 		store: s, peers: p, clock: k, log: l, known: make(chan struct{}),
 		upstreams: map[decide.UpstreamID]route.Upstream{}, gone: map[decide.UpstreamID]clock.Milli{},
 		shut: map[peer.VM]clock.Milli{},
-		left: map[decide.UpstreamID]leaver{}, unusable: map[decide.UpstreamID]string{}, watches: map[string]context.CancelFunc{},
+		left: map[decide.UpstreamID]leaver{}, unusable: map[decide.UpstreamID]string{}, watches: map[string]watch{}, doubted: map[decide.UpstreamID]route.Upstream{},
 	}
 	r.handover.clock = k
 	r.Await(clock.Of(bootstrapTime))
@@ -266,6 +280,9 @@
 func (r *Registry) learnDocument(d *route.Document, at clock.Milli, from string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if from == fromStore {
+		r.behind = r.table != nil && d.Revision < r.table.Revision()
+	}
 	if r.table != nil && d.Revision <= r.table.Revision() {
 		if d.Revision == r.table.Revision() {
 			r.unread = r.unread && from != fromStore
--- a/daemon/registry/registry_test.go
+++ b/daemon/registry/registry_test.go
@@ -38,50 +38,59 @@
 	down      bool
 	// unread is set where what stands in the place of the document cannot be read.
 	unread bool
-	// at is the store's mark.
-	at route.Mark
+	// at is the store's position. Positions of watches and lists rise by one with each answer.
+	at route.Position
 }
 
-func (f *fake) Document(context.Context) (*route.Document, route.Mark, error) {
+// position is one in the present era.
+func (f *fake) position(m route.Mark) route.Position { return route.Position{Era: f.at.Era, Mark: m} }
+
+// mark is a position of a store that tells no era.
+func mark(m route.Mark) route.Position { return route.Position{Mark: m} }
+
+// next is the position after one.
+func next(p route.Position) route.Position { return route.Position{Era: p.Era, Mark: p.Mark + 1} }
+
+func (f *fake) Document(context.Context) (*route.Document, route.Position, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.down {
-		return nil, 0, errDown
+		return nil, route.Position{}, errDown
 	}
 	if f.unread {
-		return nil, 1, route.ErrDocument
+		return nil, f.position(1), route.ErrDocument
 	}
-	return f.document, 1, nil
+	return f.document, f.position(1), nil
 }
 
-func (f *fake) WatchDocument(context.Context, route.Mark, clock.Milli) (*route.Document, route.Mark, error) {
+func (f *fake) WatchDocument(context.Context, route.Position, clock.Milli) (*route.Document, route.Position, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.down {
-		return nil, 0, errDown
+		return nil, route.Position{}, errDown
 	}
-	return nil, 2, nil
+	return nil, f.position(2), nil
 }
 
-func (f *fake) Upstreams(context.Context) (route.News, route.Mark, error) {
+func (f *fake) Upstreams(context.Context) (route.News, route.Position, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.down {
-		return route.News{}, 0, errDown
+		return route.News{}, route.Position{}, errDown
 	}
-	f.at++
+	f.at.Mark++
 	return route.News{Upstreams: f.upstreams}, f.at, nil
 }
 
-func (f *fake) WatchUpstreams(context.Context, route.Mark, clock.Milli) (route.News, route.Mark, error) {
+func (f *fake) WatchUpstreams(context.Context, route.Position, clock.Milli) (route.News, route.Position, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.down {
-		return route.News{}, 0, errDown
+		return route.News{}, route.Position{}, errDown
 	}
 	gone := f.gone
 	f.gone = nil
-	f.at++
+	f.at.Mark++
 	return route.News{Gone: gone}, f.at, nil
 }
 
@@ -136,9 +145,9 @@
 
 func (b *bench) watch() {
 	b.t.Helper()
-	_, err := b.watchDocument(b.ctx, 1, watchWait)
+	_, err := b.watchDocument(b.ctx, b.store.position(1), watchWait)
 	b.noteStore("routes", err)
-	_, err = b.watchUpstreams(b.ctx, 1, watchWait)
+	_, err = b.watchUpstreams(b.ctx, b.store.position(1), watchWait)
 	b.noteStore("upstreams", err)
 }
 
@@ -215,10 +224,10 @@
 	b.list()
 	require.Equal(t, 2, b.there())
 	b.clock.forward(holdGone - 100)
-	b.learnUpstreams(list(upstreams("a")), 1, b.clock.Now())
+	b.learnUpstreams(list(upstreams("a")), mark(1), b.clock.Now())
 	require.Equal(t, 2, b.there())
 	b.clock.forward(200)
-	b.learnUpstreams(list(upstreams("a")), 1, b.clock.Now())
+	b.learnUpstreams(list(upstreams("a")), mark(1), b.clock.Now())
 	require.Equal(t, 1, b.there(), "b has not come back in time")
 }
 
@@ -250,7 +259,7 @@
 	require.Equal(t, cut.clock.Now()-beatTime, cut.View().UpstreamsAt)
 
 	cut.clock.forward(4 * clock.Second)
-	well.store.at += 10
+	well.store.at.Mark += 10
 	well.store.document, well.store.upstreams = document(2), upstreams("b", "c", "d")
 	well.list()
 	beat = &peer.BeatArgs{From: peer.Member{VM: "well"}}
@@ -272,7 +281,7 @@
 	b.store.down = true
 	b.watch()
 	require.True(t, b.Lost())
-	reader.store.upstreams, reader.store.at = upstreams("b"), 50
+	reader.store.upstreams, reader.store.at = upstreams("b"), mark(50)
 	reader.list()
 	b.askReaders(b.ctx, b.readers().Others, 0)
 	require.Equal(t, 1, b.there())
@@ -292,8 +301,10 @@
 	b.askReaders(b.ctx, b.readers().Others, 0)
 	ctx, cancel := context.WithTimeout(b.ctx, 300*time.Millisecond)
 	defer cancel()
-	none := func(context.Context) (route.Mark, error) { return 1, nil }
-	b.follow(ctx, feed{name: "upstreams", list: none, watch: func(context.Context, route.Mark, clock.Milli) (route.Mark, error) { return 1, nil }})
+	none := func(context.Context) (route.Position, error) { return route.Position{Mark: 1}, nil }
+	b.follow(ctx, feed{name: "upstreams", list: none, watch: func(context.Context, route.Position, clock.Milli) (route.Position, error) {
+		return route.Position{Mark: 1}, nil
+	}})
 	require.False(t, b.Lost(), "while it rests, readers vouch for what it knows")
 	b.clock.forward(restLimit + 1)
 	require.False(t, b.rests(b.documents()))
@@ -308,13 +319,13 @@
 func TestAStartedPeersListAfterAnOutageRemovesNothingAtOnce(t *testing.T) {
 	b := newBench(t)
 	b.clock.forward(5 * clock.Second)
-	b.learnPeers(list(upstreams("b")), 50, b.clock.Now())
+	b.learnPeers(list(upstreams("b")), mark(50), b.clock.Now())
 	require.Equal(t, 2, b.there())
 	b.clock.forward(holdGone - 100)
-	b.learnPeers(list(upstreams("b")), 51, b.clock.Now())
+	b.learnPeers(list(upstreams("b")), mark(51), b.clock.Now())
 	require.Equal(t, 2, b.there())
 	b.clock.forward(200)
-	b.learnPeers(list(upstreams("b")), 52, b.clock.Now())
+	b.learnPeers(list(upstreams("b")), mark(52), b.clock.Now())
 	require.Equal(t, 1, b.there())
 }
 
@@ -323,14 +334,14 @@
 // alone is gone at once all the same, and so is one that has said that it leaves.
 func TestUpstreamsThatVanishTogetherAreKeptForAWhile(t *testing.T) {
 	b := newBench(t)
-	b.changeUpstreams(route.News{Gone: []decide.UpstreamID{"a", "b"}}, 60, b.clock.Now())
+	b.changeUpstreams(route.News{Gone: []decide.UpstreamID{"a", "b"}}, mark(60), b.clock.Now())
 	require.Equal(t, 2, b.there())
 	b.clock.forward(clock.Second)
-	b.changeUpstreams(list(upstreams("a")), 61, b.clock.Now())
+	b.changeUpstreams(list(upstreams("a")), mark(61), b.clock.Now())
 	b.clock.forward(massHold)
-	b.changeUpstreams(route.News{}, 62, b.clock.Now())
+	b.changeUpstreams(route.News{}, mark(62), b.clock.Now())
 	require.Equal(t, 1, b.there(), "b did not come back")
-	b.changeUpstreams(route.News{Gone: []decide.UpstreamID{"a"}}, 63, b.clock.Now())
+	b.changeUpstreams(route.News{Gone: []decide.UpstreamID{"a"}}, mark(63), b.clock.Now())
 	require.Equal(t, 0, b.there(), "one alone is gone at once")
 
 	b.list()
@@ -343,8 +354,8 @@
 
 	leaving := upstreams("c", "d")
 	leaving[0].Leaving, leaving[1].Leaving = true, true
-	b.changeUpstreams(list(leaving), 64, b.clock.Now())
-	b.changeUpstreams(route.News{Gone: []decide.UpstreamID{"c", "d"}}, 65, b.clock.Now())
+	b.changeUpstreams(list(leaving), mark(64), b.clock.Now())
+	b.changeUpstreams(route.News{Gone: []decide.UpstreamID{"c", "d"}}, mark(65), b.clock.Now())
 	require.Equal(t, 0, b.there(), "they had said so")
 }
 
@@ -364,17 +375,20 @@
 	b := newBench(t)
 	ctx, cancel := context.WithCancel(b.ctx)
 	var calls []string
-	list := func(context.Context) (route.Mark, error) { calls = append(calls, "list"); return 5, nil }
-	watch := func(_ context.Context, after route.Mark, _ clock.Milli) (route.Mark, error) {
+	list := func(context.Context) (route.Position, error) {
+		calls = append(calls, "list")
+		return route.Position{Mark: 5}, nil
+	}
+	watch := func(_ context.Context, after route.Position, _ clock.Milli) (route.Position, error) {
 		b.clock.forward(newsEvery)
 		calls = append(calls, "watch")
 		if len(calls) == 3 {
-			return 0, errDown
+			return route.Position{Mark: 0}, errDown
 		}
 		if len(calls) > 4 {
 			cancel()
 		}
-		return after + 1, nil
+		return next(after), nil
 	}
 	b.follow(ctx, feed{name: "test", list: list, watch: watch, wait: watchWait})
 	require.Equal(t, []string{"list", "watch", "watch", "list", "watch"}, calls)
@@ -404,7 +418,7 @@
 	require.NoError(t, NewReceiver(back.Registry).Tell(&peer.RegistryWord{Revision: 1}, &reply))
 	require.Empty(t, reply.Upstreams)
 
-	well.learnPeers(list(upstreams("a", "b", "c")), 9, well.clock.Now())
+	well.learnPeers(list(upstreams("a", "b", "c")), mark(9), well.clock.Now())
 	require.Equal(t, 2, well.there(), "b, and c that is new; a has left")
 }
 
@@ -413,8 +427,8 @@
 	b := newBench(t)
 	us := upstreams("a", "b")
 	us[0].Leaving = true
-	b.learnUpstreams(list(us), 1, b.clock.Now())
-	b.learnPeers(list(upstreams("a", "b")), 9, b.clock.Now()+1)
+	b.learnUpstreams(list(us), mark(1), b.clock.Now())
+	b.learnPeers(list(upstreams("a", "b")), mark(9), b.clock.Now()+1)
 	require.True(t, b.View().Upstream("s", func(u *route.Upstream) bool { return u.ID == "a" }).Leaving)
 }
 
@@ -471,7 +485,7 @@
 	reader.Registry.clock = b.clock
 	b.readBy(reader.Registry, false)
 	b.clock.forward(askAfter + 1)
-	reader.store.upstreams, reader.store.at = upstreams("b"), 50
+	reader.store.upstreams, reader.store.at = upstreams("b"), mark(50)
 	reader.list()
 	b.fetch(b.ctx, peer.Member{VM: "reader"})
 	require.Equal(t, 1, b.there())
@@ -485,10 +499,10 @@
 	ctx, cancel := context.WithTimeout(b.ctx, 600*time.Millisecond)
 	defer cancel()
 	watches := 0
-	list := func(context.Context) (route.Mark, error) { return 1, nil }
-	watch := func(_ context.Context, after route.Mark, _ clock.Milli) (route.Mark, error) {
+	list := func(context.Context) (route.Position, error) { return route.Position{Mark: 1}, nil }
+	watch := func(_ context.Context, after route.Position, _ clock.Milli) (route.Position, error) {
 		watches++
-		return after + 1, nil
+		return next(after), nil
 	}
 	b.follow(ctx, feed{name: "test", list: list, watch: watch, wait: watchWait})
 	require.LessOrEqual(t, watches, 4)
@@ -513,7 +527,7 @@
 	turn := b.askReaders(b.ctx, b.readers().Others, 0)
 	require.True(t, b.rests(b.documents()))
 
-	reader.store.upstreams, reader.store.at = upstreams("b"), 50
+	reader.store.upstreams, reader.store.at = upstreams("b"), mark(50)
 	reader.list()
 	b.clock.forward(pollEvery)
 	require.True(t, b.due(b.readers()))
@@ -547,7 +561,7 @@
 		return Roster{Others: []peer.Member{{VM: "shut", Address: "shut"}, {VM: "well", Address: "well"}}, Rank: 2, Large: true}
 	})
 	b.clock.forward(readerAge + 1)
-	well.store.upstreams, well.store.at = upstreams("b"), 50
+	well.store.upstreams, well.store.at = upstreams("b"), mark(50)
 	well.list()
 	b.askReaders(b.ctx, b.readers().Others, 0)
 	require.Equal(t, 1, b.there())
@@ -591,19 +605,19 @@
 // heartbeat makes it good again.
 func TestASpoiltEntryIsNotUsedUntilItIsSoundAgain(t *testing.T) {
 	b := newBench(t)
-	b.changeUpstreams(broken("no state", "a"), 9, b.clock.Now())
+	b.changeUpstreams(broken("no state", "a"), mark(9), b.clock.Now())
 	require.Equal(t, 1, b.there())
-	b.changeUpstreams(broken("no state", "a"), 10, b.clock.Now())
-	b.changeUpstreams(broken("no address", "a", "x"), 11, b.clock.Now())
+	b.changeUpstreams(broken("no state", "a"), mark(10), b.clock.Now())
+	b.changeUpstreams(broken("no address", "a", "x"), mark(11), b.clock.Now())
 	require.EqualValues(t, 3, b.Barred(), "once for each reason and entry")
-	b.changeUpstreams(list(upstreams("a")), 12, b.clock.Now())
+	b.changeUpstreams(list(upstreams("a")), mark(12), b.clock.Now())
 	require.Equal(t, 2, b.there())
 
 	b.store.down = true
 	b.watch()
 	b.clock.forward(5 * clock.Second)
 	b.store.down = false
-	b.learnUpstreams(route.News{Upstreams: upstreams("b"), Unusable: broken("no state", "a").Unusable}, 13, b.clock.Now())
+	b.learnUpstreams(route.News{Upstreams: upstreams("b"), Unusable: broken("no state", "a").Unusable}, mark(13), b.clock.Now())
 	require.Equal(t, 1, b.there())
 }
 
@@ -617,11 +631,11 @@
 	for range 2 {
 		news := broken("no state", ids...)
 		news.Upstreams = upstreams("a", "b")
-		b.learnUpstreams(news, 9, b.clock.Now())
+		b.learnUpstreams(news, mark(9), b.clock.Now())
 	}
 	require.Len(t, b.unusable, unusableKept)
 	require.Equal(t, 2, b.there())
-	b.changeUpstreams(broken("no state", "a"), 10, b.clock.Now())
+	b.changeUpstreams(broken("no state", "a"), mark(10), b.clock.Now())
 	require.Equal(t, 1, b.there(), "a spoilt entry is obeyed all the same")
 }
 
@@ -630,11 +644,11 @@
 func TestASpoiltEntryIsSoundAgainByAReadersWord(t *testing.T) {
 	reader, other := newBench(t), newBench(t)
 	other.peers = direct{reader.Registry}
-	reader.changeUpstreams(broken("no state", "a"), 90, reader.clock.Now())
+	reader.changeUpstreams(broken("no state", "a"), mark(90), reader.clock.Now())
 	other.clock.forward(1)
 	require.True(t, other.fetch(other.ctx, peer.Member{VM: "reader"}))
 	require.Equal(t, 1, other.there())
-	reader.changeUpstreams(list(upstreams("a")), 91, reader.clock.Now())
+	reader.changeUpstreams(list(upstreams("a")), mark(91), reader.clock.Now())
 	require.True(t, other.fetch(other.ctx, peer.Member{VM: "reader"}))
 	require.Equal(t, 2, other.there())
 }
@@ -655,21 +669,21 @@
 	born := func() decide.Born {
 		return b.View().Upstream("s", func(u *route.Upstream) bool { return u.ID == "a" }).Born
 	}
-	b.changeUpstreams(list(lives(5, "a")), 10, b.clock.Now())
-	b.changeUpstreams(list(lives(7, "a")), 11, b.clock.Now())
+	b.changeUpstreams(list(lives(5, "a")), mark(10), b.clock.Now())
+	b.changeUpstreams(list(lives(7, "a")), mark(11), b.clock.Now())
 	generation := b.View().Generation
 	old := lives(5, "a")
 	old[0].Leaving = true
-	b.changeUpstreams(list(old), 12, b.clock.Now())
-	b.learnPeers(list(lives(5, "a", "b")), 13, b.clock.Now())
+	b.changeUpstreams(list(old), mark(12), b.clock.Now())
+	b.learnPeers(list(lives(5, "a", "b")), mark(13), b.clock.Now())
 	require.EqualValues(t, 7, born())
 	require.False(t, b.View().Upstream("s", func(u *route.Upstream) bool { return u.ID == "a" }).Leaving)
 	require.Equal(t, generation+1, b.View().Generation, "b alone has changed")
 
-	b.changeUpstreams(route.News{Gone: []decide.UpstreamID{"a"}}, 14, b.clock.Now())
-	b.learnPeers(list(lives(7, "a", "b")), 15, b.clock.Now())
+	b.changeUpstreams(route.News{Gone: []decide.UpstreamID{"a"}}, mark(14), b.clock.Now())
+	b.learnPeers(list(lives(7, "a", "b")), mark(15), b.clock.Now())
 	require.Equal(t, 1, b.there(), "that life has left")
-	b.learnPeers(list(lives(9, "a", "b")), 16, b.clock.Now())
+	b.learnPeers(list(lives(9, "a", "b")), mark(16), b.clock.Now())
 	require.EqualValues(t, 9, born())
 }
 
@@ -678,7 +692,7 @@
 	b := newBench(t)
 	us := lives(5, "a", "b")
 	us[0].Leaving = true
-	b.learnUpstreams(list(us), 10, b.clock.Now())
-	b.learnPeers(list(lives(6, "a", "b")), 11, b.clock.Now())
+	b.learnUpstreams(list(us), mark(10), b.clock.Now())
+	b.learnPeers(list(lives(6, "a", "b")), mark(11), b.clock.Now())
 	require.False(t, b.View().Upstream("s", func(u *route.Upstream) bool { return u.ID == "a" }).Leaving)
 }
--- a/daemon/registry/upstreams.go
+++ b/daemon/registry/upstreams.go
@@ -12,13 +12,13 @@
 	"snipeshift.example/lib/route"
 )
 
-// learnUpstreams takes a whole list of the store's that was right at an instant and a mark.
-func (r *Registry) learnUpstreams(news route.News, mark route.Mark, at clock.Milli) {
+// learnUpstreams takes a whole list of the store's that was right at an instant and a position.
+func (r *Registry) learnUpstreams(news route.News, position route.Position, at clock.Milli) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.bar(news.Unusable)
 	r.mass = r.massOf(r.missing(news.Upstreams))
-	r.takeList(news.Upstreams, mark, at, r.remove)
+	r.takeList(r.doubt(news.Upstreams), position, at, r.remove)
 }
 
 // missing are the upstreams known that a list lacks. The lock is held.
@@ -37,7 +37,7 @@
 }
 
 // takeList takes a whole list; remove is called for what it lacks. The lock is held.
-func (r *Registry) takeList(us []route.Upstream, mark route.Mark, at clock.Milli, remove func(decide.UpstreamID)) {
+func (r *Registry) takeList(us []route.Upstream, position route.Position, at clock.Milli, remove func(decide.UpstreamID)) {
 	listed := make(map[decide.UpstreamID]bool, len(us))
 	first := r.upstreamsAt == 0
 	if first {
@@ -52,15 +52,15 @@
 			remove(id)
 		}
 	}
-	r.settle(mark, at)
+	r.settle(position, at)
 }
 
-// learnPeers takes a whole list of a peer's that was right at an instant and a mark. What the store
+// learnPeers takes a whole list of a peer's that was right at an instant and a position. What the store
 // told us of an upstream's leaving stands against it. What it lacks is gone at once, also
 // while the store turns us away: peers that keep entries on suspicion tell no list. But if nobody
 // had new knowledge for long, the store was away for all, and a peer that has just started
 // does not know what lapsed meanwhile: then entries are kept as after our own first answer.
-func (r *Registry) learnPeers(news route.News, mark route.Mark, at clock.Milli) {
+func (r *Registry) learnPeers(news route.News, position route.Position, at clock.Milli) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.bar(news.Unusable)
@@ -78,27 +78,33 @@
 	if until-max(r.tableAt, r.upstreamsAt) > lapseLeast {
 		until += holdGone
 	}
-	r.takeList(kept, mark, at, func(id decide.UpstreamID) {
+	if r.entered > 0 {
+		until = max(until, r.entered+holdGone)
+	}
+	r.takeList(kept, position, at, func(id decide.UpstreamID) {
 		if _, held := r.gone[id]; !held {
 			r.gone[id] = until
 		}
 	})
 }
 
-// changeUpstreams takes changes that were right at an instant and a mark.
-func (r *Registry) changeUpstreams(news route.News, mark route.Mark, at clock.Milli) {
+// changeUpstreams takes changes that were right at an instant and a position.
+func (r *Registry) changeUpstreams(news route.News, position route.Position, at clock.Milli) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.bar(news.Unusable)
 	for _, u := range news.Upstreams {
+		// It was written in this era.
+		delete(r.doubted, u.ID)
 		r.put(u, true)
 	}
 	r.mass = r.massOf(news.Gone)
 	for _, id := range news.Gone {
 		delete(r.unusable, id)
+		delete(r.doubted, id)
 		r.remove(id)
 	}
-	r.settle(mark, at)
+	r.settle(position, at)
 }
 
 // massOf lists those of some upstreams that vanish together with half of their service. The lock is held.
@@ -206,7 +212,7 @@
 }
 
 // settle ends those whose time is over and publishes. The lock is held.
-func (r *Registry) settle(mark route.Mark, at clock.Milli) {
+func (r *Registry) settle(position route.Position, at clock.Milli) {
 	now := r.clock.Now()
 	for id, until := range r.gone {
 		if now < until {
@@ -223,7 +229,7 @@
 			delete(r.left, id)
 		}
 	}
-	r.mark = max(r.mark, mark)
+	r.position = route.Later(r.position, position)
 	r.upstreamsAt = max(r.upstreamsAt, at)
 	r.digest = digest(r.upstreams)
 	r.publish()
--- a/lib/logline/logline.go
+++ b/lib/logline/logline.go
@@ -39,6 +39,8 @@
 	Release = "release"
 	// Limit is a change of the requests a second that an upstream takes from all VMs together.
 	Limit = "limit"
+	// Era is a return of the store from an older copy of itself.
+	Era = "era"
 )
 
 // Meanings has one line for each event.
@@ -62,4 +64,5 @@
 	Reserve:     "memory for a part of a prompt could not be reserved",
 	Release:     "reserved memory could not be freed; it lapses by itself",
 	Limit:       "an upstream names how many requests a second it takes from all VMs together, changes that or names it no more; and how this VM knows",
+	Era:         "the store came back from an older copy: its era and the one before, the position and age of what was known, and how this VM knows",
 }
--- a/lib/peer/messages.go
+++ b/lib/peer/messages.go
@@ -193,12 +193,17 @@
 	Digest    uint64
 	DigestAge clock.Milli
 	Mark      route.Mark
+	// MarkEra is the era of the store in which Mark was given out, Era the latest one that the daemon knows of.
+	MarkEra, Era route.Era
 	// Shut is set by a daemon whose own last call of the store failed.
 	Shut bool
 	// Packs is set by an asker that takes documents packed; daemons of an earlier version do not.
 	Packs bool
 }
 
+// Position is the place in the store's history at which the set of upstreams was right.
+func (w *RegistryWord) Position() route.Position { return route.Position{Era: w.MarkEra, Mark: w.Mark} }
+
 // RegistryReply is what a daemon knows of the store, whole.
 type RegistryReply struct {
 	// Busy is set where the asker is to ask another peer, since many ask at once. The rest is then empty.
--- a/lib/route/doc.go
+++ b/lib/route/doc.go
@@ -16,8 +16,11 @@
 type (
 	// Revision numbers documents; a larger one is newer.
 	Revision uint64
-	// Mark is a position in the store's history; a larger one is later.
+	// Mark is a revision of the store. Those of one era compare: a larger one is later.
 	Mark uint64
+	// Era counts the copies that the store came back from. Revisions are given out anew in each; zero where
+	// the store does not tell its era.
+	Era uint64
 	// ServiceID names a service: the upstreams among which any may answer.
 	ServiceID string
 	// Domain names a failure domain.
