relay, platform: an engine that only helps names its limit in answers to orders

Answers to reservations and reports are read like those to requests: limits that they name reach the owner the same way. An answer without a limit ends none there. The soak plays drills of the store, drawn by themselves.

--- a/daemon/placer/reports.go
+++ b/daemon/placer/reports.go
@@ -8,6 +8,7 @@
 
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
+	"snipeshift.example/lib/decide/ratelimit"
 	"snipeshift.example/lib/exchange"
 	"snipeshift.example/lib/logline"
 	"snipeshift.example/lib/route"
@@ -51,7 +52,7 @@
 		g.SetLimit(reportsAtOnce)
 		for _, id := range ids {
 			u := v.Upstream(s, func(u *route.Upstream) bool { return u.ID == id })
-			g.Go(func() error { o.report(h, id, u); return nil })
+			g.Go(func() error { o.report(s, h, id, u); return nil })
 		}
 		_ = g.Wait() // the polls return no errors
 		time.Sleep(reportEvery)
@@ -64,7 +65,7 @@
 }
 
 // report takes one upstream's report into the books.
-func (o *Owner) report(h *ownedPool, id decide.UpstreamID, u *route.Upstream) {
+func (o *Owner) report(s route.ServiceID, h *ownedPool, id decide.UpstreamID, u *route.Upstream) {
 	if u == nil {
 		h.mu.Lock()
 		defer h.mu.Unlock()
@@ -81,7 +82,12 @@
 		h.pool.Unreported(id)
 		return
 	}
-	h.pool.Report(o.Clock.Now(), id, load)
+	now := o.Clock.Now()
+	if load.Limit.Named {
+		st := ratelimit.Statement{Named: true, Rate: load.Limit.Rate, Born: load.Born, At: now}
+		o.learn(s, h, now, []ratelimit.Aged{st.Aged(now, id)})
+	}
+	h.pool.Report(now, id, load)
 	if load.Requests == 0 && load.Pace <= 1 {
 		return
 	}
--- a/daemon/relay/gate.go
+++ b/daemon/relay/gate.go
@@ -66,7 +66,7 @@
 
 // Memory reserves KV memory on engines.
 type Memory interface {
-	Reserve(ctx context.Context, address, id string, tokens decide.Tokens, hold clock.Milli) (bool, error)
+	Reserve(ctx context.Context, address, id string, tokens decide.Tokens, hold clock.Milli) (exchange.Reserved, error)
 	Release(ctx context.Context, address, id string) error
 }
 
--- a/daemon/relay/reserve.go
+++ b/daemon/relay/reserve.go
@@ -15,6 +15,7 @@
 	"snipeshift.example/lib/decide/span"
 	"snipeshift.example/lib/exchange"
 	"snipeshift.example/lib/logline"
+	"snipeshift.example/lib/route"
 )
 
 // Times of reserved memory.
@@ -31,11 +32,12 @@
 
 // reservation is KV memory that helpers hold for one send.
 type reservation struct {
-	gate *Gate
-	id   string
-	held []held
-	stop context.CancelFunc
-	done sync.WaitGroup
+	gate    *Gate
+	id      string
+	service route.ServiceID
+	held    []held
+	stop    context.CancelFunc
+	done    sync.WaitGroup
 }
 
 // held is memory at one helper.
@@ -47,7 +49,7 @@
 // reserve sets memory aside on the helpers that must hold a part of the prompt,
 // on all of them or on none. If one of them does not give it, it is named.
 func (x *flight) reserve(ctx context.Context, grant span.Grant) (*reservation, decide.UpstreamID) {
-	r := &reservation{gate: x.gate, id: x.head.ID, stop: func() {}}
+	r := &reservation{gate: x.gate, id: x.head.ID, service: x.service, stop: func() {}}
 	for i, p := range grant.Helpers {
 		if p.Reserve > 0 {
 			r.held = append(r.held, held{p, ticket(grant.Request, i)})
@@ -74,8 +76,9 @@
 	failed := make([]bool, len(r.held))
 	for i, h := range r.held {
 		g.Go(func() error {
-			got, err := r.gate.Memory.Reserve(ctx, h.place.Address, h.ticket, h.place.Reserve, reserveHold)
-			if err == nil && !got {
+			answer, err := r.gate.Memory.Reserve(ctx, h.place.Address, h.ticket, h.place.Reserve, reserveHold)
+			r.gate.limitNamed(r.service, h.place, answer.Limit)
+			if err == nil && !answer.Held {
 				err = errReserve
 			}
 			if err != nil {
--- a/daemon/relay/reserve_test.go
+++ b/daemon/relay/reserve_test.go
@@ -13,6 +13,7 @@
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
 	"snipeshift.example/lib/decide/span"
+	"snipeshift.example/lib/exchange"
 )
 
 // memory counts the orders about reserved memory.
@@ -21,14 +22,15 @@
 	reserved, released int
 	longest            clock.Milli
 	full               bool
+	limit              exchange.Limit
 }
 
-func (m *memory) Reserve(_ context.Context, _, _ string, _ decide.Tokens, hold clock.Milli) (bool, error) {
+func (m *memory) Reserve(_ context.Context, _, _ string, _ decide.Tokens, hold clock.Milli) (exchange.Reserved, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.reserved++
 	m.longest = max(m.longest, hold)
-	return !m.full, nil
+	return exchange.Reserved{Held: !m.full, Limit: m.limit}, nil
 }
 
 func (m *memory) Release(context.Context, string, string) error {
@@ -93,6 +95,17 @@
 	require.Eventually(t, func() bool { _, released := m.counts(); return released == 2 }, time.Second, 5*time.Millisecond)
 }
 
+// An engine that only helps gets no requests, and names its limit in answers to orders alone. Not heard there, it would go on helping.
+func TestAHelperNamesItsLimitInItsAnswersToOrders(t *testing.T) {
+	w := newWorld(t, streamed(stream(1, 2)))
+	w.giant(&memory{limit: exchange.Limit{Named: true, Rate: 2.5}})
+	_, _, err := w.call(http.MethodPost, "/stream/x", "")
+	require.NoError(t, err)
+	s, ok := w.placer.limits.Of("h")
+	require.True(t, ok)
+	require.InDelta(t, 2.5, float64(s.Rate), 0)
+}
+
 // A helper has less memory than its owner's books say. The request has not run.
 func TestWithoutMemoryNothingIsSent(t *testing.T) {
 	m := &memory{full: true}
--- a/daemon/relay/send.go
+++ b/daemon/relay/send.go
@@ -111,18 +111,24 @@
 // noteLimit passes on what an answer says of its upstream's limit. Each answer may name one, also one that turns the request away;
 // that the limit is over shows in a whole one alone. Sent is when the request was sent.
 func (x *flight) noteLimit(word exchange.Word, leader span.Place, sent clock.Milli) {
-	g := x.gate
-	if word.Limit.Unreadable != "" {
-		g.Log.Warn().Str(logline.Key, logline.Limit).Str("service", string(x.service)).Str("upstream", string(leader.Upstream)).
-			Str("value", word.Limit.Unreadable).Msg("an upstream names a limit that is no rate")
+	if word.Stranger || x.gate.limitNamed(x.service, leader, word.Limit) {
+		return
 	}
-	switch {
-	case word.Stranger:
-	case word.Limit.Named:
-		g.Placer.Limit(x.service, leader.Upstream, ratelimit.Statement{Named: true, Rate: word.Limit.Rate, Born: leader.Born, At: g.Clock.Now()})
-	case word.Limit.Unreadable == "" && word.Mine && word.Genuine && !word.Idle:
-		g.Placer.Limit(x.service, leader.Upstream, ratelimit.Statement{Born: leader.Born, At: sent})
+	if word.Limit.Unreadable == "" && word.Mine && word.Genuine && !word.Idle {
+		x.gate.Placer.Limit(x.service, leader.Upstream, ratelimit.Statement{Born: leader.Born, At: sent})
+	}
+}
+
+// limitNamed passes on a limit that an upstream names, and reports whether it names one.
+func (g *Gate) limitNamed(s route.ServiceID, p span.Place, l exchange.Limit) bool {
+	if l.Unreadable != "" {
+		g.Log.Warn().Str(logline.Key, logline.Limit).Str("service", string(s)).Str("upstream", string(p.Upstream)).
+			Str("value", l.Unreadable).Msg("an upstream names a limit that is no rate")
+	}
+	if l.Named {
+		g.Placer.Limit(s, p.Upstream, ratelimit.Statement{Named: true, Rate: l.Rate, Born: p.Born, At: g.Clock.Now()})
 	}
+	return l.Named
 }
 
 // judge decides what an answer is worth by its header, and passes it on.
--- a/lib/exchange/exchange.go
+++ b/lib/exchange/exchange.go
@@ -58,7 +58,15 @@
 	// Pace is how many times as long as usual its work takes; zero if it does not say.
 	Pace float64
 	// Born is the life that speaks; zero if it does not say.
-	Born decide.Born
+	Born  decide.Born
+	Limit Limit
+}
+
+// Reserved is an engine's answer to an order that sets memory aside.
+type Reserved struct {
+	// Held is false if it has not so much free.
+	Held  bool
+	Limit Limit
 }
 
 // Word is what the header of an upstream's answer says of itself.
--- a/scenarios/soak/plan.go
+++ b/scenarios/soak/plan.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"snipeshift.example/platform/standin"
@@ -33,6 +34,7 @@
 	Sick     Kind = "sick"     // an upstream does what Trouble says
 	Document Kind = "document" // the operator adds a route
 	Limit    Kind = "limit"    // an upstream names a limit for some time
+	Drill    Kind = "drill"    // the store comes back from an older copy
 )
 
 // weights say how often each kind comes.
@@ -81,6 +83,8 @@
 	Trouble standin.Trouble
 	// Rate is the limit that an upstream names, in requests a second.
 	Rate float64
+	// Age is that of the copy from which the store comes back.
+	Age time.Duration
 	// At is when it begins, from the start of the schedule; Span how long it lasts.
 	At, Span time.Duration
 }
@@ -95,6 +99,8 @@
 		s += fmt.Sprintf(" upstream %d, trouble %d", f.Other, f.Trouble)
 	case Limit:
 		s += fmt.Sprintf(" upstream %d, %.1f a second", f.Other, f.Rate)
+	case Drill:
+		s += fmt.Sprintf(" mode %d, copy of %v before", f.Mode, f.Age.Round(time.Millisecond))
 	case Outage, Lapse:
 		s += fmt.Sprintf(" mode %d", f.Mode)
 	default:
@@ -135,7 +141,7 @@
 			at += p.between(0, seriesGap)
 		}
 	}
-	return append(out, limits(seed, length)...)
+	return slices.Concat(out, limits(seed, length), drills(seed, length))
 }
 
 // Times and sizes of limits that upstreams name.
@@ -156,6 +162,27 @@
 	return out
 }
 
+// Times of drills.
+const (
+	mostAway   = time.Second
+	mostAge    = 8 * time.Second
+	leastAge   = time.Second
+	drillPause = 25 * time.Second
+)
+
+// drills are drawn by themselves, as limits are. One may follow while the last one is not digested.
+func drills(seed uint64, length time.Duration) []Fault {
+	p := planner{rand.New(rand.NewPCG(seed, 2))}
+	var out []Fault
+	for at := p.between(0, drillPause/2); at < length; at += p.between(0, drillPause) {
+		out = append(out, Fault{
+			Kind: Drill, Mode: []standin.Mode{standin.Busy, standin.Mute}[p.IntN(2)], Age: p.between(leastAge, mostAge),
+			At: at, Span: p.between(0, mostAway),
+		})
+	}
+	return out
+}
+
 type planner struct{ *rand.Rand }
 
 func (p planner) between(least, most time.Duration) time.Duration {
--- a/scenarios/soak/run.go
+++ b/scenarios/soak/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"syscall"
 	"time"
@@ -49,6 +50,8 @@
 const (
 	readyBound = 20 * time.Second
 	stopBound  = 8 * time.Second
+	// rewriting is the time within which writers write again what the store lost.
+	rewriting = 2 * time.Second
 	// settling is the time for lapsed entries to be believed and abandoned memory to be freed.
 	settling = 5 * time.Second
 )
@@ -128,7 +131,7 @@
 		return r.process(f, v)
 	case Cut, Reset, Silence, Delay:
 		r.link(f, v)
-	case Outage, Forget, Lapse:
+	case Outage, Forget, Lapse, Drill:
 		r.store.Lock()
 		defer r.store.Unlock()
 		r.storage(f)
@@ -213,6 +216,10 @@
 		p.Forget()
 		return
 	}
+	if f.Kind == Drill {
+		p.Drill(f.Mode, f.Span, f.Age, rewriting, rand.New(rand.NewPCG(r.seed, uint64(f.At))))
+		return
+	}
 	p.Fail(f.Mode)
 	time.Sleep(f.Span)
 	if f.Kind == Lapse {
