--- a/bench/bars.go
+++ b/bench/bars.go
@@ -15,7 +15,7 @@
 	missedMost                    = 0.001
 )
 
-// bars prints which bars the runs met. Runs without baselines have none to compare with.
+// bars prints which bars the runs reached. Runs without baselines have none to compare with.
 func bars(out io.Writer, cells []*cell) error {
 	var w bytes.Buffer
 	fmt.Fprintf(&w, "\nbars\n\n| deployment | scenario | load | bar | measured | |\n| --- | --- | --- | --- | --- | --- |\n")
@@ -98,9 +98,9 @@
 	c.bar(w, "goodput >= 95% of the best", fmt.Sprintf("%.1f%% of %s", 100*part, best.contender.name), part >= goodputShare)
 }
 
-func (c *cell) bar(w *bytes.Buffer, name, measured string, met bool) {
-	verdict := "met"
-	if !met {
+func (c *cell) bar(w *bytes.Buffer, name, measured string, reached bool) {
+	verdict := "reached"
+	if !reached {
 		verdict = "**missed**"
 	}
 	fmt.Fprintf(w, "| %s | %s | %.1f | %s | %s | %s |\n", c.deployment.Name, c.scenario.Name, c.load, name, measured, verdict)
--- a/daemon/caller/record.go
+++ b/daemon/caller/record.go
@@ -33,15 +33,15 @@
 	if !ok {
 		kind = timeline.Refused
 	}
-	g.note(q, kind, "", told(e))
+	g.note(q, kind, "", describe(e))
 	g.Log.Info().Str("request", string(q.id)).Str("workspace", q.workspace.Name).Str("kind", q.kind.Name).
 		Str("upstream", string(q.upstream)).Int64("took", int64(took)).
 		Str("error", string(e.Kind)).Str("ran", string(e.Ran)).Msg("request not served")
 }
 
-// told is what the time line says of a fault. The text of a malformed request may
+// describe is what the time line says of a fault. The text of a malformed request may
 // come from the engine and quote the prompt, which must stay out of it.
-func told(e *fault.Error) string {
+func describe(e *fault.Error) string {
 	if e.Kind == fault.Malformed {
 		return string(e.Kind)
 	}
--- a/daemon/caller/serve.go
+++ b/daemon/caller/serve.go
@@ -237,7 +237,7 @@
 		g.Meter.Count(decide.WorkspaceID(q.workspace.Name), rest)
 	}
 	if r.fault != nil {
-		g.note(q, timeline.Failed, gr.grant.Upstreams[0], told(r.fault))
+		g.note(q, timeline.Failed, gr.grant.Upstreams[0], describe(r.fault))
 		return r
 	}
 	g.note(q, timeline.Finished, gr.grant.Upstreams[0], "")
@@ -284,9 +284,7 @@
 }
 
 // nobody is the refusal when no owner answered in time. Nobody has looked its key up then.
-//
-// What goes wrong without that word: VMs lose each other, a caller's copies of one notice reach both sides, and one side runs it
-// while the other is told by no owner whether it may. It says "not run", and the caller sends the notice anew, under another key.
+// It says so, since other copies of the request may have been asked for elsewhere and have run.
 func (g *Gate) nobody(ctx context.Context, q *request) *fault.Error {
 	e := fault.New(fault.Unavailable, "no VM answers for this model or service").WithRetry(2000)
 	if ctx.Err() != nil {
@@ -395,7 +393,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), tellTimeout)
 		defer cancel()
 		if err := g.Peers.Call(ctx, address, method, args, &peer.Empty{}); err != nil {
-			g.Log.Debug().Str("method", method).Err(err).Msg("not told")
+			g.Log.Debug().Str("method", method).Err(err).Msg("not sent")
 		}
 	})
 }
--- a/daemon/caller/service.go
+++ b/daemon/caller/service.go
@@ -180,10 +180,7 @@
 }
 
 // charge is what a workspace is charged for a call that was answered.
-//
-// What goes wrong without the distinction: a service that is full turns a workspace's repeats
-// away for seconds, and the workspace is charged for more calls than the service ever ran. These
-// two statuses are the ones by which a service says that it did not take a call on.
+// By these two statuses a service says that it did not take a call on: nothing ran that could be charged.
 func charge(status int) peer.Usage {
 	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
 		return peer.Usage{}
--- a/daemon/claim/breaker.go
+++ b/daemon/claim/breaker.go
@@ -7,14 +7,8 @@
 )
 
 // breaker shortens the time of claims while the store does not answer.
-//
-// What goes wrong without it: in a silent outage each claim would wait for its
-// timeout, so callers of requests that can't run anyway would be told so a
-// second or two late, and their connections would pile up meanwhile. With it
-// they wait for a fraction of that, which still is a hundred times what the
-// store takes when it is well, so the first claim after the outage succeeds. One
-// claim at a time keeps the whole time, or a store that is only slow would be
-// taken to be out for good.
+// Claims that cannot be answered then fail in a fraction of their timeout. One at a time keeps the whole time, or a store that is only
+// slow would be taken to be out for good.
 type breaker struct {
 	mu sync.Mutex
 	// open is set while the store is taken to be out.
--- a/daemon/holder/table.go
+++ b/daemon/holder/table.go
@@ -100,9 +100,7 @@
 func is(h peer.Holder, m peer.Member) bool { return h.VM == m.VM && h.Incarnation == m.Incarnation }
 
 // Member is the holder of a service as a member, unless a later life of its VM is among the live ones.
-//
-// What goes wrong if it had to be among them: hundreds of VMs start together, and each hears of the holder long before it has the
-// whole list of members. Each that does not list it yet takes the service over, and all gates follow one after the other.
+// VMs that start together hear of the holder long before they list it: it counts also while it is not listed.
 func (t *Table) Member(s route.ServiceID, live []peer.Member) (peer.Member, bool) {
 	h, ok := t.rows[s]
 	if !ok {
--- a/daemon/member/members.go
+++ b/daemon/member/members.go
@@ -303,8 +303,8 @@
 func (m *Members) message(to peer.VM) *peer.BeatArgs {
 	m.mu.Lock()
 	view := m.table.View()
-	theirs, told := m.views[to]
-	b := &peer.BeatArgs{From: m.table.Self(), View: view, Known: m.table.News(to, !told || theirs != view)}
+	theirs, known := m.views[to]
+	b := &peer.BeatArgs{From: m.table.Self(), View: view, Known: m.table.News(to, !known || theirs != view)}
 	m.mu.Unlock()
 	for _, p := range m.parts {
 		p.Fill(to, b)
--- a/daemon/member/table.go
+++ b/daemon/member/table.go
@@ -29,9 +29,9 @@
 	// live is sorted by name.
 	live []peer.Member
 	view uint64
-	// targets hold for turn.
-	targets []peer.Member
-	turn    clock.Milli
+	// targets hold for rotation, a count of Rules.Rotation.
+	targets  []peer.Member
+	rotation clock.Milli
 	// neighbours come first in targets.
 	neighbours []peer.Member
 	// cores is the most that one of live has.
@@ -158,7 +158,7 @@
 	r.heard, r.missed = now, 0
 	if m.Health == peer.Gone && r.member.Health != peer.Gone {
 		// It says so itself: a planned stop has ended.
-		t.turn(r, peer.Gone, now)
+		t.setHealth(r, peer.Gone, now)
 		return true
 	}
 	return news
@@ -174,7 +174,7 @@
 	if r.missed < t.rules.Misses {
 		return false
 	}
-	t.turn(r, peer.Doubted, now)
+	t.setHealth(r, peer.Doubted, now)
 	return true
 }
 
@@ -185,7 +185,7 @@
 	for v, r := range t.rows {
 		switch {
 		case r.member.Health == peer.Doubted && now-r.since >= doubt && now-r.heard >= doubt:
-			t.turn(r, peer.Gone, now)
+			t.setHealth(r, peer.Gone, now)
 			changed = true
 		case r.member.Health == peer.Gone && now-r.since >= t.rules.Forget:
 			delete(t.rows, v)
@@ -194,8 +194,8 @@
 	return changed
 }
 
-// turn changes the belief about a member.
-func (t *Table) turn(r *row, h peer.Health, now clock.Milli) {
+// setHealth changes the belief about a member.
+func (t *Table) setHealth(r *row, h peer.Health, now clock.Milli) {
 	r.member.Health, r.since, r.tell = h, now, t.rules.Tell
 	t.cache = nil
 }
@@ -221,7 +221,7 @@
 	if t.cache != nil {
 		return t.cache
 	}
-	d := &derived{live: make([]peer.Member, 0, len(t.rows)+1), turn: -1}
+	d := &derived{live: make([]peer.Member, 0, len(t.rows)+1), rotation: -1}
 	if t.self.Health != peer.Gone {
 		d.live = append(d.live, t.self)
 	}
@@ -242,24 +242,24 @@
 // Targets lists whom to beat now.
 func (t *Table) Targets(now clock.Milli) []peer.Member {
 	d := t.derive()
-	turn := now / t.rules.Rotation
-	if d.turn != turn {
-		d.turn = turn
-		d.neighbours, d.targets = t.pick(turn, d.live)
+	rotation := now / t.rules.Rotation
+	if d.rotation != rotation {
+		d.rotation = rotation
+		d.neighbours, d.targets = t.pick(rotation, d.live)
 	}
 	return d.targets
 }
 
 // Neighbours lists the members that this one beats as long as they live.
 func (t *Table) Neighbours() []peer.Member {
-	if t.derive().turn < 0 {
+	if t.derive().rotation < 0 {
 		t.Targets(0)
 	}
 	return t.derive().neighbours
 }
 
 // pick chooses the next members on the ring of hashed names, and whom to beat.
-func (t *Table) pick(turn clock.Milli, live []peer.Member) (neighbours, targets []peer.Member) {
+func (t *Table) pick(rotation clock.Milli, live []peer.Member) (neighbours, targets []peer.Member) {
 	var others []peer.Member
 	for _, m := range live {
 		if m.VM != t.self.VM {
@@ -275,7 +275,7 @@
 		return neighbours, others
 	}
 	rest := others[fixed:]
-	salt := string(t.self.VM) + strconv.FormatInt(int64(turn), 10)
+	salt := string(t.self.VM) + strconv.FormatInt(int64(rotation), 10)
 	order(rest, func(m peer.Member) uint64 { return score(salt, m.VM) })
 	return neighbours, append(neighbours, rest[:min(t.rules.Random, len(rest))]...)
 }
@@ -324,9 +324,7 @@
 
 // tellRows adds what changed of late of the strong members, or of the others.
 //
-// Strong members come first. What goes wrong otherwise: three hundred VMs start together, a beat carries 32 of the members that
-// a seed has heard of, and each VM names as owner the best of another few. Fifteen VMs were owners of one
-// service beside each other half a second after the start.
+// Strong members come first, or VMs that start together would each know another few of them, and name different owners.
 func (t *Table) tellRows(ms []peer.Member, to peer.VM, strong bool) []peer.Member {
 	least := t.derive().cores
 	for v, r := range t.rows {
--- a/daemon/placer/hold.go
+++ b/daemon/placer/hold.go
@@ -105,9 +105,7 @@
 }
 
 // forward asks the holder in a gate's place, until it decides or the gate's wait is over. An error means that the holder is silent.
-//
-// What goes wrong without it: a link between a gate and the holder loses packets, or is cut. If the gate went over to the next VM by
-// rank, and that one decided by itself, two VMs would give out the same engines although the holder is well.
+// A gate may fail to reach a holder that is well. If the VM that it asks next decided by itself, two would give out the same engines.
 func (o *Owner) forward(args *AskArgs, reply *AskReply, to peer.Member) error {
 	began := o.Clock.Now()
 	for {
@@ -201,8 +199,7 @@
 
 // announce tells all members who holds a service. What it returns is closed once all have answered or failed to: each has
 // presented its live grants by then.
-//
-// What goes wrong without it: gates find out one by one that the holder is gone, and each makes a request late for it.
+// Gates that had to find out by themselves would make one request late each.
 func (o *Owner) announce(x peer.Holder) <-chan struct{} {
 	done := make(chan struct{})
 	go func() {
@@ -226,7 +223,7 @@
 	defer cancel()
 	var known peer.Holder
 	if err := o.Peers.Call(ctx, m.Address, Name+".Follow", &x, &known); err != nil {
-		o.Log.Debug().Str(logline.Key, logline.Unreachable).Str("dependency", "peer").Str("peer", string(m.VM)).Err(err).Msg("a VM was not told of a new holder")
+		o.Log.Debug().Str(logline.Key, logline.Unreachable).Str("dependency", "peer").Str("peer", string(m.VM)).Err(err).Msg("a VM does not know of a new holder")
 		return
 	}
 	o.Holders.Hear(known, "answer")
--- a/daemon/placer/silent.go
+++ b/daemon/placer/silent.go
@@ -23,9 +23,7 @@
 
 // silent holds the VMs that did not answer this gate. They are passed over until they answer a probe, are no members any more, or
 // begin another life.
-//
-// What goes wrong if they are passed over for a fixed time: a VM that lost power is listed for seconds, and each gate asks it again
-// every time that span is over, and waits in vain.
+// A VM without power is listed for seconds; after a fixed time gates would ask it again and wait in vain.
 type silent struct {
 	log     *log.Logger
 	members Members
--- a/daemon/pool/pool.go
+++ b/daemon/pool/pool.go
@@ -252,11 +252,7 @@
 }
 
 // withdraw takes a question back.
-//
-// What goes wrong without serials: the connection to an owner breaks, the gate takes its
-// question back and asks again, and the second question arrives first, as after
-// a pause of the owner. The withdrawal would then end it, and its caller is told that it
-// went away itself, or free the memory of a grant under which the request runs.
+// The serial keeps a withdrawal that was overtaken by the next question from ending that one.
 func (p *Pool) withdraw(id decide.RequestID, serial uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/daemon/pool/reap.go
+++ b/daemon/pool/reap.go
@@ -79,11 +79,8 @@
 }
 
 // attend shuts engines out that do not answer, until they do.
-//
-// What goes wrong: an engine that died holds no grant, so it looks idle, and every new
-// request is placed on it first. Each finds it out for itself, after the whole time of a
-// dial where the VM is gone too, which is most of what an alert lookup has. An owner to
-// which no engine answers may be the one that is cut off, and shuts out none.
+// An engine that died holds no grant, so it looks idle and would be chosen first. An owner to which no engine answers may be the one that
+// is cut off, and shuts out none.
 func (p *Pool) attend(us []document.Upstream, loads []*engine.Load) {
 	if p.ctx.Err() != nil || !slices.ContainsFunc(loads, func(l *engine.Load) bool { return l != nil }) {
 		return
@@ -170,14 +167,8 @@
 }
 
 // reap cancels requests and drops exports whose gate is proved not to hold them.
-//
-// What goes wrong: a gate dies while its request runs, a cancel is lost, an
-// export is never fetched; the engine keeps the memory for good and one sees it
-// serve fewer and fewer requests. A lapsed lease alone is no proof that the gate
-// is gone, since this owner may be the one that is cut off, and cancelling would
-// then cut off a live answer. So memory is freed only on evidence: the gate says
-// that it does not hold the request, that life of the gate is over, or the
-// request's allowed time has passed by more than clocks differ.
+// A lapsed lease is no proof that the gate is gone, since this owner may be the one that is cut off. So memory is freed on evidence: the gate
+// says that it does not hold the request, that life of the gate is over, or the request's time has passed by more than clocks differ.
 func (p *Pool) reap(strays []stray) {
 	due := p.due(strays)
 	if len(due) == 0 {
--- a/daemon/quarantine/quarantine.go
+++ b/daemon/quarantine/quarantine.go
@@ -80,11 +80,7 @@
 }
 
 // Died records the death of an upstream and tells all live peers before it returns.
-//
-// What goes wrong without the telling: the caller of a request that killed two
-// upstreams sends it again at once, the balancer hands it to another VM, which
-// hears of the deaths with the next heartbeat - half a second too late for a
-// third upstream. One would notice engines dying in a row under one workspace.
+// The next heartbeat would be too late: the caller sends the request again at once, and the balancer hands it to another VM.
 func (q *Quarantine) Died(fingerprint uint64, u decide.UpstreamID, born decide.Born) {
 	q.mu.Lock()
 	now := q.clock.Now()
--- a/daemon/registry/follow.go
+++ b/daemon/registry/follow.go
@@ -128,10 +128,7 @@
 }
 
 // awaitMembers waits after a list until this VM may know whether others read for it.
-//
-// What goes wrong without it: all VMs start at once, and until they have met each takes
-// itself for a reader. Each opens two watches that nobody needs a moment later: with
-// eighty-six VMs 172 calls at each start of all.
+// VMs that start together would each open two watches before they know that others read.
 func (r *Registry) awaitMembers(ctx context.Context) {
 	if r.readers != nil {
 		pause(ctx, joinTime)
@@ -164,11 +161,8 @@
 
 // backOff waits before a failed call is made again: longer after each failure and, in a fleet that
 // leaves the store to a few, the longer the further behind the readers this VM stands.
-//
-// What goes wrong without it: the store is away for ten seconds, and a hundred VMs make eight
-// hundred calls a second all the while, which the store must turn away, and which meet it
-// again as it comes back. The readers go on asking often, so that its return is known
-// to all within a second; a VM that becomes a reader stops waiting.
+// Otherwise all VMs would call a store that is away many times a second. The readers go on asking often, so that its return is known to all
+// within a second; a VM that becomes a reader stops waiting.
 func (r *Registry) backOff(ctx context.Context, failures int) {
 	wait := retryWait << min(failures, retryDoublings)
 	if r.readers != nil {
--- a/daemon/registry/handover.go
+++ b/daemon/registry/handover.go
@@ -15,10 +15,8 @@
 )
 
 // handover limits how many documents a VM hands over at a time.
-//
-// What goes wrong without it: three hundred VMs start at once and ask the first few that know the document. The answers
-// share one small link, none is there within its time, and heartbeats wait behind them. Whoever is turned away asks the
-// next peer that knows, or the store.
+// Answers to all VMs of a fleet at once would fill its link, and heartbeats wait behind them. Whoever is turned away asks the next peer that
+// knows, or the store.
 type handover struct {
 	clock Clock
 	// began is the start of the present span, and count what was handed over in it.
--- a/daemon/registry/peers.go
+++ b/daemon/registry/peers.go
@@ -36,9 +36,8 @@
 	// restLimit is how old the proof grows before the first VM behind the readers reads for itself, if they answer and their
 	// own ways to the store are shut: a reader's age, and two questions in each of two layers.
 	restLimit = readerAge + 2*(pollEvery+100)
-	// rankStep is added to it for each VM that stands before. What goes wrong without it: the store is away for eight
-	// seconds, readers answer as ever, and after two of them each of three hundred VMs calls the store for itself, over and over:
-	// a day with two outages took 8,900 calls, a calm one 2,750. The first VM that gets through is asked by all, since it stands before them.
+	// rankStep is added to it for each VM that stands before, or all VMs would call a store that is away. The first one that gets through
+	// is asked by all, since it stands before them.
 	rankStep = 300 * clock.Milli(1)
 	// proofLimit is how old the proof grows in a small fleet before a VM reads for itself.
 	proofLimit = readerAge + 650
--- a/daemon/registry/readers.go
+++ b/daemon/registry/readers.go
@@ -34,9 +34,7 @@
 const keepers = 2
 
 // stepsIn tells whether too few of those that stand before this VM have an open way to the store, so that it must keep watches.
-//
-// What goes wrong without it: the store turns a third of the VMs away, those that read for all among them. They answer
-// as ever, and only the age of what they know tells of it: an upstream that had left was still sent requests 4.4 s later.
+// VMs that the store turns away answer as ever; only the age of what they know tells of it, too late for an upstream that leaves.
 func (r *Registry) stepsIn(rs Roster) bool { return r.ahead(rs) < keepers }
 
 // ahead counts those that stand before this VM and do not say that their way to the store is shut; many where
@@ -146,7 +144,7 @@
 		return
 	}
 	// VMs begin with different readers, so that each answers its share.
-	turn := rand.IntN(1 << 16)
+	next := rand.IntN(1 << 16)
 	role := Starter
 	for ctx.Err() == nil {
 		pause(ctx, r.checkInterval())
@@ -155,7 +153,7 @@
 		if !r.due(rs) {
 			continue
 		}
-		turn = r.askReaders(ctx, rs.Others, turn)
+		next = r.askReaders(ctx, rs.Others, next)
 		if r.reads() || r.age() > proofLimit {
 			r.endLong()
 		}
@@ -196,17 +194,16 @@
 	return r.clock.Now()-r.polled >= pollEvery
 }
 
-// askReaders asks readers in turn until one answers whose word is new, and returns the turn of
-// the next question.
+// askReaders asks readers one after the other, from the one at next on, until one answers that has new knowledge. It returns
+// where the next question begins.
 //
-// What goes wrong without the turn: the way of one reader to the store is shut, and those who ask
-// only that one learn of an upstream's leaving seconds later than the others.
-func (r *Registry) askReaders(ctx context.Context, others []peer.Member, turn int) int {
+// Whoever asked only one reader, whose own way to the store is shut, would learn of an upstream's leaving seconds late.
+func (r *Registry) askReaders(ctx context.Context, others []peer.Member, next int) int {
 	readers := r.open(others)
 	for range readers {
 		sent := r.clock.Now()
-		answered := r.fetch(ctx, readers[turn%len(readers)])
-		turn++
+		answered := r.fetch(ctx, readers[next%len(readers)])
+		next++
 		if !answered {
 			continue
 		}
@@ -217,7 +214,7 @@
 			break
 		}
 	}
-	return turn
+	return next
 }
 
 // endLong ends the long watches under way: the next ones are short.
--- a/daemon/registry/upstreams.go
+++ b/daemon/registry/upstreams.go
@@ -108,10 +108,7 @@
 }
 
 // massOf lists those of some upstreams that vanish together with half of their service. The lock is held.
-//
-// What goes wrong where these are taken out at once: the store is away for a second and a half, and its entries lapse. A VM that reads by
-// long watches notices nothing of the outage, or steps in for another just after it; then one answer takes all
-// upstreams away, and for a second every request is refused for want of any.
+// Such upstreams lapsed while the store was away, which a VM with long watches may not have noticed: they live, and register again.
 func (r *Registry) massOf(ids []decide.UpstreamID) map[decide.UpstreamID]bool {
 	gone := map[route.ServiceID]int{}
 	for _, id := range ids {
--- a/daemon/relay/body.go
+++ b/daemon/relay/body.go
@@ -22,10 +22,7 @@
 }
 
 // room makes sure that the body fits into what is held at once.
-//
-// What goes wrong without it: a hundred callers send the largest bodies together, the
-// process goes over its memory and is killed, and all requests on this VM are cut off.
-// A body whose length is not given counts as the largest.
+// A body whose length is not given counts as the largest: bodies held at once must not fill the process's memory.
 func (x *flight) room() (release func(), err *fault.Error) {
 	size := x.r.ContentLength
 	if size < 0 || size > x.limit() {
--- a/daemon/relay/gate.go
+++ b/daemon/relay/gate.go
@@ -238,10 +238,7 @@
 }
 
 // fresh refuses a key that may have been withdrawn without our knowledge.
-//
-// What goes wrong: the way to the store is silent, the operator takes a key away, and
-// this VM goes on serving it. One would notice work charged to a workspace after it
-// was shut out. So what is known must be young enough each time that a key is used.
+// The way to the store may be silent while the operator takes a key away, so what is known must be young enough each time that one is used.
 func (x *flight) fresh(v *registry.View) *fault.Error {
 	if !x.keyed || x.route.Public {
 		return nil
--- a/daemon/relay/life.go
+++ b/daemon/relay/life.go
@@ -10,11 +10,8 @@
 	"snipeshift.example/lib/dial"
 )
 
-// What goes wrong without this file: an engine crashes behind a cut, where no packet tells of it, and starts again under
-// its id and address. Connections kept from its earlier life look open, and the first request on each is lost.
-// It may have run, so it has used up one of its two sends. One notices streams that fail at an engine
-// that is well. So connections are kept apart by life: the transport pools them by host, and the host says
-// the life.
+// An engine that crashes behind a cut and starts again under its id and address leaves connections that look open: the first request on each
+// would be lost. So the transport, which pools connections by host, is given hosts that name the life.
 
 // lifeMark begins the host of an upstream whose life is known.
 const lifeMark = "life-"
--- a/daemon/relay/run.go
+++ b/daemon/relay/run.go
@@ -89,9 +89,7 @@
 
 // conclude ends a request that no upstream answers any more: an upstream's own failure that was
 // kept is better than ours.
-//
-// What goes wrong behind a stream that has begun: the failure's body ends the answer in order, and
-// a caller takes the half of a stream for the whole. There only a broken connection tells.
+// Behind a stream that has begun, that would end the answer in order; only a broken connection says that it is not whole.
 func (x *flight) conclude(failure *answer, err *fault.Error) *fault.Error {
 	if failure == nil || x.begun {
 		return err
@@ -132,10 +130,7 @@
 }
 
 // truthful takes the claim that nothing ran out of a refusal that comes after a send.
-//
-// What goes wrong without it: an upstream ran the request and its answer was lost; the second send is
-// refused, for want of a place or since the keys known here are too old, and the caller is told
-// 503, which says that the request has not run.
+// A refusal by 503 says that the request has not run, which after a send nobody knows.
 func (x *flight) truthful(ctx context.Context, sent int, err *fault.Error) *fault.Error {
 	if sent == 0 || x.begun || err.Kind == fault.Canceled || err.Kind == fault.Unauthorized {
 		return err
--- a/daemon/relay/start.go
+++ b/daemon/relay/start.go
@@ -16,10 +16,7 @@
 )
 
 // awaitKnowledge holds the request while a VM that has just started does not know its document yet.
-//
-// What goes wrong without it: all VMs lose power and start again, and the balancer sends callers at once. Each is refused
-// in the half second before the document is there, comes back once, and is refused again by another VM that is
-// as young: of 124 refusals of one failure domain in the two seconds after such a start 96 were these.
+// After a loss of power of all VMs each would refuse what comes in its first moments, and callers come back once only.
 func (x *flight) awaitKnowledge() {
 	g := x.gate
 	select {
--- a/daemon/relay/watchdog.go
+++ b/daemon/relay/watchdog.go
@@ -66,12 +66,8 @@
 }
 
 // watchdog ends a send whose upstream is silent.
-//
-// What goes wrong: an engine loses power in the middle of a request. Nothing closes the
-// connection, so the request would wait out its time, and memory that helpers
-// reserved for it would be renewed all the while. An engine that is merely busy is
-// silent as well, and giving it up throws its work away. So a silent upstream is
-// probed by a new connection, and only one that takes none is given up early.
+// Nothing closes the connection of an engine that lost power, and one that is merely busy is silent as well. So a silent one is probed by a new
+// connection, and only one that takes none is given up early.
 type watchdog struct {
 	gate    *Gate
 	address string
--- a/daemon/settings/relay.go
+++ b/daemon/settings/relay.go
@@ -61,7 +61,7 @@
 	"caller":        {Need: true, Text: "where callers connect, IP number and port"},
 	"ready":         {Need: true, Text: "where the balancer asks whether this VM takes callers, IP number and port"},
 	"peer":          {Need: true, Text: "where other daemons connect, IP number and port; the network between VMs is trusted"},
-	"advertise":     {Text: "what other daemons are told to connect to, where it differs from peer"},
+	"advertise":     {Text: "what other daemons connect to, where it differs from peer"},
 	"metrics":       {Text: "where metrics and profiles (/debug/pprof/) are served, IP number and port; empty for nowhere"},
 	"store":         {Need: true, Text: "the platform's store, IP number and port"},
 	"peers":         {Text: "peers to try first"},
@@ -114,7 +114,7 @@
 	if s.Metrics != "" {
 		address(src, "metrics", s.Metrics)
 	}
-	told(src, "advertise", s.Advertise, "peer", s.Peer)
+	advertised(src, "advertise", s.Advertise, "peer", s.Peer)
 	if s.Advertise == "" {
 		s.Advertise = s.Peer
 	}
--- a/daemon/settings/settings.go
+++ b/daemon/settings/settings.go
@@ -99,8 +99,8 @@
 	} {
 		address(src, a.field, a.address)
 	}
-	told(src, "advertise", s.Advertise, "peer", s.Peer)
-	told(src, "contact", s.Contact, "operator", s.Operator)
+	advertised(src, "advertise", s.Advertise, "peer", s.Peer)
+	advertised(src, "contact", s.Contact, "operator", s.Operator)
 	for i, a := range s.Peers {
 		address(src, fmt.Sprintf("peers[%d]", i), a)
 	}
@@ -116,17 +116,17 @@
 	}
 }
 
-// told checks the address of a door that others are told: the one named for this,
-// or the one that the door listens on.
+// advertised checks the address that others connect to: the one named for this, or the one that the
+// door listens on.
 //
 // A daemon that listens on every address of its VM would tell the others 0.0.0.0. Each
 // would then connect to itself, take itself for that peer, and the operators' command
 // would show one VM under every name.
-func told(src *strict.Source, field, named, door, listens string) {
+func advertised(src *strict.Source, field, named, door, listens string) {
 	if named != "" {
 		address(src, field, named)
 		if wild(named) && !src.Faulty(field) {
-			src.Add(field, "is told to others: use the IP number and port by which they reach this VM")
+			src.Add(field, "is what others connect to: use the IP number and port by which they reach this VM")
 		}
 		return
 	}
--- a/daemon/settings/settings_test.go
+++ b/daemon/settings/settings_test.go
@@ -35,7 +35,7 @@
 
 		told = strings.Replace(text, "{", `{"advertise":"`+wild+`","contact":"10.0.0.7:2",`, 1)
 		_, err = Parse([]byte(told), "vm.hujson")
-		require.ErrorContains(t, err, "advertise: is told to others")
+		require.ErrorContains(t, err, "advertise: is what others connect to")
 	}
 }
 
--- a/emulator/caller/request.go
+++ b/emulator/caller/request.go
@@ -10,8 +10,8 @@
 // Request is one request.
 type Request struct {
 	Number int
-	// Turn chooses among the daemons that are ready when it is sent.
-	Turn    int
+	// Choice chooses among the daemons that are ready when it is sent.
+	Choice  int
 	Address string
 	// Path is the path at a daemon, or at an engine or service if the run is direct.
 	Path      string
--- a/emulator/load/plan.go
+++ b/emulator/load/plan.go
@@ -52,11 +52,11 @@
 	s := &p.settings
 	k := p.kind()
 	workspace := p.workspace()
-	turn := p.random.IntN(maxTurn)
+	choice := p.random.IntN(maxChoice)
 	r := caller.Request{
 		Number:    p.number,
-		Turn:      turn,
-		Address:   s.Addresses[turn%len(s.Addresses)],
+		Choice:    choice,
+		Address:   s.Addresses[choice%len(s.Addresses)],
 		Workspace: workspace,
 		Key:       s.Keys[workspace],
 		Kind:      k.Name,
@@ -84,8 +84,8 @@
 	return r
 }
 
-// maxTurn is far above the number of daemons, so that all get the same share.
-const maxTurn = 1 << 20
+// maxChoice is far above the number of daemons, so that all get the same share.
+const maxChoice = 1 << 20
 
 // burstPart is the part of each period that bursts.
 const burstPart = 5
--- a/emulator/load/run.go
+++ b/emulator/load/run.go
@@ -125,14 +125,14 @@
 }
 
 func (p persistent) do(ctx context.Context, q caller.Request, start time.Time) caller.Result {
-	q.Address = p.balancer.pick(q.Turn)
+	q.Address = p.balancer.pick(q.Choice)
 	r := p.client.Do(ctx, q, start)
 	for i := 1; i <= p.retries && r.Outcome == caller.Refused && r.Retry > 0; i++ {
 		again := time.Now().Add(time.Duration(r.Retry) * time.Second)
 		if q.Allowed > 0 && again.After(start.Add(q.Allowed.Duration())) || !sleepUntil(ctx, again) {
 			return r
 		}
-		q.Address = p.balancer.pick(q.Turn + i)
+		q.Address = p.balancer.pick(q.Choice + i)
 		p.tally.retry()
 		r = p.client.Do(ctx, q, start)
 	}
--- a/lib/decide/api.go
+++ b/lib/decide/api.go
@@ -134,7 +134,7 @@
 	Failed                  // the upstream answered with an error or cut the stream
 	Died                    // the upstream is gone
 	Unused                  // returned before any byte was sent
-	Canceled                // the caller went away; the engine was told
+	Canceled                // the caller went away; the engine was notified
 )
 
 // Action tells what a Decision asks of the adapter.
--- a/lib/decide/ledger.go
+++ b/lib/decide/ledger.go
@@ -123,7 +123,7 @@
 		return
 	}
 	delay := work / u.rate()
-	u.turn = max(u.turn, float64(u.at)) + passShare*delay
+	u.shortNext = max(u.shortNext, float64(u.at)) + passShare*delay
 	for _, g := range u.grants {
 		if g.long && !g.first && g.on[0] == u {
 			g.expect += delay
--- a/lib/decide/place.go
+++ b/lib/decide/place.go
@@ -91,8 +91,8 @@
 	wait := max(n.ready-s.now, 0)
 	if s.class == urgentClass {
 		soon := max(n.soon-s.now, 0)
-		beside := max(min(wait-min(soon, wait), s.output), n.noise*s.output)
-		return cost + soon + interference*(beside+crowding*prefill*float64(n.delicate))
+		shared := max(min(wait-min(soon, wait), s.output), n.noise*s.output)
+		return cost + soon + interference*(shared+crowding*prefill*float64(n.delicate))
 	}
 	if n.delicate > 0 {
 		cost += interference * prefill
--- a/lib/decide/span/books.go
+++ b/lib/decide/span/books.go
@@ -6,9 +6,8 @@
 	"snipeshift.example/lib/decide/ratelimit"
 )
 
-// What goes wrong without this file: the owner of a service stops as planned, and its successor learns what runs from gates, one by one,
-// within a second. Until then it packs short requests on engines that are full, and these come a second
-// late. So an owner hands its books over whole. Instants travel as spans, for clocks of two VMs differ.
+// An owner that stops hands its books over whole: gates would tell its successor only within a second what runs. Instants travel as spans, for
+// clocks of two VMs differ.
 
 // Books is all that one owner of a service knows and another one cannot ask for.
 type Books struct {
--- a/lib/decide/span/engine.go
+++ b/lib/decide/span/engine.go
@@ -59,9 +59,6 @@
 
 // debt is the reading that is granted and not done, in milliseconds. An engine whose first byte
 // is late is taken to be busy for as long again: what holds it up is not in the books.
-//
-// What goes wrong without that: an engine still works for callers who are gone, or has died, and one
-// short request after the other is packed on it, each as late as the one before.
 func (r *row) debt(now clock.Milli) float64 {
 	left := max(0, r.until-float64(now))
 	if r.engine == nil || r.reading == 0 {
--- a/lib/decide/span/foreign.go
+++ b/lib/decide/span/foreign.go
@@ -6,12 +6,8 @@
 	"snipeshift.example/lib/exchange"
 )
 
-// What goes wrong without this file: all VMs lose power, and the engines go on writing the
-// streams of callers who are gone, since nothing closes their connections. The new
-// owner's books are empty, so it packs everything on the first engines, which turn most
-// of it away. One notices that short requests are late for seconds after a
-// restart while most engines idle. So an owner asks the engines whose load its books
-// may not explain, and counts what they report beyond its own grants.
+// After a loss of power of all VMs engines go on writing for callers who are gone. So a new owner, whose books are empty, asks engines for their
+// load and counts what they report beyond its own grants.
 
 // limitedPolls is the least time between two polls of an upstream that names a limit: it may count them as requests.
 const limitedPolls = clock.Second
@@ -56,9 +52,6 @@
 // Report takes an upstream's own word on its load. It is some hundred milliseconds old: what was granted since
 // is not in it, and what has ended since still is. Only what it counts beyond the books of that
 // moment is work for which there is no grant.
-//
-// What goes wrong if it is held against the books of now: short requests that were granted meanwhile are taken for
-// the callers who are gone, the engine looks free by as many, and gets a dozen more than it can run.
 func (p *Pool) Report(now clock.Milli, id decide.UpstreamID, l exchange.Load) {
 	r := p.rows[id]
 	if r == nil || r.earlier(l.Born) {
--- a/lib/decide/span/health.go
+++ b/lib/decide/span/health.go
@@ -64,10 +64,7 @@
 )
 
 // decline notes that the engine did not read a part for another one.
-//
-// What goes wrong without it: engines are emptied while the store does not answer, so nobody knows that they leave. They finish what they
-// have, and decline parts of new prompts. Of 60 engines 17 leave: each prompt that is spread over a dozen meets one, four
-// times in a row, and is refused although the other engines idle.
+// Engines that are being emptied while the store is away decline parts of new prompts, and nobody knows that they leave.
 func (h *health) decline(now clock.Milli) {
 	if now < h.helps {
 		return
--- a/lib/decide/span/life.go
+++ b/lib/decide/span/life.go
@@ -6,10 +6,7 @@
 	"snipeshift.example/lib/decide"
 )
 
-// What goes wrong without this file: an engine crashes and starts again under the id that it had. It holds nothing,
-// and the books still count the reads, streams and memory of its earlier life, shut it out for that
-// life's failures, or take it for slow. One notices an idle engine that gets no work for seconds after its
-// return, or a burst that it gets when those grants lapse together.
+// An engine that starts again under its id holds nothing of its earlier life, so nothing that is known of that may weigh on it.
 
 // newer reports whether a word of a life speaks of a later one than is known. An upstream that did
 // not tell its life before has not begun a new one by telling it.
--- a/lib/decide/span/order.go
+++ b/lib/decide/span/order.go
@@ -48,7 +48,7 @@
 	switch {
 	case w.late(now):
 		return late
-	case w.heavy && w.least > besideRead:
+	case w.heavy && w.least > interleavedRead:
 		return largeInTime
 	default:
 		return soonInTime
@@ -78,7 +78,7 @@
 // takes each for one part.
 func (w *waiting) takes() float64 {
 	if w.heavy {
-		return max(w.least, besideRead)
+		return max(w.least, interleavedRead)
 	}
 	return w.least
 }
--- a/lib/decide/span/place.go
+++ b/lib/decide/span/place.go
@@ -20,9 +20,9 @@
 // the gate and to the engine, and half a pass.
 const settleTime = 30.0
 
-// besideRead is the reading in milliseconds of one engine beside short streams, while enough engines are
+// interleavedRead is the reading in milliseconds of one engine beside short streams, while enough engines are
 // there: about as long as the pass that writes them, so that their pauses double at the most.
-const besideRead = 60.0
+const interleavedRead = 60.0
 
 // firstPass is the usual time of the pass whose end brings the first event.
 const firstPass = 60.0
@@ -40,15 +40,15 @@
 }
 
 // place finds upstreams for a request, or none for now. A long prompt is read beside short
-// streams only if beside is set.
-func (p *Pool) place(now clock.Milli, w *waiting, beside bool) (plan, bool) {
+// streams only if interleave is set.
+func (p *Pool) place(now clock.Milli, w *waiting, interleave bool) (plan, bool) {
 	switch {
 	case w.cost == 0:
 		return p.placePlain(now, &w.Ask)
 	case p.isolation.on:
 		return p.placeIsolated(now, w)
 	case w.heavy:
-		return p.placeHeavy(now, w, beside)
+		return p.placeHeavy(now, w, interleave)
 	default:
 		return p.placeLight(now, &w.Ask, w.cost)
 	}
@@ -129,11 +129,8 @@
 // placeHeavy spreads a long read over engines that are free of short streams and
 // of other reads, as many as there are up to one for each Part. With fewer than
 // the aim needs it waits; once the aim is lost, with fewer than its deadline needs.
-//
-// What goes wrong without the second bound: a prompt of a million tokens that missed its aim is
-// given to the one engine that is free, which reads for 50 s, while its caller leaves
-// after 12. Nobody gets an answer, and the engine is lost to others all the while.
-func (p *Pool) placeHeavy(now clock.Milli, w *waiting, beside bool) (plan, bool) {
+// One engine that is free would read a prompt of a million tokens for longer than its caller waits.
+func (p *Pool) placeHeavy(now clock.Milli, w *waiting, interleave bool) (plan, bool) {
 	a, cost := &w.Ask, w.cost
 	need := w.needs(now)
 	if need > p.group() {
@@ -145,21 +142,21 @@
 			return pl, true
 		}
 	}
-	if !beside {
+	if !interleave {
 		return plan{}, false
 	}
-	return p.placeBeside(now, w, need)
+	return p.placeInterleaved(now, w, need)
 }
 
-// placeBeside reads a long prompt in small parts beside short streams, where too few engines are
+// placeInterleaved reads a long prompt in small parts beside short streams, where too few engines are
 // free of them: each part fits into what the pauses of the streams there leave of a pass.
 //
 // The load it is made for: a burst of short work writes on all engines. No pause bears a read of
 // 200 ms, so without this long prompts wait until the burst is over and miss their aims, though
 // the engines could read for more than half of the time.
-func (p *Pool) placeBeside(now clock.Milli, w *waiting, need int) (plan, bool) {
+func (p *Pool) placeInterleaved(now clock.Milli, w *waiting, need int) (plan, bool) {
 	rows, slacks := p.slacks(now, &w.Ask)
-	for n := max(need, int(math.Ceil(w.cost/besideRead))); n <= min(p.group(), len(rows)); n++ {
+	for n := max(need, int(math.Ceil(w.cost/interleavedRead))); n <= min(p.group(), len(rows)); n++ {
 		part := w.cost / float64(n)
 		if slacks[n-1] < part {
 			continue
@@ -168,7 +165,7 @@
 		fit = max(fit, n)
 		if pl, ok := p.gather(now, &w.Ask, part, rows[:fit], n); ok {
 			pl.first += pl.leader.pass(pl.leader.streams+1, pl.leader.context+w.Prompt)
-			pl.reason = "beside"
+			pl.reason = "interleaved"
 			return pl, true
 		}
 	}
@@ -190,7 +187,7 @@
 		}
 		slack := math.Inf(1)
 		if r.pause > 0 {
-			slack = p.rules.Beside*float64(r.pause) - r.pass(r.streams, r.context) - r.debt(now)
+			slack = p.rules.Interleaved*float64(r.pause) - r.pass(r.streams, r.context) - r.debt(now)
 		}
 		if slack > 0 {
 			rooms = append(rooms, room{r, slack})
--- a/lib/decide/span/pool_test.go
+++ b/lib/decide/span/pool_test.go
@@ -544,7 +544,7 @@
 // them to have fewer. A file read in small parts now would take what that one waits for.
 func TestNoLongPromptIsReadBesideShortStreamsWhileShortWorkWaits(t *testing.T) {
 	b := newBench(t, 6)
-	b.rules.Beside = b.rules.Safety
+	b.rules.Interleaved = b.rules.Safety
 	for range 6 * DefaultRules.Packed {
 		b.runs(b.note(now))
 	}
--- a/lib/decide/span/queue.go
+++ b/lib/decide/span/queue.go
@@ -47,10 +47,7 @@
 // lightest is the longest read in milliseconds that is placed among short streams: what a pass that writes a packed
 // engine's streams leaves of the request's own pause, if that is short. Beside pauses of 200 ms these are some
 // 120 ms, beside 250 ms some 165.
-//
-// What goes wrong with one bound for all: short requests of 23,000 tokens take 155 ms on engines whose streams
-// bear 250 ms. Taken for long ones, each is spread over engines that are free of short streams, and then is a
-// short stream there itself: in a flood of short work no long prompt found an engine free.
+// Short requests that fit into the pauses of their kind would else be spread like long ones, over engines that long ones need.
 func (p *Pool) lightest(a *Ask) float64 {
 	if a.Gap <= 0 || a.Gap > lightPause {
 		return p.rules.Light
@@ -104,9 +101,7 @@
 
 // unreported reports whether all engines are in doubt, as for a new owner until they have reported, or the owner
 // knows of nobody and uses few of them.
-//
-// What goes wrong without it: the owner has placed nothing yet, so the rate at which it places late
-// requests is nothing, and it refuses the first ones for a pressure that is not there.
+// The rate at which it places late requests says nothing yet.
 func (p *Pool) unreported() bool {
 	if p.isolation.on {
 		return true
--- a/lib/decide/span/slow.go
+++ b/lib/decide/span/slow.go
@@ -5,11 +5,8 @@
 	"snipeshift.example/lib/decide"
 )
 
-// What goes wrong without this file: an engine works four times as slowly as its data say, for seconds. It
-// takes its even part of each long prompt, and the prompt waits for it; short streams packed on
-// it pause for longer than they bear. One notices long prompts that are late or lost although
-// most engines are sound. So an engine that took part in a late first byte is asked
-// for its pace, and one that is slow gets what others have no room for.
+// An engine may work several times as slowly as its data say. One that took part in a late first byte is asked for its pace, and one that is
+// slow gets what others have no room for.
 
 const (
 	// lateFactor times the expected time to the first byte, and lateSlack more, make a first byte
--- a/lib/decide/span/span.go
+++ b/lib/decide/span/span.go
@@ -159,10 +159,10 @@
 	Group int
 	// Safety is the share of a pause that a pass may fill.
 	Safety float64
-	// Beside is that share for a pass which reads a part of a long prompt beside short
+	// Interleaved is that share for a pass which reads a part of a long prompt beside short
 	// streams: the rest is for short prompts that come meanwhile.
-	Beside float64
+	Interleaved float64
 }
 
 // DefaultRules are explained at each field of Rules.
-var DefaultRules = Rules{Light: 120, Packed: 12, Part: 200, Group: 16, Safety: 0.9, Beside: 0.7}
+var DefaultRules = Rules{Light: 120, Packed: 12, Part: 200, Group: 16, Safety: 0.9, Interleaved: 0.7}
--- a/lib/decide/table.go
+++ b/lib/decide/table.go
@@ -33,8 +33,8 @@
 	at                 clock.Milli
 	// pending, brisk and hasty are the same sums, whole until the first token came.
 	pending, brisk, hasty Tokens
-	// turn is when the next short prompt may pass a long one that is prefilled here.
-	turn float64
+	// shortNext is when the next short prompt may pass a long one that is prefilled here.
+	shortNext float64
 	// slow is how many times slower than rated it prefills, from its grants' progress.
 	slow float64
 	// gone is set once it was removed; the row stays while grants refer to it.
@@ -158,7 +158,7 @@
 	n.soon = float64(u.at) + u.soon/n.rate
 	n.early = float64(u.at) + u.early/n.rate
 	if u.prefilling > 0 {
-		n.early = max(n.early, u.turn)
+		n.early = max(n.early, u.shortNext)
 	}
 	n.ready = max(float64(u.at)+u.ahead/n.rate, n.early)
 	n.running = int32(u.running)
--- a/lib/dial/dial.go
+++ b/lib/dial/dial.go
@@ -16,11 +16,7 @@
 
 // Hedged tries again, beside the attempts under way, each time that a span passes without a connection. The first
 // connection counts, the others are closed.
-//
-// What goes wrong without it: the first packet to a process that starts a moment later is lost, or a link loses it. The kernel sends
-// the next one a second later, so all who want to reach that address wait for as long, or give
-// it up. One notices VMs that are up and still pass each other over: after a loss of power of all, one of six
-// was held for unreachable by two others for 200 ms after it had answered everybody else.
+// The kernel sends a lost first packet again after a second, for which a peer that is up would count as unreachable.
 //
 // Refusals and other errors count at once: whoever answers so is reached.
 func Hedged(d Dial, again time.Duration) Dial {
--- a/lib/document/check.go
+++ b/lib/document/check.go
@@ -88,7 +88,7 @@
 		at := fmt.Sprintf("services[%d]", i)
 		c.refer(kinds, s.Kind, at+".kind", "kinds")
 		if first, ok := models[s.Name]; ok {
-			c.source.Add(at+".name", "is also a model, at line %d: rename one, since pools are told apart by name", c.source.Line(first))
+			c.source.Add(at+".name", "is also a model, at line %d: rename one, since pools are identified by name", c.source.Line(first))
 		}
 	}
 }
--- a/lib/logline/writer.go
+++ b/lib/logline/writer.go
@@ -9,11 +9,8 @@
 )
 
 // Writer passes lines on without ever holding up who writes them.
-//
-// What goes wrong without it: whoever reads the output stands still, the pipe fills, and
-// each request waits in the write of its line. One would notice a VM that answers
-// nobody while its processor idles. So a bounded queue stands between, and a
-// line that finds it full is dropped and counted.
+// A reader that stands still would fill the pipe and hold up each request. So a bounded queue stands between, and a line that finds it full is
+// dropped and counted.
 type Writer struct {
 	queue   *log.AsyncWriter
 	dropped atomic.Uint64
--- a/lib/peer/dialer.go
+++ b/lib/peer/dialer.go
@@ -76,10 +76,7 @@
 }
 
 // Within bounds the opening of a connection. It is called before any Call.
-//
-// What goes wrong with the usual bound among VMs that are milliseconds apart: all start at the same moment,
-// and the first packet to a VM that is up a tenth of a second later is lost. It is sent again after
-// a second, so for a second nobody knows anybody, and each places requests as if it were alone.
+// The first packet to a VM that is up a moment later is lost and sent again after a second: for so long VMs that start together would know nobody.
 func (d *Dialer) Within(patience time.Duration) *Dialer {
 	d.patience = patience
 	return d
--- a/operator/commands/exit.go
+++ b/operator/commands/exit.go
@@ -70,21 +70,21 @@
 	return b.String()
 }
 
-// told is an error with its line for the operator and its place in the table.
-type told struct {
+// advice is an error with its line for the operator and its place in the table.
+type advice struct {
 	err  error
 	text string
 }
 
 // Error implements error.
-func (t *told) Error() string { return t.text }
+func (a *advice) Error() string { return a.text }
 
 // Unwrap gives the error that the exit code follows from.
-func (t *told) Unwrap() error { return t.err }
+func (a *advice) Unwrap() error { return a.err }
 
 // tell gives an error a line that says what to do.
 func tell(err error, format string, args ...any) error {
-	return &told{err, fmt.Sprintf(format, args...)}
+	return &advice{err, fmt.Sprintf(format, args...)}
 }
 
 func usageError(format string, args ...any) error { return tell(errUsage, format, args...) }
--- a/operator/commands/flags.go
+++ b/operator/commands/flags.go
@@ -35,7 +35,7 @@
 func flags() []cli.Flag {
 	return []cli.Flag{
 		&cli.StringFlag{Name: flagStore, Usage: "`ADDRESS` of the platform's store, IP number and port", Sources: cli.EnvVars("SNIPESHIFT_STORE")},
-		&cli.StringSliceFlag{Name: flagDaemon, Usage: "operator `ADDRESS` of any daemon, more than one to try in turn", Sources: cli.EnvVars("SNIPESHIFT_DAEMON")},
+		&cli.StringSliceFlag{Name: flagDaemon, Usage: "operator `ADDRESS` of any daemon, more than one to try one after the other", Sources: cli.EnvVars("SNIPESHIFT_DAEMON")},
 		&cli.StringFlag{Name: flagOutput, Usage: "`FORMAT` of what is shown: text or json", Value: outputText},
 		&cli.DurationFlag{Name: flagTimeout, Usage: "longest wait for one answer", Value: defaultTimeout},
 		&cli.StringFlag{Name: flagAuthority, Usage: "`FILE` with the certificates that sign daemons", Sources: cli.EnvVars("SNIPESHIFT_AUTHORITY")},
--- a/operator/commands/timeline.go
+++ b/operator/commands/timeline.go
@@ -22,8 +22,8 @@
 	return &cli.Command{
 		Name:  "timeline",
 		Usage: "draw the recent events of all daemons in causal order",
-		Description: "An event stands after every event that could have caused it, however far the clocks of the VMs are " +
-			"apart; the time shown is the ordering clock's. With --output json, one event a line.",
+		Description: "An event stands after every event that could have caused it, however much the clocks of the VMs " +
+			"differ; the time shown is the ordering clock's. With --output json, one event a line.",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: answers.ParamRequest, Usage: "only events of this `ID`"},
 			&cli.StringFlag{Name: answers.ParamWorkspace, Usage: "only events of this `NAME`"},
--- a/scenarios/chaos/check.go
+++ b/scenarios/chaos/check.go
@@ -30,7 +30,7 @@
 		}
 	}
 	for _, name := range w.Daemons() {
-		err := world.Await(ctx, readyBound, name+" met after all faults", func() (bool, error) { return w.Met(ctx, name) })
+		err := world.Await(ctx, readyBound, name+" joined after all faults", func() (bool, error) { return w.Joined(ctx, name) })
 		if err != nil {
 			return err
 		}
--- a/scenarios/process/process.go
+++ b/scenarios/process/process.go
@@ -65,14 +65,14 @@
 // follow reads the output to its end and waits for the program.
 func (p *Process) follow(out *bufio.Reader, log *os.File) {
 	defer log.Close()
-	told := false
+	announced := false
 	for {
 		line, err := out.ReadBytes('\n')
 		_, _ = log.Write(line)
 		var r readyLine
-		if !told && json.Unmarshal(line, &r) == nil && r.Ready {
+		if !announced && json.Unmarshal(line, &r) == nil && r.Ready {
 			p.ready <- r.Address
-			told = true
+			announced = true
 		}
 		if err != nil {
 			break
--- a/scenarios/relay/relay.go
+++ b/scenarios/relay/relay.go
@@ -132,9 +132,7 @@
 )
 
 // listen takes an address that may still be held for a moment.
-//
-// What goes wrong without the tries: a program is started between the opening and the closing of the
-// same address. Until it runs, its process holds a copy of the socket, and the address is in use.
+// A program that is being started meanwhile holds a copy of the socket until it runs.
 func listen(address string) (net.Listener, error) {
 	for try := 1; ; try++ {
 		l, err := net.Listen("tcp", address) //nolint:noctx // closed by Down
--- a/scenarios/script/await.go
+++ b/scenarios/script/await.go
@@ -43,7 +43,7 @@
 		return r.Started(), nil
 	},
 	"gone":     func(s *session, name string) (bool, error) { return s.world.Gone(s.ctx, name) },
-	"met":      func(s *session, name string) (bool, error) { return s.world.Met(s.ctx, name) },
+	"joined":   func(s *session, name string) (bool, error) { return s.world.Joined(s.ctx, name) },
 	"done":     done,
 	"free":     free,
 	"granted":  func(s *session, name string) (bool, error) { return s.world.Granted(s.ctx, name) },
--- a/scenarios/script/expect.go
+++ b/scenarios/script/expect.go
@@ -40,7 +40,7 @@
 		}
 		rs = append(rs, found...)
 	}
-	met := 0
+	matched := 0
 	var unmet []string
 	for _, r := range rs {
 		r.Wait()
@@ -49,18 +49,18 @@
 			return err
 		}
 		if why == "" {
-			met++
+			matched++
 			continue
 		}
 		unmet = append(unmet, fmt.Sprintf("%s: %s", why, r))
 	}
 	switch {
-	case *least >= 0 && met >= *least, *exactly >= 0 && met == *exactly, *most >= 0 && met <= *most:
+	case *least >= 0 && matched >= *least, *exactly >= 0 && matched == *exactly, *most >= 0 && matched <= *most:
 		return nil
 	case *least < 0 && *exactly < 0 && *most < 0 && len(unmet) == 0:
 		return nil
 	}
-	return fmt.Errorf("%d of %d calls meet %v\n%s", met, len(rs), rest[1:], strings.Join(unmet[:min(len(unmet), shown)], "\n"))
+	return fmt.Errorf("%d of %d calls match %v\n%s", matched, len(rs), rest[1:], strings.Join(unmet[:min(len(unmet), shown)], "\n"))
 }
 
 // differs names the first field that is not as wanted.
--- a/scenarios/soak/check.go
+++ b/scenarios/soak/check.go
@@ -117,7 +117,7 @@
 
 // What breaks a promise.
 var (
-	errRan      = errors.New("it ran, and its caller was told that it had not")
+	errRan      = errors.New("it ran, and its caller got the answer that it had not")
 	errNotWhole = errors.New("a success that is not the whole answer of its own")
 	errDenied   = errors.New("a proper request was denied")
 	errLate     = errors.New("answered long after its timeout")
--- a/scenarios/soak/plan.go
+++ b/scenarios/soak/plan.go
@@ -21,7 +21,7 @@
 	Kill     Kind = "kill"     // a VM's process dies and is started again
 	Freeze   Kind = "freeze"   // a VM's process stands still
 	Stop     Kind = "stop"     // a planned stop of a VM and its start
-	Hangup   Kind = "hangup"   // a VM is told that its settings changed
+	Hangup   Kind = "hangup"   // a VM hears that its settings changed
 	Cut      Kind = "cut"      // a link is reset and refused
 	Reset    Kind = "reset"    // the open connections of a link are reset
 	Silence  Kind = "silence"  // a link carries nothing, one way or both
--- a/scenarios/world/status.go
+++ b/scenarios/world/status.go
@@ -125,8 +125,8 @@
 	return true, nil
 }
 
-// Met tells whether every daemon that answers counts a member as live.
-func (w *World) Met(ctx context.Context, other string) (bool, error) {
+// Joined tells whether every daemon that answers counts a member as live.
+func (w *World) Joined(ctx context.Context, other string) (bool, error) {
 	for _, name := range w.responding() {
 		if name == other {
 			continue
@@ -157,7 +157,7 @@
 type Balancer struct {
 	mu    sync.Mutex
 	ready []string
-	turn  int
+	next  int
 }
 
 // balanceEvery is how often the balancer asks daemons whether they are ready.
@@ -200,6 +200,6 @@
 func (b *Balancer) Choose() string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.turn++
-	return b.ready[b.turn%len(b.ready)]
+	b.next++
+	return b.ready[b.next%len(b.ready)]
 }
