span: a limit is asked after, and parts for others are read within it

Little was asked for, and that went to the first engine; the limits of three others were over, but no request went there whose answer would have said so, and engines that name a limit read no parts for others. A prompt larger than one engine's memory found no group.

A limit under which nothing was granted for two seconds is asked after by the next request that fits; a part for others takes one of the upstream's requests in place of being forbidden, and only memory isn't reserved there. The countings of limited engines that kept groups small go.

--- a/lib/decide/ratelimit/pace.go
+++ b/lib/decide/ratelimit/pace.go
@@ -15,6 +15,8 @@
 	// what went elsewhere meanwhile, must not all come at once.
 	doubling  = 500 * clock.Milli(1)
 	returning = 3 * clock.Second
+	// renewal is how old a limit grows before a request is sent to hear whether it still holds.
+	renewal = 2 * clock.Second
 	// leastReturn is the rate from which on it doubles.
 	leastReturn PerSecond = 1
 	// whole is one request, less what sums of fractions lose.
@@ -28,6 +30,8 @@
 	// rate is the limit that was named last, lifted when that ended.
 	rate   PerSecond
 	lifted clock.Milli
+	// taken is when a request was granted last.
+	taken clock.Milli
 	// others is how many other VMs grant at this upstream as well.
 	others int
 	// level is how many requests may be granted at the instant at; never more than a burst.
@@ -96,12 +100,19 @@
 
 // Take notes a request that is granted.
 func (p *Pace) Take(now clock.Milli) {
+	p.taken = now
 	if p.Bounds(now) {
 		p.fill(now)
 		p.level--
 	}
 }
 
+// Stale reports whether the limit was named so long ago, and nothing granted since, that a request should find out whether
+// it still holds.
+func (p *Pace) Stale(now clock.Milli) bool {
+	return p.Named() && now-max(p.statement.At, p.taken) >= renewal
+}
+
 // Statement returns what is known of the limit, if anything is.
 func (p *Pace) Statement() (Statement, bool) { return p.statement, p.known }
 
--- a/lib/decide/span/engine.go
+++ b/lib/decide/span/engine.go
@@ -153,6 +153,15 @@
 	return r.usual() - r.used()
 }
 
+// spare is the free memory that may be set aside for a prompt that another engine leads. One that bounds its requests sets none aside: it may
+// count the orders as requests.
+func (r *row) spare(now clock.Milli) decide.Tokens {
+	if r.limit.Bounds(now) {
+		return 0
+	}
+	return r.free()
+}
+
 // usual is the KV memory in tokens of the upstream while it has no grants.
 func (r *row) usual() decide.Tokens { return r.engine.Memory - r.engine.Memory/16 }
 
--- a/lib/decide/span/headroom.go
+++ b/lib/decide/span/headroom.go
@@ -39,7 +39,6 @@
 
 // observe takes the present state of the engines into the average.
 func (p *Pool) observe(now clock.Milli) {
-	p.countLimits()
 	engines, reading := 0, 0
 	for _, r := range p.order {
 		if r.overruns(now) {
--- a/lib/decide/span/limits.go
+++ b/lib/decide/span/limits.go
@@ -11,8 +11,6 @@
 type limits struct {
 	// rows holds what is known of each upstream, also of one that the list lacks for a moment.
 	rows map[decide.UpstreamID]*ratelimit.Pace
-	// named is how many upstreams name a limit, at the last tick.
-	named int
 	// others is how many other VMs grant at the same upstreams.
 	others int
 }
@@ -66,23 +64,6 @@
 	}
 }
 
-// countLimits notes how many upstreams name a limit. What queued prompts need follows from it.
-func (p *Pool) countLimits() {
-	named := 0
-	for _, r := range p.order {
-		if r.limit.Named() {
-			named++
-		}
-	}
-	if named == p.limits.named {
-		return
-	}
-	p.limits.named = named
-	for _, w := range p.queue {
-		p.weigh(w)
-	}
-}
-
 // supply is what upstreams take together.
 type supply struct {
 	// bounded is set if each of them bounds its requests. At once is how many may be granted now, rate how many a second.
--- a/lib/decide/span/place.go
+++ b/lib/decide/span/place.go
@@ -58,6 +58,11 @@
 // queue is not used: what waits in the pool can still go elsewhere. Among equals the request's
 // id chooses, or owners that do not know of each other would all choose the first.
 func (p *Pool) placePlain(now clock.Milli, a *Ask) (plan, bool) {
+	for _, r := range p.order {
+		if r.limit.Stale(now) && r.usable(now, a) && len(r.grants)+r.foreign < max(r.Slots, 1) {
+			return plan{leader: r, reason: "renewal"}, true
+		}
+	}
 	var best *row
 	least := math.Inf(1)
 	first := int(xxhash.Sum64String(string(a.ID)) % uint64(max(len(p.order), 1)))
@@ -78,6 +83,14 @@
 // others stay empty for long reads. An engine takes a request if the pass that
 // reads it stays within the shortest pause borne there.
 func (p *Pool) placeLight(now clock.Milli, a *Ask, cost float64) (plan, bool) {
+	for _, r := range p.order {
+		if !r.limit.Stale(now) {
+			continue
+		}
+		if first, ok := p.fitsLight(now, a, r, cost, math.MaxInt); ok {
+			return plan{leader: r, part: cost, first: first, reason: "renewal"}, true
+		}
+	}
 	for _, try := range []struct {
 		most int
 		slow bool
@@ -203,8 +216,8 @@
 	return rows, slacks
 }
 
-// group is the most engines that can read one prompt. Those that name a limit lead alone.
-func (p *Pool) group() int { return max(1, min(p.rules.Group, len(p.order)-p.limits.named)) }
+// group is the most engines that can read one prompt.
+func (p *Pool) group() int { return max(1, min(p.rules.Group, len(p.order))) }
 
 // freeForReads lists engines that may read a long prompt, from the end of the fixed order.
 func (p *Pool) freeForReads(now clock.Milli, a *Ask) []*row {
@@ -237,6 +250,9 @@
 		if r.light() {
 			liked = -1 - r.streams
 		}
+		if r.limit.Stale(now) {
+			liked = math.MaxInt
+		}
 		if (r.streams == 0 || leads) && r.streams < r.engine.Slots && liked > most && r.free() >= min(a.Prompt+a.Output, r.usual()) {
 			leader, most = r, liked
 		}
@@ -244,16 +260,12 @@
 	if leader == nil || len(fit) < n {
 		return plan{}, false
 	}
-	// An engine in need reads nothing for others.
-	helpers := slices.DeleteFunc(fit, func(r *row) bool { return r == leader || r.limit.Named() })
-	if len(helpers) < n-1 {
-		return plan{}, false
-	}
+	helpers := slices.DeleteFunc(fit, func(r *row) bool { return r == leader })
 	slices.SortStableFunc(helpers, func(x, y *row) int { return cmp.Compare(len(x.grants), len(y.grants)) })
 	helpers = helpers[:n-1]
 	room := leader.free()
 	for _, h := range helpers {
-		room += h.free()
+		room += h.spare(now)
 	}
 	if room < a.Prompt+a.Output {
 		return plan{}, false
@@ -273,7 +285,7 @@
 		over = a.Prompt + a.Output - pl.leader.free()
 	}
 	for _, h := range pl.helpers {
-		keep := min(max(over, 0), h.free())
+		keep := min(max(over, 0), h.spare(now))
 		over -= keep
 		g.Helpers = append(g.Helpers, Place{Upstream: h.ID, Born: h.Born, Address: h.Address, Read: pl.part, Reserve: keep})
 	}
