placer: messages that are passed on to a holder are bounded and counted

At most 64 are under way; what comes beyond is dropped and counted (snipeshift_messages_dropped_total), and made good by the gates' next list of their grants, each second. TestMessagesThatArePassedOnAreBounded: 936 of 1,000 dropped, and messages pass again once the holder answers.

--- a/daemon/placer/hold.go
+++ b/daemon/placer/hold.go
@@ -36,6 +36,9 @@
 	handOverWait = 300 * clock.Milli(1)
 	// reviewEvery is the time between two checks whether a service is to be handed over to a stronger VM.
 	reviewEvery = 500 * time.Millisecond
+	// passedOnAtOnce bounds the messages about grants that are passed on at a time. Beyond it they are dropped: gates
+	// present their grants each second.
+	passedOnAtOnce = 64
 	// routings bounds how often a question is routed anew because the holder changed meanwhile.
 	routings = 3
 )
@@ -93,9 +96,16 @@
 
 // passOn sends a message about a grant to the holder, without waiting. A word that is lost is made good by the next Present.
 func (o *Owner) passOn(args *NoteArgs, to peer.Member) {
+	select {
+	case o.passing <- struct{}{}:
+	default:
+		o.dropped.Add(1)
+		return
+	}
 	n := *args
 	n.Forwarded = true
 	go func() {
+		defer func() { <-o.passing }()
 		ctx, cancel := context.WithTimeout(context.Background(), (askWait + answerSlack).Duration())
 		defer cancel()
 		if err := o.Peers.Call(ctx, to.Address, Name+".Note", &n, &peer.Empty{}); err != nil {
@@ -104,6 +114,9 @@
 	}()
 }
 
+// Dropped counts the messages about grants that were not passed on to holders, since too many were under way.
+func (o *Owner) Dropped() uint64 { return o.dropped.Load() }
+
 // forward asks the holder in a gate's place, until it decides or the gate's wait is over. An error means that the holder is silent.
 // A gate may fail to reach a holder that is well. If the VM that it asks next decided by itself, two would give out the same engines.
 func (o *Owner) forward(args *AskArgs, reply *AskReply, to peer.Member) error {
--- a/daemon/placer/owner.go
+++ b/daemon/placer/owner.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
@@ -78,6 +79,9 @@
 
 	mu    sync.Mutex
 	pools map[route.ServiceID]*ownedPool
+	// passing holds a place for each message that is being passed on, dropped counts those that found none.
+	passing chan struct{}
+	dropped atomic.Uint64
 	// taking makes one question of many the one that makes this VM the holder.
 	taking sync.Mutex
 }
@@ -105,7 +109,7 @@
 
 // NewOwner returns an owner without pools.
 func NewOwner(n OwnerNeeds, b Budget) *Owner {
-	o := &Owner{OwnerNeeds: n, budget: b, pools: map[route.ServiceID]*ownedPool{}}
+	o := &Owner{OwnerNeeds: n, budget: b, pools: map[route.ServiceID]*ownedPool{}, passing: make(chan struct{}, passedOnAtOnce)}
 	n.Holders.Follow(o.followed)
 	return o
 }
--- a/daemon/placer/placer_test.go
+++ b/daemon/placer/placer_test.go
@@ -364,3 +364,26 @@
 	require.LessOrEqual(t, reports.asked.Load(), int64(reportsEach))
 	require.Eventually(t, func() bool { return reports.asked.Load() > reportsEach }, 2*time.Second, 10*time.Millisecond, "the others follow")
 }
+
+// The holder is silent, and a VM that passes messages on to it gets a flood of them. Were each to wait for its timeout, they would fill the memory of
+// the VM.
+func TestMessagesThatArePassedOnAreBounded(t *testing.T) {
+	d := newDeployment(t)
+	_, err := d.client.Ask(context.Background(), "s", ask("1"))
+	require.NoError(t, err)
+	holder, _ := d.owners[d.ranked[0].Address].Holders.Of("s")
+	other := d.owners[d.ranked[1].Address]
+	other.Holders.Hear(holder, "test")
+	d.fail(d.silent, holder.Address)
+	const flood = 1000
+	for range flood {
+		require.NoError(t, other.Note(&NoteArgs{Service: "s", Request: "1", Event: Ended}, &peer.Empty{}))
+	}
+	require.EqualValues(t, flood-passedOnAtOnce, other.Dropped())
+	require.Eventually(t, func() bool { return len(other.passing) == 0 }, 5*time.Second, 10*time.Millisecond)
+	d.network.mu.Lock()
+	d.silent = map[string]bool{}
+	d.network.mu.Unlock()
+	require.NoError(t, other.Note(&NoteArgs{Service: "s", Request: "1", Event: Ended}, &peer.Empty{}))
+	require.Eventually(t, func() bool { return d.granted(d.ranked[0]) == 0 }, time.Second, time.Millisecond)
+}
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -343,6 +343,7 @@
 		gauge(fmt.Sprintf("snipeshift_upstream_limit{service=%q,upstream=%q}", s, u), float64(rate))
 	})
 	vm.WriteCounterUint64(w, "snipeshift_questions_hedged_total", d.placer.Hedged())
+	vm.WriteCounterUint64(w, "snipeshift_messages_dropped_total", d.owner.Dropped())
 	for c, n := range d.registry.Calls() {
 		vm.WriteCounterUint64(w, fmt.Sprintf(`snipeshift_store_calls_total{feed=%q,call=%q,role=%q}`, c.Feed, c.Name(), c.Role), n)
 	}
