placer: a forwarded question that waits is asked less and less often

VMs that ask the holder in gates' place put each waiting question again every 30 ms, whatever the gate's own wait. In a flood hundreds wait, and a holder that is late is asked the more, which makes it later.

The pause doubles from 30 ms.

--- a/daemon/placer/hold.go
+++ b/daemon/placer/hold.go
@@ -24,8 +24,9 @@
 	// proveAfter is when its life is tested over a second connection beside: a lost packet of a kept one is sent
 	// again after 200 ms only.
 	proveAfter = 20 * clock.Milli(1)
-	// forwardEvery is the time between two questions about a request that waits at the holder.
-	forwardEvery = 30 * clock.Milli(1)
+	// forwardFirst is the time between the first two questions about a request that waits at the holder. It doubles: in a flood
+	// hundreds wait, and the holder is asked for each of them.
+	forwardFirst = 30 * clock.Milli(1)
 	// gatherWait bounds how long a new holder waits for gates to say what runs, before it decides.
 	gatherWait = 40 * clock.Milli(1)
 	// announceWait bounds an announcement to one VM, announcedAtOnce how many are under way: VMs that were lost together with
@@ -121,7 +122,7 @@
 // A gate may fail to reach a holder that is well. If the VM that it asks next decided by itself, two would give out the same engines.
 func (o *Owner) forward(args *AskArgs, reply *AskReply, to peer.Member) error {
 	began := o.Clock.Now()
-	for {
+	for wait := forwardFirst; ; wait *= 2 {
 		f := *args
 		passed := o.Clock.Now() - began
 		f.Ask.Aim -= passed
@@ -143,7 +144,7 @@
 		if r.Decided || r.Moved || o.Clock.Now()-began >= args.Wait {
 			return nil
 		}
-		time.Sleep(forwardEvery.Duration())
+		time.Sleep(min(wait, args.Wait).Duration())
 	}
 }
 
