span: late short requests are judged by the rate of the last moments as well

Cause: the wait of those that are queued was worked out from the rate of the last four seconds, in which nobody was late. The rate of the last 250 ms counts as well now, whichever is higher.

The test fails on the code before: 180 of 300 refused at once.

--- a/lib/decide/span/headroom.go
+++ b/lib/decide/span/headroom.go
@@ -16,6 +16,9 @@
 	// headroomWindow is the time over which the engines' spare time is averaged: about as
 	// long as two long reads, so that the gap between two does not count as calm.
 	headroomWindow = 4000.0
+	// lateWindow is the time over which the placing of late short requests is averaged as well: callers whose streams were all cut
+	// come back in one moment, and the seconds before tell nothing of how soon they find their places.
+	lateWindow = 250.0
 	// leastHeadroom is the share of the engines' time that is counted on for late
 	// prompts under any pressure: phases of pressure end.
 	leastHeadroom = 0.1
@@ -33,8 +36,9 @@
 	at   clock.Milli
 	// engines is how many there are that hold no short streams.
 	engines int
-	// served is how many late short requests are placed in a millisecond, averaged.
-	served float64
+	// served is how many late short requests are placed in a millisecond, averaged over headroomWindow, and lately over
+	// lateWindow.
+	served, lately float64
 }
 
 // observe takes the present state of the engines into the average.
@@ -57,16 +61,23 @@
 		share = float64(reading) / float64(engines)
 	}
 	keep := math.Exp(-float64(now-p.headroom.at) / headroomWindow)
-	p.headroom = headroom{busy: keep*p.headroom.busy + (1-keep)*share, at: now, engines: engines, served: keep * p.headroom.served}
+	soon := math.Exp(-float64(now-p.headroom.at) / lateWindow)
+	p.headroom = headroom{
+		busy: keep*p.headroom.busy + (1-keep)*share, at: now, engines: engines,
+		served: keep * p.headroom.served, lately: soon * p.headroom.lately,
+	}
 }
 
 // placed counts a late short request that found its place.
-func (h *headroom) placed() { h.served += 1 / headroomWindow }
+func (h *headroom) placed() {
+	h.served += 1 / headroomWindow
+	h.lately += 1 / lateWindow
+}
 
 // stuck reports whether a late short request behind this many others will be of no use
-// any more when it is placed, at the rate of the last seconds.
+// any more when it is placed, at the rate of the last seconds or of the last moments, whichever is higher.
 func (p *Pool) stuck(now clock.Milli, w *waiting, ahead int) (Decision, bool) {
-	wait := float64(ahead+1) / max(p.headroom.served, 1/headroomWindow)
+	wait := float64(ahead+1) / max(p.headroom.served, p.headroom.lately, 1/headroomWindow)
 	if w.cost == 0 || now-w.Aim < stuckAfter || float64(w.last-now) > wait+w.least {
 		return Decision{}, false
 	}
--- a/lib/decide/span/wave_test.go
+++ b/lib/decide/span/wave_test.go
@@ -68,3 +68,32 @@
 		}
 	})
 }
+
+// All streams were cut, and their callers come back in one moment after seconds in which nobody was late. Engines take them within a
+// second; by the pace of the seconds before they would all be refused.
+func TestCallersThatComeBackTogetherAreServed(t *testing.T) {
+	b := newBench(t, 40)
+	at := now
+	for range 400 { // calm
+		at += 10
+		b.Tick(at)
+	}
+	for range 300 {
+		a := b.note(at)
+		a.Aim, a.Patience = at-1700, at+2000
+		b.Ask(at, a)
+	}
+	served, reading := 0, map[clock.Milli][]decide.RequestID{}
+	for end := at + 2*clock.Second; at < end; at += 10 {
+		for _, id := range reading[at] {
+			b.First(at, id)
+		}
+		for _, d := range b.Tick(at) {
+			require.Equal(t, Granted, d.Action, "%d ms after they came, with %d served", at-end+2*clock.Second, served)
+			served++
+			read := at + 100
+			reading[read] = append(reading[read], d.Request)
+		}
+	}
+	require.Equal(t, 300, served)
+}
