registry: what two feeds learn of two eras at once is told apart

By reading: between the check of an answer's era and the taking of what it says, the other feed or a peer may tell of the next era. A list of the earlier one would then replace the copy's under the later era's doubt. It is left out under the lock; the test fails without it.

--- a/daemon/registry/era_test.go
+++ b/daemon/registry/era_test.go
@@ -63,6 +63,17 @@
 	require.EqualValues(t, 1, b.View().Table.Revision())
 }
 
+// Both feeds read at once: one hears of the next era while an answer of the earlier one, to the other, is being taken.
+func TestChangesOfAnEarlierEraAreNotTaken(t *testing.T) {
+	b := newBench(t)
+	b.returned(document(1), upstreams("a", "b"))
+	b.list()
+	b.learnUpstreams(list(upstreams("z")), mark(900), b.clock.Now())
+	b.changeUpstreams(list(upstreams("y")), mark(901), b.clock.Now())
+	used, _ := b.ids()
+	require.ElementsMatch(t, []decide.UpstreamID{"a", "b"}, used)
+}
+
 // In the copy stand an upstream that has left and one that leaves as if they were ready, and one is missing that came since.
 func TestWhatWasKnownStandsAgainstTheCopy(t *testing.T) {
 	b := newBench(t)
--- a/daemon/registry/upstreams.go
+++ b/daemon/registry/upstreams.go
@@ -16,6 +16,9 @@
 func (r *Registry) learnUpstreams(news route.News, position route.Position, at clock.Milli) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if position.Era < r.era {
+		return // another answer or a peer told of a later era meanwhile
+	}
 	r.bar(news.Unusable)
 	r.mass = r.massOf(r.missing(news.Upstreams))
 	r.takeList(r.doubt(news.Upstreams), position, at, r.remove)
@@ -92,6 +95,9 @@
 func (r *Registry) changeUpstreams(news route.News, position route.Position, at clock.Milli) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if position.Era < r.era {
+		return
+	}
 	r.bar(news.Unusable)
 	for _, u := range news.Upstreams {
 		// It was written in this era.
