span: a limit of an upstream's next life outlives the news of that life

By reading: an answer names the limit of a life that the list doesn't know yet. When the list tells of that life, the books of the earlier one are forgotten, and the limit went with them: 20 requests in two seconds where one a second was named. Only statements of earlier lives are forgotten.

--- a/lib/decide/ratelimit/ratelimit.go
+++ b/lib/decide/ratelimit/ratelimit.go
@@ -85,6 +85,9 @@
 
 // Since lists the statements that changed after a version, with the version up to which they are listed.
 func (t *Table) Since(now clock.Milli, version uint64) ([]Aged, uint64) {
+	if version == t.version {
+		return nil, version
+	}
 	var out []Aged
 	for u, e := range t.rows {
 		if e.version > version {
--- a/lib/decide/span/life.go
+++ b/lib/decide/span/life.go
@@ -24,7 +24,9 @@
 	clear(r.grants)
 	u, e := r.Upstream, r.engine
 	u.Born = born
-	r.limit.Reset()
+	if s, known := r.limit.Statement(); !known || s.Born < born {
+		r.limit.Reset()
+	}
 	*r = row{Upstream: u, engine: e, grants: r.grants, limit: r.limit}
 }
 
--- a/lib/decide/span/limits_test.go
+++ b/lib/decide/span/limits_test.go
@@ -139,6 +139,9 @@
 	b.lives(8)
 	require.Greater(t, b.notes(now+3*clock.Second, now+5*clock.Second, 100)["e00"], 10)
 	require.False(t, b.Limit(now+5*clock.Second, "e00", ratelimit.Statement{Named: true, Rate: 1, Born: 7, At: now + 5*clock.Second}))
+	b.Limit(now+5*clock.Second, "e00", ratelimit.Statement{Named: true, Rate: 1, Born: 9, At: now + 5*clock.Second})
+	b.lives(9)
+	require.InDelta(t, 2, b.notes(now+5*clock.Second, now+7*clock.Second, 100)["e00"], 1, "its answer came before the list told of its life")
 }
 
 // The owner of a service stops as planned just after it gave out what the limit allows. Its successor must not give it out again.
