span: a list of grants that the end of one overtook brings nothing back

The holder doesn't know the grant any more, takes it for one of an owner before, and holds a slot for it until the next list, seconds. The same can happen to a question that was put by way of a second VM.

Both tests fail without.

--- a/lib/decide/span/pool.go
+++ b/lib/decide/span/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"snipeshift.example/lib/clock"
@@ -34,8 +35,11 @@
 	// order holds the rows in the fixed order in which short work is packed.
 	order []*row
 	queue map[decide.RequestID]*waiting
-	// grants holds every live grant.
-	grants    map[decide.RequestID]*granted
+	// grants holds every live grant, over when sends ended of which a question or a list may still be on its way.
+	grants map[decide.RequestID]*granted
+	over   map[decide.RequestID]clock.Milli
+	// swept is when over was swept last.
+	swept     clock.Milli
 	headroom  headroom
 	large     largeShare
 	isolation isolation
@@ -48,7 +52,7 @@
 func New(r Rules, b *gate.Budget) *Pool {
 	return &Pool{
 		rules: r, budget: b, rows: map[decide.UpstreamID]*row{},
-		queue: map[decide.RequestID]*waiting{}, grants: map[decide.RequestID]*granted{},
+		queue: map[decide.RequestID]*waiting{}, grants: map[decide.RequestID]*granted{}, over: map[decide.RequestID]clock.Milli{},
 		limits: limits{rows: map[decide.UpstreamID]*ratelimit.Pace{}},
 	}
 }
@@ -92,7 +96,8 @@
 }
 
 // Ask queues a request, or notes that its gate still waits for it. A grant that
-// was made and whose answer was lost is given again.
+// was made and whose answer was lost is given again. A question that arrives after the end of its send, since it was also put
+// by way of another VM, is not queued: nobody would use the grant.
 func (p *Pool) Ask(now clock.Milli, a Ask) (Grant, bool) {
 	if g := p.grants[a.ID]; g != nil {
 		g.heard = now
@@ -102,6 +107,9 @@
 		w.heard = now
 		return Grant{}, false
 	}
+	if _, over := p.over[a.ID]; over {
+		return Grant{}, false
+	}
 	w := &waiting{Ask: a, since: now, heard: now}
 	p.weigh(w)
 	p.queue[a.ID] = w
@@ -122,6 +130,10 @@
 			delete(p.queue, id)
 		}
 	}
+	if now-p.swept > askLives {
+		p.swept = now
+		maps.DeleteFunc(p.over, func(_ decide.RequestID, at clock.Milli) bool { return now-at > askLives })
+	}
 	for id, g := range p.grants {
 		if now-g.heard > grantLives {
 			p.drop(now, id)
@@ -132,6 +144,7 @@
 // Withdraw takes a queued or granted request back of which nothing was sent.
 func (p *Pool) Withdraw(now clock.Milli, id decide.RequestID) {
 	delete(p.queue, id)
+	p.over[id] = now
 	p.drop(now, id)
 }
 
@@ -169,6 +182,7 @@
 // End notes the end of a send. The culprit, where it is known, is the upstream
 // at fault; empty means the leader.
 func (p *Pool) End(now clock.Milli, id decide.RequestID, o Outcome, culprit decide.UpstreamID) {
+	p.over[id] = now
 	g := p.grants[id]
 	if g == nil {
 		return
@@ -195,6 +209,9 @@
 	for _, l := range live {
 		named[l.Grant.Request] = true
 		g := p.grants[l.Grant.Request]
+		if _, over := p.over[l.Grant.Request]; over && g == nil {
+			continue // the list was made before the end, and came after it
+		}
 		if g == nil {
 			g = p.adopt(now, l, Ask{ID: l.Grant.Request, Gate: gate})
 			g.presented = true
--- a/lib/decide/span/pool_test.go
+++ b/lib/decide/span/pool_test.go
@@ -253,6 +253,29 @@
 
 // The owner dies. Its successor's books are empty until the gates name what runs,
 // and it would give every engine out a second time.
+// A question is put by way of a second VM beside, and arrives there when its send is over already. Granted again, it would hold a slot for
+// seconds.
+func TestAQuestionAfterItsEndIsNotGranted(t *testing.T) {
+	b := newBench(t, 1)
+	a := b.note(now)
+	b.granted(now, a)
+	b.End(now, a.ID, Done, "")
+	_, granted := b.Ask(now+10, a)
+	require.False(t, granted)
+	require.Empty(t, b.Tick(now+10))
+	require.Equal(t, Counts{Upstreams: 1}, b.Counts())
+}
+
+// A gate lists what it has running, its request ends, and the word of the end is faster than the list. Entered again, the grant would hold
+// a slot for seconds.
+func TestAListThatTheEndOvertookBringsNothingBack(t *testing.T) {
+	b := newBench(t, 1)
+	g := b.granted(now, b.note(now))
+	b.End(now, g.Request, Done, "")
+	b.Present(now+10, "g", []Live{{Grant: g}})
+	require.Equal(t, Counts{Upstreams: 1}, b.Counts())
+}
+
 func TestASuccessorLearnsWhatRuns(t *testing.T) {
 	old, successor := newBench(t, 2), newBench(t, 2)
 	var live []Live
