registry: a VM that starts during a drill takes its peers' document

The store had come back from a copy of before the withdrawal 2.4 s earlier, and the operator had not written again yet.

Cause: a VM that starts waits 30 ms for a peer to tell what it knows, then believes the store; beside load no peer was so fast.

A VM without a document waits up to 400 ms for a peer's word, if the store's era says that it came back from a copy at any time, and doesn't take a document below the one that a peer knows of. Stores of the first era, or without one, cost no wait. VMs that reach nobody believe the store after it: nothing else is known.

--- a/daemon/registry/era.go
+++ b/daemon/registry/era.go
@@ -1,11 +1,14 @@
 package registry
 
 import (
+	"context"
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/zeebo/errs"
 
+	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/logline"
 	"snipeshift.example/lib/route"
 )
@@ -31,6 +34,29 @@
 // Eras counts the changes of the store's era that this VM noticed.
 func (r *Registry) Eras() uint64 { return r.eras.Load() }
 
+const (
+	// firstEra is that of a store that never came back from a copy.
+	firstEra route.Era = 1
+	// peerWait is how long a VM that knows no document waits for a peer's word before it believes a store that came back from a copy
+	// once: members that are up answer the first heartbeat.
+	peerWait = 400 * clock.Milli(1)
+)
+
+// awaitPeer waits, at a VM that has just started, until a peer has told of the document that it knows. The store may just have come back from a
+// copy, with an earlier document in which a key that was taken away still opens.
+func (r *Registry) awaitPeer(ctx context.Context, era route.Era) {
+	if era <= firstEra || r.readers == nil || r.View().Table != nil {
+		return
+	}
+	t := time.NewTimer((r.bootstrapped + peerWait - r.clock.Now()).Duration())
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	case <-r.heard:
+	}
+}
+
 // enter takes the era of an answer of the store. An answer of an earlier one is an error.
 func (r *Registry) enter(era route.Era) error {
 	r.mu.Lock()
--- a/daemon/registry/era_test.go
+++ b/daemon/registry/era_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -176,3 +177,40 @@
 	b.settle(route.Position{}, 0)
 	require.Equal(t, 2, b.there())
 }
+
+// A VM starts while the store has just come back from a copy, in which a key that was taken away still opens. Its peers know the later document:
+// it waits for their word, and does not take the copy's.
+func TestAVMThatStartsDuringADrillTakesItsPeersDocument(t *testing.T) {
+	peers := newBench(t)
+	peers.store.document = document(5)
+	peers.list()
+	young := New(peers.store, direct{peers.Registry}, peers.clock, peers.log)
+	young.ReadBy(func() Roster { return Roster{} })
+	peers.returned(document(3), upstreams("a", "b"))
+	peers.store.at.Era = 2
+	listed := make(chan struct{})
+	go func() {
+		defer close(listed)
+		_, err := young.listDocument(peers.ctx)
+		require.NoError(t, err)
+	}()
+	beat := &peer.BeatArgs{From: peer.Member{VM: "known"}}
+	peers.Fill("", beat)
+	young.Learn(beat, true)
+	<-listed
+	require.Eventually(t, func() bool { return young.View().Table != nil }, time.Second, time.Millisecond)
+	require.EqualValues(t, 5, young.View().Table.Revision())
+}
+
+// Nobody answers a VM that starts: it believes the store after a while.
+func TestAVMThatStartsAloneBelievesTheStore(t *testing.T) {
+	b := newBench(t)
+	b.store.at.Era = 2
+	alone := New(b.store, nil, b.clock, b.log)
+	alone.ReadBy(func() Roster { return Roster{} })
+	began := time.Now()
+	_, err := alone.listDocument(b.ctx)
+	require.NoError(t, err)
+	require.NotNil(t, alone.View().Table)
+	require.Less(t, time.Since(began), 2*peerWait.Duration())
+}
--- a/daemon/registry/follow.go
+++ b/daemon/registry/follow.go
@@ -198,6 +198,7 @@
 		r.reject(err)
 		return at, nil
 	}
+	r.awaitPeer(ctx, at.Era)
 	r.learnDocument(d, sent, fromStore)
 	return at, nil
 }
--- a/daemon/registry/peers.go
+++ b/daemon/registry/peers.go
@@ -86,6 +86,8 @@
 		r.change(w.Era, fromPeer)
 	}
 	if w.Revision > 0 {
+		r.told = max(r.told, w.Revision)
+		r.heardOnce.Do(func() { close(r.heard) })
 		switch {
 		case r.table == nil || w.Revision > r.table.Revision():
 			ask = true
--- a/daemon/registry/registry.go
+++ b/daemon/registry/registry.go
@@ -149,6 +149,10 @@
 	// era is the latest one of the store that is known, and entered when it began as far as this VM knows; zero for the first one.
 	era     route.Era
 	entered clock.Milli
+	// heard is closed once a peer has told of a document that it knows, told is the latest one of these.
+	heard     chan struct{}
+	heardOnce sync.Once
+	told      route.Revision
 	// doubted holds entries of the copy that the store came back from and that say less than was known, until they are believed.
 	doubted   map[decide.UpstreamID]route.Upstream
 	upstreams map[decide.UpstreamID]route.Upstream
@@ -229,7 +233,7 @@
 // New returns a registry that knows nothing yet; Run follows the store.
 func New(s Store, p Peers, k Clock, l *log.Logger) *Registry {
 	r := &Registry{
-		store: s, peers: p, clock: k, log: l, known: make(chan struct{}),
+		store: s, peers: p, clock: k, log: l, known: make(chan struct{}), heard: make(chan struct{}),
 		upstreams: map[decide.UpstreamID]route.Upstream{}, gone: map[decide.UpstreamID]clock.Milli{},
 		shut: map[peer.VM]clock.Milli{},
 		left: map[decide.UpstreamID]leaver{}, unusable: map[decide.UpstreamID]string{}, watches: map[string]watch{}, doubted: map[decide.UpstreamID]route.Upstream{},
@@ -281,7 +285,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if from == fromStore {
-		r.behind = r.table != nil && d.Revision < r.table.Revision()
+		r.behind = d.Revision < r.told || r.table != nil && d.Revision < r.table.Revision()
+		if r.behind && r.table == nil {
+			return // a peer's later one is on its way
+		}
 	}
 	if r.table != nil && d.Revision <= r.table.Revision() {
 		if d.Revision == r.table.Revision() {
