--- a/daemon/placer/hold.go
+++ b/daemon/placer/hold.go
@@ -21,9 +21,6 @@
 	// verifyWait is how long a holder may take to answer a question that was forwarded to it, before it counts as silent. VMs are
 	// milliseconds apart, and a share of the processor that is cut leaves a holder out for up to 60 ms.
 	verifyWait = 80 * clock.Milli(1)
-	// verifyDoublings bounds how often that time doubles, once for each change of holder within unrest but the first.
-	verifyDoublings = 3
-	unrest          = 2 * clock.Second
 	// proveAfter is when its life is tested over a second connection beside: a lost packet of a kept one is sent
 	// again after 200 ms only.
 	proveAfter = 20 * clock.Milli(1)
@@ -154,7 +151,7 @@
 // reach puts a question to the holder. It fails only if the holder answers neither on the kept connection nor
 // on a new one.
 func (o *Owner) reach(to peer.Member, args *AskArgs, reply *AskReply) error {
-	ctx, cancel := context.WithTimeout(context.Background(), o.Holders.patience(args.Service).Duration())
+	ctx, cancel := context.WithTimeout(context.Background(), verifyWait.Duration())
 	defer cancel()
 	proof := make(chan error, 1)
 	prove := func() { proof <- o.Peers.Prove(ctx, to.Address) }
--- a/daemon/placer/holders.go
+++ b/daemon/placer/holders.go
@@ -1,14 +1,12 @@
 package placer
 
 import (
-	"slices"
 	"sync"
 
 	"github.com/phuslu/log"
 
 	"snipeshift.example/daemon/holder"
 	"snipeshift.example/daemon/member"
-	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/logline"
 	"snipeshift.example/lib/peer"
 	"snipeshift.example/lib/route"
@@ -25,19 +23,13 @@
 	ranks ranks
 	// moved is closed, for each service that is waited for, when its holder changes.
 	moved map[route.ServiceID]chan struct{}
-	// taken holds when another VM became the holder of each service of late, oldest first; the first holder does not count.
-	taken map[route.ServiceID][]clock.Milli
-	clock Clock
 	// follow are called with each new holder, without locks.
 	follow []func(peer.Holder)
 }
 
 // NewHolders returns the holders as a VM sees them that knows of none.
-func NewHolders(m Members, k Clock, l *log.Logger) *Holders {
-	return &Holders{
-		members: m, clock: k, log: l, table: holder.New(m.Self()),
-		moved: map[route.ServiceID]chan struct{}{}, taken: map[route.ServiceID][]clock.Milli{},
-	}
+func NewHolders(m Members, l *log.Logger) *Holders {
+	return &Holders{members: m, log: l, table: holder.New(m.Self()), moved: map[route.ServiceID]chan struct{}{}}
 }
 
 // Follow has f called with each new holder. It is called before anything is learnt.
@@ -79,9 +71,6 @@
 		close(c)
 		delete(h.moved, x.Service)
 	}
-	if x.Epoch > 1 {
-		h.taken[x.Service] = append(h.lately(x.Service), h.clock.Now())
-	}
 	h.mu.Unlock()
 	h.log.Info().Str(logline.Key, logline.Holder).Str("service", string(x.Service)).Str("owner", string(x.VM)).
 		Uint64("epoch", x.Epoch).Str("cause", cause).Msg("a service has another holder")
@@ -90,21 +79,6 @@
 	}
 }
 
-// lately lists the changes of a service's holder that are not long ago. The lock is held.
-func (h *Holders) lately(s route.ServiceID) []clock.Milli {
-	now := h.clock.Now()
-	return slices.DeleteFunc(h.taken[s], func(at clock.Milli) bool { return now-at > unrest })
-}
-
-// patience is how long the holder of a service may take to answer before another VM takes the service over: twice as long with each change
-// of late beyond the first. Each change is work for all VMs, and in a flood a successor is as busy as the holder before.
-func (h *Holders) patience(s route.ServiceID) clock.Milli {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.taken[s] = h.lately(s)
-	return verifyWait << min(max(len(h.taken[s])-1, 0), verifyDoublings)
-}
-
 // Moved is closed when the holder of a service changes.
 func (h *Holders) Moved(s route.ServiceID) <-chan struct{} {
 	h.mu.Lock()
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -127,7 +127,7 @@
 		d.registry.Await(registry.FirstWait)
 	}
 	q := quarantine.New(d.clock, d.members, d.dialer)
-	d.holders = placer.NewHolders(d.members, d.clock, d.log)
+	d.holders = placer.NewHolders(d.members, d.log)
 	d.members.Add(d.registry, q, d.holders)
 	kept := upstreamTransport()
 	engines := platform.NewEngines(kept)
