registry: a VM that reaches nobody at its start gives the operator time to write again

While no peer has answered at all it waits up to two seconds, in which writers write again, and then lists anew; one that reached peers which know nothing either goes on after 400 ms. Only stores that came back from a copy cost any wait.

--- a/daemon/registry/era.go
+++ b/daemon/registry/era.go
@@ -4,7 +4,6 @@
 	"context"
 	"maps"
 	"slices"
-	"time"
 
 	"github.com/zeebo/errs"
 
@@ -37,24 +36,30 @@
 const (
 	// firstEra is that of a store that never came back from a copy.
 	firstEra route.Era = 1
-	// peerWait is how long a VM that knows no document waits for a peer's word before it believes a store that came back from a copy
-	// once: members that are up answer the first heartbeat.
-	peerWait = 400 * clock.Milli(1)
+	// peerWait is how long a VM that knows no document waits for a peer that knows one before it believes a store that came back from a
+	// copy once; aloneWait is the same while no peer has answered at all: the operator's time to write again.
+	peerWait  = 400 * clock.Milli(1)
+	aloneWait = 2 * clock.Second
 )
 
 // awaitPeer waits, at a VM that has just started, until a peer has told of the document that it knows. The store may just have come back from a
-// copy, with an earlier document in which a key that was taken away still opens.
-func (r *Registry) awaitPeer(ctx context.Context, era route.Era) {
-	if era <= firstEra || r.readers == nil || r.View().Table != nil {
-		return
+// copy, with an earlier document in which a key that was taken away still opens. It waits once, and reports whether it did.
+func (r *Registry) awaitPeer(ctx context.Context, era route.Era) bool {
+	if era <= firstEra || r.readers == nil || r.View().Table != nil || r.awaited.Swap(true) {
+		return false
 	}
-	t := time.NewTimer((r.bootstrapped + peerWait - r.clock.Now()).Duration())
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	case <-r.heard:
+	for began := r.clock.Now(); ctx.Err() == nil; pause(ctx, bootstrapPoll) {
+		select {
+		case <-r.heard:
+			return true
+		default:
+		}
+		waited := r.clock.Now() - began
+		if waited >= aloneWait || waited >= peerWait && r.answered.Load() {
+			return true
+		}
 	}
+	return true
 }
 
 // enter takes the era of an answer of the store. An answer of an earlier one is an error.
--- a/daemon/registry/era_test.go
+++ b/daemon/registry/era_test.go
@@ -202,15 +202,23 @@
 	require.EqualValues(t, 5, young.View().Table.Revision())
 }
 
-// Nobody answers a VM that starts: it believes the store after a while.
+// Nobody that a VM reaches at its start knows a document, or nobody answers: it believes the store after a while.
 func TestAVMThatStartsAloneBelievesTheStore(t *testing.T) {
 	b := newBench(t)
 	b.store.at.Era = 2
-	alone := New(b.store, nil, b.clock, b.log)
-	alone.ReadBy(func() Roster { return Roster{} })
-	began := time.Now()
-	_, err := alone.listDocument(b.ctx)
-	require.NoError(t, err)
-	require.NotNil(t, alone.View().Table)
-	require.Less(t, time.Since(began), 2*peerWait.Duration())
+	for _, answered := range []bool{false, true} {
+		alone := New(b.store, nil, clock.Boot{}, b.log)
+		alone.ReadBy(func() Roster { return Roster{} })
+		wait := aloneWait
+		if answered {
+			wait = peerWait
+			alone.Learn(&peer.BeatArgs{From: peer.Member{VM: "young"}}, true)
+		}
+		began := time.Now()
+		_, err := alone.listDocument(b.ctx)
+		require.NoError(t, err)
+		require.NotNil(t, alone.View().Table)
+		require.GreaterOrEqual(t, time.Since(began), wait.Duration())
+		require.Less(t, time.Since(began), wait.Duration()+time.Second)
+	}
 }
--- a/daemon/registry/follow.go
+++ b/daemon/registry/follow.go
@@ -198,7 +198,9 @@
 		r.reject(err)
 		return at, nil
 	}
-	r.awaitPeer(ctx, at.Era)
+	if r.awaitPeer(ctx, at.Era) {
+		return r.listDocument(ctx) // the operator may have written again meanwhile
+	}
 	r.learnDocument(d, sent, fromStore)
 	return at, nil
 }
--- a/daemon/registry/peers.go
+++ b/daemon/registry/peers.go
@@ -85,6 +85,7 @@
 	if w.Era > r.era {
 		r.change(w.Era, fromPeer)
 	}
+	r.answered.Store(true)
 	if w.Revision > 0 {
 		r.told = max(r.told, w.Revision)
 		r.heardOnce.Do(func() { close(r.heard) })
--- a/daemon/registry/registry.go
+++ b/daemon/registry/registry.go
@@ -150,9 +150,11 @@
 	era     route.Era
 	entered clock.Milli
 	// heard is closed once a peer has told of a document that it knows, told is the latest one of these.
-	heard     chan struct{}
-	heardOnce sync.Once
-	told      route.Revision
+	// answered is set once any peer has told anything, awaited once this VM has waited for one.
+	answered, awaited atomic.Bool
+	heard             chan struct{}
+	heardOnce         sync.Once
+	told              route.Revision
 	// doubted holds entries of the copy that the store came back from and that say less than was known, until they are believed.
 	doubted   map[decide.UpstreamID]route.Upstream
 	upstreams map[decide.UpstreamID]route.Upstream
