statement, platform, placer, relay: what upstreams say of rest and leaving is read and logged

What an upstream says of itself is one type now, of a closed list of kinds: limit, rest, leaving (lib/decide/statement, which takes over the table of limits; lib/decide/ratelimit keeps the pace). The codec reads all three of any answer, to a request, an order or a poll; each change is logged (events rest, leaving) and shown as a metric. A value that is no such word is logged, and so is a header field that nobody reads, once a name: three times now a contract was in the answers first.

No decision uses the two new kinds yet.

--- a/daemon/placer/client.go
+++ b/daemon/placer/client.go
@@ -55,6 +55,7 @@
 	own     *Owner
 	holders *Holders
 	silent  *silent
+	heard   *heard
 	hedges  hedges
 	gate    decide.GateID
 
@@ -63,8 +64,6 @@
 	asked map[route.ServiceID]bool
 	// live holds the grants in use.
 	live map[decide.RequestID]*use
-	// limits holds what upstreams of each service say of the rate of requests that they take.
-	limits map[route.ServiceID]*limitsKnown
 }
 
 // use is a grant in use.
@@ -78,7 +77,7 @@
 	c := &Client{
 		clock: k, log: l, members: m, peers: p, own: own, holders: own.Holders, gate: gate,
 		silent: newSilent(l, m, p), asked: map[route.ServiceID]bool{}, live: map[decide.RequestID]*use{},
-		limits: map[route.ServiceID]*limitsKnown{},
+		heard: own.heard,
 	}
 	c.holders.Follow(c.followed)
 	return c
@@ -90,7 +89,7 @@
 		for s, live := range c.grouped() {
 			c.present(ctx, s, live)
 		}
-		c.forgetLimits()
+		c.forgetStatements()
 	})
 	return nil
 }
@@ -121,8 +120,8 @@
 
 func (c *Client) present(ctx context.Context, s route.ServiceID, live []span.Live) {
 	args := &PresentArgs{Service: s, Gate: c.gate, Live: live}
-	limits := c.pendingLimits(s)
-	args.Limits = limits.statements
+	unsaid := c.pending(s)
+	args.Statements = unsaid.statements
 	ctx, cancel := context.WithTimeout(ctx, (askWait + answerSlack).Duration())
 	defer cancel()
 	for range routings {
@@ -134,7 +133,7 @@
 			return
 		}
 		if reply.Holder == nil {
-			c.acknowledge(s, limits)
+			c.heard.acknowledge(s, unsaid)
 			return
 		}
 		c.holders.Hear(*reply.Holder, "answer")
@@ -189,7 +188,7 @@
 	c.live[reply.Grant.Request] = &use{Live: span.Live{Grant: reply.Grant}, service: s}
 	c.mu.Unlock()
 	if l := reply.Limit; l != nil {
-		c.learn(s, l.Upstream, l.Statement(c.clock.Now()), fromOwner)
+		c.heard.learn(s, l.Upstream, l.Statement(c.clock.Now()), fromOwner)
 	}
 }
 
@@ -204,7 +203,7 @@
 // local asks this VM's own owner, whoever holds the service.
 func (c *Client) local(s route.ServiceID, a span.Ask, wait clock.Milli) (AskReply, error) {
 	args := c.question(s, a, wait)
-	args.Local, args.Limits = true, c.allLimits(s)
+	args.Local, args.Statements = true, c.heard.all(s)
 	var reply AskReply
 	return reply, c.own.Ask(args, &reply)
 }
@@ -230,7 +229,7 @@
 	}
 	c.mu.Unlock()
 	if u != nil {
-		c.note(NoteArgs{Service: u.service, Request: id, Event: First, Limit: c.limitOf(u)})
+		c.note(NoteArgs{Service: u.service, Request: id, Event: First, Statements: c.about(u)})
 	}
 }
 
@@ -241,7 +240,7 @@
 	delete(c.live, id)
 	c.mu.Unlock()
 	if u != nil {
-		c.note(NoteArgs{Service: u.service, Request: id, Event: Ended, Outcome: o, Culprit: culprit, Limit: c.limitOf(u)})
+		c.note(NoteArgs{Service: u.service, Request: id, Event: Ended, Outcome: o, Culprit: culprit, Statements: c.about(u)})
 	}
 }
 
--- a/daemon/placer/hold.go
+++ b/daemon/placer/hold.go
@@ -131,7 +131,7 @@
 			f.Ask.Patience -= passed
 		}
 		f.Forwarded, f.Wait, f.Known = true, 0, nil
-		f.Limits = older(args.Limits, passed)
+		f.Statements = older(args.Statements, passed)
 		var r AskReply
 		if err := o.reach(to, &f, &r); err != nil {
 			return err
--- a/daemon/placer/limits_test.go
+++ b/daemon/placer/limits_test.go
@@ -8,7 +8,7 @@
 
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
-	"snipeshift.example/lib/decide/ratelimit"
+	"snipeshift.example/lib/decide/statement"
 	"snipeshift.example/lib/peer"
 )
 
@@ -25,15 +25,15 @@
 	f.sends = append(f.sends, fleetSend{u, time.Since(f.began)})
 	rate, named := f.limits[u]
 	f.mu.Unlock()
-	v.client.Limit("s", u, ratelimit.Statement{Named: named, Rate: rate, At: now})
+	v.client.Hear("s", u, statement.Statement{Named: named, Rate: rate, At: now})
 }
 
 // name has an engine name a limit in its answers from now on.
-func (f *lossFleet) name(u decide.UpstreamID, rate ratelimit.PerSecond) {
+func (f *lossFleet) name(u decide.UpstreamID, rate statement.PerSecond) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.limits == nil {
-		f.limits = map[decide.UpstreamID]ratelimit.PerSecond{}
+		f.limits = map[decide.UpstreamID]statement.PerSecond{}
 	}
 	f.limits[u] = rate
 }
--- a/daemon/placer/loss_test.go
+++ b/daemon/placer/loss_test.go
@@ -15,8 +15,8 @@
 	"snipeshift.example/daemon/member"
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
-	"snipeshift.example/lib/decide/ratelimit"
 	"snipeshift.example/lib/decide/span"
+	"snipeshift.example/lib/decide/statement"
 	"snipeshift.example/lib/peer"
 )
 
@@ -61,7 +61,7 @@
 	// cuts names for some VMs another one that they do not reach.
 	cuts map[peer.VM]peer.VM
 	// limits are what engines name in their answers, sends what they got.
-	limits map[decide.UpstreamID]ratelimit.PerSecond
+	limits map[decide.UpstreamID]statement.PerSecond
 	sends  []fleetSend
 }
 
--- a/daemon/placer/messages.go
+++ b/daemon/placer/messages.go
@@ -10,8 +10,8 @@
 import (
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
-	"snipeshift.example/lib/decide/ratelimit"
 	"snipeshift.example/lib/decide/span"
+	"snipeshift.example/lib/decide/statement"
 	"snipeshift.example/lib/fault"
 	"snipeshift.example/lib/peer"
 	"snipeshift.example/lib/route"
@@ -36,8 +36,8 @@
 	Forwarded bool
 	// Local is set if the gate reaches nobody and its own VM is to decide, whoever holds the service.
 	Local bool
-	// Limits are statements of upstreams that this owner has not acknowledged yet.
-	Limits []ratelimit.Aged
+	// Statements of upstreams are those that this owner has not acknowledged yet.
+	Statements []statement.Aged
 }
 
 // AskReply is the answer to a question.
@@ -58,7 +58,7 @@
 	// Holder is set if another VM holds the service than the one whose epoch the gate gave.
 	Holder *peer.Holder
 	// Limit is what the owner knows of the limit of the upstream that leads the grant; nil for nothing.
-	Limit *ratelimit.Aged
+	Limit *statement.Aged
 }
 
 // Event tells what became of a grant.
@@ -81,8 +81,8 @@
 	Culprit decide.UpstreamID
 	// Forwarded is set if another VM passes the message on.
 	Forwarded bool
-	// Limit is the newest statement of the upstream that leads the grant; nil if it never named a limit.
-	Limit *ratelimit.Aged
+	// Statements are those of the grant's upstreams.
+	Statements []statement.Aged
 }
 
 // PresentArgs names all live grants of a gate at one service.
@@ -90,8 +90,8 @@
 	Service route.ServiceID
 	Gate    decide.GateID
 	Live    []span.Live
-	// Limits are statements of upstreams that this owner has not acknowledged yet.
-	Limits []ratelimit.Aged
+	// Statements of upstreams are those that this owner has not acknowledged yet.
+	Statements []statement.Aged
 }
 
 // PresentReply answers a list of grants.
--- a/daemon/placer/owner.go
+++ b/daemon/placer/owner.go
@@ -12,7 +12,6 @@
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
 	"snipeshift.example/lib/decide/gate"
-	"snipeshift.example/lib/decide/ratelimit"
 	"snipeshift.example/lib/decide/span"
 	"snipeshift.example/lib/peer"
 	"snipeshift.example/lib/route"
@@ -61,6 +60,8 @@
 	Clock     Clock
 	Knowledge Knowledge
 	Reports   Reports
+	// Gate names this VM in this life, to upstreams that are asked for their load.
+	Gate decide.GateID
 	// Name is that of this VM, and Alone reports whether no other member was ever heard of.
 	Name  string
 	Alone func() bool
@@ -76,6 +77,7 @@
 type Owner struct {
 	OwnerNeeds
 	budget Budget
+	heard  *heard
 
 	mu    sync.Mutex
 	pools map[route.ServiceID]*ownedPool
@@ -109,7 +111,7 @@
 
 // NewOwner returns an owner without pools.
 func NewOwner(n OwnerNeeds, b Budget) *Owner {
-	o := &Owner{OwnerNeeds: n, budget: b, pools: map[route.ServiceID]*ownedPool{}, passing: make(chan struct{}, passedOnAtOnce)}
+	o := &Owner{OwnerNeeds: n, budget: b, heard: newHeard(n.Clock, n.Log), pools: map[route.ServiceID]*ownedPool{}, passing: make(chan struct{}, passedOnAtOnce)}
 	n.Holders.Follow(o.followed)
 	return o
 }
@@ -156,7 +158,7 @@
 	}
 	h := o.host(args.Service)
 	h.pool.Divide(now, o.otherOwners(args))
-	o.learn(args.Service, h, now, args.Limits)
+	o.learn(args.Service, h, now, args.Statements)
 	h.asked = now
 	o.pollReports(args.Service, h)
 	if d, ok := h.kept[a.ID]; ok {
@@ -273,9 +275,7 @@
 	h := o.host(args.Service)
 	defer h.mu.Unlock()
 	defer o.pollReports(args.Service, h)
-	if args.Limit != nil {
-		o.learn(args.Service, h, now, []ratelimit.Aged{*args.Limit})
-	}
+	o.learn(args.Service, h, now, args.Statements)
 	switch args.Event {
 	case First:
 		h.pool.First(now, args.Request)
@@ -300,7 +300,7 @@
 	now := o.Clock.Now()
 	h := o.host(args.Service)
 	defer h.mu.Unlock()
-	o.learn(args.Service, h, now, args.Limits)
+	o.learn(args.Service, h, now, args.Statements)
 	h.pool.Present(now, args.Gate, args.Live)
 	o.tick(h, now)
 	return nil
--- a/daemon/placer/poll.go
+++ b/daemon/placer/poll.go
@@ -68,7 +68,7 @@
 		case e := <-ends:
 			pending--
 			if e.err == nil {
-				return c.heard(e), nil
+				return c.follow(e), nil
 			}
 			if ctx.Err() != nil {
 				return AskReply{}, ctx.Err()
@@ -87,8 +87,8 @@
 	return AskReply{}, errNobody
 }
 
-// heard takes an answer's word on who holds the service.
-func (c *Client) heard(e reached) AskReply {
+// follow takes an answer's word on who holds the service.
+func (c *Client) follow(e reached) AskReply {
 	if e.reply.Holder != nil {
 		go c.holders.Hear(*e.reply.Holder, "answer")
 	}
@@ -98,15 +98,15 @@
 // put calls one VM.
 func (c *Client) put(ctx context.Context, s route.ServiceID, a span.Ask, wait clock.Milli, m peer.Member) (AskReply, error) {
 	args := c.question(s, a, wait)
-	limits := c.pendingLimits(s)
-	args.Limits = limits.statements
+	unsaid := c.pending(s)
+	args.Statements = unsaid.statements
 	if x, ok := c.holders.Of(s); ok && x.VM != m.VM {
 		args.Known = &x
 	}
 	var reply AskReply
 	if m.VM == c.members.Self().VM {
 		err := c.own.Ask(args, &reply)
-		c.delivered(s, limits, args, &reply)
+		c.delivered(s, unsaid, args, &reply)
 		return reply, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, (wait + answerSlack).Duration())
@@ -115,7 +115,7 @@
 	if err := c.peers.Call(ctx, m.Address, Name+".Ask", args, &reply); err != nil {
 		return AskReply{}, err
 	}
-	c.delivered(s, limits, args, &reply)
+	c.delivered(s, unsaid, args, &reply)
 	c.hedges.way(c.clock.Now() - began - reply.Waited)
 	c.silent.answered(m)
 	return reply, nil
--- a/daemon/placer/reports.go
+++ b/daemon/placer/reports.go
@@ -8,7 +8,7 @@
 
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
-	"snipeshift.example/lib/decide/ratelimit"
+	"snipeshift.example/lib/decide/statement"
 	"snipeshift.example/lib/exchange"
 	"snipeshift.example/lib/logline"
 	"snipeshift.example/lib/route"
@@ -77,16 +77,16 @@
 	load, err := o.Reports.Report(ctx, u.Address)
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	now := o.Clock.Now()
+	for _, st := range load.Said.Statements(now, o.Gate, max(load.Born, u.Born)) {
+		o.heard.learn(s, id, st, fromAnswer)
+		o.learn(s, h, now, []statement.Aged{st.Aged(now, id)})
+	}
 	if err != nil {
 		o.Log.Warn().Str(logline.Key, logline.Report).Str("upstream", string(id)).Err(err).Msg("an upstream in doubt does not report")
 		h.pool.Unreported(id)
 		return
 	}
-	now := o.Clock.Now()
-	if load.Limit.Named {
-		st := ratelimit.Statement{Named: true, Rate: load.Limit.Rate, Born: load.Born, At: now}
-		o.learn(s, h, now, []ratelimit.Aged{st.Aged(now, id)})
-	}
 	h.pool.Report(now, id, load)
 	if load.Requests == 0 && load.Pace <= 1 {
 		return
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -25,7 +25,7 @@
 	"snipeshift.example/daemon/settings"
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
-	"snipeshift.example/lib/decide/ratelimit"
+	"snipeshift.example/lib/decide/statement"
 	"snipeshift.example/lib/dial"
 	"snipeshift.example/lib/logline"
 	"snipeshift.example/lib/peer"
@@ -131,13 +131,13 @@
 	d.members.Add(d.registry, q, d.holders)
 	kept := upstreamTransport()
 	engines := platform.NewEngines(kept)
+	id := peer.Gate(s.Name, incarnation)
 	d.owner = placer.NewOwner(placer.OwnerNeeds{
-		Clock: d.clock, Knowledge: d.registry, Reports: engines, Name: string(s.Name), Alone: func() bool { return d.members.Reached() == 0 },
+		Clock: d.clock, Knowledge: d.registry, Reports: engines, Gate: id, Name: string(s.Name), Alone: func() bool { return d.members.Reached() == 0 },
 		Holders: d.holders, Members: d.members, Peers: d.dialer, Log: d.log,
 	}, placer.Budget{
 		Share: budgetShare * s.Budget.Share, Floor: budgetShare * s.Budget.Floor, Window: s.Budget.Window,
 	})
-	id := peer.Gate(s.Name, incarnation)
 	d.placer = placer.NewClient(d.clock, d.log, d.members, d.dialer, d.owner, id)
 	fresh := upstreamTransport()
 	fresh.DisableKeepAlives = true
@@ -339,8 +339,16 @@
 		gauge(fmt.Sprintf("snipeshift_service_epoch{service=%q}", x.Service), float64(x.Epoch))
 		gauge(fmt.Sprintf("snipeshift_service_held{service=%q}", x.Service), holds)
 	}
-	d.placer.Limits(func(s route.ServiceID, u decide.UpstreamID, rate ratelimit.PerSecond) {
-		gauge(fmt.Sprintf("snipeshift_upstream_limit{service=%q,upstream=%q}", s, u), float64(rate))
+	d.placer.Statements(func(s route.ServiceID, u decide.UpstreamID, st statement.Statement) {
+		labels := fmt.Sprintf("{service=%q,upstream=%q}", s, u)
+		switch st.Kind {
+		case statement.Limit:
+			gauge("snipeshift_upstream_limit"+labels, float64(st.Rate))
+		case statement.Rest:
+			gauge("snipeshift_upstream_rest_seconds"+labels, (st.Until - now).Duration().Seconds())
+		case statement.Leaving:
+			gauge("snipeshift_upstream_leaving"+labels, 1)
+		}
 	})
 	vm.WriteCounterUint64(w, "snipeshift_questions_hedged_total", d.placer.Hedged())
 	vm.WriteCounterUint64(w, "snipeshift_messages_dropped_total", d.owner.Dropped())
--- a/daemon/relay/gate.go
+++ b/daemon/relay/gate.go
@@ -18,8 +18,8 @@
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
 	"snipeshift.example/lib/decide/gate"
-	"snipeshift.example/lib/decide/ratelimit"
 	"snipeshift.example/lib/decide/span"
+	"snipeshift.example/lib/decide/statement"
 	"snipeshift.example/lib/exchange"
 	"snipeshift.example/lib/fault"
 	"snipeshift.example/lib/route"
@@ -45,8 +45,8 @@
 	First(id decide.RequestID)
 	End(id decide.RequestID, o span.Outcome, culprit decide.UpstreamID)
 	Withdraw(s route.ServiceID, id decide.RequestID)
-	// Limit takes what an answer says of its upstream's limit.
-	Limit(s route.ServiceID, u decide.UpstreamID, st ratelimit.Statement)
+	// Hear takes what an answer says of its upstream.
+	Hear(s route.ServiceID, u decide.UpstreamID, st statement.Statement)
 }
 
 // Knowledge is what is known of routes and upstreams.
@@ -67,7 +67,7 @@
 // Memory reserves KV memory on engines.
 type Memory interface {
 	Reserve(ctx context.Context, address, id string, tokens decide.Tokens, hold clock.Milli) (exchange.Reserved, error)
-	Release(ctx context.Context, address, id string) error
+	Release(ctx context.Context, address, id string) (exchange.Said, error)
 }
 
 // Clock reads a clock that goes on while the VM is suspended.
@@ -109,7 +109,9 @@
 	bodies atomic.Int64
 	// stopping asks callers to open their next connection elsewhere.
 	stopping atomic.Bool
-	metrics  *metrics
+	// unknown are names of header fields in answers that nobody reads.
+	unknown names
+	metrics *metrics
 }
 
 // New returns a gate; id names this VM in this life.
--- a/daemon/relay/harness_test.go
+++ b/daemon/relay/harness_test.go
@@ -24,8 +24,8 @@
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
 	"snipeshift.example/lib/decide/gate"
-	"snipeshift.example/lib/decide/ratelimit"
 	"snipeshift.example/lib/decide/span"
+	"snipeshift.example/lib/decide/statement"
 	"snipeshift.example/lib/exchange"
 	"snipeshift.example/lib/fault"
 	"snipeshift.example/lib/route"
@@ -53,7 +53,7 @@
 func (testCodec) Word(resp *http.Response, id string) exchange.Word {
 	word := exchange.Word{Mine: resp.Header.Get("Id") == id, Genuine: resp.Header.Get("Mark") != "", Idle: resp.Header.Get("Idle") != ""}
 	if rate, err := strconv.ParseFloat(resp.Header.Get("Limit"), 64); err == nil {
-		word.Limit = exchange.Limit{Named: true, Rate: ratelimit.PerSecond(rate)}
+		word.Said.Limit = exchange.Limit{Named: true, Rate: statement.PerSecond(rate)}
 	}
 	return word
 }
@@ -77,7 +77,7 @@
 	mu        sync.Mutex
 	upstreams []route.Upstream
 	outcomes  []span.Outcome
-	limits    *ratelimit.Table
+	said      *statement.Table
 	// wait is how long a place takes to come, during which during is called.
 	wait   time.Duration
 	during func()
@@ -121,10 +121,10 @@
 
 func (p *inTurn) Withdraw(route.ServiceID, decide.RequestID) {}
 
-func (p *inTurn) Limit(_ route.ServiceID, u decide.UpstreamID, st ratelimit.Statement) {
+func (p *inTurn) Hear(_ route.ServiceID, u decide.UpstreamID, st statement.Statement) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.limits.Learn(u, st)
+	p.said.Learn(u, st)
 }
 
 // fixed is knowledge that a test sets.
@@ -184,7 +184,7 @@
 
 func newWorld(t *testing.T, upstreams ...http.HandlerFunc) *world {
 	t.Helper()
-	w := &world{t: t, placer: &inTurn{limits: ratelimit.NewTable()}, known: unknown()}
+	w := &world{t: t, placer: &inTurn{said: statement.NewTable()}, known: unknown()}
 	for i, h := range upstreams {
 		s := httptest.NewServer(h)
 		t.Cleanup(s.Close)
--- a/daemon/relay/metrics.go
+++ b/daemon/relay/metrics.go
@@ -31,4 +31,7 @@
 }
 
 // WriteMetrics writes all metrics in the text format of Prometheus.
-func (g *Gate) WriteMetrics(w io.Writer) { g.metrics.set.WritePrometheus(w) }
+func (g *Gate) WriteMetrics(w io.Writer) {
+	g.metrics.set.WritePrometheus(w)
+	vm.WriteCounterUint64(w, "snipeshift_unknown_fields_total", uint64(g.unknown.count()))
+}
--- a/daemon/relay/relay_test.go
+++ b/daemon/relay/relay_test.go
@@ -18,6 +18,7 @@
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide/gate"
 	"snipeshift.example/lib/decide/span"
+	"snipeshift.example/lib/decide/statement"
 	"snipeshift.example/lib/fault"
 	"snipeshift.example/lib/route"
 )
@@ -488,7 +489,7 @@
 			answer(rw, r)
 		})
 		_, _, _ = w.call(http.MethodPost, "/stream/", "")
-		s, ok := w.placer.limits.Of("u0")
+		s, ok := w.placer.said.Of("u0", statement.Limit)
 		require.True(t, ok, name)
 		require.True(t, s.Named, name)
 		require.InDelta(t, 2.5, float64(s.Rate), 0, name)
@@ -518,11 +519,11 @@
 	_, _, _ = w.call(http.MethodPost, "/once/", "")
 	close(release)
 	<-done
-	s, _ := w.placer.limits.Of("u0")
+	s, _ := w.placer.said.Of("u0", statement.Limit)
 	require.True(t, s.Named)
 	require.Eventually(t, func() bool {
 		_, _, _ = w.call(http.MethodPost, "/once/", "")
-		s, _ = w.placer.limits.Of("u0")
+		s, _ = w.placer.said.Of("u0", statement.Limit)
 		return !s.Named
 	}, time.Second, time.Millisecond, "requests that are sent later are answered without a limit")
 }
--- a/daemon/relay/reserve.go
+++ b/daemon/relay/reserve.go
@@ -77,7 +77,7 @@
 	for i, h := range r.held {
 		g.Go(func() error {
 			answer, err := r.gate.Memory.Reserve(ctx, h.place.Address, h.ticket, h.place.Reserve, reserveHold)
-			r.gate.limitNamed(r.service, h.place, answer.Limit)
+			r.gate.hear(r.service, h.place, &answer.Said)
 			if err == nil && !answer.Held {
 				err = errReserve
 			}
@@ -120,7 +120,9 @@
 func (r *reservation) release(h held) {
 	ctx, cancel := context.WithTimeout(context.Background(), reserveTimeout)
 	defer cancel()
-	if err := r.gate.Memory.Release(ctx, h.place.Address, h.ticket); err != nil {
+	said, err := r.gate.Memory.Release(ctx, h.place.Address, h.ticket)
+	r.gate.hear(r.service, h.place, &said)
+	if err != nil {
 		r.gate.Log.Warn().Str(logline.Key, logline.Release).Str("id", r.id).Str("upstream", string(h.place.Upstream)).
 			Str("ticket", h.ticket).Err(err).Msg("memory could not be freed; it lapses by itself")
 	}
--- a/daemon/relay/reserve_test.go
+++ b/daemon/relay/reserve_test.go
@@ -13,6 +13,7 @@
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
 	"snipeshift.example/lib/decide/span"
+	"snipeshift.example/lib/decide/statement"
 	"snipeshift.example/lib/exchange"
 )
 
@@ -30,14 +31,14 @@
 	defer m.mu.Unlock()
 	m.reserved++
 	m.longest = max(m.longest, hold)
-	return exchange.Reserved{Held: !m.full, Limit: m.limit}, nil
+	return exchange.Reserved{Held: !m.full, Said: exchange.Said{Limit: m.limit}}, nil
 }
 
-func (m *memory) Release(context.Context, string, string) error {
+func (m *memory) Release(context.Context, string, string) (exchange.Said, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.released++
-	return nil
+	return exchange.Said{}, nil
 }
 
 func (m *memory) counts() (reserved, released int) {
@@ -101,7 +102,7 @@
 	w.giant(&memory{limit: exchange.Limit{Named: true, Rate: 2.5}})
 	_, _, err := w.call(http.MethodPost, "/stream/x", "")
 	require.NoError(t, err)
-	s, ok := w.placer.limits.Of("h")
+	s, ok := w.placer.said.Of("h", statement.Limit)
 	require.True(t, ok)
 	require.InDelta(t, 2.5, float64(s.Rate), 0)
 }
--- /dev/null
+++ b/daemon/relay/said.go
@@ -0,0 +1,73 @@
+package relay
+
+import (
+	"strings"
+	"sync"
+
+	"snipeshift.example/lib/clock"
+	"snipeshift.example/lib/decide/span"
+	"snipeshift.example/lib/decide/statement"
+	"snipeshift.example/lib/exchange"
+	"snipeshift.example/lib/logline"
+	"snipeshift.example/lib/route"
+)
+
+// hear passes on what an answer says of its upstream. Any answer may say something, also one that turns the request away; that a limit is
+// over shows in a whole one alone. Sent is when the request was sent.
+func (x *flight) hear(word *exchange.Word, leader span.Place, sent clock.Milli) {
+	if word.Stranger {
+		return
+	}
+	x.gate.hear(x.service, leader, &word.Said)
+	limit := word.Said.Limit
+	if !limit.Named && limit.Unreadable == "" && word.Mine && word.Genuine && !word.Idle {
+		x.gate.Placer.Hear(x.service, leader.Upstream, statement.Statement{Kind: statement.Limit, Born: leader.Born, At: sent})
+	}
+}
+
+// hear passes on what an answer that came now says of its upstream.
+func (g *Gate) hear(s route.ServiceID, p span.Place, said *exchange.Said) {
+	unreadable := said.Unreadable
+	if said.Limit.Unreadable != "" {
+		unreadable = append(unreadable, "limit: "+said.Limit.Unreadable)
+	}
+	for _, field := range unreadable {
+		g.Log.Warn().Str(logline.Key, logline.Unreadable).Str("service", string(s)).Str("upstream", string(p.Upstream)).
+			Str("field", field).Msg("an upstream says something of itself that cannot be read")
+	}
+	for _, name := range said.Unknown {
+		if g.unknown.first(name) {
+			g.Log.Warn().Str(logline.Key, logline.Unknown).Str("service", string(s)).Str("upstream", string(p.Upstream)).
+				Str("field", name).Msg("answers have a header field that nobody reads")
+		}
+	}
+	for _, st := range said.Statements(g.Clock.Now(), g.id, p.Born) {
+		g.Placer.Hear(s, p.Upstream, st)
+	}
+}
+
+// knownNames bounds the names that are remembered; some more are counted and not logged.
+const knownNames = 64
+
+// names remembers which names were seen.
+type names struct {
+	mu   sync.Mutex
+	seen map[string]bool
+}
+
+// first reports whether a name is seen for the first time, as long as there is room to remember it.
+func (n *names) first(name string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.seen[name] || len(n.seen) >= knownNames {
+		return false
+	}
+	if n.seen == nil {
+		n.seen = map[string]bool{}
+	}
+	n.seen[strings.Clone(name)] = true
+	return true
+}
+
+// count is how many names were seen.
+func (n *names) count() int { n.mu.Lock(); defer n.mu.Unlock(); return len(n.seen) }
--- a/daemon/relay/send.go
+++ b/daemon/relay/send.go
@@ -15,11 +15,8 @@
 	"github.com/zeebo/errs"
 
 	"snipeshift.example/daemon/registry"
-	"snipeshift.example/lib/clock"
-	"snipeshift.example/lib/decide/ratelimit"
 	"snipeshift.example/lib/decide/span"
 	"snipeshift.example/lib/exchange"
-	"snipeshift.example/lib/logline"
 	"snipeshift.example/lib/route"
 )
 
@@ -99,7 +96,7 @@
 	}
 	defer resp.Body.Close()
 	word := x.gate.Codec.Word(resp, x.head.ID)
-	x.noteLimit(word, grant.Leader, sent)
+	x.hear(&word, grant.Leader, sent)
 	if culprit := v.Upstream(x.service, func(u *route.Upstream) bool { return u.Address == word.Culprit }); culprit != nil {
 		res := x.judge(ctx, resp, word, grant, w)
 		res.culprit = culprit.ID
@@ -108,29 +105,6 @@
 	return x.judge(ctx, resp, word, grant, w)
 }
 
-// noteLimit passes on what an answer says of its upstream's limit. Each answer may name one, also one that turns the request away;
-// that the limit is over shows in a whole one alone. Sent is when the request was sent.
-func (x *flight) noteLimit(word exchange.Word, leader span.Place, sent clock.Milli) {
-	if word.Stranger || x.gate.limitNamed(x.service, leader, word.Limit) {
-		return
-	}
-	if word.Limit.Unreadable == "" && word.Mine && word.Genuine && !word.Idle {
-		x.gate.Placer.Limit(x.service, leader.Upstream, ratelimit.Statement{Born: leader.Born, At: sent})
-	}
-}
-
-// limitNamed passes on a limit that an upstream names, and reports whether it names one.
-func (g *Gate) limitNamed(s route.ServiceID, p span.Place, l exchange.Limit) bool {
-	if l.Unreadable != "" {
-		g.Log.Warn().Str(logline.Key, logline.Limit).Str("service", string(s)).Str("upstream", string(p.Upstream)).
-			Str("value", l.Unreadable).Msg("an upstream names a limit that is no rate")
-	}
-	if l.Named {
-		g.Placer.Limit(s, p.Upstream, ratelimit.Statement{Named: true, Rate: l.Rate, Born: p.Born, At: g.Clock.Now()})
-	}
-	return l.Named
-}
-
 // judge decides what an answer is worth by its header, and passes it on.
 func (x *flight) judge(ctx context.Context, resp *http.Response, word exchange.Word, grant span.Grant, w *watchdog) result {
 	switch {
--- a/lib/decide/ratelimit/pace.go
+++ b/lib/decide/ratelimit/pace.go
@@ -4,11 +4,12 @@
 	"math"
 
 	"snipeshift.example/lib/clock"
+	"snipeshift.example/lib/decide/statement"
 )
 
 const (
 	// leastRate is granted whatever limit is named: an upstream that takes nothing could not say when it takes something again.
-	leastRate PerSecond = 0.25
+	leastRate statement.PerSecond = 0.25
 	// burstSpan is how much of the rate may be granted at once, one request at least.
 	burstSpan = 250 * clock.Milli(1)
 	// doubling is the time in which the rate doubles after the end of a limit, and returning how long that lasts: what waits, and
@@ -18,7 +19,7 @@
 	// renewal is how old a limit grows before a request is sent to hear whether it still holds.
 	renewal = 2 * clock.Second
 	// leastReturn is the rate from which on it doubles.
-	leastReturn PerSecond = 1
+	leastReturn statement.PerSecond = 1
 	// whole is one request, less what sums of fractions lose.
 	whole = 1 - 1e-9
 )
@@ -26,9 +27,9 @@
 // Pace grants requests at one upstream within the limit that it names. The zero Pace knows of no limit and grants all.
 type Pace struct {
 	known     bool
-	statement Statement
+	statement statement.Statement
 	// rate is the limit that was named last, lifted when that ended.
-	rate   PerSecond
+	rate   statement.PerSecond
 	lifted clock.Milli
 	// taken is when a request was granted last.
 	taken clock.Milli
@@ -41,12 +42,12 @@
 
 // Learn takes a statement and reports whether the limit is another one now. A limit that was not known before is
 // kept from now on: nothing is saved up from the time before.
-func (p *Pace) Learn(now clock.Milli, s Statement) bool {
+func (p *Pace) Learn(now clock.Milli, s statement.Statement) bool {
 	if !p.known && !s.Named || p.known && !s.Supersedes(p.statement) {
 		return false
 	}
 	before := p.statement
-	changed := !p.known || !s.same(before)
+	changed := !p.known || !s.Same(before)
 	p.fill(now)
 	switch {
 	case s.Named:
@@ -75,12 +76,12 @@
 }
 
 // Rate is how many requests a second are granted, where they are bounded.
-func (p *Pace) Rate(now clock.Milli) PerSecond {
+func (p *Pace) Rate(now clock.Milli) statement.PerSecond {
 	rate := max(p.rate, leastRate)
 	if !p.statement.Named {
-		rate = max(p.rate, leastReturn) * PerSecond(math.Exp2(float64(now-p.lifted)/float64(doubling)))
+		rate = max(p.rate, leastReturn) * statement.PerSecond(math.Exp2(float64(now-p.lifted)/float64(doubling)))
 	}
-	return rate / PerSecond(1+p.others)
+	return rate / statement.PerSecond(1+p.others)
 }
 
 // Allows reports whether a request may be granted now.
@@ -114,7 +115,7 @@
 }
 
 // Statement returns what is known of the limit, if anything is.
-func (p *Pace) Statement() (Statement, bool) { return p.statement, p.known }
+func (p *Pace) Statement() (statement.Statement, bool) { return p.statement, p.known }
 
 // Restore takes the level over from who granted before.
 func (p *Pace) Restore(now clock.Milli, level float64) {
--- a/lib/decide/ratelimit/pace_test.go
+++ b/lib/decide/ratelimit/pace_test.go
@@ -7,6 +7,7 @@
 	"pgregory.net/rapid"
 
 	"snipeshift.example/lib/clock"
+	"snipeshift.example/lib/decide/statement"
 )
 
 // window is the span over which upstreams judge what they get.
@@ -45,7 +46,7 @@
 		var granted []clock.Milli
 		const end = 20 * clock.Second
 		for at := clock.Milli(0); at < end; at += clock.Milli(renew) {
-			p.Learn(at, Statement{Named: true, Rate: PerSecond(rate), At: at})
+			p.Learn(at, statement.Statement{Named: true, Rate: statement.PerSecond(rate), At: at})
 			granted = append(granted, flood(&p, at, min(at+clock.Milli(renew), end))...)
 		}
 		seconds := window.Duration().Seconds()
@@ -57,7 +58,7 @@
 // An upstream that takes nothing for now is asked now and then, or nobody would hear that it takes something again.
 func TestAnUpstreamThatTakesNothingIsAskedNowAndThen(t *testing.T) {
 	var p Pace
-	p.Learn(0, Statement{Named: true})
+	p.Learn(0, statement.Statement{Named: true})
 	granted := flood(&p, 0, 20*clock.Second)
 	require.InDelta(t, 5, len(granted), 1)
 }
@@ -65,13 +66,13 @@
 // The limit ends while much is waiting. All at once it would put the upstream in need again.
 func TestWorkComesBackByAndByAfterALimit(t *testing.T) {
 	var p Pace
-	p.Learn(0, Statement{Named: true, Rate: 2})
+	p.Learn(0, statement.Statement{Named: true, Rate: 2})
 	flood(&p, 0, clock.Second)
-	p.Learn(clock.Second, Statement{At: clock.Second})
+	p.Learn(clock.Second, statement.Statement{At: clock.Second})
 	require.LessOrEqual(t, len(flood(&p, clock.Second, 1500)), 2)
 	require.LessOrEqual(t, len(flood(&p, 1500, 2000)), 4)
 	require.False(t, p.Bounds(clock.Second+returning))
-	require.True(t, p.Learn(2*clock.Second, Statement{Named: true, Rate: 2, At: 2 * clock.Second}))
+	require.True(t, p.Learn(2*clock.Second, statement.Statement{Named: true, Rate: 2, At: 2 * clock.Second}))
 	require.LessOrEqual(t, len(flood(&p, 2*clock.Second, 3*clock.Second)), 3)
 }
 
@@ -81,7 +82,7 @@
 	for range 5 {
 		var p Pace
 		p.Divide(0, 4)
-		p.Learn(0, Statement{Named: true, Rate: 5})
+		p.Learn(0, statement.Statement{Named: true, Rate: 5})
 		all += most(flood(&p, 0, 10*clock.Second))
 	}
 	require.LessOrEqual(t, all, 5*4+5)
--- a/lib/decide/span/books.go
+++ b/lib/decide/span/books.go
@@ -3,7 +3,7 @@
 import (
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
-	"snipeshift.example/lib/decide/ratelimit"
+	"snipeshift.example/lib/decide/statement"
 )
 
 // An owner that stops hands its books over whole: gates would tell its successor only within a second what runs. Instants travel as spans, for
@@ -45,7 +45,7 @@
 	// Doubtful and Suspected ask for its report.
 	Doubtful, Suspected bool
 	// Limit is what is known of its limit, nil for nothing, and Allowed how many requests may be granted by it now.
-	Limit   *ratelimit.Aged
+	Limit   *statement.Aged
 	Allowed float64
 }
 
--- a/lib/decide/span/limits.go
+++ b/lib/decide/span/limits.go
@@ -4,6 +4,7 @@
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
 	"snipeshift.example/lib/decide/ratelimit"
+	"snipeshift.example/lib/decide/statement"
 	"snipeshift.example/lib/fault"
 )
 
@@ -46,7 +47,7 @@
 }
 
 // Limit takes what an upstream says of its limit and reports whether that is another one now.
-func (p *Pool) Limit(now clock.Milli, u decide.UpstreamID, s ratelimit.Statement) bool {
+func (p *Pool) Limit(now clock.Milli, u decide.UpstreamID, s statement.Statement) bool {
 	if r := p.rows[u]; r != nil && r.earlier(s.Born) {
 		return false
 	}
@@ -69,7 +70,7 @@
 	// bounded is set if each of them bounds its requests. At once is how many may be granted now, rate how many a second.
 	bounded bool
 	atOnce  float64
-	rate    ratelimit.PerSecond
+	rate    statement.PerSecond
 }
 
 // supplied sums up what upstreams take that may get work.
--- a/lib/decide/span/limits_test.go
+++ b/lib/decide/span/limits_test.go
@@ -8,14 +8,14 @@
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
 	"snipeshift.example/lib/decide/gate"
-	"snipeshift.example/lib/decide/ratelimit"
+	"snipeshift.example/lib/decide/statement"
 	"snipeshift.example/lib/fault"
 	"snipeshift.example/lib/route"
 )
 
 // limit has an upstream name a limit.
-func (b *bench) limit(at clock.Milli, u decide.UpstreamID, rate ratelimit.PerSecond) {
-	b.Limit(at, u, ratelimit.Statement{Named: true, Rate: rate, At: at})
+func (b *bench) limit(at clock.Milli, u decide.UpstreamID, rate statement.PerSecond) {
+	b.Limit(at, u, statement.Statement{Named: true, Rate: rate, At: at})
 }
 
 // notes asks for short requests, one each this many milliseconds, and returns how many upstreams led. Each is over at once.
@@ -62,7 +62,7 @@
 		}
 	}
 	for _, id := range []decide.UpstreamID{"e00", "e01", "e02"} {
-		b.Limit(at, id, ratelimit.Statement{Named: true, Rate: 2, At: at})
+		b.Limit(at, id, statement.Statement{Named: true, Rate: 2, At: at})
 	}
 	_, decided = b.ask(at, b.history(at, 600_000))
 	require.False(t, decided, "it needs memory of others")
@@ -77,7 +77,7 @@
 	require.InDelta(t, 4, led["e02"], 1, "nobody answered")
 	g := b.granted(now+12*clock.Second, b.note(now+12*clock.Second))
 	require.EqualValues(t, "e02", g.Leader.Upstream)
-	b.Limit(now+12*clock.Second, "e02", ratelimit.Statement{At: now + 12*clock.Second})
+	b.Limit(now+12*clock.Second, "e02", statement.Statement{At: now + 12*clock.Second})
 	require.Zero(t, b.notes(now+13*clock.Second, now+20*clock.Second, 500)["e02"])
 }
 
@@ -135,11 +135,11 @@
 	b.serve(2)
 	require.InDelta(t, 2, b.notes(now, now+2*clock.Second, 100)["e00"], 1)
 	b.lives(7)
-	require.True(t, b.Limit(now+2*clock.Second, "e00", ratelimit.Statement{Named: true, Rate: 3, Born: 7, At: now + 2*clock.Second}))
+	require.True(t, b.Limit(now+2*clock.Second, "e00", statement.Statement{Named: true, Rate: 3, Born: 7, At: now + 2*clock.Second}))
 	b.lives(8)
 	require.Greater(t, b.notes(now+3*clock.Second, now+5*clock.Second, 100)["e00"], 10)
-	require.False(t, b.Limit(now+5*clock.Second, "e00", ratelimit.Statement{Named: true, Rate: 1, Born: 7, At: now + 5*clock.Second}))
-	b.Limit(now+5*clock.Second, "e00", ratelimit.Statement{Named: true, Rate: 1, Born: 9, At: now + 5*clock.Second})
+	require.False(t, b.Limit(now+5*clock.Second, "e00", statement.Statement{Named: true, Rate: 1, Born: 7, At: now + 5*clock.Second}))
+	b.Limit(now+5*clock.Second, "e00", statement.Statement{Named: true, Rate: 1, Born: 9, At: now + 5*clock.Second})
 	b.lives(9)
 	require.InDelta(t, 2, b.notes(now+5*clock.Second, now+7*clock.Second, 100)["e00"], 1, "its answer came before the list told of its life")
 }
--- a/lib/decide/span/span.go
+++ b/lib/decide/span/span.go
@@ -18,7 +18,7 @@
 import (
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
-	"snipeshift.example/lib/decide/ratelimit"
+	"snipeshift.example/lib/decide/statement"
 	"snipeshift.example/lib/fault"
 )
 
@@ -101,7 +101,7 @@
 	// Reason names the rule that decided, for the log.
 	Reason string
 	// Limit is what is known of the limit of the upstream that leads; nil for nothing.
-	Limit *ratelimit.Aged
+	Limit *statement.Aged
 }
 
 // Outcome tells how a send ended, as far as it says something of the upstream.
--- a/lib/decide/ratelimit/ratelimit_test.go
+++ b/lib/decide/statement/statement_test.go
@@ -1,4 +1,4 @@
-package ratelimit
+package statement
 
 import (
 	"testing"
@@ -20,7 +20,7 @@
 		for _, s := range order {
 			x.Learn("u", s)
 		}
-		got, _ := x.Of("u")
+		got, _ := x.Of("u", Limit)
 		require.Equal(t, again, got)
 		require.True(t, x.Learn("u", next), "a later life has its own limit, whatever its time")
 		require.False(t, x.Learn("u", again))
@@ -31,7 +31,7 @@
 	x := NewTable()
 	require.True(t, x.Learn("u", Statement{Named: true, Rate: 2, At: 100}))
 	require.False(t, x.Learn("u", Statement{At: 100}))
-	s, _ := x.Of("u")
+	s, _ := x.Of("u", Limit)
 	require.True(t, s.Named)
 }
 
@@ -43,11 +43,11 @@
 	x.Learn("v", Statement{At: 2000})
 	absent := func(decide.UpstreamID) bool { return false }
 	x.Forget(20*clock.Second, absent)
-	_, kept := x.Of("u")
-	_, lifted := x.Of("v")
+	_, kept := x.Of("u", Limit)
+	_, lifted := x.Of("v", Limit)
 	require.True(t, kept)
 	require.False(t, lifted)
 	x.Forget(2*clock.Minute, absent)
-	_, kept = x.Of("u")
+	_, kept = x.Of("u", Limit)
 	require.False(t, kept)
 }
--- a/lib/exchange/exchange.go
+++ b/lib/exchange/exchange.go
@@ -6,7 +6,6 @@
 import (
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
-	"snipeshift.example/lib/decide/ratelimit"
 	"snipeshift.example/lib/route"
 )
 
@@ -58,15 +57,15 @@
 	// Pace is how many times as long as usual its work takes; zero if it does not say.
 	Pace float64
 	// Born is the life that speaks; zero if it does not say.
-	Born  decide.Born
-	Limit Limit
+	Born decide.Born
+	Said Said
 }
 
 // Reserved is an engine's answer to an order that sets memory aside.
 type Reserved struct {
 	// Held is false if it has not so much free.
-	Held  bool
-	Limit Limit
+	Held bool
+	Said Said
 }
 
 // Word is what the header of an upstream's answer says of itself.
@@ -82,14 +81,5 @@
 	Stranger bool
 	// Culprit is the address of the upstream at fault, where the answer names another one.
 	Culprit string
-	Limit   Limit
-}
-
-// Limit is what an answer says of the requests that its upstream takes from all VMs together.
-type Limit struct {
-	// Named is set if the answer names a limit, of Rate.
-	Named bool
-	Rate  ratelimit.PerSecond
-	// Unreadable is what stands in place of a rate, quoted, if it is none.
-	Unreadable string
+	Said    Said
 }
--- a/lib/logline/logline.go
+++ b/lib/logline/logline.go
@@ -39,6 +39,14 @@
 	Release = "release"
 	// Limit is a change of the requests a second that an upstream takes from all VMs together.
 	Limit = "limit"
+	// Rest is a time in which an upstream wants nothing from this VM, Leaving its word that it ends soon.
+	Rest    = "rest"
+	Leaving = "leaving"
+	// Withheld is a send that what its upstream says of itself forbids.
+	Withheld = "withheld"
+	// Unreadable is something that an upstream says of itself in a form that cannot be read, Unknown a header field that nobody reads.
+	Unreadable = "unreadable"
+	Unknown    = "unknown"
 	// Era is a return of the store from an older copy of itself.
 	Era = "era"
 )
@@ -64,5 +72,10 @@
 	Reserve:     "memory for a part of a prompt could not be reserved",
 	Release:     "reserved memory could not be freed; it lapses by itself",
 	Limit:       "an upstream names how many requests a second it takes from all VMs together, changes that or names it no more; and how this VM knows",
+	Rest:        "an upstream wants nothing from a VM for a time: which VM, how much is left, and how this VM knows",
+	Leaving:     "an upstream says in an answer that it ends soon: to which VM, and how this VM knows",
+	Withheld:    "a send does not happen, by what its upstream says of itself: which statement, and its age",
+	Unreadable:  "an upstream says something of itself in a form that cannot be read; nothing changes",
+	Unknown:     "answers have a header field that nobody reads; once for each name",
 	Era:         "the store came back from an older copy: its era and the one before, the position and age of what was known, and how this VM knows",
 }
