--- /dev/null
+++ b/scenarios/platform_said_test.go
@@ -0,0 +1,67 @@
+package scenarios
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"snipeshift.example/platform/standin"
+	"snipeshift.example/scenarios/fleet"
+)
+
+// Times of these tests.
+const (
+	// storeAway is shorter than keys are believed without the store.
+	storeAway = 3 * time.Second
+	// shedding is how long an upstream asks for rest.
+	shedding = 8 * time.Second
+)
+
+// noExcuses binds every VM by what it was answered.
+var noExcuses = standin.Excuses{
+	Unheard:   func(string, *standin.Runner, time.Time) bool { return false },
+	Restarted: nobody, Cut: nobody,
+}
+
+// firsts are the first upstream of each service.
+func firsts(f *fleet.Fleet) []*standin.Runner {
+	return []*standin.Runner{f.Platform.Models[0], f.Platform.Desks[0]}
+}
+
+// Upstreams say in their answers that they leave, while the store is away and afterwards still lists them as ready.
+func TestPlatformAnUpstreamThatSaysItLeavesGetsNothingMore(t *testing.T) {
+	f := newFleet(t, 3)
+	l := newLoad(f)
+	l.more(t)
+	f.Platform.Fail(standin.Mute)
+	for _, r := range firsts(f) {
+		r.Leave()
+	}
+	time.Sleep(storeAway)
+	f.Platform.Fail(standin.Well)
+	time.Sleep(storeAway)
+	l.end(t, f)
+	require.Empty(t, f.Platform.Ignored(noExcuses))
+}
+
+// An upstream of each service turns all requests away for a while, and asks each VM for rest.
+func TestPlatformAnUpstreamThatAsksForRestGetsIt(t *testing.T) {
+	f := newFleet(t, 3)
+	l := newLoad(f)
+	l.more(t)
+	for _, r := range firsts(f) {
+		r.Get(standin.Shedding)
+	}
+	time.Sleep(shedding)
+	for _, r := range firsts(f) {
+		r.Get(standin.Fine)
+	}
+	over := time.Now()
+	time.Sleep(2 * standin.Rest)
+	for _, r := range firsts(f) {
+		require.Greater(t, r.Arrived(over), 30, "it is used again")
+	}
+	l.end(t, f)
+	require.Empty(t, f.Platform.Ignored(noExcuses))
+}
