span, placer, relay: what an upstream says of rest and leaving is kept

What callers saw: nothing; upstreams that had said in an answer that they leave got requests up to 4 s later (DRAIN), and upstreams that had asked a VM for rest got three and more from it (BUDGET), each a way in vain for a caller and a draw on the budget of repeats.

Cause: nothing read the two contracts, and nothing would have carried them from the gate that hears them to the owner that grants. It is the class of LIMIT: what one VM hears and another one acts against.

A limit binds all VMs and is kept by the owner. A rest and a leaving bind the VM that was answered, so its own gate checks last, after memory was reserved; the owner grants nothing there either. A leaving ends with a later life alone. After a rest one request goes first; other VMs try an upstream that wants rest less and less often. What rests or leavings will not serve in its time is refused at once.

--- a/daemon/placer/loss_test.go
+++ b/daemon/placer/loss_test.go
@@ -60,9 +60,10 @@
 	vain []time.Duration
 	// cuts names for some VMs another one that they do not reach.
 	cuts map[peer.VM]peer.VM
-	// limits are what engines name in their answers, sends what they got.
-	limits map[decide.UpstreamID]statement.PerSecond
-	sends  []fleetSend
+	// limits are what engines name in their answers, leaving those that say that they leave, sends what they got.
+	limits  map[decide.UpstreamID]statement.PerSecond
+	leaving map[decide.UpstreamID]bool
+	sends   []fleetSend
 }
 
 // lossVM is one VM in its present life.
@@ -209,6 +210,10 @@
 	if err != nil || reply.Fault != "" || off {
 		return
 	}
+	if _, bound := v.client.Binding("s", reply.Grant.Leader); bound {
+		v.client.End(a.ID, span.Left, "")
+		return
+	}
 	f.send(v, reply.Grant.Leader.Upstream)
 	time.Sleep(20 * time.Millisecond)
 	v.client.First(a.ID)
--- a/daemon/placer/reports.go
+++ b/daemon/placer/reports.go
@@ -41,7 +41,7 @@
 	if h.polling || h.gathering || v.Table == nil || v.Table.Service(s) == nil || v.Table.Service(s).Engine == nil {
 		return
 	}
-	ids := h.pool.Doubtful(o.Clock.Now())
+	ids := h.pool.Doubtful(o.Clock.Now(), o.Gate)
 	ids = ids[:min(len(ids), reportsEach)]
 	if len(ids) == 0 || o.Clock.Now()-h.asked > askedLately {
 		return
--- a/daemon/placer/statements.go
+++ b/daemon/placer/statements.go
@@ -7,6 +7,7 @@
 
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
+	"snipeshift.example/lib/decide/span"
 	"snipeshift.example/lib/decide/statement"
 	"snipeshift.example/lib/logline"
 	"snipeshift.example/lib/route"
@@ -150,6 +151,13 @@
 	return c.heard.about(u.service, us...)
 }
 
+// Binding returns a statement by which this VM must not send to a place now, if there is one.
+func (c *Client) Binding(s route.ServiceID, p span.Place) (statement.Statement, bool) {
+	c.heard.mu.Lock()
+	defer c.heard.mu.Unlock()
+	return c.heard.of(s).Binding(c.clock.Now(), p.Upstream, p.Born)
+}
+
 // forgetStatements drops what nobody needs any more.
 func (c *Client) forgetStatements() {
 	v := c.own.Knowledge.View()
@@ -171,7 +179,7 @@
 func (o *Owner) learn(s route.ServiceID, h *ownedPool, now clock.Milli, statements []statement.Aged) {
 	for _, a := range statements {
 		st := a.Statement(now)
-		if st.Kind == statement.Limit && h.pool.Limit(now, a.Upstream, st) {
+		if h.pool.Learn(now, a.Upstream, st) {
 			logStatement(o.Log, now, s, a.Upstream, st, fromGate)
 		}
 	}
--- a/daemon/relay/gate.go
+++ b/daemon/relay/gate.go
@@ -47,6 +47,8 @@
 	Withdraw(s route.ServiceID, id decide.RequestID)
 	// Hear takes what an answer says of its upstream.
 	Hear(s route.ServiceID, u decide.UpstreamID, st statement.Statement)
+	// Binding returns a statement of an upstream by which this VM must not send to it now, if there is one.
+	Binding(s route.ServiceID, p span.Place) (statement.Statement, bool)
 }
 
 // Knowledge is what is known of routes and upstreams.
--- a/daemon/relay/harness_test.go
+++ b/daemon/relay/harness_test.go
@@ -55,6 +55,10 @@
 	if rate, err := strconv.ParseFloat(resp.Header.Get("Limit"), 64); err == nil {
 		word.Said.Limit = exchange.Limit{Named: true, Rate: statement.PerSecond(rate)}
 	}
+	if rest, err := strconv.ParseInt(resp.Header.Get("Rest"), 10, 64); err == nil {
+		word.Said.Rest = clock.Milli(rest)
+	}
+	word.Said.Leaving = resp.Header.Get("Leaving") != ""
 	return word
 }
 
@@ -77,7 +81,9 @@
 	mu        sync.Mutex
 	upstreams []route.Upstream
 	outcomes  []span.Outcome
-	said      *statement.Table
+	// again holds for each question whether something had been sent before.
+	again []bool
+	said  *statement.Table
 	// wait is how long a place takes to come, during which during is called.
 	wait   time.Duration
 	during func()
@@ -90,6 +96,9 @@
 	if p.during != nil {
 		p.during()
 	}
+	p.mu.Lock()
+	p.again = append(p.again, a.Again)
+	p.mu.Unlock()
 	select {
 	case <-time.After(p.wait):
 	case <-ctx.Done():
@@ -127,6 +136,12 @@
 	p.said.Learn(u, st)
 }
 
+func (p *inTurn) Binding(_ route.ServiceID, l span.Place) (statement.Statement, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.said.Binding(clock.Boot{}.Now(), l.Upstream, l.Born)
+}
+
 // fixed is knowledge that a test sets.
 type fixed struct {
 	mu   sync.Mutex
@@ -298,3 +313,18 @@
 	}
 	return out
 }
+
+// sheds turns every request away and asks for rest.
+func sheds(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Idle", "1")
+	w.Header().Set("Rest", "3000")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// leaving answers as h does, and says that the upstream leaves.
+func leaving(h http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Leaving", "1")
+		h(w, r)
+	}
+}
--- a/daemon/relay/metrics.go
+++ b/daemon/relay/metrics.go
@@ -8,6 +8,7 @@
 
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide/span"
+	"snipeshift.example/lib/decide/statement"
 )
 
 // metrics are the counters and histograms of a gate.
@@ -30,6 +31,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`snipeshift_sends_total{outcome=%q}`, o)).Inc()
 }
 
+// withheld counts one send that did not happen.
+func (m *metrics) withheld(k statement.Kind) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`snipeshift_sends_withheld_total{statement=%q}`, k)).Inc()
+}
+
 // WriteMetrics writes all metrics in the text format of Prometheus.
 func (g *Gate) WriteMetrics(w io.Writer) {
 	g.metrics.set.WritePrometheus(w)
--- a/daemon/relay/reserve_test.go
+++ b/daemon/relay/reserve_test.go
@@ -23,15 +23,20 @@
 	reserved, released int
 	longest            clock.Milli
 	full               bool
-	limit              exchange.Limit
+	said               exchange.Said
+	// during is called while memory is being reserved.
+	during func()
 }
 
 func (m *memory) Reserve(_ context.Context, _, _ string, _ decide.Tokens, hold clock.Milli) (exchange.Reserved, error) {
+	if m.during != nil {
+		m.during()
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.reserved++
 	m.longest = max(m.longest, hold)
-	return exchange.Reserved{Held: !m.full, Said: exchange.Said{Limit: m.limit}}, nil
+	return exchange.Reserved{Held: !m.full, Said: m.said}, nil
 }
 
 func (m *memory) Release(context.Context, string, string) (exchange.Said, error) {
@@ -99,7 +104,7 @@
 // An engine that only helps gets no requests, and names its limit in answers to orders alone. Not heard there, it would go on helping.
 func TestAHelperNamesItsLimitInItsAnswersToOrders(t *testing.T) {
 	w := newWorld(t, streamed(stream(1, 2)))
-	w.giant(&memory{limit: exchange.Limit{Named: true, Rate: 2.5}})
+	w.giant(&memory{said: exchange.Said{Limit: exchange.Limit{Named: true, Rate: 2.5}}})
 	_, _, err := w.call(http.MethodPost, "/stream/x", "")
 	require.NoError(t, err)
 	s, ok := w.placer.said.Of("h", statement.Limit)
--- a/daemon/relay/run.go
+++ b/daemon/relay/run.go
@@ -47,14 +47,17 @@
 	final *fault.Error
 	// suspicious is set if the upstream may have died of the request.
 	suspicious bool
+	// withheld is set if nothing was sent, since an upstream had said that it wants nothing; rests if it said so in
+	// answer to this send, for a time.
+	withheld, rests bool
 }
 
 // run sends the request until it is answered or may not be sent again.
 func (x *flight) run(ctx context.Context) *fault.Error {
 	var failure *answer
-	sent, turned := 0, 0
+	sent, turned, withheld := 0, 0, 0
 	for {
-		grant, err := x.place(ctx, sent+turned > 0, sent > 0)
+		grant, err := x.place(ctx, sent+turned > withheld, sent > 0)
 		if err != nil {
 			return x.conclude(failure, x.truthful(ctx, sent, err))
 		}
@@ -66,7 +69,12 @@
 		if res.failure != nil {
 			failure = res.failure
 		}
-		x.avoid = append(x.avoid, avoided(grant, res))
+		if !res.rests || res.culprit != "" {
+			x.avoid = append(x.avoid, avoided(grant, res))
+		}
+		if res.withheld {
+			withheld++
+		}
 		switch res.verdict {
 		case answered:
 			return nil
--- a/daemon/relay/said.go
+++ b/daemon/relay/said.go
@@ -46,6 +46,23 @@
 	}
 }
 
+// withheld reports whether an upstream of the grant has said to this VM that it must get nothing now. The owner may not have heard of it
+// yet, and a VM that decides for itself may have nobody to hear it from.
+func (x *flight) withheld(grant span.Grant) (result, bool) {
+	g := x.gate
+	for i, p := range append([]span.Place{grant.Leader}, grant.Helpers...) {
+		st, bound := g.Placer.Binding(x.service, p)
+		if helps := i > 0; !bound || helps && st.Kind == statement.Rest && p.Reserve == 0 {
+			continue
+		}
+		g.Log.Info().Str(logline.Key, logline.Withheld).Str("id", x.head.ID).Str("service", string(x.service)).Str("upstream", string(p.Upstream)).
+			Str("statement", st.Kind.String()).Int64("age", int64(g.Clock.Now()-st.At)).Msg("nothing is sent")
+		g.metrics.withheld(st.Kind)
+		return result{verdict: idle, outcome: span.Left, culprit: p.Upstream, err: errWithheld, withheld: true}, true
+	}
+	return result{}, false
+}
+
 // knownNames bounds the names that are remembered; some more are counted and not logged.
 const knownNames = 64
 
--- a/daemon/relay/send.go
+++ b/daemon/relay/send.go
@@ -29,6 +29,7 @@
 	errReserve  = errs.New("no memory could be reserved")
 	errTorn     = errs.New("the answer stopped in the middle")
 	errStale    = errs.New("the upstream is leaving")
+	errWithheld = errs.New("withheld by what the upstream says of itself")
 )
 
 // wholeLimit is the largest answer that is held back until it is whole, so that a
@@ -61,12 +62,20 @@
 	defer func() { g.Suspects.End(x.fingerprint, res.verdict == answered) }()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	if res, withheld := x.withheld(grant); withheld {
+		return res
+	}
 	memory, culprit := x.reserve(ctx, grant)
 	if culprit != "" {
 		res = result{verdict: idle, outcome: span.Full, err: errReserve, culprit: culprit}
 		return res
 	}
 	defer memory.free()
+	// To reserve takes a while, in which an answer to another request may have come.
+	var withheld bool
+	if res, withheld = x.withheld(grant); withheld {
+		return res
+	}
 	res = x.exchange(ctx, cancel, grant, host(u.Address, u.Born), memory.helpers(grant), v)
 	if res.suspicious && g.died(grant.Leader.Address) {
 		g.Suspects.Died(x.fingerprint, u.ID, u.Born)
@@ -112,7 +121,7 @@
 		return result{verdict: idle, outcome: span.Unreachable, err: errStranger}
 	case word.Idle:
 		drain(resp.Body)
-		return result{verdict: idle, outcome: span.Full, err: errTurned}
+		return result{verdict: idle, outcome: span.Full, err: errTurned, rests: word.Said.Rest > 0}
 	case !word.Mine:
 		return result{verdict: ran, outcome: span.Broken, err: errForeign}
 	case !word.Genuine:
--- a/lib/decide/span/books.go
+++ b/lib/decide/span/books.go
@@ -44,9 +44,11 @@
 	Pace            float64
 	// Doubtful and Suspected ask for its report.
 	Doubtful, Suspected bool
-	// Limit is what is known of its limit, nil for nothing, and Allowed how many requests may be granted by it now.
-	Limit   *statement.Aged
-	Allowed float64
+	// Statements are what it says of itself, and Allowed how many requests may be granted now by the limit that it names.
+	Statements []statement.Aged
+	Allowed    float64
+	// Shed is set if a request is to show whether it takes any again.
+	Shed bool
 }
 
 // Books returns what the next owner is to know.
@@ -64,14 +66,11 @@
 	for _, r := range p.order {
 		c := Condition{
 			Upstream: r.ID, Born: r.Born, Debt: max(0, r.until-float64(now)),
-			Strikes: r.health.strikes, Shut: max(0, r.health.until-now), Rest: r.health.rest,
+			Strikes: r.health.strikes, Shut: max(0, r.health.until-now), Rest: r.health.last,
 			Helps: max(0, r.health.helps-now), Declined: r.health.declined,
 			Foreign: r.foreign, ForeignUsed: r.foreignUsed, Pace: r.pace, Doubtful: r.doubtful, Suspected: r.suspected,
 		}
-		if s, known := r.limit.Statement(); known {
-			limit := s.Aged(now, r.ID)
-			c.Limit, c.Allowed = &limit, r.limit.Level(now)
-		}
+		c.Statements, c.Allowed, c.Shed = r.declared.statements(now, r.ID), r.declared.limit.Level(now), r.declared.shed
 		b.Upstreams = append(b.Upstreams, c)
 	}
 	return b
@@ -91,12 +90,15 @@
 		if r == nil || r.earlier(c.Born) || r.newer(c.Born) {
 			continue
 		}
-		if c.Limit != nil && r.limit.Learn(now, c.Limit.Statement(now)) {
-			r.limit.Restore(now, c.Allowed)
+		for _, a := range c.Statements {
+			if r.declared.learn(now, a.Statement(now)) && a.Kind == statement.Limit {
+				r.declared.limit.Restore(now, c.Allowed)
+			}
 		}
+		r.declared.shed = r.declared.shed || c.Shed
 		r.refresh()
 		r.until = float64(now) + c.Debt
-		r.health = health{strikes: c.Strikes, rest: c.Rest, declined: c.Declined}
+		r.health = health{strikes: c.Strikes, last: c.Rest, declined: c.Declined}
 		if c.Shut > 0 {
 			r.health.until = now + c.Shut
 		}
--- a/lib/decide/span/engine.go
+++ b/lib/decide/span/engine.go
@@ -3,7 +3,6 @@
 import (
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
-	"snipeshift.example/lib/decide/ratelimit"
 	"snipeshift.example/lib/route"
 )
 
@@ -32,8 +31,8 @@
 	// never reported. Suspected is set if that should be asked.
 	pace      float64
 	suspected bool
-	// limit bounds the requests that the upstream is given by what it says that it takes.
-	limit *ratelimit.Pace
+	// declared is what the upstream says of itself.
+	declared *declared
 	// polled is when the upstream was asked for its load last.
 	polled clock.Milli
 }
@@ -156,7 +155,7 @@
 // spare is the free memory that may be set aside for a prompt that another engine leads. One that bounds its requests sets none aside: it may
 // count the orders as requests.
 func (r *row) spare(now clock.Milli) decide.Tokens {
-	if r.limit.Bounds(now) {
+	if r.declared.limit.Bounds(now) {
 		return 0
 	}
 	return r.free()
@@ -167,7 +166,10 @@
 
 // usable reports whether a new request may go there at all.
 func (r *row) usable(now clock.Milli, a *Ask) bool {
-	if r.Leaving || !r.health.open(now) || r.doubtful && r.engine != nil || !r.limit.Allows(now) {
+	if r.leaves() || !r.health.open(now) || r.doubtful && r.engine != nil || !r.declared.limit.Allows(now) {
+		return false
+	}
+	if now < r.declared.rest(a.Gate) || r.onTrial() {
 		return false
 	}
 	for _, id := range a.Avoid {
--- a/lib/decide/span/foreign.go
+++ b/lib/decide/span/foreign.go
@@ -19,15 +19,19 @@
 // Doubtful lists upstreams whose reports are wanted: all of a new owner's, those that turned a
 // request away, those that held work which no grant explains, and those that are slow or
 // may be. Engines of the first two sorts get nothing until they have reported, or are known
-// not to.
-func (p *Pool) Doubtful(now clock.Milli) []decide.UpstreamID {
+// not to. The VM that asks is named: it must not ask one that wants a rest from it.
+func (p *Pool) Doubtful(now clock.Milli, gate decide.GateID) []decide.UpstreamID {
 	var ids []decide.UpstreamID
 	rows := p.order
 	if p.isolation.on {
 		rows = p.own()
 	}
 	for _, r := range rows {
-		if r.limit.Bounds(now) && now-r.polled < limitedPolls {
+		if r.declared.limit.Bounds(now) && now-r.polled < limitedPolls || r.leaves() {
+			continue
+		}
+		if now < r.declared.rest(gate) {
+			p.Unreported(r.ID)
 			continue
 		}
 		if r.doubtful || r.foreign > 0 || r.suspected || r.slow() {
--- a/lib/decide/span/headroom.go
+++ b/lib/decide/span/headroom.go
@@ -48,7 +48,7 @@
 		if r.overruns(now) {
 			r.suspected = true
 		}
-		if r.engine == nil || r.Leaving || r.light() {
+		if r.engine == nil || r.leaves() || r.light() {
 			continue
 		}
 		engines++
--- a/lib/decide/span/health.go
+++ b/lib/decide/span/health.go
@@ -22,8 +22,8 @@
 	strikes int
 	// until is when the next request may try it.
 	until clock.Milli
-	// rest is the length of the last shutting out.
-	rest clock.Milli
+	// last is the length of the last shutting out.
+	last clock.Milli
 	// helps is when it may be asked again to read a part for another engine, declined the length of the last
 	// time for which it was not.
 	helps, declined clock.Milli
@@ -53,8 +53,8 @@
 	if !h.open(now) {
 		return
 	}
-	h.rest = min(max(firstShut, 2*h.rest), longestShut)
-	h.until = now + h.rest
+	h.last = min(max(firstShut, 2*h.last), longestShut)
+	h.until = now + h.last
 }
 
 // Times for which an engine that declined to read a part for another one is not asked to.
--- a/lib/decide/span/isolated.go
+++ b/lib/decide/span/isolated.go
@@ -39,7 +39,7 @@
 
 // own lists the upstreams that the owner uses while it knows of nobody.
 func (p *Pool) own() []*row {
-	rows := slices.DeleteFunc(slices.Clone(p.order), func(r *row) bool { return r.Leaving })
+	rows := slices.DeleteFunc(slices.Clone(p.order), func(r *row) bool { return r.leaves() })
 	slices.SortFunc(rows, func(x, y *row) int { return cmp.Compare(p.isolation.order(x.ID), p.isolation.order(y.ID)) })
 	return rows[:min(isolatedEngines, len(rows))]
 }
--- a/lib/decide/span/life.go
+++ b/lib/decide/span/life.go
@@ -24,10 +24,8 @@
 	clear(r.grants)
 	u, e := r.Upstream, r.engine
 	u.Born = born
-	if s, known := r.limit.Statement(); !known || s.Born < born {
-		r.limit.Reset()
-	}
-	*r = row{Upstream: u, engine: e, grants: r.grants, limit: r.limit}
+	r.declared.renew(born)
+	*r = row{Upstream: u, engine: e, grants: r.grants, declared: r.declared}
 }
 
 // born is the life of an upstream in which a grant was made; zero if it is not known.
--- a/lib/decide/span/place.go
+++ b/lib/decide/span/place.go
@@ -59,7 +59,7 @@
 // id chooses, or owners that do not know of each other would all choose the first.
 func (p *Pool) placePlain(now clock.Milli, a *Ask) (plan, bool) {
 	for _, r := range p.order {
-		if r.limit.Stale(now) && r.usable(now, a) && len(r.grants)+r.foreign < max(r.Slots, 1) {
+		if r.declared.limit.Stale(now) && r.usable(now, a) && len(r.grants)+r.foreign < max(r.Slots, 1) {
 			return plan{leader: r, reason: "renewal"}, true
 		}
 	}
@@ -84,7 +84,7 @@
 // reads it stays within the shortest pause borne there.
 func (p *Pool) placeLight(now clock.Milli, a *Ask, cost float64) (plan, bool) {
 	for _, r := range p.order {
-		if !r.limit.Stale(now) {
+		if !r.declared.limit.Stale(now) {
 			continue
 		}
 		if first, ok := p.fitsLight(now, a, r, cost, math.MaxInt); ok {
@@ -250,7 +250,7 @@
 		if r.light() {
 			liked = -1 - r.streams
 		}
-		if r.limit.Stale(now) {
+		if r.declared.limit.Stale(now) {
 			liked = math.MaxInt
 		}
 		if (r.streams == 0 || leads) && r.streams < r.engine.Slots && liked > most && r.free() >= min(a.Prompt+a.Output, r.usual()) {
@@ -290,7 +290,7 @@
 		g.Helpers = append(g.Helpers, Place{Upstream: h.ID, Born: h.Born, Address: h.Address, Read: pl.part, Reserve: keep})
 	}
 	for _, r := range p.adopt(now, Live{Grant: g}, *a).rows {
-		r.limit.Take(now)
+		r.begins(now, a.ID)
 	}
 	return g
 }
--- a/lib/decide/span/pool.go
+++ b/lib/decide/span/pool.go
@@ -8,7 +8,6 @@
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
 	"snipeshift.example/lib/decide/gate"
-	"snipeshift.example/lib/decide/ratelimit"
 	"snipeshift.example/lib/route"
 )
 
@@ -43,7 +42,7 @@
 	headroom  headroom
 	large     largeShare
 	isolation isolation
-	limits    limits
+	declared  declarations
 	// budget bounds the sends beyond the first of each request.
 	budget *gate.Budget
 }
@@ -53,7 +52,7 @@
 	return &Pool{
 		rules: r, budget: b, rows: map[decide.UpstreamID]*row{},
 		queue: map[decide.RequestID]*waiting{}, grants: map[decide.RequestID]*granted{}, over: map[decide.RequestID]clock.Milli{},
-		limits: limits{rows: map[decide.UpstreamID]*ratelimit.Pace{}},
+		declared: declarations{rows: map[decide.UpstreamID]*declared{}},
 	}
 }
 
@@ -65,7 +64,7 @@
 		seen[u.ID] = true
 		r := p.rows[u.ID]
 		if r == nil {
-			r = &row{grants: map[decide.RequestID]*granted{}, limit: p.limits.of(u.ID)}
+			r = &row{grants: map[decide.RequestID]*granted{}, declared: p.declared.of(u.ID)}
 			p.rows[u.ID] = r
 		}
 		switch {
@@ -158,6 +157,7 @@
 	g.Writing, g.heard = true, now
 	rows := g.rows
 	for _, r := range rows {
+		r.runs(id)
 		if !g.leads(r) {
 			r.health.helped()
 		}
@@ -195,8 +195,12 @@
 		switch {
 		case o == Full && !g.leads(r):
 			r.health.decline(now)
+		case o == Full && now < r.declared.rest(g.Grant.Gate):
+			// It said itself for how long it has no room, so there is nothing to find out.
 		case o == Full:
 			r.turned(now)
+		case o == Done || o == Failed:
+			r.runs(id)
 		}
 	}
 	p.drop(now, id)
--- a/lib/decide/span/pool_test.go
+++ b/lib/decide/span/pool_test.go
@@ -311,7 +311,7 @@
 func TestWorkThatNoGrantExplainsIsCounted(t *testing.T) {
 	b := newBench(t, 3)
 	b.Doubt()
-	require.Len(t, b.Doubtful(now), 3)
+	require.Len(t, b.Doubtful(now, "owner"), 3)
 	early := b.note(now)
 	_, decided := b.ask(now, early)
 	require.False(t, decided, "nothing is sent to engines that may be full")
@@ -320,7 +320,7 @@
 	b.Report(now, "e01", exchange.Load{})
 	b.Report(now, "e02", exchange.Load{})
 	require.Equal(t, decide.UpstreamID("e01"), b.granted(now, b.note(now)).Leader.Upstream)
-	require.Equal(t, []decide.UpstreamID{"e00"}, b.Doubtful(now))
+	require.Equal(t, []decide.UpstreamID{"e00"}, b.Doubtful(now, "owner"))
 	b.Report(now, "e00", exchange.Load{})
 	require.Equal(t, decide.UpstreamID("e00"), b.granted(now, b.note(now)).Leader.Upstream)
 }
@@ -331,7 +331,7 @@
 	b := newBench(t, 2)
 	g := b.granted(now, b.note(now))
 	b.End(now, g.Request, Full, "")
-	require.Equal(t, []decide.UpstreamID{"e00"}, b.Doubtful(now))
+	require.Equal(t, []decide.UpstreamID{"e00"}, b.Doubtful(now, "owner"))
 	require.Equal(t, decide.UpstreamID("e01"), b.granted(now, b.note(now)).Leader.Upstream)
 }
 
@@ -617,17 +617,17 @@
 	b := newBench(t, 4)
 	g := b.granted(now, b.history(now, 200_000))
 	require.Len(t, g.Helpers, 3)
-	require.Empty(t, b.Doubtful(now))
+	require.Empty(t, b.Doubtful(now, "owner"))
 	at := now + 2*g.First
 	b.First(at, g.Request)
 	b.End(at, g.Request, Done, "")
-	require.Len(t, b.Doubtful(now), 4, "each of the four may be the slow one")
+	require.Len(t, b.Doubtful(now, "owner"), 4, "each of the four may be the slow one")
 	for _, id := range []decide.UpstreamID{"e01", "e02", "e03"} {
 		b.Report(at, id, exchange.Load{Requests: 1, Pace: 1})
 		require.Zero(t, b.rows[id].foreign, "its count is older than the books")
 	}
 	b.Report(at, "e00", exchange.Load{Pace: 4})
-	require.Equal(t, []decide.UpstreamID{"e00"}, b.Doubtful(now), "a slow one is asked again, until it is well")
+	require.Equal(t, []decide.UpstreamID{"e00"}, b.Doubtful(now, "owner"), "a slow one is asked again, until it is well")
 
 	g = b.granted(at, b.history(at, 200_000))
 	for _, pl := range append(g.Helpers, g.Leader) {
@@ -687,7 +687,7 @@
 	require.Equal(t, decide.UpstreamID("e00"), late.Leader.Upstream)
 	at := now + late.First + lateSlack + 100
 	require.Equal(t, decide.UpstreamID("e01"), b.granted(at, b.note(at)).Leader.Upstream)
-	require.Equal(t, []decide.UpstreamID{"e00"}, b.Doubtful(now))
+	require.Equal(t, []decide.UpstreamID{"e00"}, b.Doubtful(now, "owner"))
 	b.First(at+10, late.Request)
 	require.Equal(t, decide.UpstreamID("e00"), b.granted(at+10, b.note(at+10)).Leader.Upstream, "it has caught up")
 }
--- a/lib/decide/span/queue.go
+++ b/lib/decide/span/queue.go
@@ -110,7 +110,7 @@
 		return true
 	}
 	for _, r := range p.order {
-		if !r.Leaving && !(r.doubtful && r.engine != nil) {
+		if !r.leaves() && !(r.doubtful && r.engine != nil) {
 			return false
 		}
 	}
@@ -217,7 +217,7 @@
 // needs to be tried.
 func (p *Pool) full(now clock.Milli) bool {
 	for _, r := range p.order {
-		if !r.Leaving && r.health.open(now) && r.streams+r.foreign < max(r.Slots, 1) && r.limit.Allows(now) {
+		if !r.leaves() && r.health.open(now) && r.streams+r.foreign < max(r.Slots, 1) && r.declared.limit.Allows(now) {
 			return false
 		}
 	}
@@ -247,7 +247,7 @@
 		return d
 	}
 	d.Grant = p.grant(now, a, pl)
-	if s, known := pl.leader.limit.Statement(); known {
+	if s, known := pl.leader.declared.limit.Statement(); known {
 		limit := s.Aged(now, pl.leader.ID)
 		d.Limit = &limit
 	}
@@ -264,20 +264,48 @@
 		d.Fault, d.Reason = fault.Overloaded, "deadline"
 		return d, true
 	}
-	if !p.any(now, &w.Ask) {
+	o := p.opening(now, &w.Ask)
+	switch {
+	case o.open:
+		return d, false
+	case o.rests:
+		d.Fault, d.Reason, d.Retry = fault.Overloaded, "rest", max(o.others-now, firstShut)
+		return d, float64(w.last-o.at) < w.least+float64(leastWork)
+	case o.leave:
+		d.Fault, d.Reason, d.Retry = fault.Unavailable, "leaving", firstShut
+		return d, true
+	default:
 		d.Fault, d.Reason, d.Retry = fault.Unavailable, "none", firstShut
 		return d, now-w.since > firstShut
 	}
-	return d, false
 }
 
-// any reports whether some upstream may take the request at all, now or later.
-func (p *Pool) any(now clock.Milli, a *Ask) bool {
+// opening tells when upstreams may take a request.
+type opening struct {
+	// open is set if one may now, or is only full.
+	open bool
+	// rests is set if some want a rest. Then at is when the first one may get this request, and others when one may get requests of some VM:
+	// a caller that comes back probably reaches another one.
+	rests      bool
+	at, others clock.Milli
+	// leave is set if there are some and all of them said that they leave.
+	leave bool
+}
+
+// opening finds out when some upstream may take the request.
+func (p *Pool) opening(now clock.Milli, a *Ask) opening {
+	o := opening{at: math.MaxInt64, others: math.MaxInt64, leave: len(p.order) > 0}
 	for _, r := range p.order {
-		if r.Leaving || !r.health.open(now) || slices.Contains(a.Avoid, r.ID) {
+		o.leave = o.leave && r.declared.leaving.Named
+		if r.leaves() || slices.Contains(a.Avoid, r.ID) {
 			continue
 		}
-		return true
+		at := max(r.health.until, r.declared.rest(a.Gate))
+		if at <= now {
+			return opening{open: true}
+		}
+		o.rests = o.rests || r.declared.shed || now < r.declared.rest(a.Gate)
+		o.at, o.others = min(o.at, at), min(o.others, r.health.until)
 	}
-	return false
+	return o
 }
--- a/lib/decide/span/slow.go
+++ b/lib/decide/span/slow.go
@@ -40,7 +40,7 @@
 // avoidsSlow reports whether long prompts keep off slow engines: there are others.
 func (p *Pool) avoidsSlow() bool {
 	for _, r := range p.order {
-		if !r.Leaving && !r.slow() {
+		if !r.leaves() && !r.slow() {
 			return true
 		}
 	}
--- a/lib/decide/statement/statement.go
+++ b/lib/decide/statement/statement.go
@@ -29,6 +29,16 @@
 // kinds lists all of them.
 var kinds = [...]Kind{Limit, Rest, Leaving}
 
+var kindNames = [...]string{Limit: "limit", Rest: "rest", Leaving: "leaving"}
+
+// String returns the kind's name.
+func (k Kind) String() string {
+	if int(k) >= len(kindNames) {
+		return "unknown"
+	}
+	return kindNames[k]
+}
+
 // PerSecond is a rate of requests a second, from all VMs together.
 type PerSecond float64
 
--- a/scenarios/platform_said_test.go
+++ b/scenarios/platform_said_test.go
@@ -12,8 +12,10 @@
 
 // Times of these tests.
 const (
-	// storeAway is shorter than keys are believed without the store.
-	storeAway = 3 * time.Second
+	// storeAway is shorter than keys are believed without the store, also if their last proof was old and the store's return is noticed late.
+	storeAway = 2 * time.Second
+	// listed is how long the store lists what leaves as ready afterwards.
+	listed = 4 * time.Second
 	// shedding is how long an upstream asks for rest.
 	shedding = 8 * time.Second
 )
@@ -40,7 +42,7 @@
 	}
 	time.Sleep(storeAway)
 	f.Platform.Fail(standin.Well)
-	time.Sleep(storeAway)
+	time.Sleep(listed)
 	l.end(t, f)
 	require.Empty(t, f.Platform.Ignored(noExcuses))
 }
