soak, standin: upstreams that leave by their answers alone, and that ask for rest

Two more kinds of fault, drawn by themselves so that each seed keeps the others: an upstream says in its answers that it leaves while the store lists it as ready, and one turns all requests away and asks for rest. The stand-in judges by what each VM was answered.

--- a/scenarios/soak/check.go
+++ b/scenarios/soak/check.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"snipeshift.example/platform/standin"
@@ -103,6 +104,9 @@
 	for _, text := range p.Exceeded(r.excused) {
 		errs = append(errs, errors.New(text))
 	}
+	for _, text := range p.Ignored(standin.Excuses{Unheard: r.unheard, Restarted: r.restarted, Cut: r.cut}) {
+		errs = append(errs, errors.New(text))
+	}
 	errs = append(errs, r.after()...)
 	r.log("ends of %d calls: %v", len(calls), ends(calls))
 	return errors.Join(errs...)
@@ -207,6 +211,47 @@
 	return false
 }
 
+// answerSpan is how long the answer that a VM may have got, or not, was on its way.
+const answerSpan = time.Second
+
+// unheard tells whether a VM may not have got an upstream's answer of an instant, since it or the link between them was hit.
+func (r *Run) unheard(vm string, u *standin.Runner, at time.Time) bool {
+	from, to := at.Add(-answerSpan), at.Add(answerSpan)
+	if r.restarted(vm, from, to) {
+		return true
+	}
+	us := r.fleet.Platform.Runners()
+	for _, s := range r.spells {
+		if s.fault.End == Upstream && s.vm.Name == vm && us[s.fault.Other%len(us)].Address() == u.Address() && s.link() && s.overlaps(from, to) {
+			return true
+		}
+	}
+	return false
+}
+
+// restarted tells whether a VM was stopped, killed or standing still in a span.
+func (r *Run) restarted(vm string, from, to time.Time) bool {
+	return slices.ContainsFunc(r.spells, func(s spell) bool { return s.vm.Name == vm && s.process() && s.overlaps(from, to) })
+}
+
+// cut tells whether a VM was that, or any link of it was hit.
+func (r *Run) cut(vm string, from, to time.Time) bool {
+	return r.restarted(vm, from, to) || slices.ContainsFunc(r.spells, func(s spell) bool {
+		return s.vm.Name == vm && s.link() && s.overlaps(from, to)
+	})
+}
+
+// process tells whether a fault hits a VM's process, link whether it hits one of its links.
+func (s *spell) process() bool {
+	return s.fault.Kind == Kill || s.fault.Kind == Freeze || s.fault.Kind == Stop
+}
+
+func (s *spell) link() bool {
+	return s.fault.Kind == Cut || s.fault.Kind == Reset || s.fault.Kind == Silence || s.fault.Kind == Delay
+}
+
+func (s *spell) overlaps(from, to time.Time) bool { return !s.to.Before(from) && !s.from.After(to) }
+
 // calmAfter is how long the traces of a fault may last: an owner's books know of grants that have
 // ended for three seconds, upstreams are shut out for four, lapsed entries kept for two.
 const calmAfter = 5 * time.Second
--- a/scenarios/soak/plan.go
+++ b/scenarios/soak/plan.go
@@ -35,6 +35,8 @@
 	Document Kind = "document" // the operator adds a route
 	Limit    Kind = "limit"    // an upstream names a limit for some time
 	Drill    Kind = "drill"    // the store comes back from an older copy
+	Leave    Kind = "leave"    // an upstream says in its answers alone that it leaves, goes, and another comes
+	Shed     Kind = "shed"     // an upstream turns all requests away and asks for rest
 )
 
 // weights say how often each kind comes.
@@ -95,7 +97,7 @@
 	switch f.Kind {
 	case Cut, Reset, Silence, Delay:
 		s += fmt.Sprintf(" to %s %d, ways %d, fresh %v, held %v", f.End, f.Other, f.Ways, f.Fresh, f.Held)
-	case Crash, Drain, Sick:
+	case Crash, Drain, Sick, Leave, Shed:
 		s += fmt.Sprintf(" upstream %d, trouble %d", f.Other, f.Trouble)
 	case Limit:
 		s += fmt.Sprintf(" upstream %d, %.1f a second", f.Other, f.Rate)
@@ -141,7 +143,7 @@
 			at += p.between(0, seriesGap)
 		}
 	}
-	return slices.Concat(out, limits(seed, length), drills(seed, length))
+	return slices.Concat(out, limits(seed, length), drills(seed, length), declarations(seed, length))
 }
 
 // Times and sizes of limits that upstreams name.
@@ -183,6 +185,25 @@
 	return out
 }
 
+// Times of what upstreams declare: that they leave, and that they want rest.
+const (
+	leastDeclared = 2500 * time.Millisecond
+	mostDeclared  = 7 * time.Second
+	declaredPause = 12 * time.Second
+)
+
+// declarations are drawn by themselves, as limits are.
+func declarations(seed uint64, length time.Duration) []Fault {
+	var out []Fault
+	for i, kind := range []Kind{Leave, Shed} {
+		p := planner{rand.New(rand.NewPCG(seed, uint64(3+i)))}
+		for at := p.between(0, declaredPause); at < length; at += p.between(leastDeclared, declaredPause) {
+			out = append(out, Fault{Kind: kind, Other: p.IntN(wide), At: at, Span: p.between(leastDeclared, mostDeclared)})
+		}
+	}
+	return out
+}
+
 type planner struct{ *rand.Rand }
 
 func (p planner) between(least, most time.Duration) time.Duration {
--- a/scenarios/soak/run.go
+++ b/scenarios/soak/run.go
@@ -135,7 +135,7 @@
 		r.store.Lock()
 		defer r.store.Unlock()
 		r.storage(f)
-	case Crash, Drain, Sick:
+	case Crash, Drain, Sick, Leave, Shed:
 		us := r.fleet.Platform.Runners()
 		return r.upstream(f, us[f.Other%len(us)])
 	case Limit:
@@ -251,6 +251,14 @@
 		time.Sleep(f.Span)
 		u.Get(standin.Fine)
 		return nil
+	case Shed:
+		u.Get(standin.Shedding)
+		time.Sleep(f.Span)
+		u.Get(standin.Fine)
+		return nil
+	case Leave:
+		u.Leave()
+		time.Sleep(f.Span)
 	case Drain:
 		u.Drain(drains)
 		time.Sleep(drains)
