relay, registry: a request's line tells all that its placing went by

The line of a request has output, aim, gap, due and urgency now; a service's engines are described once, and when they change (event engine). No decision changes.

--- a/daemon/registry/registry.go
+++ b/daemon/registry/registry.go
@@ -306,11 +306,37 @@
 	}
 	r.log.Info().Str(logline.Key, logline.Applied).Uint64("revision", uint64(d.Revision)).Str("from", from).
 		Int64("age", int64(r.clock.Now()-at)).Int("routes", len(d.Routes)).Msg("document is in force")
+	r.logEngines(d)
 	r.table, r.tableAt, r.unread = t, max(at, r.tableAt), false
 	r.generation++
 	r.publish()
 }
 
+// logEngines writes the data of engines that are new or changed, so that a log tells by itself what the decisions went by. The lock is held.
+func (r *Registry) logEngines(d *route.Document) {
+	for i := range d.Services {
+		s := &d.Services[i]
+		if s.Engine == nil {
+			continue
+		}
+		if before := r.service(s.ID); before != nil && before.Engine != nil && *before.Engine == *s.Engine {
+			continue
+		}
+		e := s.Engine
+		r.log.Info().Str(logline.Key, logline.Engine).Str("service", string(s.ID)).Int("slots", e.Slots).Int64("memory", int64(e.Memory)).
+			Float64("step", e.Step).Float64("writer", e.Writer).Float64("context", e.Context).Float64("speed", e.Read).Float64("pairs", e.Pairs).
+			Int("stride", e.Stride).Float64("hop", e.Hop).Msg("engines of a service are described anew")
+	}
+}
+
+// service is what the document in force says of a service; nil for nothing. The lock is held.
+func (r *Registry) service(id route.ServiceID) *route.Service {
+	if r.table == nil {
+		return nil
+	}
+	return r.table.Service(id)
+}
+
 // confirmDocument notes that the document was still the newest. The lock is held.
 func (r *Registry) confirmDocument(at clock.Milli) {
 	if at > r.tableAt && !r.unread {
--- a/daemon/relay/story.go
+++ b/daemon/relay/story.go
@@ -6,9 +6,11 @@
 	"sync/atomic"
 
 	"snipeshift.example/lib/clock"
+	"snipeshift.example/lib/decide"
 	"snipeshift.example/lib/decide/span"
 	"snipeshift.example/lib/fault"
 	"snipeshift.example/lib/logline"
+	"snipeshift.example/lib/route"
 )
 
 // story is what one log line tells of a request.
@@ -75,13 +77,17 @@
 		name = string(err.Kind)
 	}
 	routeName := ""
+	var aim, gap, due clock.Milli
+	var urgency decide.Urgency
 	if x.route != nil {
-		routeName = x.route.Name
+		routeName, aim, gap, due = x.route.Name, x.route.Aim, x.route.Gap, x.deadline-x.arrived
+		urgency = route.Urgency(x.route, x.holder)
 	}
 	g.metrics.request(routeName, name, s.first, s.queued, total)
 	e = e.Str(logline.Key, logline.Request).Str("id", x.head.ID).Str("route", routeName).Str("service", string(x.service)).
 		Str("workspace", string(x.workspace())).Uint64("revision", s.revision).Int64("age", int64(s.age)).
-		Int64("prompt", int64(x.head.Prompt)).Int64("left", int64(x.head.Left)).Str("last", x.head.Last).Int64("queued", int64(s.queued)).Str("reason", s.reason).
+		Int64("prompt", int64(x.head.Prompt)).Int64("output", int64(x.head.Output)).Int64("aim", int64(aim)).Int64("gap", int64(gap)).
+		Int64("due", int64(due)).Int("urgency", int(urgency)).Int64("left", int64(x.head.Left)).Str("last", x.head.Last).Int64("queued", int64(s.queued)).Str("reason", s.reason).
 		Int64("read", int64(s.read)).Int64("placed", s.placed.Load()).Int64("connected", s.connected.Load()).Int64("sent", s.sent.Load()).
 		Int("waiting", s.waiting).Int("running", s.running).
 		Str("sends", strings.Join(s.sends, "; ")).Int64("first", int64(s.first)).Int64("pause", int64(s.pause)).
--- a/lib/logline/logline.go
+++ b/lib/logline/logline.go
@@ -18,6 +18,8 @@
 	// Applied and Rejected are about documents.
 	Applied  = "applied"
 	Rejected = "rejected"
+	// Engine tells the data of a service's engines.
+	Engine = "engine"
 	// Upstreams is the first list, Upstream a change of one.
 	Upstreams = "upstreams"
 	Upstream  = "upstream"
@@ -60,6 +62,7 @@
 	Failed:      "a part of the process failed; it stops",
 	Applied:     "a document is in force, with the age and source of the word",
 	Rejected:    "a document is not taken, and why",
+	Engine:      "the data of a service's engines, by which its decisions go, are new or changed",
 	Upstreams:   "the first list of upstreams is known",
 	Upstream:    "an upstream is new, changed, leaving or gone",
 	Unusable:    "an entry of the store names no upstream to use, and why; once for each reason",
