span, relay: three holes in what rests and leavings do to others

A send that was withheld ended as if its answer had been whole, and cleared a suspect of killing upstreams. A late short request that found no place, since its VM must not use an engine, let others that need as much be passed over. An upstream that the list lacked and that came back in a later life kept the word of its leaving for good.

--- a/daemon/relay/harness_test.go
+++ b/daemon/relay/harness_test.go
@@ -166,11 +166,19 @@
 // unknown is the knowledge of a VM that has just started.
 func unknown() *fixed { return &fixed{view: &registry.View{}, known: make(chan struct{})} }
 
-type noSuspects struct{ check gate.Verdict }
+// noSuspects finds every request the same, and notes which of its sends were whole.
+type noSuspects struct {
+	check gate.Verdict
+	whole *[]bool
+}
 
-func (n noSuspects) Check(uint64) gate.Verdict                 { return n.check }
-func (noSuspects) Begin(uint64) bool                           { return true }
-func (noSuspects) End(uint64, bool)                            {}
+func (n noSuspects) Check(uint64) gate.Verdict { return n.check }
+func (noSuspects) Begin(uint64) bool           { return true }
+func (n noSuspects) End(_ uint64, whole bool) {
+	if n.whole != nil {
+		*n.whole = append(*n.whole, whole)
+	}
+}
 func (noSuspects) Died(uint64, decide.UpstreamID, decide.Born) {}
 
 // world is a gate before upstreams that a test scripts.
--- a/daemon/relay/said_test.go
+++ b/daemon/relay/said_test.go
@@ -59,11 +59,15 @@
 // A send that never happened is no use of the budget of repeats, and no reason to shut its upstream out.
 func TestASendThatIsWithheldIsNoRepeat(t *testing.T) {
 	w := newWorld(t, sheds, whole("answer"))
+	var ends []bool
+	w.needs.Suspects = noSuspects{whole: &ends}
+	w.start()
 	_, _, _ = w.call(http.MethodPost, "/once/", "")
-	w.placer.outcomes, w.placer.again = nil, nil
+	w.placer.outcomes, w.placer.again, ends = nil, nil, nil
 	_, _, _ = w.call(http.MethodPost, "/once/", "")
 	require.Equal(t, []span.Outcome{span.Left, span.Done}, w.placer.outcomes)
 	require.Equal(t, []bool{false, false}, w.placer.again)
+	require.Equal(t, []bool{false, true}, ends, "a suspect that was not sent is not cleared")
 }
 
 // While memory is being reserved the answer to another request says that the upstream leaves.
--- a/daemon/relay/send.go
+++ b/daemon/relay/send.go
@@ -62,7 +62,8 @@
 	defer func() { g.Suspects.End(x.fingerprint, res.verdict == answered) }()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	if res, withheld := x.withheld(grant); withheld {
+	var withheld bool
+	if res, withheld = x.withheld(grant); withheld {
 		return res
 	}
 	memory, culprit := x.reserve(ctx, grant)
@@ -72,7 +73,6 @@
 	}
 	defer memory.free()
 	// To reserve takes a while, in which an answer to another request may have come.
-	var withheld bool
 	if res, withheld = x.withheld(grant); withheld {
 		return res
 	}
--- a/lib/decide/span/declared.go
+++ b/lib/decide/span/declared.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
@@ -58,15 +59,17 @@
 // rest is when the rest ends that a VM was asked for; zero for none.
 func (d *declared) rest(gate decide.GateID) clock.Milli { return d.rests[gate].Until }
 
-// renew forgets what an earlier life than one of the upstream said.
-func (d *declared) renew(born decide.Born) {
-	if s, known := d.limit.Statement(); !known || s.Born < born {
+// renew forgets what an earlier life than one of the upstream said. What came from a life that did not tell when it began is of an earlier
+// one only if before is set.
+func (d *declared) renew(born decide.Born, before bool) {
+	earlier := func(b decide.Born) bool { return b < born && (b > 0 || before) }
+	if s, known := d.limit.Statement(); known && earlier(s.Born) {
 		d.limit.Reset()
 	}
-	if d.leaving.Born < born {
+	if earlier(d.leaving.Born) {
 		d.leaving = statement.Statement{}
 	}
-	maps.DeleteFunc(d.rests, func(_ decide.GateID, r statement.Statement) bool { return r.Born < born })
+	maps.DeleteFunc(d.rests, func(_ decide.GateID, r statement.Statement) bool { return earlier(r.Born) })
 	d.shed = d.shed && len(d.rests) > 0
 }
 
@@ -149,6 +152,11 @@
 // leaves reports whether the upstream leaves or is gone, by the list or by its own word.
 func (r *row) leaves() bool { return r.Leaving || r.declared.leaving.Named }
 
+// restsFor reports whether any upstream wants a rest from a VM, which others may send to.
+func (p *Pool) restsFor(now clock.Milli, gate decide.GateID) bool {
+	return slices.ContainsFunc(p.order, func(r *row) bool { return now < r.declared.rest(gate) })
+}
+
 // onTrial reports whether one request is to show first whether the upstream takes requests again.
 func (r *row) onTrial() bool { return r.declared.shed && r.grants[r.declared.trial] != nil }
 
--- a/lib/decide/span/declared_test.go
+++ b/lib/decide/span/declared_test.go
@@ -287,6 +287,40 @@
 	require.NotZero(t, b.notes(now+4*clock.Second, now+5*clock.Second, 50)["e00"], "a later life is another upstream")
 }
 
+// An engine leaves, and its next life comes under its id after the list has lacked it. Nothing that the earlier one said is about it.
+func TestALifeThatComesAfterAGapIsAnotherUpstream(t *testing.T) {
+	b := newBench(t, 0)
+	s := &route.Service{ID: "s", Engine: &engine}
+	list := func(born decide.Born) []route.Upstream {
+		return []route.Upstream{{ID: "e00", Service: "s", Slots: engine.Slots, Born: born}}
+	}
+	b.Serve(s, list(5))
+	b.Learn(now, "e00", statement.Statement{Kind: statement.Leaving, Named: true, Gate: "g", Born: 5, At: now})
+	b.rest(now, "e00", "g", clock.Minute)
+	b.Serve(s, nil)
+	b.Serve(s, list(6))
+	d, _ := b.ask(now+clock.Second, b.note(now+clock.Second))
+	require.Equal(t, "rest", d.Reason, "a rest of an unknown life may be its own")
+	b.rows["e00"].declared.rests = nil
+	b.granted(now+2*clock.Second, b.note(now+2*clock.Second))
+}
+
+// A late request of a VM that must not use an engine finds no place. One of another VM, which may, must be tried all the same.
+func TestALateRequestWithoutAPlaceSaysNothingOfOtherVMs(t *testing.T) {
+	b := newBench(t, 1)
+	b.rest(now, "e00", "g", clock.Minute)
+	at := now + firstShut
+	for _, g := range []decide.GateID{"g", "h"} {
+		a := b.by(at, g)
+		a.Aim = at - 1
+		b.Ask(at, a)
+	}
+	ds := b.Tick(at)
+	require.Len(t, ds, 2)
+	require.Equal(t, Refused, ds[0].Action)
+	require.Equal(t, Granted, ds[1].Action)
+}
+
 // The owner changes by plan while engines leave and rest. A successor that did not know of it would grant there at once.
 func TestASuccessorKnowsWhoLeavesAndWhoRests(t *testing.T) {
 	b, next := newBench(t, 3), newBench(t, 3)
--- a/lib/decide/span/life.go
+++ b/lib/decide/span/life.go
@@ -24,7 +24,7 @@
 	clear(r.grants)
 	u, e := r.Upstream, r.engine
 	u.Born = born
-	r.declared.renew(born)
+	r.declared.renew(born, true)
 	*r = row{Upstream: u, engine: e, grants: r.grants, declared: r.declared}
 }
 
--- a/lib/decide/span/pool.go
+++ b/lib/decide/span/pool.go
@@ -65,6 +65,7 @@
 		r := p.rows[u.ID]
 		if r == nil {
 			r = &row{grants: map[decide.RequestID]*granted{}, declared: p.declared.of(u.ID)}
+			r.declared.renew(u.Born, false)
 			p.rows[u.ID] = r
 		}
 		switch {
--- a/lib/decide/span/queue.go
+++ b/lib/decide/span/queue.go
@@ -192,7 +192,7 @@
 
 // noteFailed remembers a late short request that found no place anywhere.
 func (o *round) noteFailed(w *waiting, late bool) {
-	if late && !w.heavy && w.cost > 0 && len(w.Avoid) == 0 && !w.Suspect {
+	if late && !w.heavy && w.cost > 0 && len(w.Avoid) == 0 && !w.Suspect && !o.pool.restsFor(o.now, w.Gate) {
 		o.unplaced = append(o.unplaced, w)
 	}
 }
