--- a/bench/main.go
+++ b/bench/main.go
@@ -13,7 +13,7 @@
 	app := &cli.Command{
 		Name:     "bench",
 		Usage:    "measures snipeshift's decisions in a seeded model",
-		Commands: []*cli.Command{decideCommand(), passesCommand()},
+		Commands: []*cli.Command{decideCommand(), passesCommand(), whatifCommand()},
 	}
 	if err := app.Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "bench:", err)
--- a/bench/passes/engine.go
+++ b/bench/passes/engine.go
@@ -5,6 +5,7 @@
 package passes
 
 import (
+	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
 	"snipeshift.example/lib/route"
 )
@@ -28,6 +29,8 @@
 	busy bool
 	// used sums the time of its passes, read the part that was reading.
 	used, read float64
+	// idle is its time without work, idleWaiting that while something waited for a place.
+	idle, idleWaiting float64
 }
 
 // pass plans the next pass: how long it takes, and which parts it finishes. Without
@@ -45,6 +48,9 @@
 		}
 	}
 	length = step * float64(steps)
+	for _, w := range e.writers {
+		w.written += length / float64(len(e.writers))
+	}
 	room := float64(steps * chunk)
 	var left []*part
 	for _, p := range e.parts {
@@ -52,6 +58,7 @@
 		room -= n
 		p.tokens -= n
 		length += n * p.cost
+		p.job.reading += n * p.cost
 		e.read += n * p.cost
 		if p.tokens > 0 {
 			left = append(left, p)
@@ -80,12 +87,27 @@
 	arrived, first, last float64
 	pause                float64
 	id                   decide.RequestID
+	// output is the most tokens that the answer may have, due how long after its arrival it is due.
+	output  decide.Tokens
+	due     clock.Milli
+	urgency decide.Urgency
+	// refused names the rule that refused it.
+	refused string
+	// reading and written are the engines' time in milliseconds that it took.
+	reading, written float64
 }
 
-// worth is what an answer in time is worth: it grows with the prompt, up to four times the usual.
-func (j *job) worth() float64 {
-	return j.kind.Worth * min(4, 0.3+0.7*float64(j.prompt)/j.kind.Mean)
+// end is how it ended.
+func (j *job) end() Request {
+	r := Request{Pause: j.pause, Whole: j.first > 0 && j.events <= 0, Refused: j.refused}
+	if j.first > 0 {
+		r.First = j.first - j.arrived
+	}
+	return r
 }
 
+// worth is what an answer in time is worth.
+func (j *job) worth() float64 { return j.kind.Of(j.prompt) }
+
 // context is the tokens whose attention the leader pays at each step.
 func (j *job) context() float64 { return float64(j.prompt) / float64(max(j.members, 1)) }
--- a/bench/passes/play.go
+++ b/bench/passes/play.go
@@ -2,10 +2,8 @@
 
 import (
 	"container/heap"
-	"maps"
 	"math"
 	"math/rand/v2"
-	"slices"
 	"sort"
 	"strconv"
 
@@ -48,9 +46,6 @@
 	Length float64
 }
 
-// perEvent is the tokens that an event holds.
-const perEvent = 46
-
 // delay is the way from a gate to an engine or back, in milliseconds.
 const delay = 1.5
 
@@ -72,8 +67,66 @@
 	Worth, Net float64
 	// Busy is the share of the engines' time in passes, Reading in reading.
 	Busy, Reading float64
+	// Requests are the ends of all arrivals, in their order.
+	Requests []Request
+	// Time is what the engines' time went to.
+	Time Account
+}
+
+// Arrival is one request of a load.
+type Arrival struct {
+	Kind *Kind
+	// At is when it comes, in milliseconds from the start of the load.
+	At     float64
+	Prompt decide.Tokens
+	// Events is how many events its answer has; Output the most tokens that it may have, zero for those of Events.
+	Events int
+	Output decide.Tokens
+	// Due is how long after its arrival the whole answer is due; zero for as long as the caller waits for the first event.
+	Due     clock.Milli
+	Urgency decide.Urgency
+}
+
+// Request is the end of one arrival.
+type Request struct {
+	// First and Pause are the time to the first event and the longest pause after it, in milliseconds. First is zero if none came.
+	First, Pause float64
+	// Whole is set if the last event came.
+	Whole bool
+	// Refused names the rule that refused it; empty if none did.
+	Refused string
+}
+
+// Ending is what a request is worth to its caller.
+type Ending uint8
+
+// The closed list of endings.
+const (
+	InTime Ending = iota
+	Late
+	Lost
+)
+
+// Ending judges a request of a kind: an answer that begins after its caller has left, or does not end, is lost.
+func (r *Request) Ending(k *Kind) Ending {
+	switch {
+	case r.First == 0 || !r.Whole || r.First > float64(k.patience()):
+		return Lost
+	case r.First > float64(k.Aim) || k.Gap > 0 && r.Pause > float64(k.Gap):
+		return Late
+	default:
+		return InTime
+	}
+}
+
+// Of is what the engine's answer to an arrival is worth, if it is in time: it grows with the prompt, up to four times the usual.
+func (k *Kind) Of(prompt decide.Tokens) float64 {
+	return k.Worth * min(4, 0.3+0.7*float64(prompt)/k.Mean)
 }
 
+// LateShare is the part of its worth that a late answer has.
+const LateShare = 0.25
+
 // event is something that happens at an instant.
 type event struct {
 	at  float64
@@ -103,13 +156,17 @@
 // play is one run of the model.
 type play struct {
 	load    *Load
-	rng     *rand.Rand
 	now     float64
 	seq     int
 	agenda  events
 	pool    *span.Pool
 	engines map[decide.UpstreamID]*engine
-	jobs    map[decide.RequestID]*job
+	// rows are the engines in their order.
+	rows []*engine
+	jobs map[decide.RequestID]*job
+	// waiting holds the jobs that are neither refused nor begun to be answered.
+	waiting map[decide.RequestID]*job
+	order   []*job
 	results map[string]*KindResult
 	firsts  map[string][]float64
 }
@@ -118,26 +175,35 @@
 const start = 1000
 
 // Play runs a load against a pool with rules, the same for the same seed.
-func Play(l *Load, r span.Rules, seed uint64) Result {
+func Play(l *Load, r span.Rules, seed uint64) Result { return PlayArrivals(l, r, Draw(l, seed)) }
+
+// PlayArrivals runs given arrivals on a load's engines.
+func PlayArrivals(l *Load, r span.Rules, as []Arrival) Result {
 	p := &play{
-		load: l, rng: rand.New(rand.NewPCG(seed, 1)), now: start,
+		load: l, now: start,
 		pool:    span.New(r, gate.NewBudget(0.2, 100, 10*clock.Second)),
-		engines: map[decide.UpstreamID]*engine{}, jobs: map[decide.RequestID]*job{},
+		engines: map[decide.UpstreamID]*engine{}, jobs: map[decide.RequestID]*job{}, waiting: map[decide.RequestID]*job{},
 		results: map[string]*KindResult{}, firsts: map[string][]float64{},
 	}
 	spec := l.Engine
 	var us []route.Upstream
 	for i := range l.Engines {
-		id := decide.UpstreamID("e" + strconv.Itoa(100+i))
+		id := decide.UpstreamID("e" + strconv.Itoa(10_000+i))
 		us = append(us, route.Upstream{ID: id, Service: "s", Address: string(id), Slots: spec.Slots})
 		p.engines[id] = &engine{spec: &spec}
+		p.rows = append(p.rows, p.engines[id])
 	}
 	p.pool.Serve(&route.Service{ID: "s", Engine: &spec}, us)
 	for i := range l.Kinds {
 		p.results[l.Kinds[i].Name] = &KindResult{}
-		p.arrivals(&l.Kinds[i], i)
 	}
-	p.every(10, func() { p.tick() })
+	for i := range as {
+		p.arrival(&as[i])
+	}
+	p.every(tickTime, func() {
+		p.tick()
+		p.idle()
+	})
 	p.every(500, func() { p.present() })
 	for len(p.agenda) > 0 && p.now < start+l.Length+20_000 {
 		e := heap.Pop(&p.agenda).(event)
@@ -161,39 +227,68 @@
 	})
 }
 
+// Draw draws the arrivals of a load, the same for the same seed.
+func Draw(l *Load, seed uint64) []Arrival {
+	d := drawing{load: l, rng: rand.New(rand.NewPCG(seed, 1))}
+	for i := range l.Kinds {
+		d.arrivals(&l.Kinds[i], i)
+	}
+	return d.out
+}
+
+// drawing is a draw of arrivals.
+type drawing struct {
+	load *Load
+	rng  *rand.Rand
+	out  []Arrival
+}
+
 // arrivals draws the requests of one kind.
-func (p *play) arrivals(k *Kind, index int) {
+func (d *drawing) arrivals(k *Kind, index int) {
 	phase := func(t float64) float64 {
-		if len(p.load.Phases) == 0 {
+		if len(d.load.Phases) == 0 {
 			return 1
 		}
-		return p.load.Phases[int(t/p.load.PhaseTime)%len(p.load.Phases)][index]
+		return d.load.Phases[int(t/d.load.PhaseTime)%len(d.load.Phases)][index]
 	}
-	for t := 0.0; t < p.load.Length; {
-		rate := k.Rate * p.load.Scale * phase(t) / 1000
-		t += p.rng.ExpFloat64() / max(rate, 1e-9)
-		if t >= p.load.Length {
+	for t := 0.0; t < d.load.Length; {
+		rate := k.Rate * d.load.Scale * phase(t) / 1000
+		t += d.rng.ExpFloat64() / max(rate, 1e-9)
+		if t >= d.load.Length {
 			return
 		}
-		j := &job{
-			kind: k, arrived: start + t, prompt: decide.Tokens(min(p.lognormal(k.Mean, k.Spread), k.Most)) + 40,
-			events: max(1, int(min(p.lognormal(k.Events, k.EventSpread), 2.5*k.Events))),
-		}
-		j.id = decide.RequestID(k.Name + strconv.FormatInt(int64(len(p.jobs)), 10))
-		p.jobs[j.id] = j
-		p.at(j.arrived, func() { p.arrive(j) })
+		d.out = append(d.out, Arrival{
+			Kind: k, At: t, Prompt: decide.Tokens(min(d.lognormal(k.Mean, k.Spread), k.Most)) + 40,
+			Events: max(1, int(min(d.lognormal(k.Events, k.EventSpread), 2.5*k.Events))),
+		})
 	}
 }
 
-func (p *play) lognormal(mean, spread float64) float64 {
-	return math.Exp(math.Log(mean) - spread*spread/2 + spread*p.rng.NormFloat64())
+func (d *drawing) lognormal(mean, spread float64) float64 {
+	return math.Exp(math.Log(mean) - spread*spread/2 + spread*d.rng.NormFloat64())
+}
+
+// arrival schedules one request.
+func (p *play) arrival(a *Arrival) {
+	j := &job{kind: a.Kind, arrived: start + a.At, prompt: a.Prompt, events: a.Events, output: a.Output, due: a.Due, urgency: a.Urgency}
+	if j.output == 0 {
+		j.output = decide.Tokens(a.Events * p.load.Engine.Stride)
+	}
+	if j.due == 0 {
+		j.due = a.Kind.patience()
+	}
+	j.id = decide.RequestID(a.Kind.Name + strconv.FormatInt(int64(len(p.order)), 10))
+	p.jobs[j.id] = j
+	p.order = append(p.order, j)
+	p.at(j.arrived, func() { p.arrive(j) })
 }
 
 func (p *play) arrive(j *job) {
 	now := clock.Milli(j.arrived)
+	p.waiting[j.id] = j
 	p.pool.Ask(now, span.Ask{
-		ID: j.id, Gate: "g", Prompt: j.prompt, Output: decide.Tokens(j.events * perEvent),
-		Aim: now + j.kind.Aim, Deadline: now + j.kind.patience(), Gap: j.kind.Gap, Stream: true,
+		ID: j.id, Gate: "g", Prompt: j.prompt, Output: j.output, Urgency: j.urgency,
+		Aim: now + j.kind.Aim, Patience: now + j.kind.patience(), Deadline: now + j.due, Gap: j.kind.Gap, Stream: true,
 	})
 	p.tick()
 }
@@ -201,10 +296,8 @@
 // present renews everything, as gates do.
 func (p *play) present() {
 	now := clock.Milli(p.now)
-	for id, j := range p.jobs {
-		if j.last == 0 && j.arrived <= p.now {
-			p.pool.Ask(now, span.Ask{ID: id, Gate: "g", Deadline: now - 1, Prompt: j.prompt})
-		}
+	for id, j := range p.waiting {
+		p.pool.Ask(now, span.Ask{ID: id, Gate: "g", Deadline: now - 1, Prompt: j.prompt})
 	}
 }
 
@@ -212,7 +305,8 @@
 	for _, d := range p.pool.Tick(clock.Milli(p.now)) {
 		j := p.jobs[d.Request]
 		if d.Action == span.Refused {
-			j.last = p.now
+			j.last, j.refused = p.now, d.Reason
+			delete(p.waiting, j.id)
 			k := p.results[j.kind.Name]
 			k.Lost++
 			if held := p.now - j.arrived; held > float64(j.kind.Aim)/8 {
@@ -278,6 +372,7 @@
 func (p *play) write(j *job) {
 	if j.first == 0 {
 		j.first = p.now + delay
+		delete(p.waiting, j.id)
 	} else {
 		j.pause = max(j.pause, p.now+delay-j.last)
 	}
@@ -301,32 +396,27 @@
 // result sums up.
 func (p *play) result() Result {
 	r := Result{Kinds: p.results}
-	ids := make([]decide.RequestID, 0, len(p.jobs))
-	for id := range p.jobs {
-		ids = append(ids, id)
-	}
-	sort.Slice(ids, func(a, b int) bool { return ids[a] < ids[b] })
 	var got, most float64
-	for _, id := range ids {
-		j := p.jobs[id]
+	for _, j := range p.order {
 		k := p.results[j.kind.Name]
 		k.Asked++
 		worth := j.worth()
 		k.Most += worth
 		most += worth
-		first := j.first - j.arrived
-		if j.first == 0 || j.events > 0 || first > float64(j.kind.patience()) {
+		end := j.end()
+		r.Requests = append(r.Requests, end)
+		ending := end.Ending(j.kind)
+		r.Time.note(j, ending)
+		if ending == Lost {
 			continue
 		}
-		p.firsts[j.kind.Name] = append(p.firsts[j.kind.Name], first)
-		late := first > float64(j.kind.Aim)
+		p.firsts[j.kind.Name] = append(p.firsts[j.kind.Name], end.First)
 		if j.pause > float64(j.kind.Gap) {
 			k.Paused++
-			late = true
 		}
-		if late {
+		if ending == Late {
 			k.Late++
-			worth /= 4
+			worth *= LateShare
 		} else {
 			k.InTime++
 		}
@@ -343,8 +433,9 @@
 		r.Net += k.Held
 	}
 	r.Net = (got - r.Net) / max(most, 1e-9)
-	for _, id := range slices.Sorted(maps.Keys(p.engines)) {
-		e := p.engines[id]
+	for _, e := range p.rows {
+		r.Time.Idle += e.idle
+		r.Time.IdleWaiting += e.idleWaiting
 		r.Busy += e.used / (p.load.Length * float64(p.load.Engines))
 		r.Reading += e.read / (p.load.Length * float64(p.load.Engines))
 	}
--- a/operator/explain/explain.go
+++ b/operator/explain/explain.go
@@ -3,8 +3,6 @@
 package explain
 
 import (
-	"bufio"
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -65,25 +63,18 @@
 	Message    string `json:"message"`
 }
 
-// lineLimit is the longest line that is read.
-const lineLimit = 1 << 20
-
 // Read reads all lines of a log that are JSON objects with an event. What is not is
 // counted: a log that was cut off must not look complete.
 func Read(r io.Reader) (lines []Line, skipped int, err error) {
-	sc := bufio.NewScanner(r)
-	sc.Buffer(make([]byte, 64<<10), lineLimit)
-	for sc.Scan() {
-		text := sc.Bytes()
-		start := bytes.IndexByte(text, '{')
+	skipped, err = logline.Scan(r, func(object []byte) bool {
 		var l Line
-		if start < 0 || json.Unmarshal(text[start:], &l) != nil || l.Event == "" {
-			skipped++
-			continue
+		if json.Unmarshal(object, &l) != nil || l.Event == "" {
+			return false
 		}
 		lines = append(lines, l)
-	}
-	if err := sc.Err(); err != nil {
+		return true
+	})
+	if err != nil {
 		return nil, 0, Class.Wrap(err)
 	}
 	return lines, skipped, nil
