statements: what a VM has heard of upstreams is a package of its own

Moved out of the placer, which holds three jobs already; the gate for the other API can use it as it is. Nothing changes; its ways are tested by themselves now: each new owner is sent everything, what comes meanwhile is sent next, the longest rest binds, a leaving outlives the list.

--- a/daemon/placer/client.go
+++ b/daemon/placer/client.go
@@ -8,6 +8,7 @@
 	"github.com/phuslu/log"
 
 	"snipeshift.example/daemon/guard"
+	"snipeshift.example/daemon/statements"
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
 	"snipeshift.example/lib/decide/span"
@@ -55,7 +56,7 @@
 	own     *Owner
 	holders *Holders
 	silent  *silent
-	heard   *heard
+	heard   *statements.Heard
 	hedges  hedges
 	gate    decide.GateID
 
@@ -121,7 +122,7 @@
 func (c *Client) present(ctx context.Context, s route.ServiceID, live []span.Live) {
 	args := &PresentArgs{Service: s, Gate: c.gate, Live: live}
 	unsaid := c.pending(s)
-	args.Statements = unsaid.statements
+	args.Statements = unsaid.Statements
 	ctx, cancel := context.WithTimeout(ctx, (askWait + answerSlack).Duration())
 	defer cancel()
 	for range routings {
@@ -133,7 +134,7 @@
 			return
 		}
 		if reply.Holder == nil {
-			c.heard.acknowledge(s, unsaid)
+			c.heard.Acknowledge(s, unsaid)
 			return
 		}
 		c.holders.Hear(*reply.Holder, "answer")
@@ -188,7 +189,7 @@
 	c.live[reply.Grant.Request] = &use{Live: span.Live{Grant: reply.Grant}, service: s}
 	c.mu.Unlock()
 	if l := reply.Limit; l != nil {
-		c.heard.learn(s, l.Upstream, l.Statement(c.clock.Now()), fromOwner)
+		c.heard.Learn(s, l.Upstream, l.Statement(c.clock.Now()), statements.FromOwner)
 	}
 }
 
@@ -203,7 +204,7 @@
 // local asks this VM's own owner, whoever holds the service.
 func (c *Client) local(s route.ServiceID, a span.Ask, wait clock.Milli) (AskReply, error) {
 	args := c.question(s, a, wait)
-	args.Local, args.Statements = true, c.heard.all(s)
+	args.Local, args.Statements = true, c.heard.All(s)
 	var reply AskReply
 	return reply, c.own.Ask(args, &reply)
 }
--- a/daemon/placer/owner.go
+++ b/daemon/placer/owner.go
@@ -9,6 +9,7 @@
 	"github.com/phuslu/log"
 
 	"snipeshift.example/daemon/registry"
+	"snipeshift.example/daemon/statements"
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
 	"snipeshift.example/lib/decide/gate"
@@ -77,7 +78,7 @@
 type Owner struct {
 	OwnerNeeds
 	budget Budget
-	heard  *heard
+	heard  *statements.Heard
 
 	mu    sync.Mutex
 	pools map[route.ServiceID]*ownedPool
@@ -111,7 +112,7 @@
 
 // NewOwner returns an owner without pools.
 func NewOwner(n OwnerNeeds, b Budget) *Owner {
-	o := &Owner{OwnerNeeds: n, budget: b, heard: newHeard(n.Clock, n.Log), pools: map[route.ServiceID]*ownedPool{}, passing: make(chan struct{}, passedOnAtOnce)}
+	o := &Owner{OwnerNeeds: n, budget: b, heard: statements.New(n.Clock, n.Log), pools: map[route.ServiceID]*ownedPool{}, passing: make(chan struct{}, passedOnAtOnce)}
 	n.Holders.Follow(o.followed)
 	return o
 }
--- a/daemon/placer/poll.go
+++ b/daemon/placer/poll.go
@@ -99,7 +99,7 @@
 func (c *Client) put(ctx context.Context, s route.ServiceID, a span.Ask, wait clock.Milli, m peer.Member) (AskReply, error) {
 	args := c.question(s, a, wait)
 	unsaid := c.pending(s)
-	args.Statements = unsaid.statements
+	args.Statements = unsaid.Statements
 	if x, ok := c.holders.Of(s); ok && x.VM != m.VM {
 		args.Known = &x
 	}
--- a/daemon/placer/reports.go
+++ b/daemon/placer/reports.go
@@ -6,6 +6,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"snipeshift.example/daemon/statements"
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
 	"snipeshift.example/lib/decide/statement"
@@ -79,7 +80,7 @@
 	defer h.mu.Unlock()
 	now := o.Clock.Now()
 	for _, st := range load.Said.Statements(now, o.Gate, max(load.Born, u.Born)) {
-		o.heard.learn(s, id, st, fromAnswer)
+		o.heard.Learn(s, id, st, statements.FromAnswer)
 		o.learn(s, h, now, []statement.Aged{st.Aged(now, id)})
 	}
 	if err != nil {
