--- a/daemon/placer/statements_test.go
+++ b/daemon/placer/statements_test.go
@@ -1,6 +1,8 @@
 package placer
 
 import (
+	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -8,7 +10,9 @@
 
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
+	"snipeshift.example/lib/decide/span"
 	"snipeshift.example/lib/decide/statement"
+	"snipeshift.example/lib/fault"
 	"snipeshift.example/lib/peer"
 )
 
@@ -117,3 +121,27 @@
 		})
 	}
 }
+
+// This VM is cut off from all others, and places by itself. What engines have answered it binds it all the same.
+func TestAVMThatPlacesByItselfKeepsToWhatItHeard(t *testing.T) {
+	d := newDeployment(t)
+	for _, m := range d.ranked {
+		d.fail(d.refusing, m.Address)
+	}
+	now := clock.Boot{}.Now()
+	d.client.Hear("s", "e0", statement.Statement{Kind: statement.Leaving, Named: true, Gate: "gate", At: now})
+	for i := range 5 {
+		id := decide.RequestID(fmt.Sprint(i))
+		reply, err := d.client.Ask(context.Background(), "s", ask(id))
+		require.NoError(t, err)
+		require.EqualValues(t, "e1", reply.Grant.Leader.Upstream)
+		d.client.End(id, span.Done, "")
+	}
+	d.client.Hear("s", "e1", statement.Statement{Kind: statement.Rest, Named: true, Gate: "gate", At: now, Until: now + 20*clock.Second})
+	began := time.Now()
+	reply, err := d.client.Ask(context.Background(), "s", ask("last"))
+	require.NoError(t, err)
+	require.Equal(t, "rest", reply.Reason)
+	require.Equal(t, fault.Overloaded, reply.Fault)
+	require.Less(t, time.Since(began), time.Second, "it is known at once that nothing will serve it")
+}
