openai: an error names the field and what is wanted there

{"messages":"hi"} was answered "cannot unmarshal string into Go value of type openai.fields", which tells a caller neither which field is wrong nor what it should be.

--- a/daemon/openai/body.go
+++ b/daemon/openai/body.go
@@ -3,6 +3,7 @@
 package openai
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -43,8 +44,8 @@
 	if !utf8.Valid(b) {
 		return nil, fault.New(fault.Malformed, "the body is not UTF-8")
 	}
-	var f fields
-	if err := json.Unmarshal(b, &f); err != nil {
+	f, err := object(b)
+	if err != nil {
 		return nil, fault.New(fault.Malformed, "the body is not a JSON object: %v", err)
 	}
 	x, err := f.call()
@@ -91,18 +92,52 @@
 // memory that nobody reserved, and work that nobody counted.
 type fields map[string]json.RawMessage
 
-// get reads one member; into stays as it is where there is none.
-func (f fields) get(name string, into any) error {
+// object reads the members of a body.
+func object(b []byte) (fields, error) {
+	var f fields
+	err := json.Unmarshal(b, &f)
+	var wrong *json.UnmarshalTypeError
+	if errors.As(err, &wrong) {
+		return nil, fmt.Errorf("it is %s", kindOf(b))
+	}
+	return f, err
+}
+
+// get reads one member; into stays as it is where there is none. Wanted says what it is to be, for the caller who sent
+// something else.
+func (f fields) get(name, wanted string, into any) error {
 	raw, ok := f[name]
 	if !ok {
 		return nil
 	}
 	if err := json.Unmarshal(raw, into); err != nil {
-		return fmt.Errorf("%s: %w", name, err)
+		return fmt.Errorf("%s is %s, not %s", name, wanted, kindOf(raw))
 	}
 	return nil
 }
 
+// shownValue is the longest value in bytes that an error shows.
+const shownValue = 40
+
+// kindOf tells what a JSON value is, as its writer would call it.
+func kindOf(raw []byte) string {
+	raw = bytes.TrimSpace(raw)
+	switch {
+	case len(raw) == 0:
+		return "nothing"
+	case raw[0] == '{':
+		return "an object"
+	case raw[0] == '[':
+		return "this list"
+	case raw[0] == '"':
+		return "a string"
+	case len(raw) > shownValue:
+		return "this number"
+	default:
+		return string(raw)
+	}
+}
+
 // call is the part of a generation request that a gate reads.
 type call struct {
 	Model    string
@@ -118,19 +153,19 @@
 
 func (f fields) call() (x call, err error) {
 	err = errors.Join(
-		f.get("model", &x.Model),
-		f.get("stream", &x.Stream),
-		f.get("prompt", &x.Prompt),
-		f.get("messages", &x.Messages),
-		f.get("stream_options", &x.Options),
-		f.get("max_tokens", &x.Max),
-		f.get("max_completion_tokens", &x.Completion),
-		f.get("n", &x.Choices),
+		f.get("model", "a string", &x.Model),
+		f.get("stream", "true or false", &x.Stream),
+		f.get("prompt", "a string", &x.Prompt),
+		f.get("messages", "a list of objects", &x.Messages),
+		f.get("stream_options", "an object", &x.Options),
+		f.get("max_tokens", "a whole number", &x.Max),
+		f.get("max_completion_tokens", "a whole number", &x.Completion),
+		f.get("n", "a whole number", &x.Choices),
 	)
 	if err != nil {
 		return x, err
 	}
-	return x, x.Options.get("include_usage", &x.Usage)
+	return x, x.Options.get("include_usage", "true or false", &x.Usage)
 }
 
 // text joins the prompt's parts in the order in which an engine reads them; size
@@ -152,7 +187,7 @@
 			out = append(out, '\n')
 		}
 		var s string
-		if err := m.get("content", &s); err == nil {
+		if err := m.get("content", "a string", &s); err == nil {
 			out = append(out, s...)
 			continue
 		}
