--- a/lib/decide/statement/statement_test.go
+++ b/lib/decide/statement/statement_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
@@ -51,3 +52,41 @@
 	_, kept = x.Of("u", Limit)
 	require.False(t, kept)
 }
+
+// VMs hear what an upstream says in different orders. One that ended up with another rest or leaving than the others would send where they must not.
+func TestWhatBindsDoesNotDependOnTheOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		said := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Statement {
+			s := Statement{
+				Kind: rapid.SampledFrom([]Kind{Rest, Leaving}).Draw(t, "kind"), Named: true,
+				Born: decide.Born(rapid.IntRange(1, 3).Draw(t, "born")), At: clock.Milli(rapid.IntRange(0, 1000).Draw(t, "at")),
+			}
+			if s.Kind == Rest {
+				s.Until = s.At + clock.Milli(rapid.IntRange(1, 1000).Draw(t, "rest"))
+			}
+			return s
+		}), 1, 8).Draw(t, "said")
+		x, y := NewTable(), NewTable()
+		for _, s := range said {
+			x.Learn("u", s)
+		}
+		for _, s := range rapid.Permutation(said).Draw(t, "order") {
+			y.Learn("u", s)
+		}
+		for now := clock.Milli(0); now < 2100; now += 100 {
+			for born := range decide.Born(4) {
+				_, one := x.Binding(now, "u", born)
+				_, other := y.Binding(now, "u", born)
+				require.Equal(t, one, other, "at %v of life %d", now, born)
+			}
+		}
+	})
+}
+
+// A message is passed on by a VM that holds it for a while. The rest that it tells of must not grow by that.
+func TestAPassedOnRestEndsWhenItDid(t *testing.T) {
+	s := Statement{Kind: Rest, Named: true, Gate: "g", Born: 3, At: 1000, Until: 4000}
+	a := s.Aged(1500, "u").Older(200)
+	got := a.Statement(7_700) // the receiver's clock is 6,000 ahead
+	require.Equal(t, Statement{Kind: Rest, Named: true, Gate: "g", Born: 3, At: 7000, Until: 10_000}, got)
+}
