registry: an upstream that was written again after a drill is not lost

Nobody asks again at the same position, and an entry that does not change brings no event: lost until it does.

Only what was known before the era began stands against its lists now. A VM tells what it doubts beside its list; who knows it keeps it, who does not doubts it too, and believes it in its time. The digest of a list has the doubted ones, or nobody would ask.

Three tests fail on the code before.

--- a/daemon/registry/era.go
+++ b/daemon/registry/era.go
@@ -8,6 +8,7 @@
 	"github.com/zeebo/errs"
 
 	"snipeshift.example/lib/clock"
+	"snipeshift.example/lib/decide"
 	"snipeshift.example/lib/logline"
 	"snipeshift.example/lib/route"
 )
@@ -84,6 +85,10 @@
 	}
 	now := r.clock.Now()
 	r.entered, r.back = now, now
+	r.missed = make(map[decide.UpstreamID]bool, len(r.gone))
+	for id := range r.gone {
+		r.missed[id] = true
+	}
 	r.eras.Add(1)
 	r.log.Warn().Str(logline.Key, logline.Era).Uint64("era", uint64(era)).Uint64("before", uint64(before)).Uint64("position", uint64(r.position.Mark)).
 		Int64("age", int64(now-r.upstreamsAt)).Str("cause", cause).Msg("the store came back from an older copy")
@@ -92,7 +97,8 @@
 	}
 }
 
-// doubt leaves out what a list of the store's says against what was known before it came back from a copy. The lock is held.
+// doubt leaves out what a list of the store's says against what was known before it came back from a copy. What the lists of this era
+// lacked themselves is no such knowledge: its writer has written it again since. The lock is held.
 func (r *Registry) doubt(us []route.Upstream) []route.Upstream {
 	if !r.doubting() {
 		return us
@@ -102,7 +108,9 @@
 	sure := make([]route.Upstream, 0, len(us))
 	for _, u := range us {
 		l, left := r.left[u.ID]
+		left = left && (l.at <= r.entered || r.missed[u.ID])
 		_, missing := r.gone[u.ID]
+		missing = missing && r.missed[u.ID]
 		old, known := r.upstreams[u.ID]
 		switch {
 		case left && !known && u.Born <= l.born, missing && !lapsed[u.ID] && u.Born <= old.Born:
--- a/daemon/registry/era_test.go
+++ b/daemon/registry/era_test.go
@@ -222,3 +222,54 @@
 		require.Less(t, time.Since(began), wait.Duration()+time.Second)
 	}
 }
+
+// The copy lacks an upstream, and its writer writes it again a second later. A VM whose watch was cut off meanwhile sees that in a list, and
+// not as a change. Doubted, an upstream that lives was taken out for seconds.
+func TestWhatAListOfThisEraHasAgainIsBelieved(t *testing.T) {
+	b := newBench(t)
+	b.returned(document(1), upstreams("a"))
+	b.list()
+	b.clock.forward(clock.Second)
+	b.store.upstreams = upstreams("a", "b")
+	b.list()
+	b.clock.forward(2 * holdGone)
+	b.settle(route.Position{}, 0)
+	require.Equal(t, 2, b.there())
+}
+
+// It is written again only after VMs have taken it out.
+func TestWhatIsWrittenAgainAfterItWasTakenOutIsBelieved(t *testing.T) {
+	b := newBench(t)
+	b.returned(document(1), upstreams("a"))
+	b.list()
+	b.clock.forward(holdGone)
+	b.settle(route.Position{}, 0)
+	require.Equal(t, 1, b.there())
+	b.store.upstreams = upstreams("a", "b")
+	b.list()
+	require.Equal(t, 2, b.there())
+}
+
+// One VM had seen an upstream's entry go before the drill, and doubts that the copy has it. Others, which had not, took its list for the newest, and
+// the upstream was lost to the whole fleet until its entry changed again.
+func TestAListThatDoubtsTakesNothingOutElsewhere(t *testing.T) {
+	b, doubts, late := newBench(t), newBench(t), newBench(t)
+	doubts.Registry.clock, late.Registry.clock = b.clock, b.clock
+	gone := route.News{Gone: []decide.UpstreamID{"b"}}
+	doubts.changeUpstreams(gone, mark(10), b.clock.Now())
+	late.changeUpstreams(gone, mark(10), b.clock.Now())
+	doubts.returned(document(1), upstreams("a", "b"))
+	doubts.list()
+	require.Equal(t, 1, doubts.there())
+	b.peers, late.peers = direct{doubts.Registry}, direct{doubts.Registry}
+	require.True(t, b.fetch(b.ctx, peer.Member{VM: "doubts"}))
+	require.True(t, late.fetch(late.ctx, peer.Member{VM: "doubts"}))
+	b.clock.forward(holdGone)
+	b.settle(route.Position{}, 0)
+	require.Equal(t, 2, b.there(), "that a peer doubts it is no word of its end")
+	require.Equal(t, 1, late.there())
+	b.clock.forward(doubtTime)
+	late.believe()
+	late.settle(route.Position{}, 0)
+	require.Equal(t, 2, late.there(), "its entry would have lapsed")
+}
--- a/daemon/registry/peers.go
+++ b/daemon/registry/peers.go
@@ -140,7 +140,7 @@
 	newer := reply.Word.Position().After(r.position)
 	r.mu.Unlock()
 	if newer && len(reply.Upstreams) > 0 {
-		r.learnPeers(route.News{Upstreams: reply.Upstreams, Unusable: reply.Unusable}, reply.Word.Position(), sent-reply.UpstreamsAge)
+		r.learnPeers(route.News{Upstreams: reply.Upstreams, Unusable: reply.Unusable, Doubted: reply.Doubted}, reply.Word.Position(), sent-reply.UpstreamsAge)
 	}
 	return true
 }
@@ -191,6 +191,9 @@
 		for _, u := range r.upstreams {
 			reply.Upstreams = append(reply.Upstreams, u)
 		}
+		for _, u := range r.doubted {
+			reply.Doubted = append(reply.Doubted, u)
+		}
 		for id, reason := range r.unusable {
 			reply.Unusable = append(reply.Unusable, route.Unusable{ID: id, Reason: reason})
 		}
--- a/daemon/registry/registry.go
+++ b/daemon/registry/registry.go
@@ -156,7 +156,9 @@
 	heardOnce         sync.Once
 	told              route.Revision
 	// doubted holds entries of the copy that the store came back from and that say less than was known, until they are believed.
-	doubted   map[decide.UpstreamID]route.Upstream
+	doubted map[decide.UpstreamID]route.Upstream
+	// missed holds the upstreams that were missing already when the era began.
+	missed    map[decide.UpstreamID]bool
 	upstreams map[decide.UpstreamID]route.Upstream
 	// gone holds upstreams that the store no longer lists and that are kept for
 	// a while, with the instant of their end.
--- a/daemon/registry/upstreams.go
+++ b/daemon/registry/upstreams.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"maps"
 	"slices"
 	"strconv"
 
@@ -77,6 +78,7 @@
 		}
 		kept = append(kept, u)
 	}
+	doubted := r.doubtToo(news.Doubted)
 	until := r.clock.Now()
 	if until-max(r.tableAt, r.upstreamsAt) > lapseLeast {
 		until += holdGone
@@ -85,12 +87,25 @@
 		until = max(until, r.entered+holdGone)
 	}
 	r.takeList(kept, position, at, func(id decide.UpstreamID) {
-		if _, held := r.gone[id]; !held {
+		if _, held := r.gone[id]; !held && !doubted[id] {
 			r.gone[id] = until
 		}
 	})
 }
 
+// doubtToo takes entries that a peer doubts, and returns their names. What is known here stays; what is not is doubted here too, until it
+// is believed: the list of a peer that doubts them lacks them, and says nothing of them. The lock is held.
+func (r *Registry) doubtToo(us []route.Upstream) map[decide.UpstreamID]bool {
+	doubted := make(map[decide.UpstreamID]bool, len(us))
+	for _, u := range us {
+		doubted[u.ID] = true
+		if _, known := r.upstreams[u.ID]; !known {
+			r.doubted[u.ID] = u
+		}
+	}
+	return doubted
+}
+
 // changeUpstreams takes changes that were right at an instant and a position.
 func (r *Registry) changeUpstreams(news route.News, position route.Position, at clock.Milli) {
 	r.mu.Lock()
@@ -234,12 +249,12 @@
 	}
 	r.position = route.Later(r.position, position)
 	r.upstreamsAt = max(r.upstreamsAt, at)
-	r.digest = digest(r.upstreams)
+	r.digest = digest(r.upstreams, r.doubted)
 	r.publish()
 }
 
-// digest is equal for equal sets of upstreams.
-func digest(us map[decide.UpstreamID]route.Upstream) uint64 {
+// digest is equal for equal sets of upstreams, and of those that are doubted.
+func digest(us, doubted map[decide.UpstreamID]route.Upstream) uint64 {
 	ids := make([]decide.UpstreamID, 0, len(us))
 	for id := range us {
 		ids = append(ids, id)
@@ -255,5 +270,8 @@
 		_, _ = d.WriteString(strconv.FormatInt(int64(us[id].Born), 36))
 		_, _ = d.Write([]byte{0})
 	}
+	for _, id := range slices.Sorted(maps.Keys(doubted)) {
+		_, _ = d.WriteString("?" + string(id))
+	}
 	return d.Sum64()
 }
--- a/lib/peer/messages.go
+++ b/lib/peer/messages.go
@@ -219,6 +219,8 @@
 	// Unusable are entries that name no upstream to use; told with Upstreams. Those that such an entry
 	// replaced have not left: they are back with their next heartbeat.
 	Unusable []route.Unusable
+	// Doubted are entries of a copy of the store that the teller doubts: Upstreams lacks them, and does not say that they are gone.
+	Doubted []route.Upstream
 	// Word is how far the knowledge goes from which the reply is made.
 	Word RegistryWord
 }
--- a/lib/route/doc.go
+++ b/lib/route/doc.go
@@ -169,4 +169,6 @@
 	Gone []decide.UpstreamID
 	// Unusable are entries that somebody wrote and that name no upstream to use.
 	Unusable []Unusable
+	// Doubted are entries of which a peer that tells its list does not know whether they still hold; its Upstreams lack them.
+	Doubted []Upstream
 }
--- a/scenarios/soak/check.go
+++ b/scenarios/soak/check.go
@@ -109,6 +109,7 @@
 	}
 	errs = append(errs, r.after()...)
 	r.log("ends of %d calls: %v", len(calls), ends(calls))
+	r.log("the store lists %v", p.Listed("servers"))
 	told, unknown := p.Told()
 	r.log("%d answers asked a VM for rest or said to it that their upstream leaves; of %d it is not known which VM", told, unknown)
 	return errors.Join(errs...)
--- a/scenarios/soak_test.go
+++ b/scenarios/soak_test.go
@@ -32,10 +32,10 @@
 // soakSeeds are played in CI, each with faults for so long. After seed 10 long prompts were refused for
 // pressure on an idle fleet; with seed 23 the half of a stream was ended as a whole one; with 124,
 // 136 and 148 callers were told that nothing had run after a first send that had; 6001 and 6113 misled the checks: rests of VMs whose names
-// are not known, and a key that a copy of the store brought back.
+// are not known, and a key that a copy of the store brought back. After 6127 two of four engines were lost to all VMs.
 var soakSeeds = map[uint64]time.Duration{
 	1: soakLength, 2: soakLength, 10: longSoak, 23: longSoak, 124: longSoak, 136: longSoak, 148: longSoak,
-	6001: handSoak, 6113: handSoak,
+	6001: handSoak, 6113: handSoak, 6127: handSoak,
 }
 
 // VMs on a platform are killed, frozen, stopped and told of changes, links between them, to the store
