--- a/daemon/statements/statements_test.go
+++ b/daemon/statements/statements_test.go
@@ -22,21 +22,21 @@
 	return New(k, &log.Logger{Level: log.FatalLevel}), k
 }
 
-// leaving is the word of a leaving at an instant.
-func leaving(at clock.Milli) statement.Statement {
-	return statement.Statement{Kind: statement.Leaving, Named: true, Gate: "g", At: at}
+// leaving is the word of a leaving.
+func leaving() statement.Statement {
+	return statement.Statement{Kind: statement.Leaving, Named: true, Gate: "g", At: 1000}
 }
 
 // An owner is lost with all that it was sent. Its successor, which is sent changes alone, would never hear of what came before.
 func TestEachNewOwnerIsSentEverything(t *testing.T) {
 	h, _ := newHeard()
-	h.Learn("s", "u", leaving(1000), FromAnswer)
+	h.Learn("s", "u", leaving(), FromAnswer)
 	first := h.Pending("s", 1)
 	require.Len(t, first.Statements, 1)
 	require.Len(t, h.Pending("s", 1).Statements, 1, "nothing was acknowledged")
 	h.Acknowledge("s", first)
 	require.Empty(t, h.Pending("s", 1).Statements)
-	h.Learn("s", "v", leaving(1000), FromAnswer)
+	h.Learn("s", "v", leaving(), FromAnswer)
 	require.Len(t, h.Pending("s", 1).Statements, 1)
 	require.Len(t, h.Pending("s", 2).Statements, 2)
 }
@@ -44,9 +44,9 @@
 // While a list is on its way another statement comes. Taken for acknowledged with the list, it would never be sent.
 func TestWhatComesMeanwhileIsSentNext(t *testing.T) {
 	h, _ := newHeard()
-	h.Learn("s", "u", leaving(1000), FromAnswer)
+	h.Learn("s", "u", leaving(), FromAnswer)
 	p := h.Pending("s", 1)
-	h.Learn("s", "v", leaving(1000), FromAnswer)
+	h.Learn("s", "v", leaving(), FromAnswer)
 	h.Acknowledge("s", p)
 	next := h.Pending("s", 1).Statements
 	require.Len(t, next, 1)
@@ -73,7 +73,7 @@
 // An upstream that leaves is not listed for a moment, as when the store comes back from a copy. Forgotten with the list, it would get requests.
 func TestALeavingOutlivesTheList(t *testing.T) {
 	h, k := newHeard()
-	h.Learn("s", "u", leaving(1000), FromAnswer)
+	h.Learn("s", "u", leaving(), FromAnswer)
 	absent := func(route.ServiceID, decide.UpstreamID) bool { return false }
 	k.now += 30 * clock.Second
 	h.Forget(absent)
