--- a/daemon/relay/said.go
+++ b/daemon/relay/said.go
@@ -63,7 +63,7 @@
 	return result{}, false
 }
 
-// knownNames bounds the names that are remembered; some more are counted and not logged.
+// knownNames bounds the names that are remembered, logged and counted.
 const knownNames = 64
 
 // names remembers which names were seen.
