scenarios: a new route after a drill is waited for by its own feed

The test waited until every VM knew that an upstream leaves, and took that for a proof that the route is known too, as it was written first.

The test now asks each VM for the route until it is served, within the two seconds that a new route has in TestPlatformNewRouteIsServedSoon, counted from when it was added; every answer before must be 404, which the test did not ask before. A VM that never takes the document up fails as before.

--- a/scenarios/platform_era_test.go
+++ b/scenarios/platform_era_test.go
@@ -25,6 +25,21 @@
 	leftSlack = 2 * time.Second
 )
 
+// requireServed requires that a VM serves a new route by an instant, and until then says that it does not know it.
+func requireServed(t *testing.T, v *fleet.VM, route string, until time.Time) {
+	t.Helper()
+	c := standin.NewCaller("ward")
+	for {
+		a := c.Call(v.Caller, route)
+		if a.Whole {
+			return
+		}
+		require.Equal(t, http.StatusNotFound, a.Status, "%s: %s", v.Name, a.Text)
+		require.True(t, time.Now().Before(until), "%s does not know route %s", v.Name, route)
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
 // drill has the store come back from a copy, and returns once all is written again.
 func drill(f *fleet.Fleet, age time.Duration, seed uint64) {
 	f.Platform.Drill(standin.Mute, away, age, rewriting, rand.New(rand.NewPCG(seed, 0)))
@@ -93,14 +108,14 @@
 		time.Sleep(copyAge) // each VM has taken them up
 		drill(f, 2*copyAge, 2)
 		f.Platform.AddRoute("after")
+		added := time.Now()
 		f.Platform.Models[1].Drain(leftSlack)
 		f.Platform.Desks[1].Drain(leftSlack)
 		for _, v := range f.VMs {
 			require.Eventually(t, func() bool { return knowsLeaving(v, f.Platform.Models[1]) }, leftSlack, 20*time.Millisecond, v.Name)
 		}
-		c := standin.NewCaller("ward")
 		for _, v := range f.VMs {
-			require.True(t, c.Call(v.Caller, "after").Whole, v.Name)
+			requireServed(t, v, "after", added.Add(leftSlack))
 		}
 		time.Sleep(leftSlack)
 		require.Zero(t, f.Platform.Models[1].Late())
