relay, span: a send that did not happen is counted once in the budget of repeats

What callers saw: while the store had told a VM that an upstream leaves and the owner did not know it yet, each request granted there was given up before it was sent, and its next question counted as a repeat. The other way round, a first grant that was withheld by what its upstream says counted as two requests, which lets a tenth of a repeat more through for each.

Cause: the owner counts grants, and the gate knows which of them were used. The question that follows an unused grant now says so (Counted), and the owner counts nothing for it, first send or repeat. What the gate finds out of date in the store's list is withheld like what the upstream itself said.

TestAGrantThatIsOutOfDateIsNoRepeat, TestASendThatIsWithheldIsNoRepeat (its new line) and TestASendInPlaceOfAnotherIsCountedOnce fail on the code before.

--- a/daemon/relay/harness_test.go
+++ b/daemon/relay/harness_test.go
@@ -81,9 +81,9 @@
 	mu        sync.Mutex
 	upstreams []route.Upstream
 	outcomes  []span.Outcome
-	// again holds for each question whether something had been sent before.
-	again []bool
-	said  *statement.Table
+	// again holds for each question whether something had been sent before, counted whether nothing was sent under the last grant.
+	again, counted []bool
+	said           *statement.Table
 	// wait is how long a place takes to come, during which during is called.
 	wait   time.Duration
 	during func()
@@ -98,6 +98,7 @@
 	}
 	p.mu.Lock()
 	p.again = append(p.again, a.Again)
+	p.counted = append(p.counted, a.Counted)
 	p.mu.Unlock()
 	select {
 	case <-time.After(p.wait):
@@ -245,6 +246,17 @@
 	})
 }
 
+// leave puts a list in force in which an upstream leaves; the placer keeps the earlier one.
+func (w *world) leave(id decide.UpstreamID) {
+	v := *w.known.View()
+	us := slices.Clone(w.placer.upstreams)
+	for i := range us {
+		us[i].Leaving = us[i].Leaving || us[i].ID == id
+	}
+	v.Upstreams = map[route.ServiceID][]route.Upstream{"s": us}
+	w.known.set(&v)
+}
+
 // call sends one request and returns its answer.
 func (w *world) call(method, path, body string) (*http.Response, string, error) {
 	w.t.Helper()
--- a/daemon/relay/run.go
+++ b/daemon/relay/run.go
@@ -47,8 +47,8 @@
 	final *fault.Error
 	// suspicious is set if the upstream may have died of the request.
 	suspicious bool
-	// withheld is set if nothing was sent, since an upstream had said that it wants nothing; rests if it said so in
-	// answer to this send, for a time.
+	// withheld is set if nothing was sent, by what this VM knows of the upstreams of the grant; rests if an upstream said in answer to
+	// this send that it wants nothing for a time.
 	withheld, rests bool
 }
 
@@ -56,8 +56,9 @@
 func (x *flight) run(ctx context.Context) *fault.Error {
 	var failure *answer
 	sent, turned, withheld := 0, 0, 0
+	counted := false
 	for {
-		grant, err := x.place(ctx, sent+turned > withheld, sent > 0)
+		grant, err := x.place(ctx, sends{again: sent+turned > withheld, counted: counted, ran: sent > 0})
 		if err != nil {
 			return x.conclude(failure, x.truthful(ctx, sent, err))
 		}
@@ -72,6 +73,7 @@
 		if !res.rests || res.culprit != "" {
 			x.avoid = append(x.avoid, avoided(grant, res))
 		}
+		counted = res.withheld
 		if res.withheld {
 			withheld++
 		}
@@ -154,8 +156,14 @@
 	return fault.New(fault.Upstream, "upstream failed, and there is no other: %s", err.Text)
 }
 
+// sends tells what became of a request so far.
+type sends struct {
+	// again is set once it was sent, ran once it may have run, counted if nothing was sent under its last grant.
+	again, ran, counted bool
+}
+
 // place asks for the next place.
-func (x *flight) place(ctx context.Context, again, after bool) (span.Grant, *fault.Error) {
+func (x *flight) place(ctx context.Context, before sends) (span.Grant, *fault.Error) {
 	g := x.gate
 	check := g.Suspects.Check(x.fingerprint)
 	if check == gate.Quarantined {
@@ -166,13 +174,14 @@
 		ID:   decide.RequestID(string(g.id) + "#" + strconv.FormatUint(g.serial.Add(1), 36)),
 		Gate: g.id, Workspace: x.workspace(), Urgency: route.Urgency(x.route, x.holder),
 		Prompt: x.head.Prompt, Output: x.head.Output, Likely: x.likely(), Aim: x.aim(now), Patience: x.useless(now), Deadline: x.deadline, Gap: x.route.Gap,
-		Stream: x.route.Stream, Avoid: x.avoid, Suspect: check == gate.Suspected, Again: again,
+		Stream: x.route.Stream, Avoid: x.avoid, Suspect: check == gate.Suspected,
+		Again: before.again, Counted: before.counted,
 	}
 	reply, err := g.Placer.Ask(ctx, x.service, a)
 	x.story.queued += g.Clock.Now() - now
 	if err != nil {
 		g.Placer.Withdraw(x.service, a.ID)
-		return span.Grant{}, x.ended(ctx, after)
+		return span.Grant{}, x.ended(ctx, before.ran)
 	}
 	x.story.reason, x.story.waiting, x.story.running = reply.Reason, reply.Queued, reply.Granted
 	if reply.Fault != "" {
--- a/daemon/relay/said_test.go
+++ b/daemon/relay/said_test.go
@@ -63,13 +63,26 @@
 	w.needs.Suspects = noSuspects{whole: &ends}
 	w.start()
 	_, _, _ = w.call(http.MethodPost, "/once/", "")
-	w.placer.outcomes, w.placer.again, ends = nil, nil, nil
+	w.placer.outcomes, w.placer.again, w.placer.counted, ends = nil, nil, nil, nil
 	_, _, _ = w.call(http.MethodPost, "/once/", "")
 	require.Equal(t, []span.Outcome{span.Left, span.Done}, w.placer.outcomes)
 	require.Equal(t, []bool{false, false}, w.placer.again)
+	require.Equal(t, []bool{false, true}, w.placer.counted, "and no further first send, which would let more be repeated")
 	require.Equal(t, []bool{false, true}, ends, "a suspect that was not sent is not cleared")
 }
 
+// The store has told this VM that an upstream leaves, and not yet the owner. Each request that is granted there would use up a repeat, and
+// those that need one are refused.
+func TestAGrantThatIsOutOfDateIsNoRepeat(t *testing.T) {
+	w := newWorld(t, whole("answer"), whole("answer"))
+	w.leave("u0")
+	resp, _, err := w.call(http.MethodPost, "/once/", "")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	require.Equal(t, []bool{false, false}, w.placer.again)
+	require.Equal(t, []bool{false, true}, w.placer.counted)
+}
+
 // While memory is being reserved the answer to another request says that the upstream leaves.
 func TestTheLastCheckComesAfterTheReservation(t *testing.T) {
 	var sent atomic.Int64
--- a/daemon/relay/send.go
+++ b/daemon/relay/send.go
@@ -53,7 +53,7 @@
 	u := v.Upstream(x.service, func(u *route.Upstream) bool { return u.ID == grant.Leader.Upstream })
 	if u == nil || u.Leaving {
 		// The owner's knowledge is older than ours. What left must not get new work.
-		return result{verdict: idle, outcome: span.Left, err: errStale}
+		return result{verdict: idle, outcome: span.Left, err: errStale, withheld: true}
 	}
 	if !g.Suspects.Begin(x.fingerprint) {
 		return result{verdict: idle, outcome: span.Left, err: errs.New("a copy of this suspect runs")}
--- a/lib/decide/span/pool_test.go
+++ b/lib/decide/span/pool_test.go
@@ -390,6 +390,37 @@
 	require.Equal(t, 10, granted)
 }
 
+// Nothing was sent under a grant, since the upstream wants rest. Were the next one counted too, a fleet that shuns an upstream would repeat more
+// than it may, or refuse what it may repeat.
+func TestASendInPlaceOfAnotherIsCountedOnce(t *testing.T) {
+	b := newBench(t, 8)
+	granted := func(a Ask) bool {
+		d, ok := b.ask(now, a)
+		require.True(t, ok)
+		if d.Action == Granted {
+			b.End(now, a.ID, Done, "")
+		}
+		return d.Action == Granted
+	}
+	for range 50 {
+		a := b.note(now)
+		a.Counted = true
+		require.True(t, granted(a))
+	}
+	repeats := 0
+	for range 50 {
+		a := b.note(now)
+		a.Again = true
+		if granted(a) {
+			repeats++
+		}
+		a = b.note(now)
+		a.Again, a.Counted = true, true
+		require.True(t, granted(a))
+	}
+	require.Equal(t, 10, repeats, "as many as without them")
+}
+
 // An engine died under twelve requests, and one of them is to blame. Two of them on
 // one engine would leave open again which.
 func TestSuspectsDoNotMeet(t *testing.T) {
--- a/lib/decide/span/queue.go
+++ b/lib/decide/span/queue.go
@@ -240,6 +240,7 @@
 	a := &w.Ask
 	d := Decision{Action: Granted, Request: a.ID, Gate: a.Gate, Reason: pl.reason}
 	switch {
+	case a.Counted:
 	case !a.Again:
 		p.budget.Succeed(now)
 	case !p.budget.Retry(now):
--- a/lib/decide/span/span.go
+++ b/lib/decide/span/span.go
@@ -48,6 +48,8 @@
 	Suspect bool
 	// Again is set for every send of a request but the first.
 	Again bool
+	// Counted is set if nothing was sent under the request's grant before: the budget of repeats has counted this send with it.
+	Counted bool
 }
 
 // Grant lets one send run.
