relay: what an upstream says that cannot be read is logged once

What operators saw: an upstream that puts a word in place of a rate or of a rest into all its answers wrote a line `unreadable` for each of them, thousands a second in a large fleet, and with them fell the lines that the bounded log had no room for. A long value went into the line whole.

Each value has one line now, up to 64, cut at 128 bytes, as names of unknown fields have, and a counter.

--- a/daemon/relay/gate.go
+++ b/daemon/relay/gate.go
@@ -111,9 +111,9 @@
 	bodies atomic.Int64
 	// stopping asks callers to open their next connection elsewhere.
 	stopping atomic.Bool
-	// unknown are names of header fields in answers that nobody reads.
-	unknown names
-	metrics *metrics
+	// unknown are names of header fields in answers that nobody reads, unreadable are fields with values that cannot be read.
+	unknown, unreadable names
+	metrics             *metrics
 }
 
 // New returns a gate; id names this VM in this life.
--- a/daemon/relay/metrics.go
+++ b/daemon/relay/metrics.go
@@ -40,4 +40,5 @@
 func (g *Gate) WriteMetrics(w io.Writer) {
 	g.metrics.set.WritePrometheus(w)
 	vm.WriteCounterUint64(w, "snipeshift_unknown_fields_total", uint64(g.unknown.count()))
+	vm.WriteCounterUint64(w, "snipeshift_unreadable_fields_total", uint64(g.unreadable.count()))
 }
--- a/daemon/relay/said.go
+++ b/daemon/relay/said.go
@@ -32,13 +32,16 @@
 		unreadable = append(unreadable, "limit: "+said.Limit.Unreadable)
 	}
 	for _, field := range unreadable {
+		if !g.unreadable.first(field) {
+			continue
+		}
 		g.Log.Warn().Str(logline.Key, logline.Unreadable).Str("service", string(s)).Str("upstream", string(p.Upstream)).
-			Str("field", field).Msg("an upstream says something of itself that cannot be read")
+			Str("field", field[:min(len(field), knownBytes)]).Msg("an upstream says something of itself that cannot be read")
 	}
 	for _, name := range said.Unknown {
 		if g.unknown.first(name) {
 			g.Log.Warn().Str(logline.Key, logline.Unknown).Str("service", string(s)).Str("upstream", string(p.Upstream)).
-				Str("field", name).Msg("answers have a header field that nobody reads")
+				Str("field", name[:min(len(name), knownBytes)]).Msg("answers have a header field that nobody reads")
 		}
 	}
 	for _, st := range said.Statements(g.Clock.Now(), g.id, p.Born) {
@@ -63,8 +66,11 @@
 	return result{}, false
 }
 
-// knownNames bounds the names that are remembered, logged and counted.
-const knownNames = 64
+// knownNames bounds the names that are remembered, logged and counted, knownBytes the length to which one is told from others.
+const (
+	knownNames = 64
+	knownBytes = 128
+)
 
 // names remembers which names were seen.
 type names struct {
@@ -74,6 +80,7 @@
 
 // first reports whether a name is seen for the first time, as long as there is room to remember it.
 func (n *names) first(name string) bool {
+	name = name[:min(len(name), knownBytes)]
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.seen[name] || len(n.seen) >= knownNames {
--- a/daemon/relay/said_test.go
+++ b/daemon/relay/said_test.go
@@ -127,3 +127,20 @@
 	require.Equal(t, knownNames, strings.Count(lines.String(), `"unknown"`))
 	require.Equal(t, knownNames, w.gate.unknown.count())
 }
+
+// An upstream says something that cannot be read in each of its answers, or something else each time, or something endless.
+func TestWhatCannotBeReadIsLoggedOnce(t *testing.T) {
+	var lines strings.Builder
+	w := newWorld(t, whole("answer"))
+	w.needs.Log = &log.Logger{Writer: &log.IOWriter{Writer: &lines}}
+	w.start()
+	long := strings.Repeat("9", 1<<16)
+	for i := range 3 * knownNames {
+		for range 3 {
+			w.gate.hear("s", span.Place{Upstream: "u0"}, &exchange.Said{Unreadable: []string{fmt.Sprint("Rest: ", i, long)}, Limit: exchange.Limit{Unreadable: "soon"}})
+		}
+	}
+	require.Equal(t, knownNames, strings.Count(lines.String(), `"unreadable"`))
+	require.Equal(t, knownNames, w.gate.unreadable.count())
+	require.Less(t, lines.Len(), 4*knownNames*knownBytes)
+}
