--- a/scenarios/platform_said_test.go
+++ b/scenarios/platform_said_test.go
@@ -1,6 +1,7 @@
 package scenarios
 
 import (
+	"sync"
 	"testing"
 	"time"
 
@@ -47,10 +48,31 @@
 	require.Empty(t, f.Platform.Ignored(noExcuses))
 }
 
-// An upstream of each service turns all requests away for a while, and asks each VM for rest.
+// audits calls for prompts that take the memory of several engines, until it is stopped. Too many for four engines, some are refused.
+func audits(f *fleet.Fleet) (stop func()) {
+	done := make(chan struct{})
+	var wg sync.WaitGroup
+	for _, v := range f.VMs {
+		c := standin.NewCaller("ward")
+		wg.Go(func() {
+			for {
+				select {
+				case <-done:
+					return
+				default:
+					c.Call(v.Caller, "audit")
+				}
+			}
+		})
+	}
+	return func() { close(done); wg.Wait() }
+}
+
+// An upstream of each service turns all requests and orders away for a while, and asks each VM for rest.
 func TestPlatformAnUpstreamThatAsksForRestGetsIt(t *testing.T) {
 	f := newFleet(t, 3)
 	l := newLoad(f)
+	stop := audits(f)
 	l.more(t)
 	for _, r := range firsts(f) {
 		r.Get(standin.Shedding)
@@ -64,6 +86,7 @@
 	for _, r := range firsts(f) {
 		require.Greater(t, r.Arrived(over), 30, "it is used again")
 	}
+	stop()
 	l.end(t, f)
 	require.Empty(t, f.Platform.Ignored(noExcuses))
 }
