scenarios: every answer of an upstream binds the VM that got it

The soak judges whether VMs keep to what upstreams say of themselves by the VM behind each connection.

Connections to upstreams wait until it is known who dialled. TestAShortConnectionHasAName.

--- a/scenarios/fleet/fleet.go
+++ b/scenarios/fleet/fleet.go
@@ -60,6 +60,7 @@
 		if err != nil {
 			return f, err
 		}
+		l.Name()
 		f.upstreams[l.Address()] = l
 		r.Dies, r.Origin = f.Crash, l.Source
 		r.Move(l.Address())
--- a/scenarios/relay/relay.go
+++ b/scenarios/relay/relay.go
@@ -51,6 +51,8 @@
 	conns    map[*conn]struct{}
 	rules    map[string]rule
 	closed   bool
+	// named is set if connections wait until it is known who dialled.
+	named bool
 }
 
 // Ports are chosen below those that the system gives to outgoing connections,
@@ -105,6 +107,9 @@
 	return &Relay{address: a, finder: f, conns: map[*conn]struct{}{}, rules: map[string]rule{}}, err
 }
 
+// Name has new connections wait until it is known who dialled: of one that ends before, it would never be known.
+func (r *Relay) Name() { r.mu.Lock(); defer r.mu.Unlock(); r.named = true }
+
 // Address is where the relay listens while it is up.
 func (r *Relay) Address() string { return r.address }
 
@@ -264,8 +269,8 @@
 	c.run(far.(*net.TCPConn))
 }
 
-// identify finds out who dialled. While there are rules the connection waits
-// for it; false means that a rule cuts it.
+// identify finds out who dialled. While there are rules, or where names are wanted, the connection
+// waits for it; false means that a rule cuts it.
 func (r *Relay) identify(c *conn) bool {
 	go func() {
 		defer close(c.found)
@@ -276,9 +281,9 @@
 		r.apply(c)
 	}()
 	r.mu.Lock()
-	ruled := len(r.rules) > 0
+	waits := r.named || len(r.rules) > 0
 	r.mu.Unlock()
-	if ruled {
+	if waits {
 		<-c.found
 	}
 	return !c.isGone()
--- a/scenarios/relay/relay_test.go
+++ b/scenarios/relay/relay_test.go
@@ -159,3 +159,38 @@
 	require.NoError(t, err)
 	require.Less(t, time.Since(began), 200*time.Millisecond)
 }
+
+// A connection that ends at once is gone before it is found out who dialled it, and what an upstream said over it binds nobody.
+func TestAShortConnectionHasAName(t *testing.T) {
+	f := NewFinder()
+	f.Know(os.Getpid(), "me")
+	r, err := New(f)
+	require.NoError(t, err)
+	t.Cleanup(r.Close)
+	r.Name()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	names := make(chan func() string)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = bufio.NewReader(c).ReadString('\n')
+			name := r.Source(c.RemoteAddr().String())
+			_ = c.Close()
+			names <- name
+		}
+	}()
+	require.NoError(t, r.Up(l.Addr().String()))
+	for range 20 {
+		c := dial(t, r)
+		_, err := c.Write([]byte("hello\n"))
+		require.NoError(t, err)
+		name := <-names
+		require.NoError(t, c.Close())
+		require.Equal(t, "me", name())
+	}
+}
