span, placer: upstreams in doubt that were asked already do not keep the others out

Cause: a new owner trusts no engine until it has reported what it still writes, and polls 128 of them a round, with 300 ms between two rounds. The list of whom to poll came in the order of the pool, engines that had reported work of earlier grants among the others, since they are asked again. Where the first 128 write on for callers who are gone, every round asked them again, and the other 2,900 got nothing for as long as that took. It is a bounded piece of work that was given to whom came first and not to whom it was for. The same list noted all of it as polled, so an engine that names a limit and found no place waited for a second more each time.

Now those that get nothing come first, then whom nobody asked for the longest time; one upstream is polled once in 300 ms at most, and only who is asked counts as asked. While some get less than they could take, a round is followed by a pause as long as itself, so that the polls take half of the owner's time at most however slow its processor is, in place of 300 ms.

It replaces a test which asked that the first decision comes before the 129th poll, for the same failure: an owner whose processor is used up by polls. It asks for that directly, at most 16 at a time and half of the time. TestEnginesThatGetNothingAreAskedFirst, TestWhoIsNotAskedIsNotTakenForAsked. Four tests of span polled an upstream twice at one instant, and do so 300 ms later now.

--- a/daemon/placer/reports.go
+++ b/daemon/placer/reports.go
@@ -22,9 +22,10 @@
 
 // Times of reports.
 const (
-	// reportEvery is the time between two polls of upstreams in doubt. Their reports are
-	// some 200 ms old, and each poll costs them a little.
+	// reportEvery is the time between two rounds of polls of upstreams in doubt, and reportSoon the least one while more
+	// upstreams get nothing until they are asked: then a round is followed by a pause as long as itself.
 	reportEvery = 300 * time.Millisecond
+	reportSoon  = 25 * time.Millisecond
 	// reportTimeout bounds a poll of an upstream, which is milliseconds away.
 	reportTimeout = 150 * time.Millisecond
 	// askedLately is how recent a gate's question must be for a pool to be worth polling.
@@ -42,9 +43,12 @@
 	if h.polling || h.gathering || v.Table == nil || v.Table.Service(s) == nil || v.Table.Service(s).Engine == nil {
 		return
 	}
-	ids := h.pool.Doubtful(o.Clock.Now(), o.Gate)
-	ids = ids[:min(len(ids), reportsEach)]
-	if len(ids) == 0 || o.Clock.Now()-h.asked > askedLately {
+	began := o.Clock.Now()
+	if began-h.asked > askedLately {
+		return
+	}
+	ids := h.pool.Doubtful(began, o.Gate, reportsEach)
+	if len(ids) == 0 {
 		return
 	}
 	h.polling = true
@@ -56,7 +60,7 @@
 			g.Go(func() error { o.report(s, h, id, u); return nil })
 		}
 		_ = g.Wait() // the polls return no errors
-		time.Sleep(reportEvery)
+		time.Sleep(o.reportPause(h, began))
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		h.polling = false
@@ -65,6 +69,18 @@
 	}()
 }
 
+// reportPause is the time until the next round of polls. While engines get nothing until they are asked it is the time of the last one, so
+// that the polls of thousands take half of the processor at most.
+func (o *Owner) reportPause(h *ownedPool, began clock.Milli) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := o.Clock.Now()
+	if !h.pool.Pressing(now) {
+		return reportEvery
+	}
+	return min(max((now-began).Duration(), reportSoon), reportEvery)
+}
+
 // report takes one upstream's report into the books.
 func (o *Owner) report(s route.ServiceID, h *ownedPool, id decide.UpstreamID, u *route.Upstream) {
 	if u == nil {
--- a/lib/decide/span/foreign.go
+++ b/lib/decide/span/foreign.go
@@ -1,6 +1,9 @@
 package span
 
 import (
+	"cmp"
+	"slices"
+
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
 	"snipeshift.example/lib/exchange"
@@ -16,32 +19,74 @@
 // report on it is there.
 const turnedRest clock.Milli = 150
 
-// Doubtful lists upstreams whose reports are wanted: all of a new owner's, those that turned a
+// pollEvery is the least time between two polls of one upstream: its reports are some 200 ms old, and each poll costs it a little.
+const pollEvery = 300 * clock.Milli(1)
+
+// Doubtful lists upstreams whose reports are wanted, up to so many, and takes them for asked now: all of a new owner's, those that turned a
 // request away, those that held work which no grant explains, and those that are slow or
 // may be. Engines of the first two sorts get nothing until they have reported, or are known
-// not to. The VM that asks is named: it must not ask one that wants a rest from it.
-func (p *Pool) Doubtful(now clock.Milli, gate decide.GateID) []decide.UpstreamID {
-	var ids []decide.UpstreamID
-	rows := p.order
-	if p.isolation.on {
-		rows = p.own()
-	}
-	for _, r := range rows {
-		if r.declared.limit.Bounds(now) && now-r.polled < limitedPolls || r.leaves() {
-			continue
-		}
-		if now < r.declared.rest(gate) {
+// not to, so they come first; behind them comes who was asked longest ago. The VM that asks is named: it must not ask one that wants a
+// rest from it.
+func (p *Pool) Doubtful(now clock.Milli, gate decide.GateID, most int) []decide.UpstreamID {
+	var rows []*row
+	for _, r := range p.asks() {
+		switch {
+		case r.leaves() || !r.pollable(now):
+		case now < r.declared.rest(gate):
 			p.Unreported(r.ID)
-			continue
-		}
-		if r.doubtful || r.foreign > 0 || r.suspected || r.slow() {
-			r.polled = now
-			ids = append(ids, r.ID)
+		case r.doubtful || r.foreign > 0 || r.suspected || r.slow():
+			rows = append(rows, r)
 		}
 	}
+	if len(rows) > most {
+		slices.SortStableFunc(rows, func(x, y *row) int {
+			if x.doubtful != y.doubtful {
+				return sign(x.doubtful)
+			}
+			return cmp.Compare(x.polled, y.polled)
+		})
+		rows = rows[:most]
+	}
+	var ids []decide.UpstreamID
+	for _, r := range rows {
+		r.polled = now
+		ids = append(ids, r.ID)
+	}
 	return ids
 }
 
+// sign is -1 for what comes first.
+func sign(first bool) int {
+	if first {
+		return -1
+	}
+	return 1
+}
+
+// Pressing reports whether reports are due of engines that get nothing, or less than they could take, until they come.
+func (p *Pool) Pressing(now clock.Milli) bool {
+	return slices.ContainsFunc(p.asks(), func(r *row) bool {
+		return (r.doubtful || r.foreign > 0) && !r.leaves() && r.pollable(now)
+	})
+}
+
+// asks lists the upstreams that the owner asks for their load.
+func (p *Pool) asks() []*row {
+	if p.isolation.on {
+		return p.own()
+	}
+	return p.order
+}
+
+// pollable reports whether an upstream may be polled again.
+func (r *row) pollable(now clock.Milli) bool {
+	least := pollEvery
+	if r.declared.limit.Bounds(now) {
+		least = limitedPolls
+	}
+	return r.polled == 0 || now-r.polled >= least
+}
+
 // Doubt marks all upstreams as holding work that the books may miss: the pool has a new owner.
 func (p *Pool) Doubt() {
 	for _, r := range p.order {
