span: a holder of thousands scans its rows once in some milliseconds

Cause, by a profile of the decision library: each question, first byte and end scans all upstreams twice and all grants once: 0.17 ms of a sound processor a request at 3,000 engines, which at 0.4 of a core is half of it before any message is read. The scans serve averages over seconds, grants that nobody has named for seconds, and polls every 300 ms.

They are made once in a millisecond for each 256 rows now, so that they cost the same at any size; nothing changes below 256.

--- a/lib/decide/span/foreign.go
+++ b/lib/decide/span/foreign.go
@@ -28,13 +28,18 @@
 // not to, so they come first; behind them comes who was asked longest ago. The VM that asks is named: it must not ask one that wants a
 // rest from it.
 func (p *Pool) Doubtful(now clock.Milli, gate decide.GateID, most int) []decide.UpstreamID {
+	if !scans(p.listed, now, len(p.order)) {
+		return nil
+	}
+	p.listed = now
 	var rows []*row
 	for _, r := range p.asks() {
 		switch {
+		case !r.doubtful && r.foreign == 0 && !r.suspected && !r.slow():
 		case r.leaves() || !r.pollable(now):
 		case now < r.declared.rest(gate):
 			p.Unreported(r.ID)
-		case r.doubtful || r.foreign > 0 || r.suspected || r.slow():
+		default:
 			rows = append(rows, r)
 		}
 	}
--- a/lib/decide/span/headroom.go
+++ b/lib/decide/span/headroom.go
@@ -43,6 +43,9 @@
 
 // observe takes the present state of the engines into the average.
 func (p *Pool) observe(now clock.Milli) {
+	if !scans(p.headroom.at, now, len(p.order)) {
+		return
+	}
 	engines, reading := 0, 0
 	for _, r := range p.order {
 		if r.overruns(now) {
--- a/lib/decide/span/pool.go
+++ b/lib/decide/span/pool.go
@@ -37,8 +37,9 @@
 	// grants holds every live grant, over when sends ended of which a question or a list may still be on its way.
 	grants map[decide.RequestID]*granted
 	over   map[decide.RequestID]clock.Milli
-	// swept is when over was swept last.
-	swept     clock.Milli
+	// swept is when over was swept last, expired when grants were, listed when upstreams to poll were looked for.
+	swept, expired, listed clock.Milli
+
 	headroom  headroom
 	large     largeShare
 	isolation isolation
@@ -134,6 +135,10 @@
 		p.swept = now
 		maps.DeleteFunc(p.over, func(_ decide.RequestID, at clock.Milli) bool { return now-at > askLives })
 	}
+	if !scans(p.expired, now, len(p.grants)) {
+		return
+	}
+	p.expired = now
 	for id, g := range p.grants {
 		if now-g.heard > grantLives {
 			p.drop(now, id)
@@ -141,6 +146,13 @@
 	}
 }
 
+// scanRows is how many upstreams or grants are scanned in each millisecond at most. A holder of thousands gets several messages a
+// millisecond, and scans of all rows for each of them would use its processor up.
+const scanRows = 256
+
+// scans reports whether so many rows may be scanned now that were scanned at an earlier instant.
+func scans(last, now clock.Milli, rows int) bool { return now-last >= clock.Milli(rows/scanRows) }
+
 // Withdraw takes a queued or granted request back of which nothing was sent.
 func (p *Pool) Withdraw(now clock.Milli, id decide.RequestID) {
 	delete(p.queue, id)
--- a/lib/decide/span/property_test.go
+++ b/lib/decide/span/property_test.go
@@ -100,6 +100,32 @@
 	}
 }
 
+// BenchmarkThousands is one short request's way through the books of a holder, its polls included, with a thousand others under way.
+func BenchmarkThousands(b *testing.B) {
+	for _, engines := range []int{300, 1000, 3000} {
+		b.Run(fmt.Sprint(engines), func(b *testing.B) {
+			p := New(DefaultRules, gate.NewBudget(0.2, 100, 10*clock.Second))
+			us := make([]route.Upstream, engines)
+			for i := range us {
+				us[i] = route.Upstream{ID: decide.UpstreamID(fmt.Sprintf("e%04d", i)), Slots: engine.Slots}
+			}
+			p.Serve(&route.Service{ID: "s", Engine: &engine}, us)
+			at := now
+			step := func() { p.Doubtful(at, "owner", 128); p.Tick(at) }
+			for i := range b.N {
+				at++
+				_, _ = p.Ask(at, Ask{ID: decide.RequestID(fmt.Sprint(i)), Gate: "g", Prompt: 5000, Output: 1600, Aim: at + 300, Deadline: at + 9000, Gap: 200})
+				step()
+				old := decide.RequestID(fmt.Sprint(i - 1000))
+				p.First(at, old)
+				step()
+				p.End(at, old, Done, "")
+				step()
+			}
+		})
+	}
+}
+
 // BenchmarkFlood is one more question while all engines are full and a hundred requests wait.
 func BenchmarkFlood(b *testing.B) {
 	p := New(DefaultRules, gate.NewBudget(0.2, 100, 10*clock.Second))
