--- a/daemon/placer/client.go
+++ b/daemon/placer/client.go
@@ -8,6 +8,8 @@
 	"github.com/phuslu/log"
 
 	"snipeshift.example/daemon/guard"
+	"snipeshift.example/daemon/hedge"
+	"snipeshift.example/daemon/silent"
 	"snipeshift.example/daemon/statements"
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
@@ -57,9 +59,9 @@
 	peers   Peers
 	own     *Owner
 	holders *Holders
-	silent  *silent
+	silent  *silent.VMs
 	heard   *statements.Heard
-	hedges  hedges
+	hedges  hedge.Questions
 	gate    decide.GateID
 
 	mu sync.Mutex
@@ -79,7 +81,7 @@
 func NewClient(k Clock, l *log.Logger, m Members, p Peers, own *Owner, gate decide.GateID) *Client {
 	c := &Client{
 		clock: k, log: l, members: m, peers: p, own: own, holders: own.Holders, gate: gate,
-		silent: newSilent(l, m, p), asked: map[route.ServiceID]bool{}, live: map[decide.RequestID]*use{},
+		silent: silent.New(l, m, p), asked: map[route.ServiceID]bool{}, live: map[decide.RequestID]*use{},
 		heard: own.heard,
 	}
 	c.holders.Follow(c.followed)
@@ -132,7 +134,7 @@
 		if owner, remote := c.owner(s); !remote {
 			_ = c.own.Present(args, &reply) // it returns no errors
 		} else if err := c.peers.Call(ctx, owner.Address, Name+".Present", args, &reply); err != nil {
-			c.silent.note(owner, err)
+			c.silent.Note(owner, err)
 			return
 		}
 		if reply.Holder == nil {
@@ -153,7 +155,7 @@
 }
 
 func (c *Client) candidates(s route.ServiceID) []peer.Member {
-	return c.holders.candidates(s, c.silent.is)
+	return c.holders.candidates(s, c.silent.Has)
 }
 
 // Ask waits for a place until ctx ends. Aim and Deadline of a are instants of this VM's clock.
@@ -263,7 +265,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), (askWait + answerSlack).Duration())
 		defer cancel()
 		if err := c.peers.Call(ctx, owner.Address, Name+".Note", &n, &peer.Empty{}); err != nil {
-			c.silent.note(owner, err)
+			c.silent.Note(owner, err)
 		}
 	}()
 }
--- a/daemon/placer/poll.go
+++ b/daemon/placer/poll.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"sync"
 	"time"
 
 	"snipeshift.example/lib/clock"
@@ -12,19 +11,6 @@
 	"snipeshift.example/lib/route"
 )
 
-// Limits of hedged questions.
-const (
-	// leastHedge and longestHedge bound how much later than it should an answer comes before the next VM is asked beside: twice the
-	// longest way seen lately, since a fleet whose processors are cut answers later than one that is calm.
-	leastHedge   = 20 * clock.Milli(1)
-	longestHedge = 100 * clock.Milli(1)
-	// hedgeShare of the questions may be asked of another VM beside, and hedgeBurst more: an owner that is merely busy must not get its load twice.
-	hedgeShare = 0.05
-	hedgeBurst = 8
-	// wayDecay is how much of the longest way is kept at each answer: about forty answers on, half of it.
-	wayDecay = 0.98
-)
-
 // errNobody is returned if no VM answers.
 var errNobody = errors.New("no owner answers")
 
@@ -43,7 +29,7 @@
 	defer cancel()
 	moved := c.holders.Moved(s)
 	vms := c.candidates(s)
-	if c.silent.cutOff() {
+	if c.silent.CutOff() {
 		vms = nil
 	}
 	ends := make(chan reached, len(vms))
@@ -61,7 +47,7 @@
 		}()
 	}
 	ask()
-	t := time.NewTimer((wait + c.hedges.after()).Duration())
+	t := time.NewTimer((wait + c.hedges.After()).Duration())
 	defer t.Stop()
 	for pending > 0 {
 		select {
@@ -73,13 +59,13 @@
 			if ctx.Err() != nil {
 				return AskReply{}, ctx.Err()
 			}
-			c.silent.note(e.from, e.err)
+			c.silent.Note(e.from, e.err)
 			ask()
 		case <-t.C:
-			if len(ends) == 0 && c.hedges.allow() {
+			if len(ends) == 0 && c.hedges.Allow() {
 				ask()
 			}
-			t.Reset(c.hedges.after().Duration())
+			t.Reset(c.hedges.After().Duration())
 		case <-moved:
 			return AskReply{Moved: true}, nil
 		}
@@ -116,52 +102,10 @@
 		return AskReply{}, err
 	}
 	c.delivered(s, unsaid, args, &reply)
-	c.hedges.way(c.clock.Now() - began - reply.Waited)
-	c.silent.answered(m)
+	c.hedges.Way(c.clock.Now() - began - reply.Waited)
+	c.silent.Answered(m)
 	return reply, nil
 }
 
-// hedges decides when another VM is asked beside.
-type hedges struct {
-	mu sync.Mutex
-	// longest is the longest way to an owner and back seen lately, in milliseconds.
-	longest float64
-	// used is how much of the allowance is taken.
-	used float64
-	// asked counts the questions put to another VM beside.
-	asked uint64
-}
-
-// way takes the time of one call without what the question waited.
-func (h *hedges) way(d clock.Milli) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.longest = max(float64(d), wayDecay*h.longest)
-	h.used = max(0, h.used-hedgeShare)
-}
-
-// after is how much later than it should an answer is waited for alone.
-func (h *hedges) after() clock.Milli {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return min(max(clock.Milli(2*h.longest), leastHedge), longestHedge)
-}
-
-// allow reports whether another VM may be asked beside, and counts it if so.
-func (h *hedges) allow() bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.used+1 > hedgeBurst {
-		return false
-	}
-	h.used++
-	h.asked++
-	return true
-}
-
 // Hedged counts the questions that were put to another VM beside the owner.
-func (c *Client) Hedged() uint64 {
-	c.hedges.mu.Lock()
-	defer c.hedges.mu.Unlock()
-	return c.hedges.asked
-}
+func (c *Client) Hedged() uint64 { return c.hedges.Asked() }
--- a/daemon/placer/silent.go
+++ b/daemon/silent/silent.go
@@ -1,4 +1,5 @@
-package placer
+// Package silent remembers which of the VMs that a gate asks do not answer.
+package silent
 
 import (
 	"context"
@@ -21,13 +22,22 @@
 	cutOffFrom = 2
 )
 
-// silent holds the VMs that did not answer this gate. They are passed over until they answer a probe, are no members any more, or
+// Members lists the daemons that count as live.
+type Members interface{ Live() []peer.Member }
+
+// Prover finds out over a connection of its own whether a daemon answers.
+type Prover interface {
+	Prove(ctx context.Context, address string) error
+}
+
+// VMs holds the VMs that did not answer this gate. They are passed over until they answer a probe, are no members any more, or
 // begin another life.
 // A VM without power is listed for seconds; after a fixed time gates would ask it again and wait in vain.
-type silent struct {
+// It is safe for concurrent use.
+type VMs struct {
 	log     *log.Logger
 	members Members
-	peers   Peers
+	prover  Prover
 
 	mu  sync.Mutex
 	vms map[peer.VM]peer.Incarnation
@@ -35,20 +45,21 @@
 	since, last time.Time
 }
 
-func newSilent(l *log.Logger, m Members, p Peers) *silent {
-	return &silent{log: l, members: m, peers: p, vms: map[peer.VM]peer.Incarnation{}}
+// New returns VMs of which all count as answering.
+func New(l *log.Logger, m Members, p Prover) *VMs {
+	return &VMs{log: l, members: m, prover: p, vms: map[peer.VM]peer.Incarnation{}}
 }
 
-// is reports whether a VM is passed over.
-func (s *silent) is(m peer.Member) bool {
+// Has reports whether a VM is passed over.
+func (s *VMs) Has(m peer.Member) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	life, ok := s.vms[m.VM]
 	return ok && life == m.Incarnation
 }
 
-// note passes a VM over.
-func (s *silent) note(m peer.Member, err error) {
+// Note passes a VM over.
+func (s *VMs) Note(m peer.Member, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if life, ok := s.vms[m.VM]; ok && life == m.Incarnation {
@@ -62,8 +73,8 @@
 	go s.prove(m)
 }
 
-// answered notes that a VM answered.
-func (s *silent) answered(m peer.Member) {
+// Answered notes that a VM answered.
+func (s *VMs) Answered(m peer.Member) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.last = time.Now()
@@ -73,18 +84,18 @@
 	}
 }
 
-// cutOff reports whether several VMs are silent and none has answered since: asking yet others would make callers late.
-func (s *silent) cutOff() bool {
+// CutOff reports whether several VMs are silent and none has answered since: asking yet others would make callers late.
+func (s *VMs) CutOff() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return len(s.vms) >= cutOffFrom && s.last.Before(s.since)
 }
 
 // prove probes a VM until it answers or is no member of this life any more.
-func (s *silent) prove(m peer.Member) {
+func (s *VMs) prove(m peer.Member) {
 	for wait := proveFirst; ; wait = min(2*wait, proveLongest) {
 		time.Sleep(wait)
-		if !s.is(m) {
+		if !s.Has(m) {
 			return
 		}
 		if !s.member(m) {
@@ -92,16 +103,16 @@
 			return
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), proveTimeout)
-		err := s.peers.Prove(ctx, m.Address)
+		err := s.prover.Prove(ctx, m.Address)
 		cancel()
 		if err == nil {
-			s.answered(m)
+			s.Answered(m)
 			return
 		}
 	}
 }
 
-func (s *silent) member(m peer.Member) bool {
+func (s *VMs) member(m peer.Member) bool {
 	for _, l := range s.members.Live() {
 		if l.VM == m.VM && l.Incarnation == m.Incarnation {
 			return true
@@ -110,7 +121,7 @@
 	return false
 }
 
-func (s *silent) forget(m peer.Member) {
+func (s *VMs) forget(m peer.Member) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.vms, m.VM)
