scenarios: connections to upstreams wait 50 ms at most for their dialler's name

Each new connection to an upstream waited until its dialler's name was read from the system's table of sockets, which with some ten thousand sockets takes longer than the 250 ms of an order and the 150 ms of a poll. So the check itself made engines silent.

The wait has a bound now, short beside both; an answer whose VM is not found in that time binds nobody, as before.

--- a/scenarios/fleet/fleet.go
+++ b/scenarios/fleet/fleet.go
@@ -60,7 +60,7 @@
 		if err != nil {
 			return f, err
 		}
-		l.Name()
+		l.Name(nameWait)
 		f.upstreams[l.Address()] = l
 		r.Dies, r.Origin = f.Crash, l.Source
 		r.Move(l.Address())
@@ -84,6 +84,8 @@
 	desks  = 3
 	// grace is the time for a planned stop, in milliseconds.
 	grace = 6000
+	// nameWait is short beside the 150 ms and more in which a VM gives an order or a poll up.
+	nameWait = 50 * time.Millisecond
 )
 
 // Caller is the name of the test itself as the source of connections.
--- a/scenarios/relay/relay.go
+++ b/scenarios/relay/relay.go
@@ -51,8 +51,8 @@
 	conns    map[*conn]struct{}
 	rules    map[string]rule
 	closed   bool
-	// named is set if connections wait until it is known who dialled.
-	named bool
+	// named is how long connections wait at most until it is known who dialled.
+	named time.Duration
 }
 
 // Ports are chosen below those that the system gives to outgoing connections,
@@ -107,8 +107,9 @@
 	return &Relay{address: a, finder: f, conns: map[*conn]struct{}{}, rules: map[string]rule{}}, err
 }
 
-// Name has new connections wait until it is known who dialled: of one that ends before, it would never be known.
-func (r *Relay) Name() { r.mu.Lock(); defer r.mu.Unlock(); r.named = true }
+// Name has new connections wait until it is known who dialled: of one that ends before, it would never be known. They wait for a time at most, or a
+// busy machine would make those that they lead to look silent.
+func (r *Relay) Name(most time.Duration) { r.mu.Lock(); defer r.mu.Unlock(); r.named = most }
 
 // Address is where the relay listens while it is up.
 func (r *Relay) Address() string { return r.address }
@@ -269,8 +270,8 @@
 	c.run(far.(*net.TCPConn))
 }
 
-// identify finds out who dialled. While there are rules, or where names are wanted, the connection
-// waits for it; false means that a rule cuts it.
+// identify finds out who dialled. While there are rules the connection waits for it, where names are wanted for a
+// time; false means that a rule cuts it.
 func (r *Relay) identify(c *conn) bool {
 	go func() {
 		defer close(c.found)
@@ -281,11 +282,15 @@
 		r.apply(c)
 	}()
 	r.mu.Lock()
-	waits := r.named || len(r.rules) > 0
+	ruled, named := len(r.rules) > 0, r.named
 	r.mu.Unlock()
-	if waits {
+	if ruled {
 		<-c.found
 	}
+	select {
+	case <-c.found:
+	case <-time.After(named):
+	}
 	return !c.isGone()
 }
 
--- a/scenarios/relay/relay_test.go
+++ b/scenarios/relay/relay_test.go
@@ -167,7 +167,7 @@
 	r, err := New(f)
 	require.NoError(t, err)
 	t.Cleanup(r.Close)
-	r.Name()
+	r.Name(time.Minute)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { l.Close() })
