placer: an answer that comes after its call was given up is not read

Cause: reach returns no error where the call of a holder failed but a probe shows that the holder lives, and forward then read the reply. The dialer's contract is that a reply is not read after an error: a late answer may still be decoded into it, so a gate could be granted a place of which one half was of another moment.

reach returns the reply itself now, and an empty one if its call failed; the gate asks again, as it does where nothing was decided.

All other calls of peers were read for the same cause: each returns on the error.

--- a/daemon/placer/hold.go
+++ b/daemon/placer/hold.go
@@ -132,8 +132,8 @@
 		}
 		f.Forwarded, f.Wait, f.Known = true, 0, nil
 		f.Statements = older(args.Statements, passed)
-		var r AskReply
-		if err := o.reach(to, &f, &r); err != nil {
+		r, err := o.reach(to, &f)
+		if err != nil {
 			return err
 		}
 		if r.Holder != nil {
@@ -149,26 +149,27 @@
 }
 
 // reach puts a question to the holder. It fails only if the holder answers neither on the kept connection nor
-// on a new one.
-func (o *Owner) reach(to peer.Member, args *AskArgs, reply *AskReply) error {
+// on a new one. One that is alive but whose answer did not come has decided nothing yet: the reply is empty.
+func (o *Owner) reach(to peer.Member, args *AskArgs) (AskReply, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), verifyWait.Duration())
 	defer cancel()
 	proof := make(chan error, 1)
 	prove := func() { proof <- o.Peers.Prove(ctx, to.Address) }
 	t := time.AfterFunc(proveAfter.Duration(), prove)
-	err := o.Peers.Call(ctx, to.Address, Name+".Ask", args, reply)
-	if t.Stop() {
-		if err == nil {
-			return nil
-		}
+	var reply AskReply
+	err := o.Peers.Call(ctx, to.Address, Name+".Ask", args, &reply)
+	if t.Stop() && err != nil {
 		prove()
 	}
-	if err == nil || <-proof == nil {
-		// A holder that is alive decides, also if this answer of its was lost: the gate asks again.
-		return nil
+	if err == nil {
+		return reply, nil
+	}
+	if <-proof == nil {
+		// A late answer may still be decoded into reply: it is not read.
+		return AskReply{}, nil
 	}
 	o.Log.Warn().Str(logline.Key, logline.Unreachable).Str("dependency", "holder").Str("peer", string(to.VM)).Err(err).Msg("the holder of a service is silent")
-	return err
+	return AskReply{}, err
 }
 
 // take makes this VM the holder of a service, unless the holder is another one than at the epoch before by now. If there was one before, gates are
