registry: the next question to readers goes out when it is due

Callers: after a drill a VM goes on sending to an upstream that has said in the store that it leaves, for so long.

Cause: a VM of a large fleet checks each 0.2 s whether 0.3 s have passed since its last question, so it asked each 0.4 s. News crosses two layers of questions and the pause of the first reader (up to 0.375 s), so up to 1.2 s without heartbeats' help. The check comes when the question is due now.

TestTheNextQuestionIsNotLateByACheck fails before (400 ms).

Weighed: shorter questions for some seconds after a change of era alone.

--- a/daemon/registry/readers.go
+++ b/daemon/registry/readers.go
@@ -160,14 +160,19 @@
 	}
 }
 
-// checkInterval is the time until the age of our knowledge is checked again.
+// checkInterval is the time until the age of our knowledge is checked again, or the next question is due if that is sooner.
 func (r *Registry) checkInterval() time.Duration {
 	select {
 	case <-r.known:
-		return checkEvery
 	default:
 		return bootstrapPoll
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if left := (pollEvery - (r.clock.Now() - r.polled)).Duration(); left > 0 {
+		return min(checkEvery, left)
+	}
+	return checkEvery
 }
 
 // due tells whether others should be asked now. In a large fleet the question also brings the
--- a/daemon/registry/readers_test.go
+++ b/daemon/registry/readers_test.go
@@ -238,3 +238,19 @@
 	require.Equal(t, StandIn, b.noteRole(b.readers(), role))
 	require.Contains(t, lines.String(), `"role":"standin","before":"follower","rank":2,"open":0`)
 }
+
+// Questions to readers go out late by the time between two checks, and news of a leaving upstream crosses two layers of them.
+func TestTheNextQuestionIsNotLateByACheck(t *testing.T) {
+	b, reader := newBench(t), newBench(t)
+	reader.Registry.clock = b.clock
+	b.large(reader.Registry)
+	b.askReaders(b.ctx, b.readers().Others, 0)
+	for passed := clock.Milli(0); passed < pollEvery; {
+		require.False(t, b.due(b.readers()))
+		wait := clock.Milli(b.checkInterval().Milliseconds())
+		require.LessOrEqual(t, passed+wait, pollEvery)
+		b.clock.forward(wait)
+		passed += wait
+	}
+	require.True(t, b.due(b.readers()))
+}
