placer: the two sides of a test's partition list their members once

TestTwoOwnersOfAPartitionKeepOneLimit did not reach its lower bound once (14 sends where 25 are wanted), in three copies at once beside busy processes.

Cause, in the test: from the cut's notice on its members were a new list for each call, where the real table never changes a list that it gave out. So ranks were worked out anew for each of a thousand calls a second, and with less processor the fleet fell behind for good: questions waited 2 to 3 s.

Both bounds stay.

--- a/daemon/placer/loss_test.go
+++ b/daemon/placer/loss_test.go
@@ -60,9 +60,9 @@
 	vain []time.Duration
 	// cuts names for some VMs another one that they do not reach.
 	cuts map[peer.VM]peer.VM
-	// apart holds the VMs of one side of a partition, noticed is set once heartbeats have found out.
-	apart   map[peer.VM]bool
-	noticed bool
+	// apart holds the VMs of one side of a partition, sides what either side lists as live once heartbeats have found out.
+	apart map[peer.VM]bool
+	sides map[bool][]peer.Member
 	// limits are what engines name in their answers, leaving those that say that they leave, sends what they got.
 	limits  map[decide.UpstreamID]statement.PerSecond
 	leaving map[decide.UpstreamID]bool
@@ -121,10 +121,10 @@
 
 // seen lists the members that a VM believes live. The lock is held.
 func (f *lossFleet) seen(by peer.VM) []peer.Member {
-	if !f.noticed {
+	if f.sides == nil {
 		return f.live
 	}
-	return slices.DeleteFunc(slices.Clone(f.live), func(m peer.Member) bool { return f.apart[m.VM] != f.apart[by] })
+	return f.sides[f.apart[by]]
 }
 
 // reaches reports whether a VM reaches another one. The lock is held.
@@ -141,8 +141,18 @@
 	for i, m := range f.live {
 		f.apart[m.VM] = i%3 == 0
 	}
-	time.AfterFunc(noticed, func() { f.mu.Lock(); defer f.mu.Unlock(); f.noticed = true })
-	time.AfterFunc(span, func() { f.mu.Lock(); defer f.mu.Unlock(); f.apart, f.noticed = nil, false })
+	time.AfterFunc(noticed, f.noticeSplit)
+	time.AfterFunc(span, func() { f.mu.Lock(); defer f.mu.Unlock(); f.apart, f.sides = nil, nil })
+}
+
+// noticeSplit has either side list its own VMs alone. The lists stay the same ones: who works from them does so once a list.
+func (f *lossFleet) noticeSplit() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.sides = map[bool][]peer.Member{}
+	for _, m := range f.live {
+		f.sides[f.apart[m.VM]] = append(f.sides[f.apart[m.VM]], m)
+	}
 }
 
 func (s stranger) Self() peer.Member { return s.self }
