registry, changes: a peer with an earlier list of upstreams is sent what changed

A list is known by its content, a sum of hashes over all fields of its upstreams, kept by each change. Whoever asks names its own; it is sent what changed since, applies that to what it had as it asked, and works the content out: what does not make the peer's list is not taken, and the next question asks for all of it. From there on the list goes the way of a whole one, so what is believed of peers is as before. VMs of versions before this send and are sent whole lists.

Weighed: positions of the store in place of contents. They say nothing of what a VM keeps on suspicion, doubts or has taken out by itself, so two VMs at one position may have two lists.

--- a/daemon/registry/peers.go
+++ b/daemon/registry/peers.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
+	"snipeshift.example/daemon/changes"
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/logline"
 	"snipeshift.example/lib/peer"
@@ -118,6 +121,10 @@
 		args.Revision = r.table.Revision()
 	}
 	args.Digest = r.digest
+	own := r.view.Load()
+	if c, ok := r.changes.Content(); ok && !r.askAll.Swap(false) {
+		args.Content = uint64(c)
+	}
 	r.mu.Unlock()
 	sent := r.clock.Now()
 	var reply peer.RegistryReply
@@ -139,12 +146,34 @@
 	r.mu.Lock()
 	newer := reply.Word.Position().After(r.position)
 	r.mu.Unlock()
-	if newer && len(reply.Upstreams) > 0 {
-		r.learnPeers(route.News{Upstreams: reply.Upstreams, Unusable: reply.Unusable, Doubted: reply.Doubted}, reply.Word.Position(), sent-reply.UpstreamsAge)
+	if !newer {
+		return true
+	}
+	us, ok := listOf(&reply, args.Content, own)
+	if !ok {
+		r.askAll.Store(true)
+		r.log.Error().Str(logline.Key, logline.Rejected).Str("from", string(from.VM)).Msg("a peer's changes do not make its list")
+		return false
+	}
+	if len(us) > 0 {
+		r.learnPeers(route.News{Upstreams: us, Unusable: reply.Unusable, Doubted: reply.Doubted}, reply.Word.Position(), sent-reply.UpstreamsAge)
 	}
 	return true
 }
 
+// listOf is the whole list of upstreams that a reply tells of, made of the list that was known here when it was asked for; false if its changes
+// were made for another one.
+func listOf(reply *peer.RegistryReply, asked uint64, own *View) ([]route.Upstream, bool) {
+	if reply.Base == 0 {
+		return reply.Upstreams, true
+	}
+	if reply.Base != asked {
+		return nil, false
+	}
+	us := changes.Apply(slices.Concat(slices.Collect(maps.Values(own.Upstreams))...), reply.Upstreams, reply.Without)
+	return us, uint64(changes.Of(us)) == reply.Content
+}
+
 // takeDocument takes the document of a reply, and tells whether it could be read.
 func (r *Registry) takeDocument(reply *peer.RegistryReply, sent clock.Milli, from peer.VM) bool {
 	d := reply.Document
@@ -187,10 +216,7 @@
 	}
 	if r.upstreamsAt > 0 && len(r.gone) == 0 && r.digest != args.Digest {
 		reply.UpstreamsAge = now - r.upstreamsAt
-		reply.Upstreams = make([]route.Upstream, 0, len(r.upstreams))
-		for _, u := range r.upstreams {
-			reply.Upstreams = append(reply.Upstreams, u)
-		}
+		r.addUpstreams(args, reply)
 		for _, u := range r.doubted {
 			reply.Doubted = append(reply.Doubted, u)
 		}
@@ -200,3 +226,21 @@
 	}
 	return nil
 }
+
+// addUpstreams adds the list of upstreams to a reply: what changed if the asker has an earlier one that is known here, or all of them. The lock
+// is held.
+func (r *Registry) addUpstreams(args *peer.RegistryWord, reply *peer.RegistryReply) {
+	if ids, ok := r.changes.Since(changes.Content(args.Content)); ok && 2*len(ids) < len(r.upstreams) {
+		c, _ := r.changes.Content()
+		reply.Base, reply.Content = args.Content, uint64(c)
+		for _, id := range ids {
+			if u, there := r.upstreams[id]; there {
+				reply.Upstreams = append(reply.Upstreams, u)
+			} else {
+				reply.Without = append(reply.Without, id)
+			}
+		}
+		return
+	}
+	reply.Upstreams = slices.Collect(maps.Values(r.upstreams))
+}
--- a/daemon/registry/registry.go
+++ b/daemon/registry/registry.go
@@ -15,6 +15,7 @@
 
 	"github.com/phuslu/log"
 
+	"snipeshift.example/daemon/changes"
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
 	"snipeshift.example/lib/logline"
@@ -175,7 +176,11 @@
 	position   route.Position
 	digest     uint64
 	generation uint64
-	barred     uint64
+	// changes tells what peers lack that have an earlier list of upstreams.
+	changes *changes.Log
+	// askAll is set once a peer's changes did not make its list: the next question is for all of it.
+	askAll atomic.Bool
+	barred uint64
 	// lost is set while the store fails, back is when it answered again.
 	lost bool
 	back clock.Milli
@@ -241,6 +246,7 @@
 		upstreams: map[decide.UpstreamID]route.Upstream{}, gone: map[decide.UpstreamID]clock.Milli{},
 		shut: map[peer.VM]clock.Milli{},
 		left: map[decide.UpstreamID]leaver{}, unusable: map[decide.UpstreamID]string{}, watches: map[string]watch{}, doubted: map[decide.UpstreamID]route.Upstream{},
+		changes: changes.NewLog(),
 	}
 	r.handover.clock = k
 	r.Await(clock.Of(bootstrapTime))
--- a/daemon/registry/upstreams.go
+++ b/daemon/registry/upstreams.go
@@ -171,6 +171,11 @@
 			Str("address", u.Address).Bool("leaving", u.Leaving).Bool("new", !ok).Int64("born", int64(u.Born)).
 			Bool("reborn", ok && u.Born > old.Born).Msg("upstream changed")
 	}
+	if ok {
+		r.changes.Put(u, &old)
+	} else {
+		r.changes.Put(u, nil)
+	}
 	r.upstreams[u.ID] = u
 	r.generation++
 }
@@ -187,9 +192,10 @@
 // for the log is written once for each reason.
 func (r *Registry) bar(us []route.Unusable) {
 	for _, u := range us {
-		if _, known := r.upstreams[u.ID]; known {
+		if old, known := r.upstreams[u.ID]; known {
 			delete(r.upstreams, u.ID)
 			delete(r.gone, u.ID)
+			r.changes.Take(old)
 			r.generation++
 		}
 		if r.unusable[u.ID] == u.Reason {
@@ -237,7 +243,9 @@
 			continue
 		}
 		delete(r.gone, id)
-		r.left[id] = leaver{now, r.upstreams[id].Born}
+		u := r.upstreams[id]
+		r.left[id] = leaver{now, u.Born}
+		r.changes.Take(u)
 		delete(r.upstreams, id)
 		r.generation++
 		r.log.Info().Str(logline.Key, logline.Upstream).Str("upstream", string(id)).Bool("gone", true).Msg("upstream is gone")
@@ -250,6 +258,7 @@
 	r.position = route.Later(r.position, position)
 	r.upstreamsAt = max(r.upstreamsAt, at)
 	r.digest = digest(r.upstreams, r.doubted)
+	r.changes.Settle()
 	r.publish()
 }
 
--- a/lib/peer/messages.go
+++ b/lib/peer/messages.go
@@ -199,6 +199,8 @@
 	Shut bool
 	// Packs is set by an asker that takes documents packed; daemons of an earlier version do not.
 	Packs bool
+	// Content is that of the asker's list of upstreams, to which changes may be told; zero for none.
+	Content uint64
 }
 
 // Position is the place in the store's history at which the set of upstreams was right.
@@ -213,9 +215,14 @@
 	// Packed is the document as PackDocument made it.
 	Packed      []byte
 	DocumentAge clock.Milli
-	// Upstreams is empty where the asker has the same ones.
+	// Upstreams is empty where the asker has the same ones. Where Base is set it holds those that changed or came since the
+	// asker's list, which has this content, and Without those that went; otherwise it is the whole list.
 	Upstreams    []route.Upstream
 	UpstreamsAge clock.Milli
+	Base         uint64
+	Without      []decide.UpstreamID
+	// Content is that of the list that results.
+	Content uint64
 	// Unusable are entries that name no upstream to use; told with Upstreams. Those that such an entry
 	// replaced have not left: they are back with their next heartbeat.
 	Unusable []route.Unusable
