operator, insight: one command shows who holds a service and what upstreams say

Operators could see holders only in the log lines of VMs, and what upstreams say of themselves only as metrics, one VM at a time.

`snipeshift services` asks the metrics addresses of relaying VMs (`GET /services`): holder, epoch, since when this VM follows it, successor, upstreams listed, the store's era, and each statement in force with its age. VMs that do not agree show in rows that differ.

No decision reads what was added.

--- /dev/null
+++ b/daemon/insight/insight.go
@@ -0,0 +1,101 @@
+// Package insight answers monitoring and the operator's command on the metrics address of a relaying VM.
+//
+// Nothing that it answers holds a prompt, an answer to a caller, or a key.
+package insight
+
+import (
+	"cmp"
+	"encoding/json"
+	"maps"
+	"net/http"
+	"net/http/pprof"
+	"slices"
+
+	"snipeshift.example/daemon/placer"
+	"snipeshift.example/daemon/registry"
+	"snipeshift.example/daemon/relay"
+	"snipeshift.example/lib/clock"
+	"snipeshift.example/lib/decide"
+	"snipeshift.example/lib/decide/statement"
+	"snipeshift.example/lib/logline"
+	answers "snipeshift.example/lib/operator"
+	"snipeshift.example/lib/peer"
+	"snipeshift.example/lib/route"
+)
+
+// Clock reads a clock that goes on while the VM is suspended.
+type Clock interface{ Now() clock.Milli }
+
+// Members lists the VMs that count as live.
+type Members interface{ Live() []peer.Member }
+
+// Store counts calls of the platform's store.
+type Store interface{ Calls() (all, failed uint64) }
+
+// Sources are the parts of the daemon that are asked. All are needed.
+type Sources struct {
+	VM       peer.VM
+	Clock    Clock
+	Gate     *relay.Gate
+	Registry *registry.Registry
+	Members  Members
+	Holders  *placer.Holders
+	Placer   *placer.Client
+	Owner    *placer.Owner
+	Store    Store
+	Lines    *logline.Writer
+}
+
+// Page answers on the metrics address.
+type Page struct{ Sources }
+
+// New returns the page of a VM's parts.
+func New(s Sources) *Page { return &Page{s} }
+
+// Handler serves metrics, what the VM knows of services, and profiles of the processor and the memory: on a VM whose processor is used up
+// nothing else tells by what.
+func (p *Page) Handler() http.Handler {
+	m := http.NewServeMux()
+	m.HandleFunc("/debug/pprof/", pprof.Index)
+	m.HandleFunc("/debug/pprof/profile", pprof.Profile)
+	m.HandleFunc("GET "+answers.PathServices, p.services)
+	m.HandleFunc("/", p.metrics)
+	return m
+}
+
+func (p *Page) services(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(p.Relay()) // an error means that the operator went away
+}
+
+// Relay is what this VM knows of services now.
+func (p *Page) Relay() answers.Relay {
+	now, v := p.Clock.Now(), p.Registry.View()
+	r := answers.Relay{VM: p.VM, Era: p.Registry.Era(), Services: []answers.Service{}, Statements: []answers.Statement{}}
+	known := map[route.ServiceID]bool{}
+	for s := range v.Upstreams {
+		known[s] = true
+	}
+	for _, x := range p.Holders.All() {
+		known[x.Service] = true
+	}
+	for _, s := range slices.Sorted(maps.Keys(known)) {
+		row := answers.Service{Service: s, Upstreams: len(v.Upstreams[s])}
+		if x, since, ok := p.Holders.Followed(s); ok {
+			row.Holder, row.Epoch, row.Since = x.VM, x.Epoch, now-since
+		}
+		row.Successor = p.Holders.Next(s)
+		r.Services = append(r.Services, row)
+	}
+	p.Placer.Statements(func(s route.ServiceID, u decide.UpstreamID, st statement.Statement) {
+		row := answers.Statement{Service: s, Upstream: u, Kind: st.Kind.String(), Gate: st.Gate, Rate: float64(st.Rate), Age: now - st.At}
+		if st.Kind == statement.Rest {
+			row.Left = st.Until - now
+		}
+		r.Statements = append(r.Statements, row)
+	})
+	slices.SortFunc(r.Statements, func(a, b answers.Statement) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Upstream, b.Upstream), cmp.Compare(a.Kind, b.Kind))
+	})
+	return r
+}
--- /dev/null
+++ b/daemon/insight/metrics.go
@@ -0,0 +1,60 @@
+package insight
+
+import (
+	"fmt"
+	"net/http"
+
+	vm "github.com/VictoriaMetrics/metrics"
+
+	"snipeshift.example/lib/decide"
+	"snipeshift.example/lib/decide/statement"
+	"snipeshift.example/lib/route"
+)
+
+// metrics writes all metrics in the text format of Prometheus.
+func (p *Page) metrics(w http.ResponseWriter, _ *http.Request) {
+	p.Gate.WriteMetrics(w)
+	v := p.Registry.View()
+	now := p.Clock.Now()
+	_, failed := p.Store.Calls()
+	gauge := func(name string, value float64) { vm.WriteGaugeFloat64(w, name, value) }
+	if v.Table != nil {
+		gauge("snipeshift_document_revision", float64(v.Table.Revision()))
+		gauge("snipeshift_document_age_seconds", (now - v.TableAt).Duration().Seconds())
+	}
+	if v.UpstreamsAt > 0 {
+		gauge("snipeshift_upstreams_age_seconds", (now - v.UpstreamsAt).Duration().Seconds())
+	}
+	gauge("snipeshift_members", float64(len(p.Members.Live())))
+	gauge("snipeshift_grants_live", float64(p.Placer.Live()))
+	for _, x := range p.Holders.All() {
+		holds := 0.0
+		if p.Holders.Holds(x.Service) {
+			holds = 1
+		}
+		gauge(fmt.Sprintf("snipeshift_service_epoch{service=%q}", x.Service), float64(x.Epoch))
+		gauge(fmt.Sprintf("snipeshift_service_held{service=%q}", x.Service), holds)
+	}
+	p.Placer.Statements(func(s route.ServiceID, u decide.UpstreamID, st statement.Statement) {
+		labels := fmt.Sprintf("{service=%q,upstream=%q}", s, u)
+		switch st.Kind {
+		case statement.Limit:
+			gauge("snipeshift_upstream_limit"+labels, float64(st.Rate))
+		case statement.Rest:
+			gauge("snipeshift_upstream_rest_seconds"+labels, (st.Until - now).Duration().Seconds())
+		case statement.Leaving:
+			gauge("snipeshift_upstream_leaving"+labels, 1)
+		}
+	})
+	vm.WriteCounterUint64(w, "snipeshift_questions_hedged_total", p.Placer.Hedged())
+	vm.WriteCounterUint64(w, "snipeshift_messages_dropped_total", p.Owner.Dropped())
+	for c, n := range p.Registry.Calls() {
+		vm.WriteCounterUint64(w, fmt.Sprintf(`snipeshift_store_calls_total{feed=%q,call=%q,role=%q}`, c.Feed, c.Name(), c.Role), n)
+	}
+	vm.WriteCounterUint64(w, "snipeshift_store_failures_total", failed)
+	gauge("snipeshift_store_era", float64(p.Registry.Era()))
+	vm.WriteCounterUint64(w, "snipeshift_store_eras_total", p.Registry.Eras())
+	vm.WriteCounterUint64(w, "snipeshift_entries_unusable_total", p.Registry.Barred())
+	vm.WriteCounterUint64(w, "snipeshift_log_dropped_total", p.Lines.Dropped())
+	vm.WriteProcessMetrics(w)
+}
--- a/daemon/placer/holders.go
+++ b/daemon/placer/holders.go
@@ -7,6 +7,7 @@
 
 	"snipeshift.example/daemon/holder"
 	"snipeshift.example/daemon/member"
+	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/logline"
 	"snipeshift.example/lib/peer"
 	"snipeshift.example/lib/route"
@@ -16,10 +17,13 @@
 // was cut off, follows the holder before it asks anybody. It is safe for concurrent use.
 type Holders struct {
 	members Members
+	clock   Clock
 	log     *log.Logger
 
 	mu    sync.Mutex
 	table *holder.Table
+	// since is when the holder of each service was learnt.
+	since map[route.ServiceID]clock.Milli
 	ranks ranks
 	// moved is closed, for each service that is waited for, when its holder changes.
 	moved map[route.ServiceID]chan struct{}
@@ -28,8 +32,11 @@
 }
 
 // NewHolders returns the holders as a VM sees them that knows of none.
-func NewHolders(m Members, l *log.Logger) *Holders {
-	return &Holders{members: m, log: l, table: holder.New(m.Self()), moved: map[route.ServiceID]chan struct{}{}}
+func NewHolders(m Members, k Clock, l *log.Logger) *Holders {
+	return &Holders{
+		members: m, clock: k, log: l, table: holder.New(m.Self()),
+		since: map[route.ServiceID]clock.Milli{}, moved: map[route.ServiceID]chan struct{}{},
+	}
 }
 
 // Follow has f called with each new holder. It is called before anything is learnt.
@@ -67,6 +74,7 @@
 // changed wakes those who wait for a change and calls those who follow it.
 func (h *Holders) changed(x peer.Holder, cause string) {
 	h.mu.Lock()
+	h.since[x.Service] = h.clock.Now()
 	if c := h.moved[x.Service]; c != nil {
 		close(c)
 		delete(h.moved, x.Service)
@@ -98,6 +106,24 @@
 	return h.table.Of(s)
 }
 
+// Followed names the holder of a service, with the instant since which this VM follows it.
+func (h *Holders) Followed(s route.ServiceID) (x peer.Holder, since clock.Milli, ok bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	x, ok = h.table.Of(s)
+	return x, h.since[s], ok
+}
+
+// Next names the VM that gates ask if the holder of a service is lost; empty for none.
+func (h *Holders) Next(s route.ServiceID) peer.VM {
+	for i, m := range h.candidates(s, func(peer.Member) bool { return false }) {
+		if i == 1 {
+			return m.VM
+		}
+	}
+	return ""
+}
+
 // Holds reports whether this VM holds a service.
 func (h *Holders) Holds(s route.ServiceID) bool {
 	h.mu.Lock()
--- a/daemon/placer/placer_test.go
+++ b/daemon/placer/placer_test.go
@@ -57,7 +57,7 @@
 	t.Helper()
 	needs := OwnerNeeds{
 		Clock: clock.Boot{}, Knowledge: knowledge(t, ids...), Reports: idle{}, Alone: func() bool { return false },
-		Holders: NewHolders(m, quiet), Members: m, Peers: p, Log: quiet,
+		Holders: NewHolders(m, clock.Boot{}, quiet), Members: m, Peers: p, Log: quiet,
 	}
 	return NewOwner(needs, Budget{Share: 0.2, Floor: 10, Window: 10 * clock.Second})
 }
@@ -288,7 +288,7 @@
 	m := members{{VM: "vm-1", Address: "vm-1"}}
 	needs := OwnerNeeds{
 		Clock: clock.Boot{}, Knowledge: knowledge(t, ids...), Reports: reports, Name: "vm-1", Alone: alone.Load,
-		Holders: NewHolders(m, quiet), Members: m, Peers: &network{}, Log: quiet,
+		Holders: NewHolders(m, clock.Boot{}, quiet), Members: m, Peers: &network{}, Log: quiet,
 	}
 	o := NewOwner(needs, Budget{Share: 0.2, Floor: 10, Window: 10 * clock.Second})
 	var reply AskReply
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -2,20 +2,18 @@
 
 import (
 	"context"
-	"fmt"
 	"net"
 	"net/http"
-	"net/http/pprof"
 	"os"
 	"runtime/debug"
 	"slices"
 	"time"
 
-	vm "github.com/VictoriaMetrics/metrics"
 	"github.com/phuslu/log"
 	"golang.org/x/sync/errgroup"
 
 	"snipeshift.example/daemon/guard"
+	"snipeshift.example/daemon/insight"
 	"snipeshift.example/daemon/member"
 	"snipeshift.example/daemon/placer"
 	"snipeshift.example/daemon/quarantine"
@@ -24,12 +22,9 @@
 	"snipeshift.example/daemon/relay"
 	"snipeshift.example/daemon/settings"
 	"snipeshift.example/lib/clock"
-	"snipeshift.example/lib/decide"
-	"snipeshift.example/lib/decide/statement"
 	"snipeshift.example/lib/dial"
 	"snipeshift.example/lib/logline"
 	"snipeshift.example/lib/peer"
-	"snipeshift.example/lib/route"
 	"snipeshift.example/platform"
 )
 
@@ -127,7 +122,7 @@
 		d.registry.Await(registry.FirstWait)
 	}
 	q := quarantine.New(d.clock, d.members, d.dialer)
-	d.holders = placer.NewHolders(d.members, d.log)
+	d.holders = placer.NewHolders(d.members, d.clock, d.log)
 	d.members.Add(d.registry, q, d.holders)
 	kept := upstreamTransport()
 	engines := platform.NewEngines(kept)
@@ -213,7 +208,7 @@
 	part("ready door", func() error { return listenAndServe(ctx, ready, s.Ready) })
 	servers := []*http.Server{ready}
 	if s.Metrics != "" {
-		m := d.server(d.insight())
+		m := d.server(d.insight().Handler())
 		part("metrics door", func() error { return listenAndServe(ctx, m, s.Metrics) })
 		servers = append(servers, m)
 	}
@@ -296,6 +291,14 @@
 	return served(s.Serve(l))
 }
 
+// insight is what the metrics address answers.
+func (d *relayed) insight() *insight.Page {
+	return insight.New(insight.Sources{
+		VM: d.settings.Name, Clock: d.clock, Gate: d.gate, Registry: d.registry, Members: d.members, Holders: d.holders,
+		Placer: d.placer, Owner: d.owner, Store: d.store, Lines: d.lines,
+	})
+}
+
 // relayLogger writes JSON lines.
 func relayLogger(s *settings.Relay, w log.Writer) *log.Logger {
 	return &log.Logger{
@@ -305,60 +308,3 @@
 		Writer:     w,
 	}
 }
-
-// insight serves metrics, and profiles of the processor and the memory: on a VM whose processor is used up nothing else tells by what.
-func (d *relayed) insight() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("/debug/pprof/", pprof.Index)
-	mux.HandleFunc("/debug/pprof/profile", pprof.Profile)
-	mux.HandleFunc("/", d.writeMetrics)
-	return mux
-}
-
-// writeMetrics writes all metrics in the text format of Prometheus.
-func (d *relayed) writeMetrics(w http.ResponseWriter, _ *http.Request) {
-	d.gate.WriteMetrics(w)
-	v := d.registry.View()
-	now := d.clock.Now()
-	_, failed := d.store.Calls()
-	gauge := func(name string, value float64) { vm.WriteGaugeFloat64(w, name, value) }
-	if v.Table != nil {
-		gauge("snipeshift_document_revision", float64(v.Table.Revision()))
-		gauge("snipeshift_document_age_seconds", (now - v.TableAt).Duration().Seconds())
-	}
-	if v.UpstreamsAt > 0 {
-		gauge("snipeshift_upstreams_age_seconds", (now - v.UpstreamsAt).Duration().Seconds())
-	}
-	gauge("snipeshift_members", float64(len(d.members.Live())))
-	gauge("snipeshift_grants_live", float64(d.placer.Live()))
-	for _, x := range d.holders.All() {
-		holds := 0.0
-		if d.holders.Holds(x.Service) {
-			holds = 1
-		}
-		gauge(fmt.Sprintf("snipeshift_service_epoch{service=%q}", x.Service), float64(x.Epoch))
-		gauge(fmt.Sprintf("snipeshift_service_held{service=%q}", x.Service), holds)
-	}
-	d.placer.Statements(func(s route.ServiceID, u decide.UpstreamID, st statement.Statement) {
-		labels := fmt.Sprintf("{service=%q,upstream=%q}", s, u)
-		switch st.Kind {
-		case statement.Limit:
-			gauge("snipeshift_upstream_limit"+labels, float64(st.Rate))
-		case statement.Rest:
-			gauge("snipeshift_upstream_rest_seconds"+labels, (st.Until - now).Duration().Seconds())
-		case statement.Leaving:
-			gauge("snipeshift_upstream_leaving"+labels, 1)
-		}
-	})
-	vm.WriteCounterUint64(w, "snipeshift_questions_hedged_total", d.placer.Hedged())
-	vm.WriteCounterUint64(w, "snipeshift_messages_dropped_total", d.owner.Dropped())
-	for c, n := range d.registry.Calls() {
-		vm.WriteCounterUint64(w, fmt.Sprintf(`snipeshift_store_calls_total{feed=%q,call=%q,role=%q}`, c.Feed, c.Name(), c.Role), n)
-	}
-	vm.WriteCounterUint64(w, "snipeshift_store_failures_total", failed)
-	gauge("snipeshift_store_era", float64(d.registry.Era()))
-	vm.WriteCounterUint64(w, "snipeshift_store_eras_total", d.registry.Eras())
-	vm.WriteCounterUint64(w, "snipeshift_entries_unusable_total", d.registry.Barred())
-	vm.WriteCounterUint64(w, "snipeshift_log_dropped_total", d.lines.Dropped())
-	vm.WriteProcessMetrics(w)
-}
--- a/operator/stand_test.go
+++ b/operator/stand_test.go
@@ -150,6 +150,24 @@
 			_ = json.NewEncoder(w).Encode(e)
 		}
 	})
+	page(answers.PathServices,
+		answers.Relay{
+			VM: "vm-1", Era: 2,
+			Services: []answers.Service{
+				{Service: "notice-writer", Holder: "vm-2", Epoch: 3, Since: 242_000, Successor: "vm-1", Upstreams: 18},
+				{Service: "alert-desk", Holder: "vm-1", Epoch: 1, Since: 540_000, Successor: "vm-2", Upstreams: 3},
+			},
+			Statements: []answers.Statement{
+				{Service: "alert-desk", Upstream: "u-3", Kind: "leaving", Gate: "vm-1/7", Age: 3400},
+				{Service: "notice-writer", Upstream: "u-1", Kind: "limit", Rate: 2.3, Age: 200},
+				{Service: "notice-writer", Upstream: "u-2", Kind: "rest", Gate: "vm-1/7", Left: 2500, Age: 500},
+			},
+		},
+		answers.Relay{
+			VM: "vm-2", Era: 2,
+			Services:   []answers.Service{{Service: "notice-writer", Holder: "vm-2", Epoch: 4, Since: 1500, Successor: "vm-1", Upstreams: 18}},
+			Statements: []answers.Statement{},
+		})
 	page(answers.PathDocument, answers.Document{Revision: 1}, answers.Document{Revision: 1})
 	m.HandleFunc("PUT "+answers.PathDrain, func(w http.ResponseWriter, _ *http.Request) {
 		_ = json.NewEncoder(w).Encode(answers.Drain{Draining: true, Requests: 17})
--- a/scenarios/platform_said_test.go
+++ b/scenarios/platform_said_test.go
@@ -1,12 +1,17 @@
 package scenarios
 
 import (
+	"encoding/json"
+	"slices"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"snipeshift.example/lib/operator"
+	"snipeshift.example/lib/peer"
+	"snipeshift.example/lib/route"
 	"snipeshift.example/platform/standin"
 	"snipeshift.example/scenarios/fleet"
 )
@@ -48,6 +53,61 @@
 	require.Empty(t, f.Platform.Ignored(noExcuses))
 }
 
+// An upstream says that it leaves, and operators want to know who has heard of it and who decides: all VMs name one holder.
+func TestPlatformOperatorsSeeWhoHoldsAServiceAndWhatUpstreamsSay(t *testing.T) {
+	f := newFleet(t, 3)
+	l := newLoad(f)
+	l.more(t)
+	f.Platform.Models[0].Leave()
+	var relays []operator.Relay
+	require.Eventually(t, func() bool {
+		relays = relaysOf(t, f)
+		return heard(relays) && oneHolder(relays)
+	}, 5*time.Second, 50*time.Millisecond)
+	l.end(t, f)
+	for _, r := range relays {
+		require.Len(t, r.Services, 2, "%s", r.VM)
+		for _, s := range r.Services {
+			require.NotEmpty(t, s.Successor)
+			require.NotEqual(t, s.Holder, s.Successor)
+		}
+		for _, s := range r.Statements {
+			require.Equal(t, "leaving", s.Kind)
+			require.EqualValues(t, f.Platform.Models[0].ID(), s.Upstream)
+		}
+	}
+}
+
+// relaysOf is what each VM knows of services.
+func relaysOf(t *testing.T, f *fleet.Fleet) []operator.Relay {
+	relays := make([]operator.Relay, len(f.VMs))
+	for i, v := range f.VMs {
+		if err := json.Unmarshal([]byte(get(t, v, operator.PathServices, time.Second)), &relays[i]); err != nil {
+			t.Error(err)
+		}
+	}
+	return relays
+}
+
+// heard reports whether any VM has heard an upstream say something of itself.
+func heard(relays []operator.Relay) bool {
+	return slices.ContainsFunc(relays, func(r operator.Relay) bool { return len(r.Statements) > 0 })
+}
+
+// oneHolder reports whether all VMs follow one holder of each service.
+func oneHolder(relays []operator.Relay) bool {
+	holders := map[route.ServiceID]peer.VM{}
+	for _, r := range relays {
+		for _, s := range r.Services {
+			if x, known := holders[s.Service]; s.Holder == "" || known && x != s.Holder {
+				return false
+			}
+			holders[s.Service] = s.Holder
+		}
+	}
+	return true
+}
+
 // audits calls for prompts that take the memory of several engines, until it is stopped. Too many for four engines, some are refused.
 func audits(f *fleet.Fleet) (stop func()) {
 	done := make(chan struct{})
