caller, retryafter: an engine of OpenAI's API that asks for rest gets it

Callers saw nothing of it: each request that was turned away found another engine, or was told to come back in a second by a VM that knew better.

HTTP's Retry-After of an engine's 503 or 429 was read by nobody on this side, so each request of the VM went to the engine again, and where no other engine is, callers were told one second whatever it had asked for.

The gate keeps rests by the package that the relay has (daemon/statements), asks owners to avoid what rests for it and checks again when a grant comes. Where nothing else is there a request waits for a rest that ends in its time, and is refused at once otherwise, with the time left. A leader that turned a request away is not sent a cancel beside. A 429 of a plain service stays its word to the caller. The field is read in one place, lib/retryafter; what the platform's codec does with it is unchanged.

--- a/daemon/caller/gate.go
+++ b/daemon/caller/gate.go
@@ -15,6 +15,7 @@
 
 	"snipeshift.example/daemon/claim"
 	"snipeshift.example/daemon/guard"
+	"snipeshift.example/daemon/statements"
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
 	"snipeshift.example/lib/decide/gate"
@@ -116,6 +117,8 @@
 	// asks numbers the questions to owners.
 	asks    atomic.Uint64
 	metrics *metrics
+	// heard holds which upstreams want nothing from this VM for a while.
+	heard *statements.Heard
 
 	mu sync.Mutex
 	// held is every request in work with its grant, if it has one.
@@ -148,7 +151,10 @@
 
 // New returns a gate of one life of a VM.
 func New(n Needs, vm peer.VM, domain peer.Domain, i peer.Incarnation) *Gate {
-	return &Gate{Needs: n, vm: vm, domain: domain, incarnation: i, held: map[decide.RequestID]*hold{}, metrics: newMetrics()}
+	return &Gate{
+		Needs: n, vm: vm, domain: domain, incarnation: i, held: map[decide.RequestID]*hold{}, metrics: newMetrics(),
+		heard: statements.New(n.Clock, n.Log),
+	}
 }
 
 // ID is the gate's id in grants.
@@ -214,7 +220,10 @@
 
 // Renew presents live grants to the owners until ctx ends.
 func (g *Gate) Renew(ctx context.Context) {
-	guard.Every(ctx, renewEvery, func() { g.renew(ctx) })
+	guard.Every(ctx, renewEvery, func() {
+		g.renew(ctx)
+		g.forgetRests()
+	})
 }
 
 // renew sends one message a pool, each on its own so that a silent owner holds up no other.
--- a/daemon/caller/generate.go
+++ b/daemon/caller/generate.go
@@ -14,6 +14,7 @@
 	"snipeshift.example/lib/engine"
 	"snipeshift.example/lib/fault"
 	"snipeshift.example/lib/peer"
+	"snipeshift.example/lib/retryafter"
 	"snipeshift.example/lib/timeline"
 )
 
@@ -223,7 +224,11 @@
 		if !ok {
 			return fault.New(fault.Unavailable, "upstream %s left the configuration", id)
 		}
-		eg.Go(func() error { return x.gate.Engines.Reserve(ctx, u.Address, x.q.id, gr.grant.Reserved) })
+		eg.Go(func() error {
+			err := x.gate.Engines.Reserve(ctx, u.Address, x.q.id, gr.grant.Reserved)
+			x.gate.hear(x.q.target, id, err)
+			return err
+		})
 	}
 	if err := eg.Wait(); err != nil {
 		return fault.New(fault.Unavailable, "a group of engines could not be reserved").WithRetry(clock.Second)
@@ -286,12 +291,15 @@
 
 // status classifies an answer of the engine that is no stream.
 func (x *generation) status(gr granted, u document.Upstream, s *engine.StatusError) result {
+	if retryafter.TurnsAway(s.Status) {
+		// The leader did not take the request, and may want no order either. The others of its group hold memory.
+		x.dismiss(gr)
+		rests := x.gate.hear(x.q.target, gr.grant.Upstreams[0], s)
+		return result{unsent: true, rests: rests, outcome: decide.Failed, fault: fault.New(fault.Unavailable, "upstream %s takes no work", u.Name).WithRan(fault.RanNo).WithRetry(clock.Second)}
+	}
 	// The others of a group hold memory, whatever the leader says.
 	x.cancel(gr)
 	switch s.Status {
-	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
-		// By the engine's protocol these say that the request was not taken.
-		return result{unsent: true, outcome: decide.Failed, fault: fault.New(fault.Unavailable, "upstream %s takes no work", u.Name).WithRan(fault.RanNo).WithRetry(clock.Second)}
 	case http.StatusBadRequest, http.StatusUnprocessableEntity:
 		return result{outcome: decide.Failed, fault: fault.New(fault.Malformed, "the engine refused the request: %s", s.Text)}
 	}
--- a/daemon/caller/harness_test.go
+++ b/daemon/caller/harness_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -23,6 +24,7 @@
 	"snipeshift.example/lib/decide/gate"
 	"snipeshift.example/lib/document"
 	"snipeshift.example/lib/engine"
+	"snipeshift.example/lib/fault"
 	"snipeshift.example/lib/peer"
 )
 
@@ -60,6 +62,8 @@
 	refuse *peer.Fault
 	// lost owners do not answer.
 	lost bool
+	// avoids makes owners grant the first upstream that is not to be avoided.
+	avoids bool
 	// limited is what every question for tokens is answered.
 	limited clock.Milli
 	// pools are the refusals of single pools.
@@ -87,6 +91,14 @@
 		}
 		u := f.upstream[min(f.next, len(f.upstream)-1)]
 		f.next++
+		if f.avoids {
+			i := slices.IndexFunc(f.upstream, func(u string) bool { return !slices.Contains(a.Request.Avoid, decide.UpstreamID(u)) })
+			if i < 0 {
+				r.Fault = &peer.Fault{Kind: fault.Unavailable, Ran: fault.RanNo, Retry: 1000}
+				return nil
+			}
+			u = f.upstream[i]
+		}
 		r.Grant = decide.Grant{ID: decide.GrantID(f.serial.Add(1)), Request: a.Request.ID, Upstreams: []decide.UpstreamID{decide.UpstreamID(u)}, Until: 5000, Deadline: a.Left}
 		if f.group {
 			r.Grant.Upstreams = nil
--- a/daemon/caller/serve.go
+++ b/daemon/caller/serve.go
@@ -57,7 +57,9 @@
 	// fault is nil for a whole answer.
 	fault *fault.Error
 	// unsent is proof that no byte of the request reached the upstream.
-	unsent  bool
+	unsent bool
+	// rests is set if an upstream wants nothing from this VM for a while: it is avoided for so long, and not for good.
+	rests   bool
 	outcome decide.Outcome
 	usage   peer.Usage
 	// first is the span from the grant to the first token, zero if none came.
@@ -86,7 +88,7 @@
 		if e := g.suspect(q); e != nil {
 			return ranSoFar(e, runs)
 		}
-		gr, e := g.acquire(ctx, c, q, avoid)
+		gr, e := g.place(ctx, c, q, avoid)
 		if e != nil {
 			g.unclaim(q, claimed && runs == 0)
 			if last != nil && ctx.Err() == nil {
@@ -109,7 +111,9 @@
 			whole, spent = true, max(spent, used(q, r.usage))
 			return nil
 		}
-		avoid = append(avoid, gr.grant.Upstreams...)
+		if !r.rests {
+			avoid = append(avoid, gr.grant.Upstreams...)
+		}
 		if r.unsent {
 			unsent++
 		} else {
--- a/daemon/caller/service.go
+++ b/daemon/caller/service.go
@@ -17,6 +17,7 @@
 	"snipeshift.example/lib/engine"
 	"snipeshift.example/lib/fault"
 	"snipeshift.example/lib/peer"
+	"snipeshift.example/lib/retryafter"
 	"snipeshift.example/lib/timeline"
 )
 
@@ -93,7 +94,7 @@
 func (x *passage) started() bool { return x.wrote }
 
 // dispatch sends the request and passes the answer on.
-func (x *passage) dispatch(ctx context.Context, _ granted, u document.Upstream) result {
+func (x *passage) dispatch(ctx context.Context, gr granted, u document.Upstream) result {
 	req, err := http.NewRequestWithContext(ctx, x.r.Method, "http://"+u.Address+rest(x.r), bytes.NewReader(x.q.body))
 	if err != nil {
 		return result{unsent: true, outcome: decide.Unused, fault: fault.New(fault.Malformed, "the path cannot be passed on: %v", err)}
@@ -107,6 +108,10 @@
 		return x.failed(ctx, u, err)
 	}
 	defer resp.Body.Close()
+	// A 429 of a service is its word to the caller, who may have a rate of its own there.
+	if rest, _ := retryafter.Parse(resp.Header); resp.StatusCode == http.StatusServiceUnavailable && rest > 0 {
+		x.gate.wantsRest(x.q.target, gr.grant.Upstreams[0], rest)
+	}
 	return x.pass(ctx, u, resp)
 }
 
@@ -182,7 +187,7 @@
 // charge is what a workspace is charged for a call that was answered.
 // By these two statuses a service says that it did not take a call on: nothing ran that could be charged.
 func charge(status int) peer.Usage {
-	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
+	if retryafter.TurnsAway(status) {
 		return peer.Usage{}
 	}
 	return peer.Usage{Requests: 1}
--- a/lib/engine/client.go
+++ b/lib/engine/client.go
@@ -15,7 +15,9 @@
 
 	"github.com/zeebo/errs"
 
+	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
+	"snipeshift.example/lib/retryafter"
 )
 
 // The ways a call to an engine fails.
@@ -172,7 +174,11 @@
 func statusError(resp *http.Response) error {
 	b, _ := io.ReadAll(io.LimitReader(resp.Body, 512))
 	resp.Body.Close()
-	return &StatusError{Status: resp.StatusCode, Text: strings.TrimSpace(string(b))}
+	e := &StatusError{Status: resp.StatusCode, Text: strings.TrimSpace(string(b))}
+	if retryafter.TurnsAway(e.Status) {
+		e.Rest, _ = retryafter.Parse(resp.Header)
+	}
+	return e
 }
 
 // StatusError is an engine's refusal.
@@ -180,6 +186,8 @@
 	Status int
 	// Text is the start of the engine's answer.
 	Text string
+	// Rest is for how long an engine that turned the request away wants none; zero where it does not say.
+	Rest clock.Milli
 }
 
 // Error implements error.
