--- a/daemon/caller/rest.go
+++ b/daemon/caller/rest.go
@@ -46,6 +46,10 @@
 	return us, until
 }
 
+// otherVMs bounds when a caller is told to come back from rests of this VM: its repeat probably reaches another one, of which the upstream has
+// not asked any, or has for a shorter time.
+const otherVMs = 4 * clock.Second
+
 // place acquires a grant without upstreams at rest. Where nothing else is there it waits for the first rest that ends in the request's
 // time, and refuses at once if none does.
 func (g *Gate) place(ctx context.Context, c *document.Index, q *request, avoid []decide.UpstreamID) (granted, *fault.Error) {
@@ -64,7 +68,7 @@
 		}
 		left := max(until-g.Clock.Now(), 0)
 		if until >= q.deadline {
-			return granted{}, e.WithRetry(left)
+			return granted{}, e.WithRetry(min(left, otherVMs))
 		}
 		wait(ctx, left.Duration())
 	}
--- a/daemon/changes/changes.go
+++ b/daemon/changes/changes.go
@@ -45,8 +45,8 @@
 	return Content(d.Sum64())
 }
 
-// contentsKept bounds the earlier lists of which it is known what changed since. Peers ask three times a second, and two pieces of news come
-// in that time at most; those that ask less often are sent the whole list.
+// contentsKept bounds the earlier lists of which it is known what changed since. News comes four times a second at most, so whoever asked within
+// the last eight seconds is sent changes.
 const contentsKept = 32
 
 // Log notes what changes in one list.
