--- a/bench/whatif.go
+++ b/bench/whatif.go
@@ -10,6 +10,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"snipeshift.example/bench/passes"
 	"snipeshift.example/bench/whatif"
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide/span"
@@ -28,6 +29,7 @@
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "`SEED` of a changed mix and of the search"},
 			&cli.BoolFlag{Name: "alone", Usage: "each prompt is read by one engine"},
 			&cli.BoolFlag{Name: "bound", Usage: "also print what no planner exceeds, and what a search finds"},
+			&cli.DurationFlag{Name: "phase", Usage: "also print what each `SPAN` of the day got"},
 			&cli.IntFlag{Name: "tries", Value: 40, Usage: "`N` plays of the search"},
 		},
 		Action: func(_ context.Context, c *cli.Command) error {
@@ -108,11 +110,17 @@
 		d := &days[i]
 		r := d.Play(rules)
 		d.Print(os.Stdout, &r)
+		var ends []passes.Ending
 		if c.Bool("bound") {
-			share, found, most := d.Modelled(&r).Share(), d.Found(c.Int("tries"), c.Uint64("seed")), d.Most()
+			share, most := d.Modelled(&r).Share(), d.Most()
+			var found float64
+			found, ends = d.Found(c.Int("tries"), c.Uint64("seed"))
 			fmt.Printf("bound: no planner exceeds %.3f; a search finds %.3f; the model's share of these is %.3f and %.3f\n",
 				most, found, share/max(most, 1e-9), share/max(found, 1e-9))
 		}
+		if length := clock.Of(c.Duration("phase")); length > 0 {
+			whatif.PrintPhases(os.Stdout, d.Phases(&r, ends, length))
+		}
 	}
 	return nil
 }
--- a/bench/whatif/bound.go
+++ b/bench/whatif/bound.go
@@ -29,8 +29,8 @@
 	for i := range d.Arrivals {
 		all += d.Arrivals[i].Kind.Of(d.Arrivals[i].Prompt)
 	}
-	got := min(d.most(false), d.most(true))
-	return (got + passes.LateShare*(all-got)) / max(all, 1e-9)
+	inTime := min(d.most(false), d.most(true))
+	return (inTime + passes.LateShare*(all-inTime)) / max(all, 1e-9)
 }
 
 // mostEngines is how many engines read one prompt at most: the one that answers, and those that it lists.
@@ -69,11 +69,11 @@
 	}
 	slices.SortStableFunc(works, func(x, y work) int { return cmp.Compare(y.worth*x.cost, x.worth*y.cost) })
 	f := newFluid(slots, float64(d.Load.Engines)*slot)
-	got := 0.0
+	sum := 0.0
 	for _, w := range works {
-		got += w.worth * f.add(w) / max(w.cost, 1e-9)
+		sum += w.worth * f.add(w) / max(w.cost, 1e-9)
 	}
-	return got
+	return sum
 }
 
 // fluid keeps what is left in each span of slots for work whose window lies within it.
@@ -111,9 +111,9 @@
 	return done
 }
 
-// Found is the best share of worth that a search finds for the same engines: plays of the model, in which a planner that knows how each of
-// them ended changes the rules or turns some requests away at once. Each is a play, so it never errs high.
-func (d *Day) Found(tries int, seed uint64) float64 {
+// Found is the best share of worth that a search finds for the same engines, and how each request ended in that play: plays of the model, in
+// which a planner that knows how each of them ended changes the rules or turns some requests away at once. Each is a play, so it never errs high.
+func (d *Day) Found(tries int, seed uint64) (float64, []passes.Ending) {
 	rules := span.DefaultRules
 	best, ends := d.share(rules, nil)
 	rng := rand.New(rand.NewPCG(seed, 6))
@@ -131,7 +131,7 @@
 			best, ends, dropped = share, es, next
 		}
 	}
-	return best
+	return best, ends
 }
 
 // share plays what is not dropped, and returns how each request ended.
@@ -147,21 +147,16 @@
 	for i := range ends {
 		ends[i] = passes.Lost
 	}
-	got, all := 0.0, 0.0
+	sum, all := 0.0, 0.0
 	for i := range d.Arrivals {
 		all += d.Arrivals[i].Kind.Of(d.Arrivals[i].Prompt)
 	}
 	for n, e := range passes.PlayArrivals(&d.Load, rules, kept).Requests {
 		a := &kept[n]
 		ends[index[n]] = e.Ending(a.Kind)
-		switch ends[index[n]] {
-		case passes.InTime:
-			got += a.Kind.Of(a.Prompt)
-		case passes.Late:
-			got += passes.LateShare * a.Kind.Of(a.Prompt)
-		}
+		sum += got(a.Kind, a.Prompt, ends[index[n]])
 	}
-	return got / max(all, 1e-9), ends
+	return sum / max(all, 1e-9), ends
 }
 
 // dropShare is the part of the requests that were not in time which one try turns away, or takes back.
--- a/bench/whatif/whatif_test.go
+++ b/bench/whatif/whatif_test.go
@@ -119,7 +119,8 @@
 		for seed := range uint64(2) {
 			d := Day{Load: load, Arrivals: passes.Draw(&load, seed+1)}
 			r := d.Play(span.DefaultRules)
-			share, found, most := d.Modelled(&r).Share(), d.Found(6, seed), d.Most()
+			share, most := d.Modelled(&r).Share(), d.Most()
+			found, _ := d.Found(6, seed)
 			require.LessOrEqual(t, share, found+1e-9)
 			require.LessOrEqual(t, found, most+1e-9)
 		}
@@ -171,3 +172,26 @@
 		})
 	}
 }
+
+// What the phases of a day got must add up to what the day got, or a loss is looked for in the wrong one.
+func TestPhasesAddUpToTheDay(t *testing.T) {
+	d := only(t, Change{}, made("a", 2, 400))
+	r := d.Play(span.DefaultRules)
+	_, ends := d.Found(4, 1)
+	phases := d.Phases(&r, ends, 2*clock.Second)
+	require.Len(t, phases, 4)
+	asked, served, modelled, all := 0, 0.0, 0.0, 0.0
+	for _, p := range phases {
+		asked += p.Asked
+		all += p.most
+		served += p.Served * p.mostPlayed
+		modelled += p.Modelled * p.most
+		require.Positive(t, p.Found)
+	}
+	require.Equal(t, 400, asked)
+	require.InDelta(t, d.Served().Share(), served/all, 1e-9)
+	require.InDelta(t, d.Modelled(&r).Share(), modelled/all, 1e-9)
+	var b bytes.Buffer
+	PrintPhases(&b, phases)
+	require.Len(t, strings.Split(strings.TrimSpace(b.String()), "\n"), 1+len(phases))
+}
