scenarios: the exit of a process closes no relays of the next one

Cause: closeRelaysOnExit checked that its process was the node's last one and then closed the relays; a restart between both opened them before they were closed, and the restarted daemon refused connections for good (KNOWN-RED: TestChaos/1). Change: one lock covers check and closing, and the start with the opening.

--- a/scenarios/world/world.go
+++ b/scenarios/world/world.go
@@ -101,6 +101,9 @@
 	frozen bool
 	// starts counts the starts of the process.
 	starts int
+	// relaysMu is held while the relays are opened for a process or closed after its exit, so that the
+	// exit of one process does not close the relays of the next.
+	relaysMu sync.Mutex
 }
 
 // endpoint names one of the addresses that a process listens on.
@@ -191,6 +194,8 @@
 		return err
 	}
 	w.finder.AddProcess(p.Pid(), name)
+	n.relaysMu.Lock()
+	defer n.relaysMu.Unlock()
 	w.mu.Lock()
 	n.process, n.frozen = p, false
 	n.starts++
@@ -232,6 +237,8 @@
 func (w *World) closeRelaysOnExit(n *node, p *process.Process) {
 	<-p.Done()
 	w.finder.RemoveProcess(p.Pid())
+	n.relaysMu.Lock()
+	defer n.relaysMu.Unlock()
 	w.mu.Lock()
 	last := n.process == p
 	w.mu.Unlock()
