--- a/operator/commands/apply.go
+++ b/operator/commands/apply.go
@@ -105,9 +105,11 @@
 // pollInterval is the interval between polls of the daemons.
 const pollInterval = 250 * time.Millisecond
 
-// awaitRevision waits until a revision is in force on all members, for at most limit.
+// awaitRevision waits until a revision is in force on all members, for at most limit. The limit does not
+// bound the first poll of all members: a poll that it interrupts shows nothing of those that have not
+// answered yet.
 func awaitRevision(ctx context.Context, c *cli.Command, r peer.Revision, limit time.Duration) error {
-	ctx, cancel := context.WithTimeout(ctx, limit)
+	limited, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	t := time.NewTicker(pollInterval)
 	defer t.Stop()
@@ -115,20 +117,16 @@
 	if err != nil {
 		return err
 	}
-	var behind []peer.VM
-	for {
-		now := f.Behind(ctx, r)
-		if len(now) == 0 {
-			return nil
-		}
-		// The time limit may have interrupted the last poll; the poll before is more accurate then.
-		if ctx.Err() == nil || behind == nil {
-			behind = now
-		}
+	behind := f.Behind(ctx, r)
+	for len(behind) > 0 {
 		select {
-		case <-ctx.Done():
+		case <-limited.Done():
 			return withAdvice(errPartial, "revision %d is accepted but not known to be in force on %v; it will be, see snipeshift members", r, behind)
 		case <-t.C:
 		}
+		if now := f.Behind(limited, r); limited.Err() == nil {
+			behind = now
+		}
 	}
+	return nil
 }
