placer: an owner that meets others may repeat from its floor at once

Cause: a pool that is created while its VM has met nobody has no floor of the retry budget for three seconds, and kept that after the VM had met others. Change: with the first contact the pool counts as new, like any pool that is created after it: a quarter of the floor at once.

--- a/daemon/placer/owner.go
+++ b/daemon/placer/owner.go
@@ -97,8 +97,11 @@
 type ownedPool struct {
 	mu   sync.Mutex
 	pool *span.Pool
-	// createdAt is when this VM created the pool.
+	// createdAt is when this VM created the pool. alone is set if this VM knew no other member then,
+	// until it meets one.
 	createdAt clock.Milli
+	alone     bool
+	budget    *gate.Budget
 	// generation is the generation of the view that the pool uses.
 	generation uint64
 	// waiters are the channels of calls that wait for a decision, by request: one for the gate and
@@ -131,20 +134,21 @@
 	p := o.pools[s]
 	if p == nil {
 		budget := gate.NewBudget(o.budget.Share, o.budget.Floor, o.budget.Window)
-		since := o.Clock.Now() - o.budget.Window/startDivisor
-		if o.Alone() {
-			since = o.Clock.Now() + settleTime
-		}
-		budget.GrowFrom(since)
 		p = &ownedPool{
-			createdAt: o.Clock.Now(), pool: span.New(span.DefaultRules, budget),
+			createdAt: o.Clock.Now(), budget: budget, alone: o.Alone(), pool: span.New(span.DefaultRules, budget),
 			waiters: map[decide.RequestID][]chan span.Decision{}, undelivered: map[decide.RequestID]span.Decision{},
 		}
+		budget.GrowFrom(o.floorStart(p.alone))
 		o.pools[s] = p
 	}
 	o.mu.Unlock()
 	p.mu.Lock()
-	p.pool.SetIsolated(o.Alone() && o.Clock.Now()-p.createdAt < AloneWait, o.Name)
+	alone := o.Alone()
+	if p.alone && !alone {
+		p.alone = false
+		p.budget.GrowFrom(o.floorStart(false))
+	}
+	p.pool.SetIsolated(alone && o.Clock.Now()-p.createdAt < AloneWait, o.Name)
 	if v := o.Knowledge.View(); v.Generation != p.generation && v.Table != nil {
 		first := p.generation == 0
 		p.generation = v.Generation
@@ -156,6 +160,15 @@
 	return p
 }
 
+// floorStart returns the time from which the floor of the retry budget grows in a pool that begins now,
+// or whose owner has just met another member.
+func (o *Owner) floorStart(alone bool) clock.Milli {
+	if alone {
+		return o.Clock.Now() + settleTime
+	}
+	return o.Clock.Now() - o.budget.Window/startDivisor
+}
+
 // decide queues a request and waits for its decision. A receive from moved ends the wait; a nil
 // moved never does.
 func (o *Owner) decide(args *AskArgs, reply *AskReply, moved <-chan struct{}) {
--- a/daemon/placer/placer_test.go
+++ b/daemon/placer/placer_test.go
@@ -312,6 +312,27 @@
 	require.Equal(t, "spread", reply.Reason)
 }
 
+// VMs start together, and the first requests reach an owner that has met nobody yet. It grants no repeats
+// from the floor of the retry budget then. When an engine crashes soon after it has met the others, its
+// streams must be able to go on elsewhere.
+func TestOwnerGrantsRepeatsOnceItHasMetOthers(t *testing.T) {
+	var alone atomic.Bool
+	alone.Store(true)
+	o := newOwner(t, "a")
+	o.Alone = alone.Load
+	repeat := func(id decide.RequestID) AskReply {
+		a := wireAsk(id)
+		a.Again = true
+		var reply AskReply
+		require.NoError(t, o.Ask(&AskArgs{Service: "s", Ask: a, Wait: 200}, &reply))
+		require.True(t, reply.Decided)
+		return reply
+	}
+	require.Equal(t, "budget", repeat("r1").Reason)
+	alone.Store(false)
+	require.Empty(t, repeat("r2").Fault)
+}
+
 // A query waits at the owner when a VM that forwards for the same gate sends it again, because the
 // answer seems late. The decision must go to both calls: if only the second received it, the gate
 // would wait for the whole time and then query again.
