registry: a peer's late list removes nothing that was listed since

Cause: fetch compares the positions of its own and the peer's list, gives up the lock and applies the peer's list. If the VM's own watch reports in between that an upstream has registered again, the older list removes it, 2.2 s after a restore of the store or at once, and the watch does not report it twice. Its list then has a later position than the others', so they lose the upstream too. Change: a list of an earlier position than the VM's own is ignored under the lock. Beside it: a VM that follows readers kept an upstream out for 30 s that had left the list and registered again in the same life; now a list of a later position of the same era restores it.

--- a/daemon/registry/registry.go
+++ b/daemon/registry/registry.go
@@ -182,8 +182,8 @@
 	// massRemoved holds the upstreams of the update being applied that disappear together with at
 	// least half of their service.
 	massRemoved map[decide.UpstreamID]bool
-	// departed holds upstreams that were removed. A peer's list never restores the same
-	// incarnation, since it may be older than its stated age.
+	// departed holds upstreams that were removed. A peer's list restores the same incarnation only if
+	// the list has a later position in the same era than the removal.
 	departed map[decide.UpstreamID]departure
 	// unusable holds invalid entries, with the reason why each is unusable.
 	unusable          map[decide.UpstreamID]string
@@ -234,10 +234,17 @@
 	long   bool
 }
 
-// departure is when an upstream was removed, and its incarnation.
+// departure is when an upstream was removed, its incarnation, and the position at which the store no
+// longer listed it.
 type departure struct {
-	at   clock.Milli
-	born decide.Incarnation
+	at       clock.Milli
+	born     decide.Incarnation
+	position route.Position
+}
+
+// before reports whether the upstream had departed before a position of the same era.
+func (d departure) before(p route.Position) bool {
+	return p.Era == d.position.Era && p.After(d.position)
 }
 
 // RosterFunc returns the current roster.
--- a/daemon/registry/upstreams.go
+++ b/daemon/registry/upstreams.go
@@ -62,7 +62,10 @@
 }
 
 // learnPeerUpstreams applies a whole list of a peer that was current at an instant and has a
-// position. It does not restore upstreams that the store has reported as removed. Upstreams that it
+// position. It ignores a list of an earlier position than this VM's own, which a watch may have moved
+// on while the peer's answer was in transit: the list would remove upstreams that were listed since.
+// It does not restore upstreams that were removed at the list's position or later, or in an earlier era
+// of the store, whose copy may list them still. Upstreams that it
 // lacks are removed at once, even while this VM cannot reach the store, since a peer that retains
 // removed entries sends no list. But if no VM had current state for long, the store was down for
 // all, and a peer that has just started does not know which entries expired meanwhile. Then
@@ -70,10 +73,13 @@
 func (r *Registry) learnPeerUpstreams(update route.UpstreamUpdate, position route.Position, at clock.Milli) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.position.After(position) {
+		return
+	}
 	r.excludeUnusable(update.Unusable)
 	kept := make([]route.Upstream, 0, len(update.Upstreams))
 	for _, u := range update.Upstreams {
-		if d, hasLeft := r.departed[u.ID]; hasLeft && u.Born <= d.born {
+		if d, hasLeft := r.departed[u.ID]; hasLeft && u.Born <= d.born && !d.before(position) {
 			continue
 		}
 		if old := r.upstreams[u.ID]; u.Born <= old.Born {
@@ -244,6 +250,7 @@
 
 // commit removes upstreams whose hold has ended, records the position and instant of the list, and
 // publishes a view. The lock must be held.
+	r.position = route.Later(r.position, position)
 func (r *Registry) commit(position route.Position, at clock.Milli) {
 	now := r.clock.Now()
 	for id, until := range r.expiring {
@@ -252,7 +259,7 @@
 		}
 		delete(r.expiring, id)
 		u := r.upstreams[id]
-		r.departed[id] = departure{now, u.Born}
+		r.departed[id] = departure{now, u.Born, r.position}
 		r.changes.Remove(u)
 		delete(r.upstreams, id)
 		r.generation++
@@ -263,7 +270,6 @@
 			delete(r.departed, id)
 		}
 	}
-	r.position = route.Later(r.position, position)
 	r.upstreamsVerified = max(r.upstreamsVerified, at)
 	r.digest = digest(r.upstreams, r.unverified)
 	r.changes.Settle()
