registry: many changes of upstreams are one log line

Change: up to sixteen changes of one update have a line each, more are one line upstreams for each service, with counts and up to 64 names, those first that leave or are gone. explain shows the line where it names an upstream of the request; whatif takes the count.

--- a/bench/whatif/read.go
+++ b/bench/whatif/read.go
@@ -162,6 +162,10 @@
 	case logline.Upstream:
 		r.readUpstream(&l)
 	case logline.Upstreams:
+		if s != "" {
+			r.log.Upstreams[s] = max(r.log.Upstreams[s], l.Count)
+			break
+		}
 		r.upstreamLists++
 		if l.Count == 0 {
 			r.emptyLists++
--- a/daemon/registry/registry.go
+++ b/daemon/registry/registry.go
@@ -196,6 +196,10 @@
 	changes *changes.Log
 	// fetchWhole is set after a peer's changes did not produce its list: the next request asks for
 	// the whole list.
+	// unlogged are the changes of the list of upstreams that are not logged yet.
+	unlogged []upstreamChange
+	// evacuations are the evacuated failure domains.
+	evacuations evacuations
 	fetchWhole    atomic.Bool
 	unusableCount uint64
 	// storeDown is set while calls of the store fail. storeBack is when the last outage
--- a/daemon/registry/registry_test.go
+++ b/daemon/registry/registry_test.go
@@ -1,9 +1,11 @@
 package registry
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -719,6 +721,27 @@
 	require.Equal(t, 1, b.upstreamCount())
 	b.learnPeerUpstreams(listing(upstreams("a", "b")), mark(21), b.clock.Now())
 	require.Equal(t, 2, b.upstreamCount())
+// A thousand upstreams register while all VMs start. A line for each of them at each VM would fill the
+// logs of a fleet with a million lines.
+func TestManyChangesAreLoggedInOneLine(t *testing.T) {
+	b := newHarness(t)
+	var out bytes.Buffer
+	b.log = &log.Logger{Writer: &log.IOWriter{Writer: &out}}
+	var us []route.Upstream
+	for i := range 1000 {
+		us = append(us, route.Upstream{ID: decide.UpstreamID(fmt.Sprint("i-", i)), Service: "s", Leaving: i == 999})
+	}
+	b.changeUpstreams(listing(us), mark(20), b.clock.Now())
+	require.Equal(t, 1, strings.Count(out.String(), "\n"))
+	require.Less(t, out.Len(), 2000)
+	require.Contains(t, out.String(), `"count":1001,"new":999,"leaving":1,`)
+	require.Contains(t, out.String(), `"i-999"`, "what ends is named first")
+	b.changeUpstreams(listing([]route.Upstream{{ID: "i-1", Service: "s", Slots: 2}}), mark(21), b.clock.Now())
+	require.Contains(t, out.String(), `"upstream":"i-1"`)
+}
+
+// An upstream announces that it leaves, crashes before it has left, and restarts. The new
+// incarnation must receive requests.
 }
 
 func TestNewIncarnationIsNotLeaving(t *testing.T) {
--- a/daemon/registry/upstreams.go
+++ b/daemon/registry/upstreams.go
@@ -179,9 +179,7 @@
 		return
 	}
 	if logged {
-		r.log.Info().Str(logline.Key, logline.Upstream).Str("upstream", string(u.ID)).Str("service", string(u.Service)).
-			Str("address", u.Address).Bool("leaving", u.Leaving).Bool("new", !ok).Int64("born", int64(u.Born)).
-			Bool("reborn", ok && u.Born > old.Born).Msg("upstream changed")
+		r.noteChange(upstreamChange{upstream: u, added: !ok, reborn: ok && u.Born > old.Born})
 	}
 	if ok {
 		r.changes.Put(u, &old)
@@ -260,11 +258,12 @@
 		delete(r.expiring, id)
 		u := r.upstreams[id]
 		r.departed[id] = departure{now, u.Born, r.position}
+		r.noteRemoved(id)
 		r.changes.Remove(u)
 		delete(r.upstreams, id)
 		r.generation++
-		r.log.Info().Str(logline.Key, logline.Upstream).Str("upstream", string(id)).Bool("gone", true).Msg("upstream removed")
 	}
+	r.logChanges()
 	for id, d := range r.departed {
 		if now-d.at > departureTTL {
 			delete(r.departed, id)
--- a/lib/logline/logline.go
+++ b/lib/logline/logline.go
@@ -21,9 +21,12 @@
 	Rejected = "rejected"
 	// Engine reports the performance data of a service's engines.
 	Engine = "engine"
-	// Upstreams is the first list of upstreams received, Upstream a change of one upstream.
+	// Upstreams is the first list of upstreams received, or a change of many upstreams of a service;
+	// Upstream is a change of one upstream.
 	Upstreams = "upstreams"
 	Upstream  = "upstream"
+	// Evacuation is the beginning or the end of the evacuation of a failure domain.
+	Evacuation = "evacuation"
 	// Unusable is an entry of the store from which no upstream can be derived.
 	Unusable = "unusable"
 	// Unreachable is the loss of a dependency (the store, an owner, a peer), Reached its recovery.
@@ -66,8 +69,9 @@
 	Applied:      "a document has been applied, with the age and source of the information",
 	Rejected:     "a document has been rejected, with the reason",
 	Engine:       "the performance data of a service's engines, on which placement is based, are new or have changed",
-	Upstreams:    "the first list of upstreams has been received",
+	Upstreams:    "the first list of upstreams has been received, or many upstreams of a service have changed at once: how many it has now, how many are new, leaving, gone or changed, and the names of some",
 	Upstream:     "an upstream is new, changed, leaving or removed",
+	Evacuation:   "the evacuation of a failure domain has begun or ended: its upstreams get no new requests meanwhile",
 	Unusable:     "an entry of the store does not describe a usable upstream, with the reason; logged once for each reason",
 	Unreachable:  "a dependency does not respond: the store, an owner, a peer",
 	Reached:      "a dependency that was unreachable responds again",
--- a/operator/explain/explain.go
+++ b/operator/explain/explain.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -63,7 +64,9 @@
 	Peer       string `json:"peer"`
 	Leaving    bool   `json:"leaving"`
 	Gone       bool   `json:"gone"`
-	Message    string `json:"message"`
+	// Names are some of the upstreams that a line about many is about.
+	Names   []string `json:"names"`
+	Message string   `json:"message"`
 }
 
 // Read returns all lines of a log that are JSON objects with an event. It counts all others, so that a
@@ -121,7 +124,8 @@
 			continue
 		}
 		sameVM := l.VM == r.VM && (l.Upstream == "" || l.ID == r.ID)
-		sentTo := l.Upstream != "" && strings.Contains(r.Sends, l.Upstream)
+		sentTo := l.Upstream != "" && strings.Contains(r.Sends, l.Upstream) ||
+			slices.ContainsFunc(l.Names, func(name string) bool { return strings.Contains(r.Sends, name) })
 		if sameVM || sentTo {
 			out = append(out, l)
 		}
