registry: a VM that starts leaves its first list of upstreams to readers

Each list of a thousand takes five calls and more, so the calls of a start grow with VMs times upstreams. Change: for as long as the first document is left to readers, the first list is too.

--- a/daemon/registry/follow.go
+++ b/daemon/registry/follow.go
@@ -35,16 +35,21 @@
 }
 
 func (r *Registry) documentFeed() feed {
+	// verified returns the latest instant at which this VM's copy was verified as current, zero if it
+	// has none; nil for the document. The lock must be held.
+	verified func() clock.Milli
 	return feed{name: "routes", list: r.listDocument, watch: r.watchDocument, wait: watchWait, lead: true}
 }
 
 func (r *Registry) upstreamFeed() feed {
-	return feed{name: "upstreams", list: r.listUpstreams, watch: r.watchUpstreams, wait: upstreamWatchWait}
+	return feed{name: "upstreams", list: r.listUpstreams, watch: r.watchUpstreams, wait: upstreamWatchWait, verified: r.listVerified}
 }
 
 // follow lists once and then watches from the position of the list. It lists again after an error,
 // after a change of the era, and after other members have read for this VM, since it may have
 // missed changes.
+func (r *Registry) listVerified() clock.Milli { return r.upstreamsVerified }
+
 func (r *Registry) follow(ctx context.Context, f feed) {
 	r.bootstrap(ctx)
 	var at route.Position
--- a/daemon/registry/readers.go
+++ b/daemon/registry/readers.go
@@ -101,12 +101,15 @@
 	defer r.mu.Unlock()
 	now := r.clock.Now()
 	extra := clock.Milli(max(rs.Rank-len(rs.Sources), 0)) * rankDelay
-	if r.tableVerified == 0 {
+	at, limit := r.tableVerified, delegationLimit
+	if f.verified != nil {
+		at = f.verified()
+	}
+	if r.tableVerified == 0 || at == 0 {
 		return r.lastAnswer > 0 && now-r.bootstrapped <= bootstrapGrace+extra
 	}
-	at, limit := r.tableVerified, delegationLimit
 	if !f.lead {
-		at, limit = r.upstreamsVerified, delegationLimit+upstreamWatchWait
+		limit += upstreamWatchWait
 	}
 	return now-at <= limit+extra && now-r.lastAnswer <= pollExpiry
 }
--- a/daemon/registry/readers_test.go
+++ b/daemon/registry/readers_test.go
@@ -100,6 +100,22 @@
 	require.Zero(t, calls)
 }
 
+// A thousand VMs start at once. The first answer of a reader has the document and not yet the upstreams. If
+// a VM listed the upstreams itself then, a fleet would list them a thousand times.
+func TestFirstListOfUpstreamsIsLeftToReaders(t *testing.T) {
+	reader := newHarness(t)
+	started := New(reader.store, localPeer{reader.Registry}, reader.clock, reader.log)
+	reader.Registry.upstreamsVerified, reader.Registry.position = 0, route.Position{}
+	others := []peer.Member{{VM: "reader"}, {VM: "other"}}
+	started.SetReaders(func() Roster { return Roster{Sources: others, Rank: 20, LargeFleet: true} })
+	reader.clock.advance(100)
+	started.askReaders(context.Background(), others, 0)
+	require.NotNil(t, started.View().Table)
+	require.True(t, started.delegates(started.upstreamFeed()))
+	reader.clock.advance(bootstrapGrace + clock.Milli(20)*rankDelay)
+	require.False(t, started.delegates(started.upstreamFeed()), "the readers have no list either")
+}
+
 // Three hundred VMs start at once and ask the first VM that has the document. Without a limit all
 // transfers share its small link and none completes before the requesters time out.
 func TestDocumentHandoversAreRateLimited(t *testing.T) {
