member, bench: heartbeats name what the receiver may lack

Cause: while the lists of two members differ, each message between them was filled up to 32 descriptions of 70 bytes, whatever the receiver knew. Change: members whose lists differ send digests of parts of them, as many as the list is long, and descriptions from the parts that differ, the gone ones too; while few changes spread, they alone are sent. bench fleet simulates heartbeats of whole fleets in simulated time.

--- a/bench/main.go
+++ b/bench/main.go
@@ -14,7 +14,7 @@
 	app := &cli.Command{
 		Name:     "bench",
 		Usage:    "measures snipeshift's scheduling decisions in a seeded simulation",
-		Commands: []*cli.Command{decideCommand(), passesCommand(), whatifCommand()},
+		Commands: []*cli.Command{decideCommand(), passesCommand(), whatifCommand(), fleetCommand()},
 	}
 	if err := app.Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "bench:", err)
--- a/daemon/member/members.go
+++ b/daemon/member/members.go
@@ -75,8 +75,6 @@
 	acked []AckedPart
 	// inFlight holds the addresses to which a heartbeat is unanswered: each gets one at a time.
 	inFlight map[string]bool
-	// views are the View digests that members sent last.
-	views map[peer.VM]uint64
 	// lastContact is the time of the last message from any other member.
 	lastContact clock.Milli
 	// heartbeats waits for the goroutines that send heartbeats.
@@ -90,7 +88,6 @@
 		wake:     make(chan struct{}, 1),
 		table:    NewTable(self, r),
 		inFlight: map[string]bool{},
-		views:    map[peer.VM]uint64{},
 	}
 }
 
@@ -281,7 +278,7 @@
 func (m *Members) sendHeartbeat(ctx context.Context, to peer.Member) {
 	limited, cancel := context.WithTimeout(ctx, m.period().Duration())
 	defer cancel()
-	args := m.message(to.VM)
+	args := m.message(to.VM, false)
 	for _, c := range m.acked {
 		c.Load(to, args)
 	}
@@ -305,12 +302,10 @@
 	}
 }
 
-// message returns a heartbeat, or the reply to one, for a member.
-func (m *Members) message(to peer.VM) *peer.BeatArgs {
+// message returns a heartbeat, or with reply set the reply to one, for a member.
+func (m *Members) message(to peer.VM, reply bool) *peer.BeatArgs {
 	m.mu.Lock()
-	view := m.table.View()
-	theirs, known := m.views[to]
-	b := &peer.BeatArgs{From: m.table.Self(), View: view, Known: m.table.Updates(to, !known || theirs != view)}
+	b := m.table.Message(to, reply)
 	m.mu.Unlock()
 	for _, p := range m.parts {
 		p.Fill(to, b)
@@ -322,14 +317,8 @@
 func (m *Members) learn(b *peer.BeatArgs, reply bool) {
 	now := m.clock.Now()
 	m.mu.Lock()
-	changed := m.table.Heard(now, b.From)
-	for _, k := range b.Known {
-		changed = m.table.Learn(now, k) || changed
-	}
+	changed := m.table.Receive(now, b)
 	other := b.From.VM != m.table.Self().VM
-	if other {
-		m.views[b.From.VM] = b.View
-	}
 	m.mu.Unlock()
 	for _, p := range m.parts {
 		p.Learn(b, reply)
@@ -366,7 +355,7 @@
 // Beat processes a heartbeat and replies with one.
 func (r *Receiver) Beat(args, reply *peer.BeatArgs) error {
 	r.members.learn(args, false)
-	*reply = *r.members.message(args.From.VM)
+	*reply = *r.members.message(args.From.VM, true)
 	return nil
 }
 
--- a/daemon/member/rules.go
+++ b/daemon/member/rules.go
@@ -54,6 +54,18 @@
 	MeshSeedPeriod: 5 * clock.Second, SparseSeedPeriod: 30 * clock.Second,
 }
 
+// RelayRules are the rules of VMs that are a few milliseconds apart. A crashed owner costs each gate one
+// placement query that is not answered, and there are no failure domains here that lose contact with each
+// other, so a member may be suspected sooner than under the default rules.
+var RelayRules = func() Rules {
+	r := DefaultRules
+	r.MeshPeriod, r.MaxMisses, r.RefutePeriods, r.MeshSeedPeriod = 400, 2, 2, 2*clock.Second
+	// After a power failure all VMs may start at once. Until they have found each other, each one
+	// decides placements by itself, and all choose the same engines. So seeds are tried often.
+	r.IsolatedSeedPeriod = 100
+	return r
+}()
+
 // Period returns the time between two heartbeats to the same member in a group of size members.
 func (r Rules) Period(size int) clock.Milli {
 	if size <= r.FullMesh {
--- a/daemon/member/table.go
+++ b/daemon/member/table.go
@@ -18,17 +18,28 @@
 	selfSendsLeft int
 	// cursor is the name up to which the last heartbeat listed live members: see nextLive.
 	cursor peer.VM
+	// heard is what members last told of their tables.
+	heard map[peer.VM]heardView
 	// superseded is set when a later incarnation of this VM was reported.
 	superseded bool
 	// cache is computed from entries and self; nil after they changed.
 	cache *derived
 }
 
+// heardView is what a member told of its table.
+type heardView struct {
+	view uint64
+	// buckets are the digests of the parts of its table; empty if it did not send any.
+	buckets []uint32
+}
+
 // derived is computed once for each change of the table, not for each heartbeat.
 type derived struct {
 	// live is sorted by name.
 	live []peer.Member
 	view uint64
+	// buckets are digests of the live members by the hash of their names.
+	buckets []uint32
 	// targets are the members that get heartbeats in rotation, the current time divided by
 	// Rules.Rotation; rotation is -1 before they are chosen.
 	targets  []peer.Member
@@ -37,13 +48,15 @@
 	successors []peer.Member
 	// maxCores is the maximum of Cores in live.
 	maxCores int
-	// lost counts members that are gone without having announced a stop.
-	lost int
+	// gone counts members that are gone, lost those of them that had not announced a stop.
+	gone, lost int
 }
 
 // entry is the state of another member.
 type entry struct {
 	member peer.Member
+	// hash is that of the name, digest that of the description; see hashName and digestOf.
+	hash, digest uint64
 	// missed counts consecutive heartbeats to the member that were not answered.
 	missed int
 	// lastHeard is the time of the last message received from the member itself.
@@ -56,7 +69,39 @@
 
 // NewTable returns a table that contains only self.
 func NewTable(self peer.Member, r Rules) *Table {
-	return &Table{rules: r, self: self, entries: map[peer.VM]*entry{}, selfSendsLeft: r.UpdateSends}
+	return &Table{rules: r, self: self, entries: map[peer.VM]*entry{}, heard: map[peer.VM]heardView{}, selfSendsLeft: r.UpdateSends}
+}
+
+// Message returns what a heartbeat to a member, or with reply set the reply to one, says of members.
+//
+// If the tables of both agree, the digest of the whole is sent alone. While only a few changes spread, they
+// are sent without digests. Otherwise the message has the digests of all parts, so that the other member can
+// send what this table lacks. A heartbeat to a member of whose table nothing is known has only recent
+// changes, since the reply shows what that member lacks.
+func (t *Table) Message(to peer.VM, reply bool) *peer.BeatArgs {
+	b := &peer.BeatArgs{From: t.self, View: t.View()}
+	d := t.compare(t.heard[to])
+	if !d.same {
+		b.Buckets = t.derive().buckets
+		if t.fewChangesSpread() {
+			b.Buckets = fold(b.Buckets, 1)
+		}
+	}
+	b.Known = t.updates(to, d, len(d.parts) > 0 || reply && !d.withheld)
+	return b
+}
+
+// Receive processes what a heartbeat, or the reply to one, says of members, and reports whether it
+// changed the table.
+func (t *Table) Receive(now clock.Milli, b *peer.BeatArgs) bool {
+	changed := t.Heard(now, b.From)
+	for _, k := range b.Known {
+		changed = t.Learn(now, k) || changed
+	}
+	if b.From.VM != t.self.VM {
+		t.heard[b.From.VM] = heardView{b.View, b.Buckets}
+	}
+	return changed
 }
 
 // Self returns the description of this member.
@@ -113,7 +158,9 @@
 			return false
 		}
 		t.cache = nil
-		t.entries[m.VM] = &entry{member: m, lastHeard: now, healthSince: now, sendsLeft: t.rules.UpdateSends}
+		e = &entry{hash: hashName(m.VM), lastHeard: now, healthSince: now, sendsLeft: t.rules.UpdateSends}
+		e.set(m)
+		t.entries[m.VM] = e
 		return true
 	}
 	if m.Health == peer.Gone && e.member.Health != peer.Gone {
@@ -134,11 +181,15 @@
 	if m.Health != e.member.Health || m.Incarnation != e.member.Incarnation {
 		e.healthSince = now
 	}
-	e.member, e.missed, e.sendsLeft = m, 0, t.rules.UpdateSends
+	e.missed, e.sendsLeft = 0, t.rules.UpdateSends
+	e.set(m)
 	t.cache = nil
 	return true
 }
 
+// set sets the description of the member.
+func (e *entry) set(m peer.Member) { e.member, e.digest = m, digestOf(m) }
+
 // refute refutes a suspicion of this member by increasing its Seq. It reports whether it did.
 func (t *Table) refute(m peer.Member) bool {
 	if m.Incarnation > t.self.Incarnation {
@@ -197,6 +248,7 @@
 			changed = true
 		case e.member.Health == peer.Gone && now-e.healthSince >= t.rules.ForgetAfter:
 			delete(t.entries, v)
+			delete(t.heard, v)
 			t.cache = nil
 		}
 	}
@@ -205,7 +257,9 @@
 
 // setHealth sets the health of a member and schedules the change to be sent.
 func (t *Table) setHealth(e *entry, h peer.Health, now clock.Milli) {
-	e.member.Health, e.healthSince, e.sendsLeft = h, now, t.rules.UpdateSends
+	e.healthSince, e.sendsLeft = now, t.rules.UpdateSends
+	e.member.Health = h
+	e.set(e.member)
 	t.cache = nil
 }
 
@@ -227,35 +281,51 @@
 // They may still run on the other side of a network partition.
 func (t *Table) Lost() int { return t.derive().lost }
 
-// View returns a digest of the names, incarnations and Seqs of the members that count as live. It is equal for
-// tables that agree on these.
+// View returns a digest of the members that count as live. It is equal for tables that agree on their names,
+// incarnations, Seqs and suspicions.
 func (t *Table) View() uint64 { return t.derive().view }
 
 func (t *Table) derive() *derived {
 	if t.cache != nil {
 		return t.cache
 	}
-	d := &derived{live: make([]peer.Member, 0, len(t.entries)+1), rotation: -1}
+	d := &derived{live: make([]peer.Member, 0, len(t.entries)+1), rotation: -1, buckets: make([]uint32, bucketCount(len(t.entries)+1))}
 	if t.self.Health != peer.Gone {
-		d.live = append(d.live, t.self)
+		d.add(t.self, hashName(t.self.VM), digestOf(t.self))
 	}
 	for _, e := range t.entries {
-		switch {
-		case e.member.Health != peer.Gone:
-			d.live = append(d.live, e.member)
-		case !e.member.Stopping:
+		if e.member.Health != peer.Gone {
+			d.add(e.member, e.hash, e.digest)
+			continue
+		}
+		d.gone++
+		if !e.member.Stopping {
 			d.lost++
 		}
 	}
 	sort.Slice(d.live, func(i, j int) bool { return d.live[i].VM < d.live[j].VM })
 	d.maxCores, _ = maxCapacity(d.live)
-	for _, m := range d.live {
-		d.view ^= score(strconv.FormatUint(uint64(m.Incarnation), 36)+"/"+strconv.FormatUint(m.Seq, 36), m.VM)
-	}
 	t.cache = d
 	return d
 }
 
+// add adds a live member, with the hash of its name and the digest of its description.
+func (d *derived) add(m peer.Member, hash, digest uint64) {
+	d.live = append(d.live, m)
+	d.view ^= digest
+	d.buckets[bucketOf(hash, len(d.buckets))] ^= uint32(digest)
+}
+
+// digestOf returns the digest of a description. That of a member that nobody suspects does not depend on its
+// health, as in versions without suspicions in the digest.
+func digestOf(m peer.Member) uint64 {
+	state := strconv.FormatUint(uint64(m.Incarnation), 36) + "/" + strconv.FormatUint(m.Seq, 36)
+	if m.Health != peer.Live {
+		state += "/" + strconv.Itoa(int(m.Health))
+	}
+	return score(state, m.VM)
+}
+
 // Targets returns the members that get heartbeats now. The slice is shared and must not be modified.
 func (t *Table) Targets(now clock.Milli) []peer.Member {
 	d := t.derive()
@@ -321,9 +391,10 @@
 	sort.Slice(ms, func(i, j int) bool { return numbers[ms[i].VM] < numbers[ms[j].VM] })
 }
 
-// Updates returns the descriptions to send in a heartbeat to a member: that of the receiver itself if
-// its health is not Live, recent changes, and with all set the next part of the list of live members.
-func (t *Table) Updates(to peer.VM, all bool) []peer.Member {
+// updates returns the descriptions to send in a heartbeat to a member whose table differs by d: that of the
+// receiver itself if its health is not Live, recent changes and, with all set, the next part of the live
+// members that the receiver may lack.
+func (t *Table) updates(to peer.VM, d difference, all bool) []peer.Member {
 	var ms []peer.Member
 	if e := t.entries[to]; e != nil && e.member.Health != peer.Live {
 		ms = append(ms, e.member)
@@ -331,26 +402,47 @@
 	if t.selfSendsLeft > 0 {
 		t.selfSendsLeft--
 	}
-	ms = t.appendChanges(ms, to, true)
-	ms = t.appendChanges(ms, to, false)
+	ms = t.appendChanges(ms, to, d, true)
+	ms = t.appendChanges(ms, to, d, false)
 	if all {
-		ms = append(ms, t.nextLive(t.rules.MaxUpdates-len(ms))...)
+		ms = t.appendGone(ms, d)
+		ms = append(ms, t.nextLive(d, t.rules.MaxUpdates-len(ms))...)
 	}
 	return ms
 }
 
-// appendChanges appends recent changes of the high-capacity members, or with highCapacity unset of the others.
+// appendGone appends members that are gone, from the parts in which the receiver's table differs: all messages
+// that reported their loss to it may have been lost themselves.
+func (t *Table) appendGone(ms []peer.Member, d difference) []peer.Member {
+	if t.derive().gone == 0 || len(d.parts) == 0 {
+		return ms
+	}
+	for _, e := range t.entries {
+		if len(ms) >= t.rules.MaxUpdates {
+			break
+		}
+		if e.member.Health == peer.Gone && !d.has(e.hash) {
+			ms = append(ms, e.member)
+		}
+	}
+	return ms
+}
+
+// appendChanges appends recent changes of the high-capacity members, or with highCapacity unset of the others,
+// that the receiver may lack.
 //
 // The high-capacity members have to be sent first. Otherwise VMs that start together would each receive a different
 // few of them, and choose different owners.
-func (t *Table) appendChanges(ms []peer.Member, to peer.VM, highCapacity bool) []peer.Member {
+func (t *Table) appendChanges(ms []peer.Member, to peer.VM, d difference, highCapacity bool) []peer.Member {
 	maxCores := t.derive().maxCores
 	for v, e := range t.entries {
 		if e.sendsLeft == 0 || v == to || len(ms) >= t.rules.MaxUpdates || highCapacity != (e.member.Cores*capacityDivisor >= maxCores) {
 			continue
 		}
 		e.sendsLeft--
-		ms = append(ms, e.member)
+		if !d.has(e.hash) {
+			ms = append(ms, e.member)
+		}
 	}
 	return ms
 }
@@ -368,15 +460,26 @@
 	return false
 }
 
-// nextLive returns up to limit live members, following those of the previous call.
-func (t *Table) nextLive(limit int) []peer.Member {
+// nextLive returns up to limit live members that the receiver may lack, following those of the previous call.
+func (t *Table) nextLive(d difference, limit int) []peer.Member {
 	live := t.Live()
 	from := sort.Search(len(live), func(i int) bool { return live[i].VM > t.cursor })
 	var ms []peer.Member
 	for i := 0; i < len(live) && len(ms) < limit; i++ {
 		m := live[(from+i)%len(live)]
+		if d.has(t.hashOf(m.VM)) {
+			continue
+		}
 		t.cursor = m.VM
 		ms = append(ms, m)
 	}
 	return ms
 }
+
+// hashOf returns the hash of the name of a live member.
+func (t *Table) hashOf(v peer.VM) uint64 {
+	if e := t.entries[v]; e != nil {
+		return e.hash
+	}
+	return hashName(v)
+}
--- a/daemon/member/table_bench_test.go
+++ b/daemon/member/table_bench_test.go
@@ -50,7 +50,7 @@
 }
 
 func simulate(b *testing.B, size int, churn bool) {
-	g := &group{now: 1000, tables: map[peer.VM]*Table{}, views: map[[2]peer.VM]uint64{}}
+	g := &group{now: 1000, tables: map[peer.VM]*Table{}}
 	g.lost = func(_, _ peer.VM) bool { return false }
 	for i := range size {
 		table := NewTable(testMember(i), DefaultRules)
@@ -65,9 +65,9 @@
 		g.round()
 	}
 	m := &meter{pairs: map[[2]peer.VM]*gob.Encoder{}}
-	g.sent = func(from *Table, to peer.VM, known []peer.Member, reply bool) {
+	g.sent = func(from *Table, to peer.VM, args *peer.BeatArgs, reply bool) {
 		v := from.Self().VM
-		args := peer.BeatArgs{From: from.Self(), View: from.View(), Known: known, Revision: 123456}
+		args.Revision = 123456
 		if reply {
 			m.send(b, v, to+"/reply", rpc.Response{ServiceMethod: "Member.Beat", Seq: 1000}, args)
 			return
--- a/daemon/member/table_test.go
+++ b/daemon/member/table_test.go
@@ -17,11 +17,10 @@
 	now    clock.Milli
 	tables map[peer.VM]*Table
 	order  []peer.VM
-	views  map[[2]peer.VM]uint64
 	// lost reports whether messages from a to b are lost.
 	lost func(a, b peer.VM) bool
 	// sent, if not nil, is called with each message.
-	sent func(from *Table, to peer.VM, known []peer.Member, reply bool)
+	sent func(from *Table, to peer.VM, m *peer.BeatArgs, reply bool)
 }
 
 func vmName(i int) peer.VM { return peer.VM(fmt.Sprintf("vm-%03d", i)) }
@@ -36,7 +35,7 @@
 // newGroup returns a group of n members whose tables contain only themselves and the first member.
 func newGroup(t *testing.T, n int) *group {
 	g := &group{
-		t: t, now: 1000, tables: map[peer.VM]*Table{}, views: map[[2]peer.VM]uint64{},
+		t: t, now: 1000, tables: map[peer.VM]*Table{},
 		lost: func(_, _ peer.VM) bool { return false },
 	}
 	for i := range n {
@@ -75,16 +74,11 @@
 }
 
 func (g *group) deliver(from, to *Table, reply bool) {
-	a, b := from.Self().VM, to.Self().VM
-	known := from.Updates(b, g.views[[2]peer.VM{a, b}] != from.View())
+	m := from.Message(to.Self().VM, reply)
 	if g.sent != nil {
-		g.sent(from, b, known, reply)
+		g.sent(from, to.Self().VM, m, reply)
 	}
-	to.Heard(g.now, from.Self())
-	for _, k := range known {
-		to.Learn(g.now, k)
-	}
-	g.views[[2]peer.VM{b, a}] = from.View()
+	to.Receive(g.now, m)
 }
 
 // runUntil runs up to most rounds until every running member has want live members, and returns the number of rounds.
@@ -355,10 +349,63 @@
 		table.Learn(1, m)
 	}
 	highCapacity := 0
-	for _, m := range table.Updates(vmName(7), false) {
+	for _, m := range table.updates(vmName(7), difference{}, false) {
 		if m.Cores == 800 {
 			highCapacity++
 		}
 	}
 	require.Equal(t, 9, highCapacity)
 }
+
+// A fleet starts all at once, and then members leave and come back. If each message named members that the
+// receiver knows already, what each VM sends would grow with the fleet several times as fast as the list
+// itself, and VMs would agree only after many seconds. A description is news as often as the rules let a
+// change be sent, on average.
+func TestMessagesNameFewMembersThatReceiverKnows(t *testing.T) {
+	const n = 100
+	g := newGroup(t, n)
+	rows, useful := 0, 0
+	g.sent = func(_ *Table, to peer.VM, m *peer.BeatArgs, _ bool) {
+		for _, k := range m.Known {
+			rows++
+			if e := g.tables[to].entries[k.VM]; e == nil || newer(k, e.member) {
+				useful++
+			}
+		}
+	}
+	g.runUntil(30, n)
+	for r := range 20 {
+		if r%5 == 0 {
+			g.replace(r)
+		}
+		g.round()
+	}
+	g.runUntil(30, n)
+	t.Logf("%d rows, %d of them news", rows, useful)
+	require.LessOrEqual(t, rows, DefaultRules.UpdateSends*useful)
+}
+
+// All messages that reported the loss of a member to another one are lost. The other one must still be told
+// once messages arrive again: its own heartbeats do not go to the lost member.
+func TestLateMemberLearnsThatAnotherIsGone(t *testing.T) {
+	g := newGroup(t, 20)
+	g.runUntil(30, 20)
+	late, gone := vmName(3), vmName(7)
+	delete(g.tables, gone)
+	g.lost = func(a, b peer.VM) bool { return a == late || b == late }
+	for range 12 {
+		g.round()
+	}
+	for _, table := range g.tables {
+		for _, e := range table.entries {
+			e.sendsLeft = 0
+		}
+	}
+	require.Less(t, len(g.tables[vmName(0)].Live()), 20)
+	table := g.tables[late]
+	table.entries[gone].member.Health = peer.Live
+	table.entries[gone].set(table.entries[gone].member)
+	table.cache = nil
+	g.lost = func(_, b peer.VM) bool { return b == gone }
+	g.runUntil(20, 19)
+}
--- a/daemon/relay.go
+++ b/daemon/relay.go
@@ -64,18 +64,6 @@
 // half because two owners of a service may overlap, and a budget window may span a change of owner.
 const ownerBudgetShare = 0.4
 
-// relayMemberRules are the heartbeat rules for VMs that are a few milliseconds apart. A crashed owner
-// costs each gate one placement query that is not answered, and there are no failure domains here that
-// lose contact with each other, so a member may be suspected sooner than under the default rules.
-var relayMemberRules = func() member.Rules {
-	r := member.DefaultRules
-	r.MeshPeriod, r.MaxMisses, r.RefutePeriods, r.MeshSeedPeriod = 400, 2, 2, 2*clock.Second
-	// After a power failure all VMs may start at once. Until they have found each other, each one
-	// decides placements by itself, and all choose the same engines. So seeds are tried often.
-	r.IsolatedSeedPeriod = 100
-	return r
-}()
-
 // relayDaemon is one process of snipeshiftd in relay mode, which relays opaque requests.
 type relayDaemon struct {
 	settings  *settings.Relay
@@ -116,7 +104,7 @@
 	d.startedAt = d.clock.Now()
 	incarnation := peer.Incarnation(time.Now().UnixMilli())
 	self := peer.Member{VM: s.Name, Incarnation: incarnation, Domain: s.Domain, Address: s.Advertise, Cores: int(s.Cores * milliCoresPerCore), Link: int(s.Link)}
-	d.members = member.New(self, relayMemberRules, d.dialer, staticSeeds(s.Peers), d.clock)
+	d.members = member.New(self, member.RelayRules, d.dialer, staticSeeds(s.Peers), d.clock)
 	d.registry = registry.New(d.store, d.dialer, d.clock, d.log)
 	d.readers = readers.New(s.Name, slices.Contains(s.Peers, s.Advertise))
 	d.registry.SetReaders(d.roster)
--- a/lib/peer/messages.go
+++ b/lib/peer/messages.go
@@ -163,6 +163,9 @@
 	// View is a digest of the members that the sender considers live. If the Views of two members
 	// differ, both send more of Known.
 	View uint64
+	// Buckets are digests of the parts of the sender's list of live members, by the first bits of the hash of
+	// their names; empty if the Views agree. Known then lists members from the parts that differ.
+	Buckets []uint32
 	// Usage lists those of the sender's cumulative counters that changed since its last answered heartbeat.
 	Usage []WorkspaceUsage
 	// Registry is the version summary of the sender's registry.
