placer: heartbeats name holders only to VMs that know others

Cause: each heartbeat and reply named the holder of every service, some 70 bytes each, eight messages a second and VM in a large fleet. Change: a digest of them; the holders only where the receiver's last digest differs, and to earlier versions, which send none.

--- a/daemon/holder/table.go
+++ b/daemon/holder/table.go
@@ -14,6 +14,7 @@
 
 import (
 	"cmp"
+	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -47,6 +48,15 @@
 	return hs
 }
 
+// Digest returns a digest of all known holders, which is equal for equal ones; zero if none is known.
+func (t *Table) Digest() uint64 {
+	var sum uint64
+	for _, h := range t.holders {
+		sum ^= xxhash.Sum64String(string(h.Service) + "\x00" + string(h.VM) + "\x00" + strconv.FormatUint(uint64(h.Incarnation), 36) + "/" + strconv.FormatUint(h.Epoch, 36))
+	}
+	return sum
+}
+
 // Learn records a holder and reports whether the record replaced the known one.
 func (t *Table) Learn(h peer.Holder) bool {
 	known, ok := t.holders[h.Service]
--- a/daemon/placer/hold_test.go
+++ b/daemon/placer/hold_test.go
@@ -35,3 +35,25 @@
 	require.False(t, reply.Decided)
 	require.False(t, o.Holders.Holds("s"), "the holder answers probes and stays the holder")
 }
+
+// Heartbeats go to several VMs each second. If each named the holders of all services, these names would be
+// most of what a fleet at rest sends. A VM that knows others, or an earlier version, must still be told.
+func TestHoldersAreSentOnlyToVMsThatKnowOthers(t *testing.T) {
+	self, far := peer.Member{VM: "self", Address: "self"}, peer.Member{VM: "far", Address: "far"}
+	a := ownerAt(t, viewOf{members{far, self}, self}, &network{}, "e0").Holders
+	b := ownerAt(t, viewOf{members{self, far}, far}, &network{}, "e0").Holders
+	beat := func(from, to *Holders, m, receiver peer.Member) int {
+		args := peer.BeatArgs{From: m}
+		from.Fill(receiver.VM, &args)
+		to.Learn(&args, false)
+		return len(args.Holders)
+	}
+	a.Update(holder.NewHolder("s", self, 1), "test")
+	require.Equal(t, 1, beat(a, b, self, far), "nothing is known of the other VM")
+	require.Zero(t, beat(b, a, far, self), "the heartbeat showed that it knows the same")
+	require.Zero(t, beat(a, b, self, far))
+	a.Update(holder.NewHolder("s", far, 2), "test")
+	require.Equal(t, 1, beat(a, b, self, far))
+	a.Learn(&peer.BeatArgs{From: far}, false) // an earlier version sends no digest
+	require.Equal(t, 1, beat(a, b, self, far))
+}
--- a/daemon/placer/holders.go
+++ b/daemon/placer/holders.go
@@ -28,6 +28,8 @@
 	ranks rankCache
 	// changes has a channel per service that is waited for; it is closed when the holder changes.
 	changes map[route.ServiceID]chan struct{}
+	// heard is the digest of holders that each VM sent last.
+	heard map[peer.VM]uint64
 	// onChange functions are called with each new holder, without locks held.
 	onChange []func(peer.Holder)
 }
@@ -37,6 +39,7 @@
 	return &Holders{
 		members: m, clock: k, log: l, table: holder.New(m.Self()),
 		since: map[route.ServiceID]clock.Milli{}, changes: map[route.ServiceID]chan struct{}{},
+		heard: map[peer.VM]uint64{},
 	}
 }
 
@@ -44,15 +47,28 @@
 // learned.
 func (h *Holders) OnChange(f func(peer.Holder)) { h.onChange = append(h.onChange, f) }
 
-// Fill implements member.Part.
-func (h *Holders) Fill(_ peer.VM, b *peer.BeatArgs) {
+// Fill implements member.Part. The holders themselves are sent only to a VM that knows others.
+func (h *Holders) Fill(to peer.VM, b *peer.BeatArgs) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	b.Holders = h.table.All()
+	b.HolderDigest = h.table.Digest()
+	if h.heard[to] != b.HolderDigest {
+		b.Holders = h.table.All()
+	}
 }
 
+// maxHeard is the number of VMs, beyond twice the live ones, whose digests are kept.
+const maxHeard = 64
+
 // Learn implements member.Part.
 func (h *Holders) Learn(b *peer.BeatArgs, _ bool) {
+	live := len(h.members.Live())
+	h.mu.Lock()
+	if len(h.heard) > 2*live+maxHeard {
+		clear(h.heard)
+	}
+	h.heard[b.From.VM] = b.HolderDigest
+	h.mu.Unlock()
 	for _, x := range b.Holders {
 		if h.learn(x) {
 			go h.notifyChange(x, "heartbeat")
--- a/lib/peer/messages.go
+++ b/lib/peer/messages.go
@@ -170,8 +170,10 @@
 	Usage []WorkspaceUsage
 	// Registry is the version summary of the sender's registry.
 	Registry RegistrySummary
-	// Holders lists the holder of each service, as far as known to the sender.
-	Holders []Holder
+	// Holders lists the holder of each service, as far as known to the sender; empty if the receiver knows the
+	// same ones. HolderDigest is a digest of all of them.
+	Holders      []Holder
+	HolderDigest uint64
 }
 
 // Holder names the VM that places the requests of a service.
