span: a cold upstream is warmed up

Change: the owner grants an upstream that is cold by its entry, has restarted under its id or is back from a leaving state no more than its service's rate, owners on two sides of a partition each their part; it gets what others have no room for; then the rate doubles each half second for three seconds. A successor is told.

--- a/bench/passes/simulation.go
+++ b/bench/passes/simulation.go
@@ -214,7 +214,7 @@
 		s.engines[id] = &engine{spec: &spec}
 		s.engineList = append(s.engineList, s.engines[id])
 	}
-	s.pool.SetUpstreams(&route.Service{ID: "s", Engine: &spec}, us)
+	s.pool.SetUpstreams(0, &route.Service{ID: "s", Engine: &spec}, us)
 	for i := range l.Kinds {
 		s.results[l.Kinds[i].Name] = &KindResult{}
 	}
--- a/daemon/changes/changes.go
+++ b/daemon/changes/changes.go
@@ -43,6 +43,9 @@
 		_, _ = d.WriteString(field)
 		_, _ = d.Write([]byte{0})
 	}
+	if u.Cold > 0 {
+		_, _ = d.WriteString(strconv.FormatInt(int64(u.Cold), 36))
+	}
 	return Hash(d.Sum64())
 }
 
--- a/daemon/placer/owner.go
+++ b/daemon/placer/owner.go
@@ -152,7 +152,7 @@
 	if v := o.Knowledge.View(); v.Generation != p.generation && v.Table != nil {
 		first := p.generation == 0
 		p.generation = v.Generation
-		p.pool.SetUpstreams(v.Table.Service(s), v.Upstreams[s])
+		p.pool.SetUpstreams(o.Clock.Now(), v.Table.Service(s), v.Upstreams[s])
 		if first {
 			p.pool.MarkUnverified()
 		}
--- a/daemon/registry/upstreams.go
+++ b/daemon/registry/upstreams.go
@@ -291,6 +291,9 @@
 		}
 		_, _ = d.WriteString(strconv.FormatInt(int64(us[id].Born), 36))
 		_, _ = d.Write([]byte{0})
+		if us[id].Cold > 0 {
+			_, _ = d.WriteString(strconv.FormatInt(int64(us[id].Cold), 36) + "c")
+		}
 	}
 	for _, id := range slices.Sorted(maps.Keys(unverified)) {
 		_, _ = d.WriteString("?" + string(id))
--- a/lib/decide/span/declared.go
+++ b/lib/decide/span/declared.go
@@ -165,7 +165,7 @@
 	return changed
 }
 
-// SetLimitShare sets the fraction of each rate limit that this pool may grant. The rest is left for
+// SetLimitShare sets the fraction of each rate limit, also of cold upstreams, that this pool may grant. The rest is left for
 // VMs that can't be reached and may grant requests at the same upstreams.
 func (p *Pool) SetLimitShare(now clock.Milli, share float64) {
 	if p.declared.share == share {
@@ -175,6 +175,9 @@
 	for _, d := range p.declared.byUpstream {
 		d.limit.SetFraction(now, share)
 	}
+	for _, r := range p.upstreams {
+		r.warmUp.limiter.SetFraction(now, share)
+	}
 }
 
 // draining reports whether the upstream is leaving or gone, by the list of upstreams or by its own
@@ -196,6 +199,7 @@
 // noteGranted records a new grant, which is the probe if the upstream is shedding.
 func (r *upstreamState) noteGranted(now clock.Milli, id decide.RequestID) {
 	r.declared.limit.Take(now)
+	r.warmUp.limiter.Take(now)
 	if r.declared.shedding {
 		r.declared.probe = id
 	}
--- a/lib/decide/span/declared_test.go
+++ b/lib/decide/span/declared_test.go
@@ -90,7 +90,7 @@
 // its deadline.
 func TestRequestBeyondLimitsIsRefusedAtOnce(t *testing.T) {
 	b := &testPool{t: t, Pool: New(DefaultRules, gate.NewBudget(0.2, 10, 10*clock.Second))}
-	b.SetUpstreams(&route.Service{ID: "s"}, []route.Upstream{{ID: "a", Service: "s", Slots: 6}, {ID: "b", Service: "s", Slots: 6}})
+	b.SetUpstreams(now, &route.Service{ID: "s"}, []route.Upstream{{ID: "a", Service: "s", Slots: 6}, {ID: "b", Service: "s", Slots: 6}})
 	b.learnLimit(now, "a", 1)
 	b.learnLimit(now, "b", 1)
 	at := now + 5*clock.Second
@@ -315,13 +315,13 @@
 	b := newTestPool(t, 0)
 	us := []route.Upstream{{ID: "e00", Service: "s", Slots: engine.Slots, Born: 5}, {ID: "e01", Service: "s", Slots: engine.Slots, Born: 5}}
 	s := &route.Service{ID: "s", Engine: &engine}
-	b.SetUpstreams(s, us)
+	b.SetUpstreams(now, s, us)
 	b.Learn(now, "e00", statement.Statement{Kind: statement.Leaving, Named: true, Gate: "g", Born: 5, At: now})
-	b.SetUpstreams(s, us[1:])
-	b.SetUpstreams(s, us)
+	b.SetUpstreams(now, s, us[1:])
+	b.SetUpstreams(now, s, us)
 	require.Zero(t, b.runShort(now+clock.Second, now+3*clock.Second, 50)["e00"])
 	us[0].Born = 6
-	b.SetUpstreams(s, us)
+	b.SetUpstreams(now, s, us)
 	require.NotZero(t, b.runShort(now+4*clock.Second, now+5*clock.Second, 50)["e00"], "a later incarnation has not declared that it is leaving")
 }
 
@@ -333,11 +333,11 @@
 	list := func(born decide.Incarnation) []route.Upstream {
 		return []route.Upstream{{ID: "e00", Service: "s", Slots: engine.Slots, Born: born}}
 	}
-	b.SetUpstreams(s, list(5))
+	b.SetUpstreams(now, s, list(5))
 	b.Learn(now, "e00", statement.Statement{Kind: statement.Leaving, Named: true, Gate: "g", Born: 5, At: now})
 	b.learnBackOff(now, "e00", "g", clock.Minute)
-	b.SetUpstreams(s, nil)
-	b.SetUpstreams(s, list(6))
+	b.SetUpstreams(now, s, nil)
+	b.SetUpstreams(now, s, list(6))
 	d, _ := b.ask(now+clock.Second, b.shortAsk(now+clock.Second))
 	require.Equal(t, "rest", d.Reason, "a back-off without a start time may belong to the new incarnation")
 	b.upstreams["e00"].declared.backOffs = nil
--- a/lib/decide/span/engine.go
+++ b/lib/decide/span/engine.go
@@ -34,6 +34,8 @@
 	reportWanted bool
 	// declared is what the upstream declared about itself.
 	declared *declared
+	// warmUp limits the requests while the upstream is cold.
+	warmUp warmUp
 	// polledAt is when the upstream was last polled for its load.
 	polledAt clock.Milli
 }
@@ -176,7 +178,7 @@
 	if r.draining() || !r.health.available(now) || r.unverified && r.engine != nil || !r.declared.limit.Allows(now) {
 		return false
 	}
-	if now < r.declared.backOffUntil(a.Gate) || r.probing() {
+	if !r.warmUp.allows(now) || now < r.declared.backOffUntil(a.Gate) || r.probing() {
 		return false
 	}
 	for _, id := range a.Avoid {
--- a/lib/decide/span/external.go
+++ b/lib/decide/span/external.go
@@ -118,6 +118,7 @@
 	}
 	if r.newIncarnation(l.Born) {
 		r.restart(l.Born)
+		p.beginWarmUp(now, r, now+p.warmUpTime)
 	}
 	inQuestion := r.unverified || r.external > 0 || r.reportWanted
 	r.unverified, r.reportWanted, r.pace = false, false, max(1, l.Pace)
--- a/lib/decide/span/incarnation_test.go
+++ b/lib/decide/span/incarnation_test.go
@@ -12,7 +12,7 @@
 
 // serveIncarnation serves one engine in the incarnation that started at born.
 func (b *testPool) serveIncarnation(born decide.Incarnation) {
-	b.SetUpstreams(&route.Service{ID: "s", Engine: &engine}, []route.Upstream{{ID: "e00", Service: "s", Address: "e00", Slots: engine.Slots, Born: born}})
+	b.SetUpstreams(now, &route.Service{ID: "s", Engine: &engine}, []route.Upstream{{ID: "e00", Service: "s", Address: "e00", Slots: engine.Slots, Born: born}})
 }
 
 // The only engine crashes with all its slots in use and restarts under its ID within a second. The
--- a/lib/decide/span/place.go
+++ b/lib/decide/span/place.go
@@ -95,10 +95,10 @@
 	}
 	for _, attempt := range []struct {
 		maxStreams int
-		slow       bool
+		avoided    bool
 	}{{p.rules.PackedStreams, false}, {math.MaxInt, false}, {math.MaxInt, true}} {
 		for _, r := range p.packOrder {
-			if r.slow() != attempt.slow {
+			if r.avoided(now) != attempt.avoided {
 				continue
 			}
 			if first, ok := p.fitsShort(now, a, r, prefillTime, attempt.maxStreams); ok {
@@ -197,9 +197,9 @@
 		slack    float64
 	}
 	candidates := make([]candidate, 0, len(p.packOrder))
-	avoidSlow := p.avoidsSlow()
+	avoidSlow := p.avoidsSlow(now)
 	for _, r := range p.packOrder {
-		if !r.accepts(now, a) || now < r.health.helpsFrom || r.external > 0 || r.prefills > 0 && !r.hasShortStreams() || avoidSlow && r.slow() {
+		if !r.accepts(now, a) || now < r.health.helpsFrom || r.external > 0 || r.prefills > 0 && !r.hasShortStreams() || avoidSlow && r.avoided(now) {
 			continue
 		}
 		slack := math.Inf(1)
@@ -226,10 +226,10 @@
 // freeForPrefill lists engines that can compute a long prefill, from the end of the fixed order.
 func (p *Pool) freeForPrefill(now clock.Milli, a *Ask) []*upstreamState {
 	var free []*upstreamState
-	avoidSlow := p.avoidsSlow()
+	avoidSlow := p.avoidsSlow(now)
 	for i := len(p.packOrder) - 1; i >= 0; i-- {
 		r := p.packOrder[i]
-		if r.accepts(now, a) && now >= r.health.helpsFrom && r.prefills == 0 && !r.hasShortStreams() && !(avoidSlow && r.slow()) {
+		if r.accepts(now, a) && now >= r.health.helpsFrom && r.prefills == 0 && !r.hasShortStreams() && !(avoidSlow && r.avoided(now)) {
 			free = append(free, r)
 		}
 	}
--- a/lib/decide/span/pool.go
+++ b/lib/decide/span/pool.go
@@ -8,6 +8,7 @@
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
 	"snipeshift.example/lib/decide/gate"
+	"snipeshift.example/lib/decide/statement"
 	"snipeshift.example/lib/route"
 )
 
@@ -28,8 +29,11 @@
 type Pool struct {
 	rules Rules
 	// engine is nil for a plain service.
-	engine    *route.Engine
-	upstreams map[decide.UpstreamID]*upstreamState
+	engine *route.Engine
+	// warmUpTime and coldRate are those of the service, see route.Service.
+	warmUpTime clock.Milli
+	coldRate   statement.PerSecond
+	upstreams  map[decide.UpstreamID]*upstreamState
 	// packOrder lists the upstreams in the fixed order in which short requests are packed.
 	packOrder []*upstreamState
 	queue     map[decide.RequestID]*queuedRequest
@@ -60,8 +64,11 @@
 
 // SetUpstreams sets the service of the pool and its present upstreams. An upstream that is no
 // longer listed gets no new grants and is removed once its grants have ended.
-func (p *Pool) SetUpstreams(s *route.Service, us []route.Upstream) {
+func (p *Pool) SetUpstreams(now clock.Milli, s *route.Service, us []route.Upstream) {
 	p.engine = engineOf(s)
+	if s != nil {
+		p.warmUpTime, p.coldRate = s.WarmUp, s.ColdRate
+	}
 	seen := make(map[decide.UpstreamID]bool, len(us))
 	for _, u := range us {
 		seen[u.ID] = true
@@ -74,10 +81,12 @@
 		switch {
 		case r.newIncarnation(u.Born):
 			r.restart(u.Born)
+			p.beginWarmUp(now, r, now+p.warmUpTime)
 		case r.pastIncarnation(u.Born):
 			// A report from the upstream revealed the new incarnation before the list did.
 			u.Born = r.Born
 		}
+		p.noteEntry(now, r, &u)
 		r.Upstream, r.engine = u, p.engine
 	}
 	for id, r := range p.upstreams {
--- a/lib/decide/span/pool_test.go
+++ b/lib/decide/span/pool_test.go
@@ -42,7 +42,7 @@
 		id := decide.UpstreamID(fmt.Sprintf("e%02d", i))
 		us[i] = route.Upstream{ID: id, Service: "s", Address: string(id), Slots: engine.Slots}
 	}
-	b.SetUpstreams(&route.Service{ID: "s", Engine: &engine}, us)
+	b.SetUpstreams(now, &route.Service{ID: "s", Engine: &engine}, us)
 }
 
 // shortAsk returns a new short request.
@@ -486,19 +486,19 @@
 func TestLeavingEngineKeepsItsGrants(t *testing.T) {
 	b := newTestPool(t, 2)
 	g := b.mustStream(b.shortAsk(now))
-	b.SetUpstreams(&route.Service{ID: "s", Engine: &engine}, []route.Upstream{{ID: "e00", Slots: 16, Leaving: true}, {ID: "e01", Slots: 16}})
+	b.SetUpstreams(now, &route.Service{ID: "s", Engine: &engine}, []route.Upstream{{ID: "e00", Slots: 16, Leaving: true}, {ID: "e01", Slots: 16}})
 	require.Equal(t, decide.UpstreamID("e01"), b.mustGrant(now, b.shortAsk(now)).Leader.Upstream)
 	require.Contains(t, b.grants, g.Request)
-	b.SetUpstreams(&route.Service{ID: "s", Engine: &engine}, []route.Upstream{{ID: "e01", Slots: 16}})
+	b.SetUpstreams(now, &route.Service{ID: "s", Engine: &engine}, []route.Upstream{{ID: "e01", Slots: 16}})
 	require.Contains(t, b.upstreams, decide.UpstreamID("e00"), "an unlisted upstream stays while it has grants")
 	b.End(now, g.Request, Done, "")
-	b.SetUpstreams(&route.Service{ID: "s", Engine: &engine}, []route.Upstream{{ID: "e01", Slots: 16}})
+	b.SetUpstreams(now, &route.Service{ID: "s", Engine: &engine}, []route.Upstream{{ID: "e01", Slots: 16}})
 	require.NotContains(t, b.upstreams, decide.UpstreamID("e00"))
 }
 
 func TestPlainServiceUsesLeastLoadedUpstream(t *testing.T) {
 	p := New(DefaultRules, gate.NewBudget(0.2, 10, 10*clock.Second))
-	p.SetUpstreams(&route.Service{ID: "s"}, []route.Upstream{{ID: "a", Slots: 2}, {ID: "b", Slots: 2}})
+	p.SetUpstreams(now, &route.Service{ID: "s"}, []route.Upstream{{ID: "a", Slots: 2}, {ID: "b", Slots: 2}})
 	for i := range 5 {
 		_, _ = p.Ask(now, Ask{ID: decide.RequestID(fmt.Sprint(i)), Gate: "g", Aim: now + 100, Deadline: now + 1500})
 	}
@@ -543,7 +543,7 @@
 // soon, and a refusal would cost the client more than the wait.
 func TestRequestWaitsForFullPlainService(t *testing.T) {
 	p := New(DefaultRules, gate.NewBudget(0.2, 10, 10*clock.Second))
-	p.SetUpstreams(&route.Service{ID: "s"}, []route.Upstream{{ID: "a", Slots: 1}})
+	p.SetUpstreams(now, &route.Service{ID: "s"}, []route.Upstream{{ID: "a", Slots: 1}})
 	for _, id := range []decide.RequestID{"1", "2"} {
 		_, _ = p.Ask(now, Ask{ID: id, Gate: "g", Aim: now + 100, Deadline: now + 1500})
 	}
@@ -686,7 +686,7 @@
 	used := map[decide.UpstreamID]int{}
 	for i := range 60 {
 		p := New(DefaultRules, gate.NewBudget(0.2, 10, 10*clock.Second))
-		p.SetUpstreams(nil, []route.Upstream{{ID: "a", Slots: 6}, {ID: "b", Slots: 6}, {ID: "c", Slots: 6}})
+		p.SetUpstreams(now, nil, []route.Upstream{{ID: "a", Slots: 6}, {ID: "b", Slots: 6}, {ID: "c", Slots: 6}})
 		_, _ = p.Ask(now, Ask{ID: decide.RequestID(fmt.Sprint("vm-", i)), Gate: "g", Aim: now + 100, Deadline: now + 1000})
 		used[p.Tick(now)[0].Grant.Leader.Upstream]++
 	}
--- a/lib/decide/span/property_test.go
+++ b/lib/decide/span/property_test.go
@@ -22,7 +22,7 @@
 		for i := range us {
 			us[i] = route.Upstream{ID: decide.UpstreamID(fmt.Sprint("e", i)), Slots: engine.Slots}
 		}
-		p.SetUpstreams(&route.Service{ID: "s", Engine: &engine}, us)
+		p.SetUpstreams(now, &route.Service{ID: "s", Engine: &engine}, us)
 		at := now
 		var live []decide.RequestID
 		for i := range rapid.IntRange(1, 120).Draw(t, "steps") {
@@ -83,7 +83,7 @@
 			for i := range us {
 				us[i] = route.Upstream{ID: decide.UpstreamID(fmt.Sprintf("e%03d", i)), Slots: engine.Slots}
 			}
-			p.SetUpstreams(&route.Service{ID: "s", Engine: &engine}, us)
+			p.SetUpstreams(now, &route.Service{ID: "s", Engine: &engine}, us)
 			at := now
 			for i := range b.N {
 				at++
@@ -109,7 +109,7 @@
 			for i := range us {
 				us[i] = route.Upstream{ID: decide.UpstreamID(fmt.Sprintf("e%04d", i)), Slots: engine.Slots}
 			}
-			p.SetUpstreams(&route.Service{ID: "s", Engine: &engine}, us)
+			p.SetUpstreams(now, &route.Service{ID: "s", Engine: &engine}, us)
 			at := now
 			step := func() { p.TakeDuePolls(at, "owner", 128); p.Tick(at) }
 			for i := range b.N {
@@ -133,7 +133,7 @@
 	for i := range us {
 		us[i] = route.Upstream{ID: decide.UpstreamID(fmt.Sprintf("e%03d", i)), Slots: engine.Slots}
 	}
-	p.SetUpstreams(&route.Service{ID: "s", Engine: &engine}, us)
+	p.SetUpstreams(now, &route.Service{ID: "s", Engine: &engine}, us)
 	ask := func(i int, at clock.Milli) {
 		_, _ = p.Ask(at, Ask{ID: decide.RequestID(fmt.Sprint(i)), Gate: "g", Prompt: decide.Tokens(2000 + i%100*50), Output: 1600, Aim: at + 300, Deadline: at + 9000, Gap: 200})
 	}
--- a/lib/decide/span/reconnect_test.go
+++ b/lib/decide/span/reconnect_test.go
@@ -24,7 +24,7 @@
 	}
 	e := engine
 	e.Slots = 10
-	p.SetUpstreams(&route.Service{ID: "s", Engine: &e}, us)
+	p.SetUpstreams(now, &route.Service{ID: "s", Engine: &e}, us)
 	for i := 0; p.Counts().Queued < waiting; i++ {
 		a := Ask{ID: decide.RequestID(fmt.Sprint(i)), Gate: "g", Prompt: decide.Tokens(3000 + i%100*80), Output: 800, Aim: now - 100, Patience: now + 1900, Deadline: now + 9000, Gap: 250, Stream: true}
 		_, _ = p.Ask(now, a)
--- a/lib/decide/span/slow.go
+++ b/lib/decide/span/slow.go
@@ -38,10 +38,10 @@
 	}
 }
 
-// avoidsSlow reports whether long prompts avoid slow engines, because there are others.
-func (p *Pool) avoidsSlow() bool {
+// avoidsSlow reports whether long prompts avoid slow and cold engines, because there are others.
+func (p *Pool) avoidsSlow(now clock.Milli) bool {
 	for _, r := range p.packOrder {
-		if !r.draining() && !r.slow() {
+		if !r.draining() && !r.avoided(now) {
 			return true
 		}
 	}
--- a/lib/decide/span/snapshot.go
+++ b/lib/decide/span/snapshot.go
@@ -55,6 +55,8 @@
 	// limit admits now.
 	Statements []statement.Message
 	Allowed    float64
+	// Cold is how much longer the upstream is cold.
+	Cold clock.Milli
 	// Shed is set if a probe request has to show whether the upstream accepts requests again.
 	Shed bool
 }
@@ -79,6 +81,7 @@
 			Foreign: r.external, ForeignUsed: r.externalUsed, Pace: r.pace, Doubtful: r.unverified, Suspected: r.reportWanted,
 		}
 		c.Statements, c.Allowed, c.Shed = r.declared.statements(now, r.ID), r.declared.limit.Level(now), r.declared.shedding
+		c.Cold = r.warmUp.left(now)
 		b.Upstreams = append(b.Upstreams, c)
 	}
 	return b
@@ -105,6 +108,7 @@
 			}
 		}
 		r.declared.shedding = r.declared.shedding || c.Shed
+		p.beginWarmUp(now, r, now+c.Cold)
 		r.refresh()
 		r.prefillUntil = float64(now) + c.Debt
 		r.health = health{failures: c.Strikes, lastExclusion: c.Rest, declinePause: c.Declined}
--- a/lib/route/doc.go
+++ b/lib/route/doc.go
@@ -10,6 +10,7 @@
 
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
+	"snipeshift.example/lib/decide/statement"
 )
 
 // Names and version numbers.
@@ -97,6 +98,10 @@
 	Connections int
 	// Engine is the cost model of the service's engines; nil for a plain service.
 	Engine *Engine
+	// WarmUp is how long an upstream is cold after its start; it is slow then, and crashes under more
+	// than ColdRate requests a second from all VMs together. Zero if upstreams need no warm-up.
+	WarmUp   clock.Milli
+	ColdRate statement.PerSecond
 }
 
 // Engine is the cost model of a language-model engine. The engine works in passes (batch
@@ -155,6 +160,8 @@
 	Slots int
 	// Leaving is set once the upstream has announced that it will end; it accepts no new requests.
 	Leaving bool
+	// Cold is how much longer the upstream was cold when its entry was written.
+	Cold clock.Milli
 }
 
 // ErrDocument means that the stored object is not a valid document.
