registry, platform: evacuation of a failure domain

Cause: evacuations/ZONE was not read at all. Change: where the settings have bounds.evacuation, the registry follows that kind like the others; each version summary between VMs has the whole list with its position, and the view shows the upstreams of evacuated domains as leaving, so nothing new is placed or sent there.

--- a/daemon/insight/insight.go
+++ b/daemon/insight/insight.go
@@ -72,7 +72,7 @@
 // Status returns the services and the statements of upstreams that this VM knows now.
 func (p *Page) Status() answers.RelayStatus {
 	now, v := p.Clock.Now(), p.Registry.View()
-	r := answers.RelayStatus{VM: p.VM, Era: p.Registry.Era(), Services: []answers.Service{}, Statements: []answers.Statement{}}
+	r := answers.RelayStatus{VM: p.VM, Era: p.Registry.Era(), Evacuated: v.Evacuated, Services: []answers.Service{}, Statements: []answers.Statement{}}
 	known := map[route.ServiceID]bool{}
 	for s := range v.Upstreams {
 		known[s] = true
--- a/daemon/insight/metrics.go
+++ b/daemon/insight/metrics.go
@@ -46,6 +46,9 @@
 			gauge("snipeshift_upstream_leaving"+labels, 1)
 		}
 	})
+	for _, d := range v.Evacuated {
+		gauge(fmt.Sprintf("snipeshift_domain_evacuated{domain=%q}", d), 1)
+	}
 	vm.WriteCounterUint64(w, "snipeshift_questions_hedged_total", p.Placer.Hedged())
 	vm.WriteCounterUint64(w, "snipeshift_messages_dropped_total", p.Owner.Dropped())
 	for c, n := range p.Registry.Calls() {
--- a/daemon/registry/follow.go
+++ b/daemon/registry/follow.go
@@ -18,6 +18,9 @@
 	var g errgroup.Group
 	g.Go(func() error { r.follow(ctx, r.documentFeed()); return nil })
 	g.Go(func() error { r.follow(ctx, r.upstreamFeed()); return nil })
+	if r.evacuations.store != nil {
+		g.Go(func() error { r.follow(ctx, r.evacuationFeed()); return nil })
+	}
 	g.Go(func() error { r.sweep(ctx); return nil })
 	g.Go(func() error { r.pollReaders(ctx); return nil })
 	return g.Wait()
@@ -32,12 +35,12 @@
 	wait clock.Milli
 	// lead is set for the feed whose calls find out whether the store is back after an outage.
 	lead bool
-}
-
-func (r *Registry) documentFeed() feed {
 	// verified returns the latest instant at which this VM's copy was verified as current, zero if it
 	// has none; nil for the document. The lock must be held.
 	verified func() clock.Milli
+}
+
+func (r *Registry) documentFeed() feed {
 	return feed{name: "routes", list: r.listDocument, watch: r.watchDocument, wait: watchWait, lead: true}
 }
 
@@ -45,11 +48,11 @@
 	return feed{name: "upstreams", list: r.listUpstreams, watch: r.watchUpstreams, wait: upstreamWatchWait, verified: r.listVerified}
 }
 
+func (r *Registry) listVerified() clock.Milli { return r.upstreamsVerified }
+
 // follow lists once and then watches from the position of the list. It lists again after an error,
 // after a change of the era, and after other members have read for this VM, since it may have
 // missed changes.
-func (r *Registry) listVerified() clock.Milli { return r.upstreamsVerified }
-
 func (r *Registry) follow(ctx context.Context, f feed) {
 	r.bootstrap(ctx)
 	var at route.Position
@@ -82,14 +85,6 @@
 		if f.lead {
 			r.leadFeedFailing.Store(err != nil)
 		}
-		r.noteStore(f.name, err)
-		if err == nil {
-			failures = 0
-			if listed {
-				r.awaitMembers(ctx)
-			}
-			continue
-		}
 		if errors.Is(err, route.ErrHistoryLost) {
 			// The store answers. If this counted as an outage, other VMs would take over reading and list as
 			// well, as often as the store discards its history.
@@ -98,6 +93,14 @@
 			pause(ctx, busyWatchInterval.Duration())
 			continue
 		}
+		r.noteStore(f.name, err)
+		if err == nil {
+			failures = 0
+			if listed {
+				r.awaitMembers(ctx)
+			}
+			continue
+		}
 		at = route.Position{}
 		r.backOff(ctx, failures)
 		failures++
@@ -316,12 +319,13 @@
 // StoreDown reports whether the last call of the store failed.
 func (r *Registry) StoreDown() bool { r.mu.Lock(); defer r.mu.Unlock(); return r.storeDown }
 
-// sweep removes upstreams whose hold has ended, and accepts unverified entries, also while no
-// updates arrive.
+// sweep removes upstreams and evacuations whose hold has ended, and accepts unverified entries, also
+// while no updates arrive.
 func (r *Registry) sweep(ctx context.Context) {
 	for ctx.Err() == nil {
 		pause(ctx, 200*time.Millisecond)
 		r.mu.Lock()
+		r.expireEvacuations()
 		accepted := r.acceptUnverified()
 		if accepted || len(r.expiring) > 0 {
 			r.commit(route.Position{}, 0)
--- a/daemon/registry/peers.go
+++ b/daemon/registry/peers.go
@@ -61,7 +61,7 @@
 // summary returns the versions and ages of this VM's state. A list with upstreams that are only
 // retained is omitted, since it verifies nothing for others. The lock must be held.
 func (r *Registry) summary() peer.RegistrySummary {
-	s := peer.RegistrySummary{Shut: r.storeDown, Era: r.era}
+	s := peer.RegistrySummary{Shut: r.storeDown, Era: r.era, Evacuations: r.evacuationSummary()}
 	now := r.clock.Now()
 	if r.table != nil {
 		s.Revision, s.RevisionAge = r.table.Revision(), now-r.tableVerified
@@ -94,6 +94,7 @@
 		r.startEra(s.Era, fromPeer)
 	}
 	r.peerAnswered.Store(true)
+	r.learnPeerEvacuations(s.Evacuations, written)
 	if s.Revision > 0 {
 		r.peerRevision = max(r.peerRevision, s.Revision)
 		r.peerDocumentOnce.Do(func() { close(r.peerDocument) })
@@ -177,7 +178,7 @@
 	if reply.Base != asked {
 		return nil, false
 	}
-	us := changes.Apply(slices.Concat(slices.Collect(maps.Values(own.Upstreams))...), reply.Upstreams, reply.Without)
+	us := changes.Apply(slices.Concat(slices.Collect(maps.Values(own.listed))...), reply.Upstreams, reply.Without)
 	return us, uint64(changes.HashOf(us)) == reply.Content
 }
 
--- a/daemon/registry/registry.go
+++ b/daemon/registry/registry.go
@@ -123,8 +123,12 @@
 	Table *route.Table
 	// TableVerified is the latest instant at which Table was verified as current.
 	TableVerified clock.Milli
-	// Upstreams are the present upstreams by service.
+	// Upstreams are the present upstreams by service. Those in an evacuated failure domain are leaving.
 	Upstreams map[route.ServiceID][]route.Upstream
+	// listed are the same upstreams as the store lists them, for peers.
+	listed map[route.ServiceID][]route.Upstream
+	// Evacuated are the evacuated failure domains, in order.
+	Evacuated []route.Domain
 	// UpstreamsVerified is the latest instant at which Upstreams were verified as current; zero
 	// until a list is known.
 	UpstreamsVerified clock.Milli
@@ -192,14 +196,14 @@
 	position   route.Position
 	digest     uint64
 	generation uint64
-	// changes computes what changed since the earlier list that a peer has.
-	changes *changes.Log
-	// fetchWhole is set after a peer's changes did not produce its list: the next request asks for
-	// the whole list.
 	// unlogged are the changes of the list of upstreams that are not logged yet.
 	unlogged []upstreamChange
 	// evacuations are the evacuated failure domains.
 	evacuations evacuations
+	// changes computes what changed since the earlier list that a peer has.
+	changes *changes.Log
+	// fetchWhole is set after a peer's changes did not produce its list: the next request asks for
+	// the whole list.
 	fetchWhole    atomic.Bool
 	unusableCount uint64
 	// storeDown is set while calls of the store fail. storeBack is when the last outage
@@ -306,14 +310,15 @@
 func (r *Registry) publish() {
 	v := &View{
 		Table: r.table, TableVerified: r.tableVerified, UpstreamsVerified: r.upstreamsVerified, Generation: r.generation,
-		Upstreams: map[route.ServiceID][]route.Upstream{},
+		listed: map[route.ServiceID][]route.Upstream{},
 	}
 	if old := r.view.Load(); old.Generation == r.generation {
-		v.Upstreams = old.Upstreams
+		v.Upstreams, v.listed, v.Evacuated = old.Upstreams, old.listed, old.Evacuated
 	} else {
 		for _, u := range r.upstreams {
-			v.Upstreams[u.Service] = append(v.Upstreams[u.Service], u)
+			v.listed[u.Service] = append(v.listed[u.Service], u)
 		}
+		v.Upstreams, v.Evacuated = r.withEvacuations(v.listed), r.evacuatedDomains()
 	}
 	r.view.Store(v)
 	if v.Table != nil && v.UpstreamsVerified > 0 {
--- a/daemon/registry/registry_test.go
+++ b/daemon/registry/registry_test.go
@@ -701,8 +701,6 @@
 	require.EqualValues(t, 9, born())
 }
 
-// An upstream announces that it leaves, crashes before it has left, and restarts. The new
-// incarnation must receive requests.
 // A peer's answer is in transit while this VM's own watch reports that an upstream has registered again.
 // The answer was written before and lacks the upstream, which would be removed for good, since the watch
 // has reported it already.
@@ -721,6 +719,8 @@
 	require.Equal(t, 1, b.upstreamCount())
 	b.learnPeerUpstreams(listing(upstreams("a", "b")), mark(21), b.clock.Now())
 	require.Equal(t, 2, b.upstreamCount())
+}
+
 // A thousand upstreams register while all VMs start. A line for each of them at each VM would fill the
 // logs of a fleet with a million lines.
 func TestManyChangesAreLoggedInOneLine(t *testing.T) {
@@ -742,8 +742,6 @@
 
 // An upstream announces that it leaves, crashes before it has left, and restarts. The new
 // incarnation must receive requests.
-}
-
 func TestNewIncarnationIsNotLeaving(t *testing.T) {
 	b := newHarness(t)
 	us := upstreamsBorn(5, "a", "b")
--- a/daemon/registry/upstreams.go
+++ b/daemon/registry/upstreams.go
@@ -248,9 +248,9 @@
 
 // commit removes upstreams whose hold has ended, records the position and instant of the list, and
 // publishes a view. The lock must be held.
-	r.position = route.Later(r.position, position)
 func (r *Registry) commit(position route.Position, at clock.Milli) {
 	now := r.clock.Now()
+	r.position = route.Later(r.position, position)
 	for id, until := range r.expiring {
 		if now < until {
 			continue
--- a/daemon/relay.go
+++ b/daemon/relay.go
@@ -108,6 +108,9 @@
 	d.registry = registry.New(d.store, d.dialer, d.clock, d.log)
 	d.readers = readers.New(s.Name, slices.Contains(s.Peers, s.Advertise))
 	d.registry.SetReaders(d.roster)
+	if s.Bounds.Evacuation > 0 {
+		d.registry.FollowEvacuations(d.store)
+	}
 	if s.First {
 		d.registry.SetBootstrapWait(registry.FirstBootstrapWait)
 	}
--- a/daemon/settings/relay.go
+++ b/daemon/settings/relay.go
@@ -47,6 +47,9 @@
 	Revoke clock.Milli `json:"revoke"`
 	// Grace is the time between the signal to stop and the end of the process.
 	Grace clock.Milli `json:"grace"`
+	// Evacuation is the time within which all VMs stop sending to an evacuated failure domain; zero if
+	// the deployment has no evacuations.
+	Evacuation clock.Milli `json:"evacuation"`
 }
 
 // Budget bounds the retries of requests, that is, all sends after the first one of each request,
@@ -60,28 +63,29 @@
 
 // relayFields describes each field of Relay. The parser applies its bounds and defaults.
 var relayFields = strict.Table{
-	"name":          {Required: true, Description: "name of this VM"},
-	"domain":        {Required: true, Min: 1, Max: maxNameLength, Description: "failure domain of this VM"},
-	"caller":        {Required: true, Description: "listen address for clients, IP address and port"},
-	"ready":         {Required: true, Description: "listen address for the balancer's readiness check, IP address and port"},
-	"peer":          {Required: true, Description: "listen address for other daemons, IP address and port; the network between VMs is trusted"},
-	"advertise":     {Description: "address that other daemons connect to, if it differs from peer"},
-	"metrics":       {Description: "listen address for metrics and profiles (/debug/pprof/), IP address and port; not served if empty"},
-	"store":         {Required: true, Description: "address of the platform's store, IP address and port"},
-	"peers":         {Description: "addresses of peers to contact first"},
-	"first":         {Description: "true at the first start of all VMs of the deployment, when there are no clients yet"},
-	"memory":        {Unit: "megabytes", Min: 64, Max: 1 << 20, Default: 256, Description: "memory that the process may use"},
-	"cores":         {Min: 0, Max: 1024, Description: "the VM's share of the processor, in cores; VMs with the most are preferred as owners, and all VMs rank alike if it is not set"},
-	"link":          {Unit: "megabits/s", Min: 0, Max: 1 << 20, Description: "bandwidth of the VM's network link; used together with cores"},
-	"level":         {Enum: []string{"trace", "debug", "info", "warn", "error"}, Default: "info", Description: "lowest level of log lines that are written"},
-	"bounds":        {Description: "times that the operators promise to their users"},
-	"bounds.config": {Unit: "milliseconds", Min: 1, Max: float64(maxGrace), Default: 2000, Description: "time within which a new document is in force on all VMs"},
-	"bounds.revoke": {Unit: "milliseconds", Min: 1, Max: float64(maxGrace), Default: 5000, Description: "time within which a revoked key is refused on all VMs"},
-	"bounds.grace":  {Unit: "milliseconds", Min: 0, Max: float64(maxGrace), Default: 8000, Description: "time between the signal to stop and the end of the process"},
-	"budget":        {Description: "bounds of retries, over all VMs"},
-	"budget.share":  {Min: 0, Max: 1, Default: 0.2, Description: "retries per request"},
-	"budget.floor":  {Min: 0, Max: 1 << 20, Default: 100, Description: "number of retries allowed in addition"},
-	"budget.window": {Unit: "milliseconds", Min: 1, Max: float64(maxGrace), Default: 10000, Description: "time over which requests and retries are counted"},
+	"name":              {Required: true, Description: "name of this VM"},
+	"domain":            {Required: true, Min: 1, Max: maxNameLength, Description: "failure domain of this VM"},
+	"caller":            {Required: true, Description: "listen address for clients, IP address and port"},
+	"ready":             {Required: true, Description: "listen address for the balancer's readiness check, IP address and port"},
+	"peer":              {Required: true, Description: "listen address for other daemons, IP address and port; the network between VMs is trusted"},
+	"advertise":         {Description: "address that other daemons connect to, if it differs from peer"},
+	"metrics":           {Description: "listen address for metrics and profiles (/debug/pprof/), IP address and port; not served if empty"},
+	"store":             {Required: true, Description: "address of the platform's store, IP address and port"},
+	"peers":             {Description: "addresses of peers to contact first"},
+	"first":             {Description: "true at the first start of all VMs of the deployment, when there are no clients yet"},
+	"memory":            {Unit: "megabytes", Min: 64, Max: 1 << 20, Default: 256, Description: "memory that the process may use"},
+	"cores":             {Min: 0, Max: 1024, Description: "the VM's share of the processor, in cores; VMs with the most are preferred as owners, and all VMs rank alike if it is not set"},
+	"link":              {Unit: "megabits/s", Min: 0, Max: 1 << 20, Description: "bandwidth of the VM's network link; used together with cores"},
+	"level":             {Enum: []string{"trace", "debug", "info", "warn", "error"}, Default: "info", Description: "lowest level of log lines that are written"},
+	"bounds":            {Description: "times that the operators promise to their users"},
+	"bounds.config":     {Unit: "milliseconds", Min: 1, Max: float64(maxGrace), Default: 2000, Description: "time within which a new document is in force on all VMs"},
+	"bounds.revoke":     {Unit: "milliseconds", Min: 1, Max: float64(maxGrace), Default: 5000, Description: "time within which a revoked key is refused on all VMs"},
+	"bounds.grace":      {Unit: "milliseconds", Min: 0, Max: float64(maxGrace), Default: 8000, Description: "time between the signal to stop and the end of the process"},
+	"bounds.evacuation": {Unit: "milliseconds", Min: 0, Max: float64(maxGrace), Default: 0, Description: "time within which all VMs stop sending to an evacuated failure domain; evacuations are not read if it is 0"},
+	"budget":            {Description: "bounds of retries, over all VMs"},
+	"budget.share":      {Min: 0, Max: 1, Default: 0.2, Description: "retries per request"},
+	"budget.floor":      {Min: 0, Max: 1 << 20, Default: 100, Description: "number of retries allowed in addition"},
+	"budget.window":     {Unit: "milliseconds", Min: 1, Max: float64(maxGrace), Default: 10000, Description: "time over which requests and retries are counted"},
 }
 
 // ReadRelay reads a file and checks it.
--- a/daemon/settings/relay_test.go
+++ b/daemon/settings/relay_test.go
@@ -38,6 +38,7 @@
 		"seed_nodes|json": `["10.0.0.1:3","10.0.0.2:3"]`, "is_first_start|json": "true", "limits.memory_mb|json": "284", "limits.cpu_share|json": "0.4", "limits.link_mbps|json": "20.0", "bounds.config_propagation_ms|json": "2000",
 		"bounds.revocation_ms|json": "5000", "bounds.grace_period_s|json": "8", "bounds.retry_budget_ratio|json": "0.2",
 		"bounds.retry_budget_slack|json": "106", "bounds.budget_window_s|json": "10",
+		"#bounds.evacuation_ms": "", ".": "5000", "/bounds.evacuation_ms": "",
 	}
 	filled := regexp.MustCompile(`\{\{([^}]+)\}\}`).ReplaceAllStringFunc(string(text), func(m string) string {
 		v, ok := values[m[2:len(m)-2]]
@@ -47,6 +48,7 @@
 	s, err := ParseRelay([]byte(filled), "node.hujson")
 	require.NoError(t, err)
 	require.EqualValues(t, 8000, s.Bounds.Grace)
+	require.EqualValues(t, 5000, s.Bounds.Evacuation)
 	require.Equal(t, "10.0.0.1:7340", s.Metrics)
 	require.Len(t, s.Peers, 2)
 	require.True(t, s.First)
--- a/lib/operator/relay.go
+++ b/lib/operator/relay.go
@@ -17,9 +17,11 @@
 	VM peer.VM `json:"vm"`
 	// Era is the era of the platform's store: it rises each time the store restarts from an older
 	// copy.
-	Era        route.Era   `json:"era"`
-	Services   []Service   `json:"services"`
-	Statements []Statement `json:"statements"`
+	Era route.Era `json:"era"`
+	// Evacuated are the failure domains that the operator evacuates: their upstreams get no new requests.
+	Evacuated  []route.Domain `json:"evacuated,omitempty"`
+	Services   []Service      `json:"services"`
+	Statements []Statement    `json:"statements"`
 }
 
 // Service describes which VM holds a service, that is, decides which upstreams its requests are sent
--- a/lib/peer/messages.go
+++ b/lib/peer/messages.go
@@ -209,6 +209,17 @@
 	// Content is, in a request, the hash of the sender's list of upstreams, to which the reply may list
 	// only the changes; zero if it has no list.
 	Content uint64
+	// Evacuations are the evacuated failure domains.
+	Evacuations Evacuations
+}
+
+// Evacuations is a daemon's copy of the store's list of evacuated failure domains.
+type Evacuations struct {
+	Domains []route.Domain
+	// Position is where in the store's history the list was current; zero if the daemon has no list.
+	Position route.Position
+	// Age is the time since the list was last verified as current.
+	Age clock.Milli
 }
 
 // Position returns the era and revision of the store at which the set of upstreams was current.
--- a/lib/route/doc.go
+++ b/lib/route/doc.go
@@ -167,6 +167,10 @@
 // ErrDocument means that the stored object is not a valid document.
 var ErrDocument = errs.New("the document cannot be read")
 
+// ErrHistoryLost means that the store no longer has the changes after a position. It has answered, and a list
+// shows its present contents.
+var ErrHistoryLost = errs.New("the store no longer has the changes after this revision")
+
 // Unusable is an entry of the store that does not describe a usable upstream.
 type Unusable struct {
 	ID decide.UpstreamID
@@ -174,9 +178,13 @@
 	Reason string
 }
 
-// ErrHistoryLost means that the store no longer has the changes after a position. It has answered, and a list
-// shows its present contents.
-var ErrHistoryLost = errs.New("the store no longer has the changes after this revision")
+// EvacuationUpdate is an update on the failure domains that the operator evacuates, so that nothing
+// more is sent to their upstreams: a complete list, or the changes since an earlier update.
+type EvacuationUpdate struct {
+	Evacuated []Domain
+	// Restored are the domains whose evacuation has ended; empty in a complete list.
+	Restored []Domain
+}
 
 // UpstreamUpdate is an update on upstreams from the platform's store: a complete list, or the changes since
 // an earlier update.
--- a/operator/commands/services.go
+++ b/operator/commands/services.go
@@ -62,7 +62,7 @@
 	var statements []table.StatementRow
 	for _, r := range relays {
 		for _, s := range r.Services {
-			services = append(services, table.ServiceRow{VM: r.VM, Era: r.Era, Service: s})
+			services = append(services, table.ServiceRow{VM: r.VM, Era: r.Era, Evacuated: r.Evacuated, Service: s})
 		}
 		for _, s := range r.Statements {
 			statements = append(statements, table.StatementRow{VM: r.VM, Statement: s})
--- a/operator/fleet_test.go
+++ b/operator/fleet_test.go
@@ -16,6 +16,7 @@
 	answers "snipeshift.example/lib/operator"
 	"snipeshift.example/lib/platform"
 	"snipeshift.example/lib/platform/platformtest"
+	"snipeshift.example/lib/route"
 	"snipeshift.example/lib/timeline"
 )
 
@@ -152,7 +153,7 @@
 	})
 	page(answers.PathServices,
 		answers.RelayStatus{
-			VM: "vm-1", Era: 2,
+			VM: "vm-1", Era: 2, Evacuated: []route.Domain{"kochi-hall"},
 			Services: []answers.Service{
 				{Service: "notice-writer", Holder: "vm-2", Epoch: 3, Since: 242_000, Successor: "vm-1", Upstreams: 18},
 				{Service: "alert-desk", Holder: "vm-1", Epoch: 1, Since: 540_000, Successor: "vm-2", Upstreams: 3},
--- a/operator/table/services.go
+++ b/operator/table/services.go
@@ -1,6 +1,9 @@
 package table
 
 import (
+	"fmt"
+	"strings"
+
 	answers "snipeshift.example/lib/operator"
 	"snipeshift.example/lib/peer"
 	"snipeshift.example/lib/route"
@@ -10,6 +13,8 @@
 type ServiceRow struct {
 	VM  peer.VM
 	Era route.Era
+	// Evacuated are the evacuated failure domains that the VM knows of.
+	Evacuated []route.Domain
 	answers.Service
 }
 
@@ -30,6 +35,7 @@
 	{"SUCCESSOR", func(r ServiceRow) string { return string(r.Successor) }},
 	{"UPSTREAMS", func(r ServiceRow) string { return text(r.Upstreams) }},
 	{"ERA", func(r ServiceRow) string { return text(r.Era) }},
+	{"EVACUATED", func(r ServiceRow) string { return strings.Trim(fmt.Sprint(r.Evacuated), "[]") }},
 }
 
 // Statements are the columns of the list of statements of upstreams.
--- a/scenarios/fleet/fleet.go
+++ b/scenarios/fleet/fleet.go
@@ -90,6 +90,8 @@
 	serviceRunners = 3
 	// stopTimeout is the time limit of a VM's graceful stop, in milliseconds.
 	stopTimeout = 6000
+	// evacuationBound is the time within which VMs stop sending to an evacuated failure domain, in milliseconds.
+	evacuationBound = 3000
 	// identifyTimeout is how long a relay in front of a runner may delay a connection to identify the
 	// process that opened it. It is well below the 150 ms or more after which a VM gives up a poll or an order to a runner.
 	identifyTimeout = 50 * time.Millisecond
@@ -122,8 +124,8 @@
 		return err
 	}
 	f.VMs = append(f.VMs, v)
-	text := fmt.Sprintf(`{"name": %q, "domain": "hall", "caller": %q, "ready": %q, "metrics": %q, "peer": %q, "advertise": %q, "store": %q, "peers": [%q], "bounds": {"grace": %d}}`,
-		v.Name, v.Caller, v.readyAddress, v.Metrics, v.peerAddress, v.Peer.Address(), f.StoreRelay.Address(), f.VMs[0].Peer.Address(), stopTimeout)
+	text := fmt.Sprintf(`{"name": %q, "domain": "hall", "caller": %q, "ready": %q, "metrics": %q, "peer": %q, "advertise": %q, "store": %q, "peers": [%q], "bounds": {"grace": %d, "evacuation": %d}}`,
+		v.Name, v.Caller, v.readyAddress, v.Metrics, v.peerAddress, v.Peer.Address(), f.StoreRelay.Address(), f.VMs[0].Peer.Address(), stopTimeout, evacuationBound)
 	return os.WriteFile(v.settingsPath, []byte(text), 0o600)
 }
 
--- a/scenarios/platform_test.go
+++ b/scenarios/platform_test.go
@@ -137,6 +137,32 @@
 	l.stopAndCheck(t, f)
 }
 
+// The operator evacuates a failure domain while the store discards its history, and then the store does not
+// answer. The upstreams there are ready, and two seconds later they must receive no new requests. Once the
+// evacuation has ended they must be used again.
+func TestPlatformEvacuatedDomainGetsNoRequests(t *testing.T) {
+	f := newFleet(t, 3)
+	evacuated := []*standin.Runner{f.Platform.Models[0], f.Platform.Models[1], f.Platform.Desks[0]}
+	for _, r := range evacuated {
+		r.MoveTo("annex")
+	}
+	l := newLoad(f)
+	l.awaitResponses(t)
+	f.Platform.DropHistory()
+	f.Platform.Evacuate("annex", 2*time.Second)
+	time.Sleep(2 * time.Second)
+	f.Platform.SetMode(standin.Unresponsive)
+	l.awaitResponses(t)
+	f.Platform.SetMode(standin.Healthy)
+	for _, r := range evacuated {
+		require.Zero(t, r.LateRequests(), r.ID())
+	}
+	before := evacuated[2].AttemptsRun()
+	f.Platform.TakeBack("annex")
+	require.Eventually(t, func() bool { return evacuated[2].AttemptsRun() > before }, startTimeout, 10*time.Millisecond)
+	l.stopAndCheck(t, f)
+}
+
 // An upstream announces that it leaves. Two seconds later it must receive no new requests, and no request fails.
 func TestPlatformLeavingUpstreamGetsNoNewRequests(t *testing.T) {
 	f := newFleet(t, 3)
