--- a/bench/fleet/cost.go
+++ b/bench/fleet/cost.go
@@ -31,7 +31,8 @@
 func newSizer() *sizer {
 	s := &sizer{written: new(counter), rows: map[peer.Member]int{}}
 	s.encoder = gob.NewEncoder(s.written)
-	s.first = s.encode(&peer.BeatArgs{}) - s.encode(&peer.BeatArgs{})
+	first, later := s.encode(&peer.BeatArgs{}), s.encode(&peer.BeatArgs{})
+	s.first = first - later
 	return s
 }
 
--- a/daemon/readers/fleet_test.go
+++ b/daemon/readers/fleet_test.go
@@ -83,13 +83,16 @@
 	}
 }
 
+// waitBound is the longest time that waitTimes waits.
+const waitBound = 10 * time.Second
+
 // waitTimes returns, sorted, how long each VM took to satisfy a condition. VMs that do not satisfy
-// it within the bound count as the bound.
-func (f *testFleet) waitTimes(holds func(*registry.View) bool, bound time.Duration) []time.Duration {
+// it within waitBound count as that.
+func (f *testFleet) waitTimes(holds func(*registry.View) bool) []time.Duration {
 	began := time.Now()
 	took := make([]time.Duration, 0, len(f.members))
 	pending := slices.Clone(f.members)
-	for len(pending) > 0 && time.Since(began) < bound {
+	for len(pending) > 0 && time.Since(began) < waitBound {
 		pending = slices.DeleteFunc(pending, func(m peer.Member) bool {
 			ok := holds(f.registries[m.Address].View())
 			if ok {
@@ -100,7 +103,7 @@
 		time.Sleep(5 * time.Millisecond)
 	}
 	for range pending {
-		took = append(took, bound)
+		took = append(took, waitBound)
 	}
 	return took
 }
@@ -114,11 +117,12 @@
 	return sum
 }
 
-func hasUpstream(id string, leaving bool) func(*registry.View) bool {
+// isLeaving returns the condition that an upstream is known and leaving.
+func isLeaving(id string) func(*registry.View) bool {
 	return func(v *registry.View) bool {
 		for _, u := range v.Upstreams[standin.Model] {
 			if string(u.ID) == id {
-				return u.Leaving == leaving
+				return u.Leaving
 			}
 		}
 		return false
@@ -136,20 +140,20 @@
 			ctx, cancel := context.WithCancel(context.Background())
 			f := newTestFleet(ctx, t, p, vms)
 			t.Cleanup(cancel)
-			f.waitTimes(func(v *registry.View) bool { return v.Table != nil && len(v.Upstreams[standin.Model]) == 6 }, 10*time.Second)
+			f.waitTimes(func(v *registry.View) bool { return v.Table != nil && len(v.Upstreams[standin.Model]) == 6 })
 			for i := range 20 {
 				p.AddRoute(fmt.Sprint("r", i))
 			}
 			p.Models[0].Drain(time.Minute)
-			f.waitTimes(hasUpstream(p.Models[0].ID(), true), 10*time.Second)
+			f.waitTimes(isLeaving(p.Models[0].ID()))
 			time.Sleep(3 * time.Second)
 			before := f.storeCalls()
 			p.RestoreOlderCopy(standin.Unavailable, 300*time.Millisecond, 10*time.Second, 10*time.Millisecond, rand.New(rand.NewPCG(1, 2)))
 			for _, m := range f.members {
-				require.True(t, hasUpstream(p.Models[0].ID(), true)(f.registries[m.Address].View()), "%s applied the restored copy", m.VM)
+				require.True(t, isLeaving(p.Models[0].ID())(f.registries[m.Address].View()), "%s applied the restored copy", m.VM)
 			}
 			p.Models[1].Drain(time.Minute)
-			took := f.waitTimes(hasUpstream(p.Models[1].ID(), true), 10*time.Second)
+			took := f.waitTimes(isLeaving(p.Models[1].ID()))
 			calls := f.storeCalls() - before
 			t.Logf("%d VMs: half informed after %v, 95 of 100 after %v, all after %v; %d calls of the store", vms, took[len(took)/2], took[len(took)*95/100], slices.Max(took), calls)
 			require.LessOrEqual(t, took[len(took)*95/100], mostInformed)
@@ -168,7 +172,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	f := newTestFleet(ctx, t, p, 76)
 	t.Cleanup(cancel)
-	f.waitTimes(func(v *registry.View) bool { return v.Table != nil && len(v.Upstreams[standin.Model]) == 6 }, 10*time.Second)
+	f.waitTimes(func(v *registry.View) bool { return v.Table != nil && len(v.Upstreams[standin.Model]) == 6 })
 	time.Sleep(3 * time.Second)
 	before := f.storeCalls()
 	began := time.Now()
@@ -178,7 +182,7 @@
 	}
 	p.Models[0].Drain(time.Minute)
 	p.DropHistory()
-	took := f.waitTimes(hasUpstream(p.Models[0].ID(), true), 10*time.Second)
+	took := f.waitTimes(isLeaving(p.Models[0].ID()))
 	calls := f.storeCalls() - before
 	t.Logf("half informed after %v, all after %v; %d calls of the store", took[len(took)/2], slices.Max(took), calls)
 	require.LessOrEqual(t, slices.Max(took), allInformed)
