--- a/daemon/member/digest.go
+++ b/daemon/member/digest.go
@@ -17,9 +17,12 @@
 // maxBuckets bounds the digests in one message.
 const maxBuckets = 256
 
+// minBuckets is the least number of digests of parts. A single digest means that those of parts are withheld.
+const minBuckets = 2
+
 // bucketCount returns the number of digests of a table with this many members: a power of two.
 func bucketCount(members int) int {
-	return min(maxBuckets, 1<<bits.Len(uint(members/bucketSize)))
+	return min(maxBuckets, max(minBuckets, 1<<bits.Len(uint(members/bucketSize))))
 }
 
 // hashName returns the hash of a member's name, whose first bits select its bucket.
@@ -44,7 +47,7 @@
 // means that nothing is known of the other table.
 type difference struct {
 	// same is set if the tables do not differ at all, withheld if the other member has sent no digests of
-	// parts since only a few changes are spreading.
+	// parts, since only a few changes were pending there.
 	same, withheld bool
 	// parts has an element for each bucket, set if the tables differ there.
 	parts []bool
@@ -60,7 +63,7 @@
 	if n == 0 || len(theirs.buckets)&(len(theirs.buckets)-1) != 0 {
 		return difference{} // an earlier version sends no digests
 	}
-	if n == 1 && len(own.buckets) > 1 {
+	if n < minBuckets {
 		return difference{withheld: true}
 	}
 	d := difference{parts: make([]bool, n)}
@@ -79,14 +82,14 @@
 // fewChanges is the share of members, one in so many, up to which changes spread without digests.
 const fewChanges = 16
 
-// fewChangesSpread reports whether some descriptions still have to be sent, but only a few. They reach all
-// members sooner than digests would show who lacks them, and digests of all parts are larger.
-func (t *Table) fewChangesSpread() bool {
-	spreading := 0
+// hasFewPending reports whether changes still have to be sent, but only a few. They reach all members
+// sooner than digests would show who lacks them, and digests of all parts are larger.
+func (t *Table) hasFewPending() bool {
+	pending := 0
 	for _, e := range t.entries {
 		if e.sendsLeft > 0 {
-			spreading++
+			pending++
 		}
 	}
-	return spreading > 0 && spreading*fewChanges < len(t.entries)
+	return pending > 0 && pending*fewChanges < len(t.entries)
 }
--- a/daemon/member/table.go
+++ b/daemon/member/table.go
@@ -74,8 +74,8 @@
 
 // Message returns what a heartbeat to a member, or with reply set the reply to one, says of members.
 //
-// If the tables of both agree, the digest of the whole is sent alone. While only a few changes spread, they
-// are sent without digests. Otherwise the message has the digests of all parts, so that the other member can
+// If the tables of both agree, the digest of the whole is sent alone. While only a few changes are pending,
+// they are sent without digests of parts. Otherwise the message has the digests of all parts, so that the other member can
 // send what this table lacks. A heartbeat to a member of whose table nothing is known has only recent
 // changes, since the reply shows what that member lacks.
 func (t *Table) Message(to peer.VM, reply bool) *peer.BeatArgs {
@@ -83,7 +83,7 @@
 	d := t.compare(t.heard[to])
 	if !d.same {
 		b.Buckets = t.derive().buckets
-		if t.fewChangesSpread() {
+		if t.hasFewPending() {
 			b.Buckets = fold(b.Buckets, 1)
 		}
 	}
--- a/daemon/member/table_test.go
+++ b/daemon/member/table_test.go
@@ -409,3 +409,21 @@
 	g.lost = func(_, b peer.VM) bool { return b == gone }
 	g.runUntil(20, 19)
 }
+
+// A VM starts while a large fleet is at rest and knows a single member. The first answers must list others, or
+// it would ask the wrong owners until all members have been named to it as changes.
+func TestNewMemberIsToldOfOthersAtOnce(t *testing.T) {
+	g := newGroup(t, 60)
+	g.runUntil(30, 60)
+	for range DefaultRules.UpdateSends {
+		g.round()
+	}
+	started := NewTable(testMember(60), DefaultRules)
+	started.Heard(g.now, testMember(5))
+	for range 2 {
+		g.exchange(started, vmName(5))
+		g.tables[started.Self().VM] = started
+		g.exchange(started, vmName(5))
+	}
+	require.Len(t, started.Live(), 61)
+}
