--- a/bench/fleet/simulation.go
+++ b/bench/fleet/simulation.go
@@ -280,10 +280,10 @@
 		return
 	}
 	m := v.table.Message(to, false)
-	s.count(v, other, m, s.conns.opens(s.now, v.address, address))
+	s.count(m, s.conns.opens(s.now, v.address, address))
 	s.deliver(v, other, m, func() {
 		reply := other.table.Message(v.name, true)
-		s.count(other, v, reply, false)
+		s.count(reply, false)
 		s.deliver(other, v, reply, func() { end(true) })
 	})
 }
@@ -311,8 +311,8 @@
 	})
 }
 
-// count adds a message to the traffic.
-func (s *simulation) count(_, _ *vm, m *peer.BeatArgs, opens bool) {
+// count adds a message to the traffic; opens is set if it is the first one on a new connection.
+func (s *simulation) count(m *peer.BeatArgs, opens bool) {
 	t := &s.result.Start
 	if s.result.Agreed > 0 {
 		t = &s.result.Rest
