placer: a new owner knows the retries and requests of the one before

What callers saw: engines crash soon after the owner of their service has changed, and some of their streams break ("unexpected EOF", reason `budget`) though other engines are free.

Cause: the count of the retry budget lived in the owner's memory. A new owner knew neither the requests that earn retries nor the retries that were made, and had a quarter of the floor.

Change: a hand-over carries the budget; after a loss each gate presents, beside its grants, the sends that earlier owners granted; an owner that half of the members have presented to has the whole floor. Line `gathered`. It works since the count no longer depends on which VM keeps it, in both directions.

--- a/daemon/placer/client.go
+++ b/daemon/placer/client.go
@@ -72,6 +72,8 @@
 	queried map[route.ServiceID]bool
 	// live holds the grants in use, by request.
 	live map[decide.RequestID]*activeGrant
+	// sends counts the sends of this gate.
+	sends map[route.ServiceID]*sendCount
 }
 
 // activeGrant is a grant in use.
@@ -85,7 +87,7 @@
 func NewClient(k Clock, l *log.Logger, m Members, p Peers, localOwner *Owner, gate decide.GateID) *Client {
 	c := &Client{
 		clock: k, log: l, members: m, peers: p, localOwner: localOwner, holders: localOwner.Holders, gate: gate,
-		silent: silent.New(l, m, p), queried: map[route.ServiceID]bool{}, live: map[decide.RequestID]*activeGrant{},
+		silent: silent.New(l, m, p), queried: map[route.ServiceID]bool{}, live: map[decide.RequestID]*activeGrant{}, sends: map[route.ServiceID]*sendCount{},
 		statements: localOwner.statements,
 	}
 	c.holders.OnChange(c.onHolderChange)
@@ -135,6 +137,7 @@
 	ctx, cancel := context.WithTimeout(ctx, (askWait + answerSlack).Duration())
 	defer cancel()
 	for range maxRoutings {
+		args.Earlier = c.earlierSends(s)
 		var reply PresentReply
 		if owner, remote := c.owner(s); !remote {
 			_ = c.localOwner.Present(args, &reply) // Present returns no errors
@@ -182,7 +185,7 @@
 			}
 		}
 		if reply.Decided {
-			c.recordGrant(s, &reply)
+			c.recordGrant(s, &a, &reply)
 			return reply, nil
 		}
 		if reply.Moved {
@@ -193,12 +196,13 @@
 
 // recordGrant records a grant as live and stores the owner's statement on the upstream's rate
 // limit.
-func (c *Client) recordGrant(s route.ServiceID, reply *AskReply) {
+func (c *Client) recordGrant(s route.ServiceID, a *span.Ask, reply *AskReply) {
 	if reply.Fault != "" {
 		return
 	}
 	c.mu.Lock()
 	c.live[reply.Grant.Request] = &activeGrant{LiveGrant: span.LiveGrant{Grant: reply.Grant}, service: s}
+	c.countSend(s, a, reply)
 	c.mu.Unlock()
 	if l := reply.Limit; l != nil {
 		c.statements.Learn(s, l.Upstream, l.Statement(c.clock.Now()), statements.FromOwner)
--- a/daemon/placer/hold.go
+++ b/daemon/placer/hold.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -207,14 +208,30 @@
 		return
 	}
 	go func() {
-		defer o.endGathering(s, p)
+		a := o.announce(x)
 		select {
-		case <-o.announce(x):
+		case <-a.done:
 		case <-time.After(gatherWait.Duration()):
 		}
+		o.settleBudget(x, p, a)
+		o.endGathering(s, p)
 	}()
 }
 
+// settleBudget makes the whole floor of the retry budget available if gates have presented the sends
+// that earlier owners granted.
+func (o *Owner) settleBudget(x peer.Holder, p *ownedPool, a *announcement) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if a.reachedHalf() {
+		p.budget.GrowFrom(0)
+	}
+	counted := p.budget.Snapshot(o.Clock.Now()).Sends
+	o.Log.Info().Str(logline.Key, logline.Gathered).Str("service", string(x.Service)).Uint64("epoch", x.Epoch).
+		Int("members", a.members).Int64("reached", a.reached.Load()).Float64("requests", counted.Requests).Float64("retries", counted.Retries).
+		Msg("a new owner begins to decide")
+}
+
 // endGathering lets the pool decide again after gates have presented their live grants.
 func (o *Owner) endGathering(s route.ServiceID, p *ownedPool) {
 	p.mu.Lock()
@@ -225,37 +242,58 @@
 	o.pollReports(s, p)
 }
 
-// announce informs all members of a service's holder. The returned channel is closed once all calls
-// have ended; each member that answered has presented its live grants by then. Without the
-// announcement each gate would discover the change by itself, at the cost of one late request.
-func (o *Owner) announce(x peer.Holder) <-chan struct{} {
-	done := make(chan struct{})
+// announcement is the announcement of a holder to all members.
+type announcement struct {
+	// members is the number of members, this VM included, and reached the number of those that have
+	// answered. Each of them has presented its live grants and earlier sends.
+	members int
+	reached atomic.Int64
+	// done is closed once all calls have ended.
+	done chan struct{}
+}
+
+// reachedHalf reports whether half of the members have answered. No third VM can claim the same: two
+// sides of a partition may, and the share of the retry budget of one owner allows for two.
+func (a *announcement) reachedHalf() bool { return 2*int(a.reached.Load()) >= a.members }
+
+// announce informs all members of a service's holder. Without the announcement each gate would
+// discover the change by itself, at the cost of one late request.
+func (o *Owner) announce(x peer.Holder) *announcement {
+	live, self := o.Members.Live(), o.Members.Self()
+	a := &announcement{members: len(live), done: make(chan struct{})}
+	a.reached.Add(1) // this VM
 	go func() {
-		defer close(done)
+		defer close(a.done)
 		var g errgroup.Group
 		g.SetLimit(maxAnnouncements)
-		self := o.Members.Self()
-		for _, m := range o.Members.Live() {
-			if m.VM != self.VM {
-				g.Go(func() error { o.announceTo(m, x); return nil })
+		for _, m := range live {
+			if m.VM == self.VM {
+				continue
 			}
+			g.Go(func() error {
+				if o.announceTo(m, x) {
+					a.reached.Add(1)
+				}
+				return nil
+			})
 		}
 		_ = g.Wait() // the functions return no errors
 	}()
-	return done
+	return a
 }
 
-// announceTo announces a holder to one member. A member that misses the announcement learns of the
-// holder from heartbeats or answers.
-func (o *Owner) announceTo(m peer.Member, x peer.Holder) {
+// announceTo announces a holder to one member and reports whether it answered. A member that misses the
+// announcement learns of the holder from heartbeats or answers.
+func (o *Owner) announceTo(m peer.Member, x peer.Holder) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), announceWait.Duration())
 	defer cancel()
 	var known peer.Holder
 	if err := o.Peers.Call(ctx, m.Address, Name+".Follow", &x, &known); err != nil {
 		o.Log.Debug().Str(logline.Key, logline.Unreachable).Str("dependency", "peer").Str("peer", string(m.VM)).Err(err).Msg("new holder not announced to a VM; heartbeats or answers will inform it")
-		return
+		return false
 	}
 	o.Holders.Update(known, "answer")
+	return true
 }
 
 // Follow implements Placer.Follow: it records a holder and replies with the one that this VM
@@ -322,6 +360,7 @@
 	}
 	p := o.lockedPool(args.Holder.Service)
 	p.pool.Restore(o.Clock.Now(), args.Books)
+	p.handedOver = true
 	p.mu.Unlock()
 	o.Holders.Update(args.Holder, "handed over")
 	o.announce(args.Holder)
--- a/daemon/placer/messages.go
+++ b/daemon/placer/messages.go
@@ -13,6 +13,7 @@
 import (
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
+	"snipeshift.example/lib/decide/gate"
 	"snipeshift.example/lib/decide/span"
 	"snipeshift.example/lib/decide/statement"
 	"snipeshift.example/lib/fault"
@@ -96,6 +97,8 @@
 	Service route.ServiceID
 	Gate    decide.GateID
 	Live    []span.LiveGrant
+	// Earlier are the gate's recent sends that earlier owners granted.
+	Earlier gate.Sends
 	// Statements of upstreams are those that this owner has not acknowledged yet.
 	Statements []statement.Message
 }
--- a/daemon/placer/owner.go
+++ b/daemon/placer/owner.go
@@ -102,6 +102,10 @@
 	createdAt clock.Milli
 	alone     bool
 	budget    *gate.Budget
+	// countedGates are the gates whose earlier sends the budget has counted. handedOver is set if the
+	// previous owner handed over its count, which has them all.
+	countedGates map[decide.GateID]bool
+	handedOver   bool
 	// generation is the generation of the view that the pool uses.
 	generation uint64
 	// waiters are the channels of calls that wait for a decision, by request: one for the gate and
@@ -135,7 +139,7 @@
 	if p == nil {
 		budget := gate.NewBudget(o.budget.Share, o.budget.Floor, o.budget.Window)
 		p = &ownedPool{
-			createdAt: o.Clock.Now(), budget: budget, alone: o.Alone(), pool: span.New(span.DefaultRules, budget),
+			createdAt: o.Clock.Now(), budget: budget, alone: o.Alone(), pool: span.New(span.DefaultRules, budget), countedGates: map[decide.GateID]bool{},
 			waiters: map[decide.RequestID][]chan span.Decision{}, undelivered: map[decide.RequestID]span.Decision{},
 		}
 		budget.GrowFrom(o.floorStart(p.alone))
@@ -324,6 +328,7 @@
 	p := o.lockedPool(args.Service)
 	defer p.mu.Unlock()
 	o.learnStatements(args.Service, p, now, args.Statements)
+	p.countEarlier(now, args)
 	p.pool.Present(now, args.Gate, args.Live)
 	o.tick(p, now)
 	return nil
--- /dev/null
+++ b/daemon/placer/sends_test.go
@@ -0,0 +1,79 @@
+package placer
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"snipeshift.example/lib/decide"
+	"snipeshift.example/lib/decide/span"
+)
+
+// retries asks for a number of retries at once, as the streams of a crashed engine do, and returns how
+// many were granted.
+func (d *deployment) retries(t *testing.T, name string, n int) (granted int) {
+	t.Helper()
+	for i := range n {
+		a := ask(decide.RequestID(fmt.Sprint(name, i)))
+		a.Again = true
+		reply, err := d.client.Ask(context.Background(), "s", a)
+		require.NoError(t, err)
+		if reply.Fault == "" {
+			granted++
+			d.client.End(a.ID, span.Done, "")
+		}
+	}
+	return granted
+}
+
+// newSettledDeployment returns a deployment whose owner has had its whole retry budget for long.
+func newSettledDeployment(t *testing.T) *deployment {
+	d := newDeployment(t)
+	p := d.owners[d.ranked[0].Address].lockedPool("s")
+	p.budget.GrowFrom(0)
+	p.mu.Unlock()
+	return d
+}
+
+// testFloor is the floor of the retry budget of an owner in these tests.
+const testFloor = 10
+
+// An engine crashes soon after the owner of its service was lost, and the streams that it was running
+// break off unless the new owner allows their retries.
+func TestNewOwnerGrantsRetriesAfterLoss(t *testing.T) {
+	d := newDeployment(t)
+	require.Equal(t, 1, d.retries(t, "before", 1))
+	d.fail(d.refusing, d.ranked[0].Address)
+	require.GreaterOrEqual(t, d.retries(t, "after", testFloor), testFloor-2)
+}
+
+// Owners are lost one after the other while engines fail. If each new owner granted a whole budget, the
+// failing engines would get several times the permitted retries.
+func TestConsecutiveOwnersShareOneRetryBudget(t *testing.T) {
+	d := newSettledDeployment(t)
+	granted := d.retries(t, "first", 2*testFloor)
+	require.Equal(t, testFloor, granted)
+	for i, lost := range d.ranked[:2] {
+		d.fail(d.refusing, lost.Address)
+		granted += d.retries(t, fmt.Sprint("next", i), 2*testFloor)
+	}
+	require.LessOrEqual(t, granted, testFloor+1, "one more may fade out in the meantime")
+}
+
+// The owner stops as planned just before an engine crashes. Its successor must allow the retries that
+// the owner would have allowed, and no more.
+func TestPlannedSuccessorContinuesRetryBudget(t *testing.T) {
+	d := newSettledDeployment(t)
+	_, err := d.client.Ask(context.Background(), "s", ask("1"))
+	require.NoError(t, err)
+	granted := d.retries(t, "before", 2)
+	holder := d.owners[d.ranked[0].Address]
+	holder.Members = viewOf{members(d.ranked[1:]), d.ranked[0]} // a VM that stops is not ranked
+	holder.Holders.members = holder.Members
+	holder.HandOver(context.Background())
+	require.False(t, holder.Holders.Holds("s"))
+	granted += d.retries(t, "after", 2*testFloor)
+	require.InDelta(t, testFloor, granted, 1)
+}
--- a/lib/decide/gate/budget.go
+++ b/lib/decide/gate/budget.go
@@ -13,6 +13,47 @@
 	DefaultWindow = 10 * clock.Second
 )
 
+// Sends are numbers of requests that were sent and of their retries.
+type Sends struct{ Requests, Retries float64 }
+
+// Tally counts sends over a sliding window: each send fades out over the window that follows it.
+type Tally struct {
+	window clock.Milli
+	// at is the time to which sends has faded.
+	at    clock.Milli
+	sends Sends
+}
+
+// NewTally returns a tally without sends.
+func NewTally(window clock.Milli) *Tally { return &Tally{window: window} }
+
+// Window returns the length of the window.
+func (t *Tally) Window() clock.Milli { return t.window }
+
+// Add counts further sends.
+func (t *Tally) Add(now clock.Milli, s Sends) {
+	t.fade(now)
+	t.sends.Requests += s.Requests
+	t.sends.Retries += s.Retries
+}
+
+// Count returns the sends within the window.
+func (t *Tally) Count(now clock.Milli) Sends {
+	t.fade(now)
+	return t.sends
+}
+
+// fade reduces both sums in proportion to the elapsed time, to zero after one window without a call.
+func (t *Tally) fade(now clock.Milli) {
+	if now <= t.at {
+		return
+	}
+	keep := max(0, 1-float64(now-t.at)/float64(t.window))
+	t.sends.Requests *= keep
+	t.sends.Retries *= keep
+	t.at = now
+}
+
 // Budget limits the retries on one pool to a share of its recent successes. If every failure in a
 // failing pool were retried, the load would double just when capacity is missing, and the pool
 // would not recover.
@@ -22,9 +63,8 @@
 	// since is the time from which the floor grows; zero if the whole floor is available from the
 	// start.
 	since clock.Milli
-	// at is the time of the last decay of successes and retries.
-	at                 clock.Milli
-	successes, retries float64
+	// tally counts successes as requests.
+	tally *Tally
 }
 
 // NewBudget returns a budget. Zero arguments select the defaults.
@@ -39,10 +79,12 @@
 	if b.window <= 0 {
 		b.window = DefaultWindow
 	}
+	b.tally = NewTally(b.window)
 	return b
 }
 
-// GrowFrom makes the floor grow linearly from zero over one window, beginning at since.
+// GrowFrom makes the floor grow linearly from zero over one window, beginning at since. If since is
+// zero, the whole floor is available.
 //
 // After a power failure of all VMs each VM is the owner of every service until it has met the
 // others. If each granted the whole floor, the fleet would send many times the permitted retries,
@@ -58,29 +100,42 @@
 }
 
 // Succeed counts a complete answer.
-func (b *Budget) Succeed(now clock.Milli) {
-	b.decay(now)
-	b.successes++
-}
+func (b *Budget) Succeed(now clock.Milli) { b.tally.Add(now, Sends{Requests: 1}) }
 
 // Retry reports whether one more retry is allowed, and counts it if so.
 func (b *Budget) Retry(now clock.Milli) bool {
-	b.decay(now)
-	if b.retries+1 > b.allowance(now)+b.share*b.successes {
+	s := b.tally.Count(now)
+	if s.Retries+1 > b.allowance(now)+b.share*s.Requests {
 		return false
 	}
-	b.retries++
+	b.tally.Add(now, Sends{Retries: 1})
 	return true
 }
 
-// decay reduces both sums in proportion to the elapsed time, to zero after one window without a
-// call.
-func (b *Budget) decay(now clock.Milli) {
-	if now <= b.at {
-		return
+// Add counts sends that an earlier owner of the pool allowed.
+func (b *Budget) Add(now clock.Milli, s Sends) { b.tally.Add(now, s) }
+
+// BudgetSnapshot is the state of a budget that the next owner of its pool continues.
+type BudgetSnapshot struct {
+	Sends Sends
+	// Grown is how long the floor has been growing, at most one window.
+	Grown clock.Milli
+}
+
+// Snapshot returns the state for the next owner.
+func (b *Budget) Snapshot(now clock.Milli) BudgetSnapshot {
+	grown := b.window
+	if b.since != 0 {
+		grown = min(grown, max(0, now-b.since))
+	}
+	return BudgetSnapshot{Sends: b.tally.Count(now), Grown: grown}
+}
+
+// Restore continues the budget of the previous owner. A smaller floor than that of b is not taken over:
+// owners of an earlier version hand over none.
+func (b *Budget) Restore(now clock.Milli, s BudgetSnapshot) {
+	b.tally.Add(now, s.Sends)
+	if b.since != 0 {
+		b.since = min(b.since, now-s.Grown)
 	}
-	keep := max(0, 1-float64(now-b.at)/float64(b.window))
-	b.successes *= keep
-	b.retries *= keep
-	b.at = now
 }
--- a/lib/decide/span/snapshot.go
+++ b/lib/decide/span/snapshot.go
@@ -3,6 +3,7 @@
 import (
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
+	"snipeshift.example/lib/decide/gate"
 	"snipeshift.example/lib/decide/statement"
 )
 
@@ -21,6 +22,8 @@
 	// prompts, both in milliseconds. LargeRefused and OthersRefused are the shares of large and of
 	// other long prompts that were refused.
 	Saved, Mean, LargeRefused, OthersRefused float64
+	// Budget is the state of the retry budget.
+	Budget gate.BudgetSnapshot
 }
 
 // GrantSnapshot is one live grant in a snapshot.
@@ -67,6 +70,7 @@
 	b := Snapshot{
 		Busy: p.headroom.busy, Served: p.headroom.placeRate,
 		Saved: p.largeReserve.savedPrefill, Mean: p.largeReserve.meanPrefill, LargeRefused: p.largeReserve.large.refused, OthersRefused: p.largeReserve.others.refused,
+		Budget: p.budget.Snapshot(now),
 	}
 	for _, g := range p.grants {
 		b.Grants = append(b.Grants, GrantSnapshot{
@@ -121,6 +125,7 @@
 		r.external, r.externalUsed, r.pace = c.Foreign, c.ForeignUsed, c.Pace
 		r.unverified, r.reportWanted = c.Doubtful, c.Suspected
 	}
+	p.budget.Restore(now, b.Budget)
 	p.headroom = headroom{busy: b.Busy, at: now, engines: p.headroom.engines, placeRate: b.Served}
 	p.largeReserve.savedPrefill, p.largeReserve.meanPrefill = b.Saved, b.Mean
 	p.largeReserve.large.refused, p.largeReserve.others.refused = b.LargeRefused, b.OthersRefused
--- a/lib/logline/logline.go
+++ b/lib/logline/logline.go
@@ -36,6 +36,9 @@
 	Reader = "reader"
 	// Holder is a change of the VM that owns a service, with the source of the information.
 	Holder = "holder"
+	// Gathered is the end of the time in which the owner of a service that was taken over waits for
+	// gates to present their grants.
+	Gathered = "gathered"
 	// Report is an upstream's report of work that no grant accounts for, or the lack of a report.
 	Report = "report"
 	// Unresponsive is an upstream that neither responds nor accepts connections.
@@ -77,6 +80,7 @@
 	Reached:      "a dependency that was unreachable responds again",
 	Reader:       "the role of a VM in reading the store has changed: its rank, how many VMs that rank before it can reach the store, the age of its document",
 	Holder:       "another VM now owns a service: its epoch and the source of the information",
+	Gathered:     "a VM that took a service over begins to decide: how many of its members have presented their grants, and the requests and retries that its budget of retries counts",
 	Report:       "an upstream reports work that no grant accounts for, or does not report",
 	Unresponsive: "an upstream neither responds nor accepts connections; the send is abandoned",
 	Reserve:      "memory for a part of a prompt could not be reserved",
