placer: a holder has a standby that takes over when its VM is lost

Cause: only gates watched an owner, by questions that may stay unanswered for a while; the VM that was asked in parallel began from nothing, could itself be one that was lost before, and the new owner waited 40 ms for grants of VMs that were gone.

Change: keepalives to a standby, the first VM by rank that answers. It takes over if it and two witnesses get no connection to the holder. A holder that is busy, throttled or stopped accepts connections and is left alone, so no limit became shorter for one that runs. Grants are awaited from nine members in ten.

--- a/daemon/placer/hold.go
+++ b/daemon/placer/hold.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -37,7 +38,7 @@
 	// flight: VMs that were lost together with the holder do not answer and must not delay the
 	// announcements to others.
 	announceWait     = 150 * clock.Milli(1)
-	maxAnnouncements = 64
+	maxAnnouncements = 128
 	// handOverWait bounds the message that carries the snapshot of a pool: some hundred grants.
 	handOverWait = 300 * clock.Milli(1)
 	// handOverCheckEvery is the interval of checks for services to hand over to a VM of higher
@@ -209,10 +210,7 @@
 	}
 	go func() {
 		a := o.announce(x)
-		select {
-		case <-a.done:
-		case <-time.After(gatherWait.Duration()):
-		}
+		a.wait(gatherWait.Duration())
 		o.settleBudget(x, p, a)
 		o.endGathering(s, p)
 	}()
@@ -248,8 +246,42 @@
 	// answered. Each of them has presented its live grants and earlier sends.
 	members int
 	reached atomic.Int64
-	// done is closed once all calls have ended.
-	done chan struct{}
+	// most is closed once most of the members that can answer have, done once all calls have ended.
+	most, done chan struct{}
+}
+
+// mostShare is the fraction of the members, without the former holder, that are most of them.
+const mostShare = 0.9
+
+// needed is the number of members, this VM included, that are most of those that can answer.
+func (a *announcement) needed() int64 { return int64(math.Ceil(mostShare * float64(a.members-1))) }
+
+// answered counts a member that has answered.
+func (a *announcement) answered() {
+	if a.reached.Add(1) == max(1, a.needed()) {
+		close(a.most)
+	}
+}
+
+// wait waits until all members have answered, but at most until limit, and after most of them have
+// answered at most for half as long as these took. VMs that were lost together with the former holder are
+// still members and do not answer.
+func (a *announcement) wait(limit time.Duration) {
+	began := time.Now()
+	t := time.NewTimer(limit)
+	defer t.Stop()
+	select {
+	case <-a.done:
+		return
+	case <-t.C:
+		return
+	case <-a.most:
+		t.Reset(min(time.Since(began)/2, limit-time.Since(began)))
+	}
+	select {
+	case <-a.done:
+	case <-t.C:
+	}
 }
 
 // reachedHalf reports whether half of the members have answered. No third VM can claim the same: two
@@ -260,8 +292,8 @@
 // discover the change by itself, at the cost of one late request.
 func (o *Owner) announce(x peer.Holder) *announcement {
 	live, self := o.Members.Live(), o.Members.Self()
-	a := &announcement{members: len(live), done: make(chan struct{})}
-	a.reached.Add(1) // this VM
+	a := &announcement{members: len(live), most: make(chan struct{}), done: make(chan struct{})}
+	a.answered() // this VM
 	go func() {
 		defer close(a.done)
 		var g errgroup.Group
@@ -272,7 +304,7 @@
 			}
 			g.Go(func() error {
 				if o.announceTo(m, x) {
-					a.reached.Add(1)
+					a.answered()
 				}
 				return nil
 			})
--- a/daemon/placer/holders.go
+++ b/daemon/placer/holders.go
@@ -1,6 +1,8 @@
 package placer
 
 import (
+	"math/rand/v2"
+	"slices"
 	"sync"
 
 	"github.com/phuslu/log"
@@ -184,6 +186,29 @@
 	return m, h.table.Epoch(s), ok
 }
 
+// standby returns the VM to keep ready for the loss of this one, the holder of a service: the first in
+// rank that has not failed.
+func (h *Holders) standby(s route.ServiceID, failed map[peer.VM]bool) (peer.Member, bool) {
+	live, self := h.members.Live(), h.members.Self().VM
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, m := range h.ranks.of(s, live) {
+		if m.VM != self && !failed[m.VM] {
+			return m, true
+		}
+	}
+	return peer.Member{}, false
+}
+
+// witnesses returns up to n random VMs that are neither this one nor the holder of a service.
+func (h *Holders) witnesses(s route.ServiceID, n int) []peer.Member {
+	x, _ := h.Of(s)
+	ms := slices.Clone(h.members.Live())
+	ms = slices.DeleteFunc(ms, func(m peer.Member) bool { return m.VM == x.VM || m.VM == h.members.Self().VM })
+	rand.Shuffle(len(ms), func(i, j int) { ms[i], ms[j] = ms[j], ms[i] })
+	return ms[:min(n, len(ms))]
+}
+
 // take makes this VM the holder if the current epoch is still prevEpoch.
 func (h *Holders) take(s route.ServiceID, prevEpoch uint64, cause string) (peer.Holder, bool) {
 	h.mu.Lock()
--- a/daemon/placer/owner.go
+++ b/daemon/placer/owner.go
@@ -91,6 +91,7 @@
 	// holderMu serialises attempts to become the holder, so that only one of several concurrent
 	// queries does.
 	holderMu sync.Mutex
+	watches  watches
 }
 
 // ownedPool is the pool of one service with the queries that wait for its decisions.
@@ -122,11 +123,14 @@
 	// gathering is set while gates present their live grants to a new holder. Nothing is decided
 	// meanwhile.
 	gathering bool
+	// hasStandby is set while a goroutine sends keepalives to the standby.
+	hasStandby bool
 }
 
 // NewOwner returns an owner without pools.
 func NewOwner(n OwnerNeeds, b Budget) *Owner {
 	o := &Owner{OwnerNeeds: n, budget: b, statements: statements.New(n.Clock, n.Log), pools: map[route.ServiceID]*ownedPool{}, noteSlots: make(chan struct{}, maxForwardedNotes)}
+	o.watches.byService = map[route.ServiceID]*watch{}
 	n.Holders.OnChange(o.onHolderChange)
 	return o
 }
@@ -187,6 +191,7 @@
 	p.pool.SetLimitShare(now, o.limitShare(args))
 	o.learnStatements(args.Service, p, now, args.Statements)
 	p.lastAsk = now
+	o.keepStandby(args.Service, p)
 	o.pollReports(args.Service, p)
 	if d, ok := p.undelivered[a.ID]; ok {
 		delete(p.undelivered, a.ID)
--- a/daemon/placer/placer_test.go
+++ b/daemon/placer/placer_test.go
@@ -71,6 +71,10 @@
 		return o.Note(args.(*NoteArgs), &peer.Empty{})
 	case Name + ".Follow":
 		return o.Follow(args.(*peer.Holder), reply.(*peer.Holder))
+	case Name + ".Keepalive":
+		return o.Keepalive(args.(*KeepaliveArgs), reply.(*peer.Holder))
+	case Name + ".Reach":
+		return o.Reach(args.(*ReachArgs), reply.(*ReachReply))
 	case Name + ".Take":
 		return o.Take(args.(*TakeArgs), &peer.Empty{})
 	default:
--- a/lib/peer/dialer.go
+++ b/lib/peer/dialer.go
@@ -16,6 +16,10 @@
 // unresponsive, or the call timed out. Whether the peer executed the call is unknown.
 var ErrUnreachable = errs.Class("peer unreachable")
 
+// ErrUnanswered is the class of errors of a probe whose connection was opened but that was not answered:
+// the peer's VM is running, and its process is busy or stopped.
+var ErrUnanswered = errs.Class("probe unanswered")
+
 // Times of connections between peers. If a firewall or NAT between two VMs drops its state of a connection, the
 // connection stays open at both ends but carries nothing, and its calls would wait until their deadlines. So a
 // connection is probed when a call has waited for probeEvery or was abandoned earlier, and then as long as calls
@@ -109,7 +113,8 @@
 }
 
 // Probe checks over a new connection whether the peer at address responds before ctx ends. This distinguishes an
-// unreachable peer from an existing connection that waits for the retransmission of a lost packet.
+// unreachable peer from an existing connection that waits for the retransmission of a lost packet. An error
+// is also of class ErrUnanswered if the connection was opened.
 func (d *Dialer) Probe(ctx context.Context, address string) error {
 	conn, err := d.dial(ctx, address)
 	if err != nil {
@@ -122,7 +127,7 @@
 	case <-call.Done:
 		return ErrUnreachable.Wrap(call.Error)
 	case <-ctx.Done():
-		return ErrUnreachable.Wrap(ctx.Err())
+		return ErrUnreachable.Wrap(ErrUnanswered.Wrap(ctx.Err()))
 	}
 }
 
