--- a/daemon/placer/standby.go
+++ b/daemon/placer/standby.go
@@ -227,7 +227,7 @@
 // watch ends otherwise.
 func (o *Owner) watchHolder(w *watch) {
 	var silence clock.Milli
-	var lost <-chan bool // the result of the probes under way
+	var lost <-chan bool // the result of the probes under way; a keepalive makes it void
 	t := time.NewTicker(watchStep.Duration())
 	defer t.Stop()
 	for last := o.Clock.Now(); ; {
@@ -235,9 +235,9 @@
 		case <-w.ended:
 			return
 		case <-w.alive:
-			silence = 0
+			silence, lost = 0, nil
 		case yes := <-lost:
-			if yes {
+			if yes && len(w.alive) == 0 {
 				o.succeed(w)
 				return
 			}
--- a/daemon/placer/standby_test.go
+++ b/daemon/placer/standby_test.go
@@ -123,6 +123,29 @@
 	require.False(t, f.standby.Holders.Holds("s"))
 }
 
+// lateKeepalive is a network on which a keepalive of the holder arrives while it is probed in vain.
+type lateKeepalive struct {
+	*network
+	arrive func()
+}
+
+// Probe implements Peers.
+func (l lateKeepalive) Probe(context.Context, string) error {
+	l.arrive()
+	return context.DeadlineExceeded
+}
+
+// Packets between holder and standby are lost and sent again: a keepalive arrives after the probes have
+// begun, which fail.
+func TestKeepaliveDuringProbesKeepsHolder(t *testing.T) {
+	f := newTrio(t)
+	f.standby.Peers = lateKeepalive{f.network, func() { f.keepalive(t) }}
+	f.witness.Peers = lateKeepalive{f.network, func() {}}
+	f.keepalive(t)
+	time.Sleep(patientTime)
+	require.False(t, f.standby.Holders.Holds("s"))
+}
+
 // The holder hands its service over, or no gate queries it any more, and its keepalives end.
 func TestLastKeepaliveEndsWatch(t *testing.T) {
 	f := newTrio(t)
