--- a/daemon/placer/sends_test.go
+++ b/daemon/placer/sends_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
 	"snipeshift.example/lib/decide"
 	"snipeshift.example/lib/decide/span"
+	"snipeshift.example/lib/peer"
 )
 
 // retries asks for a number of retries at once, as the streams of a crashed engine do, and returns how
@@ -62,16 +64,29 @@
 	require.LessOrEqual(t, granted, testFloor+1, "one more may fade out in the meantime")
 }
 
+// changingMembers is a member list that a test replaces.
+type changingMembers struct {
+	self peer.Member
+	live atomic.Pointer[[]peer.Member]
+}
+
+func (c *changingMembers) set(live []peer.Member) { c.live.Store(&live) }
+func (c *changingMembers) Live() []peer.Member    { return *c.live.Load() }
+func (c *changingMembers) Self() peer.Member      { return c.self }
+func (c *changingMembers) Lost() int              { return 0 }
+
 // The owner stops as planned just before an engine crashes. Its successor must allow the retries that
 // the owner would have allowed, and no more.
 func TestPlannedSuccessorContinuesRetryBudget(t *testing.T) {
 	d := newSettledDeployment(t)
+	holder := d.owners[d.ranked[0].Address]
+	list := &changingMembers{self: d.ranked[0]}
+	list.set(d.ranked)
+	holder.Members, holder.Holders.members = list, list
 	_, err := d.client.Ask(context.Background(), "s", ask("1"))
 	require.NoError(t, err)
 	granted := d.retries(t, "before", 2)
-	holder := d.owners[d.ranked[0].Address]
-	holder.Members = viewOf{members(d.ranked[1:]), d.ranked[0]} // a VM that stops is not ranked
-	holder.Holders.members = holder.Members
+	list.set(d.ranked[1:]) // a VM that stops is not ranked
 	holder.HandOver(context.Background())
 	require.False(t, holder.Holders.Holds("s"))
 	granted += d.retries(t, "after", 2*testFloor)
