placer: a second standby, for a holder that is lost together with the next VM

What callers saw: owner and first standby lose power together, as VMs of one failure domain do, and each request under way waits 165 ms to 185 ms again.

Cause: the only standby was gone with its holder, and gates find out as before.

Change: two standbys. The second takes over only if it gets no connection to the first either. A probe that ends undecided is repeated at once, and the silence before probes is 20 ms: a probe in vain costs four connections.

--- a/daemon/placer/holders.go
+++ b/daemon/placer/holders.go
@@ -186,18 +186,22 @@
 	return m, h.table.Epoch(s), ok
 }
 
-// standby returns the VM to keep ready for the loss of this one, the holder of a service: the first in
-// rank that has not failed.
-func (h *Holders) standby(s route.ServiceID, failed map[peer.VM]bool) (peer.Member, bool) {
+// standbys returns the VMs to keep ready for the loss of this one, the holder of a service: up to n
+// members, the first in rank that have not failed.
+func (h *Holders) standbys(s route.ServiceID, failed map[peer.VM]bool, n int) []peer.Member {
 	live, self := h.members.Live(), h.members.Self().VM
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	ms := make([]peer.Member, 0, n)
 	for _, m := range h.ranks.of(s, live) {
+		if len(ms) == n {
+			break
+		}
 		if m.VM != self && !failed[m.VM] {
-			return m, true
+			ms = append(ms, m)
 		}
 	}
-	return peer.Member{}, false
+	return ms
 }
 
 // witnesses returns up to n random VMs that are neither this one nor the holder of a service.
--- a/daemon/placer/owner.go
+++ b/daemon/placer/owner.go
@@ -120,11 +120,11 @@
 	// lastAsk is when a gate last sent a query. A pool without recent queries does not poll
 	// upstreams.
 	lastAsk clock.Milli
-	// gathering is set while gates present their live grants to a new holder. Nothing is decided
-	// meanwhile.
+	// gathering is set while gates present their live grants to a new holder, and while a holder hands
+	// over. Nothing is decided meanwhile.
 	gathering bool
-	// hasStandby is set while a goroutine sends keepalives to the standby.
-	hasStandby bool
+	// hasStandbys is set while goroutines send keepalives to the standbys.
+	hasStandbys bool
 }
 
 // NewOwner returns an owner without pools.
@@ -191,7 +191,7 @@
 	p.pool.SetLimitShare(now, o.limitShare(args))
 	o.learnStatements(args.Service, p, now, args.Statements)
 	p.lastAsk = now
-	o.keepStandby(args.Service, p)
+	o.keepStandbys(args.Service, p)
 	o.pollReports(args.Service, p)
 	if d, ok := p.undelivered[a.ID]; ok {
 		delete(p.undelivered, a.ID)
--- a/daemon/placer/standby.go
+++ b/daemon/placer/standby.go
@@ -11,36 +11,41 @@
 	"snipeshift.example/lib/route"
 )
 
-// The holder of a service in use sends keepalives to one other VM, its standby. A standby that hears
-// nothing has the holder probed, by itself and by witnesses, and becomes the holder if nobody gets even a
-// connection. Gates alone notice a loss late: an unanswered query may be queued, a VM that is queried in
-// parallel waits again for the same holder, and the VMs that rank next may be lost as well. A holder that
-// is busy, throttled or stopped accepts connections: gates find out whether it answers in time.
+// The holder of a service in use sends keepalives to two other VMs, its standbys. A standby that hears
+// nothing has the holder probed, by itself and by other VMs (witnesses), and becomes the holder if none of
+// them gets even a connection. The second standby does so only if the first is lost as well.
+//
+// Gates alone detect a loss late. A query may stay unanswered because it is queued. A VM that is queried in
+// parallel has to wait for the same holder again, or is lost itself. A holder that is busy, throttled or
+// stopped still accepts connections; it is left to the timeouts of the gates.
 
 const (
-	// keepaliveEvery is the time between two keepalives.
+	// keepaliveEvery is the time between two keepalives to a standby.
 	keepaliveEvery = 10 * clock.Milli(1)
-	// keepaliveTimeout bounds one keepalive; a VM that does not answer is no standby.
+	// keepaliveTimeout bounds one keepalive. A VM that does not answer in time is replaced as standby.
 	keepaliveTimeout = 80 * clock.Milli(1)
-	// keepaliveIdle is how long after the last query a holder goes on sending keepalives.
+	// keepaliveIdle is how long after the last query of a gate a holder goes on sending keepalives.
 	keepaliveIdle = 2 * clock.Second
-	// maxStandbyTries is how many VMs are tried as standby before a pause of standbyRetry: VMs of an earlier
-	// version know no keepalives.
-	maxStandbyTries = 8
-	standbyRetry    = clock.Second
-	// watchStep is the interval in which a standby checks for how long it has heard nothing.
+	// standbyCount is the number of standbys. Two cover a holder that is lost together with the next VM.
+	standbyCount = 2
+	// maxStandbyFailures is how many VMs may fail as standbys before all are tried again, after a pause of
+	// standbyRetry. VMs of versions without keepalives all fail.
+	maxStandbyFailures = 8
+	standbyRetry       = clock.Second
+	// watchStep is the interval at which a standby measures the silence of its holder.
 	watchStep = 5 * clock.Milli(1)
 	// maxSilence is the silence after which a standby has the holder probed.
-	maxSilence = 30 * clock.Milli(1)
-	// reachTimeout is how long a connection to the holder may take: VMs are milliseconds apart, and kernels
-	// accept connections for busy processes. witnessTimeout is how long a witness may take to answer.
-	reachTimeout   = 25 * clock.Milli(1)
-	witnessTimeout = 40 * clock.Milli(1)
-	// watchTimeout is how long a standby watches a holder that can be reached but sends no keepalives: it
-	// has chosen another standby.
+	maxSilence = 20 * clock.Milli(1)
+	// reachTimeout bounds a connection attempt to a VM that may be lost. A VM that runs is milliseconds away,
+	// and its kernel accepts connections even if the process is busy.
+	reachTimeout = 25 * clock.Milli(1)
+	// witnessTimeout bounds the call to a witness, which includes its own connection attempt.
+	witnessTimeout = 60 * clock.Milli(1)
+	// watchTimeout is how long after the last keepalive a standby watches a holder that is not lost: the
+	// holder has replaced this standby.
 	watchTimeout = clock.Second
-	// maxWitnesses is how many other VMs probe a silent holder, and neededWitnesses how many of them must
-	// have failed to reach it. Without witnesses a standby that is itself cut off would take over.
+	// maxWitnesses is how many witnesses probe a silent holder. neededWitnesses of them must have failed to
+	// reach it, because a standby that is itself cut off from the network reaches nobody.
 	maxWitnesses    = 3
 	neededWitnesses = 2
 )
@@ -48,6 +53,8 @@
 // KeepaliveArgs tells a standby that the holder of a service is alive.
 type KeepaliveArgs struct {
 	Holder peer.Holder
+	// First is the address of the first standby if the receiver is the second one.
+	First string
 	// Final is set if no further keepalive follows.
 	Final bool
 }
@@ -58,69 +65,92 @@
 // ReachReply tells whether a VM reaches another one.
 type ReachReply struct{ Reached bool }
 
-// keepStandby starts to send keepalives if this VM holds the service and does not send any yet. The
+// standbys are the VMs that a holder keeps ready to succeed it.
+type standbys struct {
+	owner  *Owner
+	holder peer.Holder
+	pool   *ownedPool
+
+	mu sync.Mutex
+	// failed are the VMs that did not answer a keepalive.
+	failed map[peer.VM]bool
+}
+
+// keepStandbys starts to send keepalives if this VM holds the service and does not send any yet. The
 // pool's lock is held.
-func (o *Owner) keepStandby(s route.ServiceID, p *ownedPool) {
+func (o *Owner) keepStandbys(s route.ServiceID, p *ownedPool) {
 	x, ok := o.Holders.Of(s)
-	if p.hasStandby || !ok || !o.Holders.Holds(s) {
+	if p.hasStandbys || !ok || !o.Holders.Holds(s) {
 		return
 	}
-	p.hasStandby = true
-	go o.sendKeepalives(x, p)
+	p.hasStandbys = true
+	sb := &standbys{owner: o, holder: x, pool: p, failed: map[peer.VM]bool{}}
+	go func() {
+		var wg sync.WaitGroup
+		for i := range standbyCount {
+			wg.Go(func() { sb.keep(i) })
+		}
+		wg.Wait()
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.hasStandbys = false
+	}()
 }
 
-// sendKeepalives sends keepalives to one standby after the other, each for as long as it answers, until
-// this VM no longer holds the service or the service is no longer in use.
-func (o *Owner) sendKeepalives(x peer.Holder, p *ownedPool) {
-	failed := map[peer.VM]bool{}
-	for {
-		if len(failed) == maxStandbyTries {
-			clear(failed)
-			time.Sleep(standbyRetry.Duration())
-		}
-		to, ok := o.Holders.standby(x.Service, failed)
+// keep sends keepalives to the standby at an index until this VM no longer holds the service or gates no
+// longer query it.
+func (sb *standbys) keep(i int) {
+	for sb.inUse() {
+		to, args, ok := sb.next(i)
 		if !ok {
 			time.Sleep(standbyRetry.Duration())
-			clear(failed)
+			sb.retry()
+			continue
 		}
-		for ok && o.inUse(x, p) {
-			if o.sendKeepalive(to, KeepaliveArgs{Holder: x}) != nil {
-				failed[to.VM] = true
-				break
-			}
-			time.Sleep(keepaliveEvery.Duration())
-		}
-		if o.endKeepalives(x, p) {
-			if ok {
-				_ = o.sendKeepalive(to, KeepaliveArgs{Holder: x, Final: true}) // its watch ends without it, too
-			}
-			return
+		if sb.owner.sendKeepalive(to, args) != nil {
+			sb.fail(to)
+			continue
 		}
+		time.Sleep(keepaliveEvery.Duration())
+	}
+	if to, args, ok := sb.next(i); ok {
+		args.Final = true
+		_ = sb.owner.sendKeepalive(to, args) // without it the watch ends after watchTimeout
 	}
 }
 
-// inUse reports whether this VM is still the holder x and gates query it.
-func (o *Owner) inUse(x peer.Holder, p *ownedPool) bool {
-	if known, _ := o.Holders.Of(x.Service); known != x {
-		return false
+// next returns the standby at an index with the keepalive to send, false if there is none.
+func (sb *standbys) next(i int) (peer.Member, KeepaliveArgs, bool) {
+	sb.mu.Lock()
+	defer sb.mu.Unlock()
+	args := KeepaliveArgs{Holder: sb.holder}
+	ms := sb.owner.Holders.standbys(sb.holder.Service, sb.failed, i+1)
+	if len(ms) <= i || len(sb.failed) >= maxStandbyFailures {
+		return peer.Member{}, args, false
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return o.Clock.Now()-p.lastAsk < keepaliveIdle
+	if i > 0 {
+		args.First = ms[0].Address
+	}
+	return ms[i], args, true
 }
 
-// endKeepalives reports whether keepalives end, and records it.
-func (o *Owner) endKeepalives(x peer.Holder, p *ownedPool) bool {
-	if o.inUse(x, p) {
+func (sb *standbys) fail(m peer.Member) { sb.mu.Lock(); defer sb.mu.Unlock(); sb.failed[m.VM] = true }
+
+// retry makes VMs that failed eligible again.
+func (sb *standbys) retry() { sb.mu.Lock(); defer sb.mu.Unlock(); clear(sb.failed) }
+
+// inUse reports whether this VM is still the holder and gates query it.
+func (sb *standbys) inUse() bool {
+	if x, _ := sb.owner.Holders.Of(sb.holder.Service); x != sb.holder {
 		return false
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.hasStandby = false
-	return true
+	sb.pool.mu.Lock()
+	defer sb.pool.mu.Unlock()
+	return sb.owner.Clock.Now()-sb.pool.lastAsk < keepaliveIdle
 }
 
-// sendKeepalive sends one keepalive. The standby's answer names the holder that it knows.
+// sendKeepalive sends one keepalive. The reply is the holder that the standby follows, which may be a
+// successor that this VM has not heard of.
 func (o *Owner) sendKeepalive(to peer.Member, args KeepaliveArgs) error {
 	ctx, cancel := context.WithTimeout(context.Background(), keepaliveTimeout.Duration())
 	defer cancel()
@@ -142,16 +172,16 @@
 	return nil
 }
 
-// Reach implements Placer.Reach: this VM tells whether it reaches the VM at an address.
+// Reach implements Placer.Reach: this VM, a witness, tells whether it reaches the VM at an address.
 func (o *Owner) Reach(args *ReachArgs, reply *ReachReply) error {
-	ctx, cancel := context.WithTimeout(context.Background(), reachTimeout.Duration())
-	defer cancel()
-	reply.Reached = o.reaches(ctx, args.Address)
+	reply.Reached = o.reaches(args.Address)
 	return nil
 }
 
-// reaches reports whether this VM can open a connection to the VM at an address before ctx ends.
-func (o *Owner) reaches(ctx context.Context, address string) bool {
+// reaches reports whether this VM can open a connection to an address within reachTimeout.
+func (o *Owner) reaches(address string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), reachTimeout.Duration())
+	defer cancel()
 	err := o.Peers.Probe(ctx, address)
 	return err == nil || peer.ErrUnanswered.Has(err)
 }
@@ -162,9 +192,11 @@
 	byService map[route.ServiceID]*watch
 }
 
-// watch observes the keepalives of one holder.
+// watch is the state of this VM as standby of one holder.
 type watch struct {
 	holder peer.Holder
+	// first is the address of the first standby if this VM is the second one.
+	first string
 	// alive receives a value for each keepalive; ended is closed by the last one.
 	alive chan struct{}
 	ended chan struct{}
@@ -191,13 +223,20 @@
 		ws.byService[s] = w
 		go o.watchHolder(w)
 	}
-	w.keptAt = o.Clock.Now()
+	w.first, w.keptAt = args.First, o.Clock.Now()
 	select {
 	case w.alive <- struct{}{}:
 	default:
 	}
 }
 
+// firstStandby returns the address of the standby before this VM, empty if there is none.
+func (ws *watches) firstStandby(w *watch) string {
+	ws.mu.Lock()
+	defer ws.mu.Unlock()
+	return w.first
+}
+
 // remove ends a watch and reports whether it had not been ended.
 func (ws *watches) remove(w *watch) bool {
 	ws.mu.Lock()
@@ -227,7 +266,7 @@
 // watch ends otherwise.
 func (o *Owner) watchHolder(w *watch) {
 	var silence clock.Milli
-	var lost <-chan bool // the result of the probes under way; a keepalive makes it void
+	var probed <-chan verdict // the result of the probes under way; a keepalive makes it void
 	t := time.NewTicker(watchStep.Duration())
 	defer t.Stop()
 	for last := o.Clock.Now(); ; {
@@ -235,13 +274,16 @@
 		case <-w.ended:
 			return
 		case <-w.alive:
-			silence, lost = 0, nil
-		case yes := <-lost:
-			if yes && len(w.alive) == 0 {
-				o.succeed(w)
+			silence, probed = 0, nil
+		case v := <-probed:
+			probed = nil
+			switch {
+			case v == reached:
+				silence = 0
+			case v == lost && len(w.alive) == 0:
+				o.takeOver(w)
 				return
 			}
-			silence, lost = 0, nil
 		case <-t.C:
 		}
 		now := o.Clock.Now()
@@ -251,14 +293,14 @@
 		if o.watches.outdated(o, w, now) {
 			return
 		}
-		if lost == nil && silence >= maxSilence {
-			lost = o.probeHolder(w.holder)
+		if probed == nil && silence >= maxSilence {
+			probed = o.probeHolder(w.holder, o.watches.firstStandby(w))
 		}
 	}
 }
 
-// succeed makes this VM the holder in place of one that is lost.
-func (o *Owner) succeed(w *watch) {
+// takeOver makes this VM the holder in place of one that is lost.
+func (o *Owner) takeOver(w *watch) {
 	if !o.watches.remove(w) {
 		return
 	}
@@ -267,46 +309,61 @@
 	o.becomeHolder(w.holder.Service, w.holder.Epoch, "standby")
 }
 
-// probeHolder has a holder probed by this VM and by witnesses. The channel receives true if it is lost:
-// neither this VM nor enough witnesses reach it.
-func (o *Owner) probeHolder(x peer.Holder) <-chan bool {
-	lost := make(chan bool, 1)
+// verdict is the result of probing a holder.
+type verdict uint8
+
+const (
+	// reached means that some VM can open a connection to the holder or to the first standby.
+	reached verdict = iota
+	// lost means that neither this VM nor enough witnesses can.
+	lost
+	// undecided means that this VM can't, and that too few witnesses have replied.
+	undecided
+)
+
+// probeHolder probes a holder and the first standby, if that is another VM than this one. The result is
+// sent to the returned channel.
+func (o *Owner) probeHolder(x peer.Holder, first string) <-chan verdict {
+	result := make(chan verdict, 1)
 	go func() {
-		witnesses := o.Holders.witnesses(x.Service, maxWitnesses)
-		replies := make(chan ReachReply, len(witnesses))
-		args := &ReachArgs{Address: x.Address}
 		ctx, cancel := context.WithTimeout(context.Background(), witnessTimeout.Duration())
 		defer cancel()
+		witnesses := o.Holders.witnesses(x.Service, maxWitnesses)
+		replies := make(chan bool, len(witnesses))
 		for _, m := range witnesses {
-			go o.askWitness(ctx, m, args, replies)
+			go o.askWitness(ctx, m, x.Address, replies)
 		}
-		own := ReachReply{}
-		_ = o.Reach(args, &own) // Reach returns no errors
-		if own.Reached {
-			lost <- false
+		firstReached := make(chan bool, 1)
+		go func() { firstReached <- first != "" && o.reaches(first) }()
+		if o.reaches(x.Address) || <-firstReached {
+			result <- reached
 			return
 		}
-		for range min(neededWitnesses, len(witnesses)) {
-			select {
-			case r := <-replies:
-				if r.Reached {
-					lost <- false
-					return
-				}
-			case <-ctx.Done():
-				lost <- false
-				return
+		result <- judge(ctx, replies, min(neededWitnesses, len(witnesses)))
+	}()
+	return result
+}
+
+// judge waits for n replies of witnesses to a VM that does not reach the holder.
+func judge(ctx context.Context, replies <-chan bool, n int) verdict {
+	for range n {
+		select {
+		case ok := <-replies:
+			if ok {
+				return reached
 			}
+		case <-ctx.Done():
+			return undecided
 		}
-		lost <- true
-	}()
+	}
 	return lost
 }
 
-// askWitness asks a witness and passes its reply on, if there is one.
-func (o *Owner) askWitness(ctx context.Context, m peer.Member, args *ReachArgs, replies chan<- ReachReply) {
+// askWitness asks a VM whether it reaches an address and passes the reply on. It sends nothing if the
+// witness does not reply.
+func (o *Owner) askWitness(ctx context.Context, m peer.Member, address string, replies chan<- bool) {
 	var r ReachReply
-	if o.Peers.Call(ctx, m.Address, Name+".Reach", args, &r) == nil {
-		replies <- r
+	if o.Peers.Call(ctx, m.Address, Name+".Reach", &ReachArgs{Address: address}, &r) == nil {
+		replies <- r.Reached
 	}
 }
