--- a/daemon/placer/hold.go
+++ b/daemon/placer/hold.go
@@ -41,6 +41,8 @@
 	maxAnnouncements = 128
 	// handOverWait bounds the message that carries the snapshot of a pool: some hundred grants.
 	handOverWait = 300 * clock.Milli(1)
+	// handOverPause bounds the time during a hand-over in which nothing is decided.
+	handOverPause = 40 * clock.Milli(1)
 	// handOverCheckEvery is the interval of checks for services to hand over to a VM of higher
 	// capacity.
 	handOverCheckEvery = 500 * time.Millisecond
@@ -365,7 +367,9 @@
 	wg.Wait()
 }
 
-// handOver hands one service over to its successor, with a snapshot of its pool, in one message.
+// handOver hands one service over to its successor, with a snapshot of its pool, in one message. Nothing is
+// decided meanwhile, since the snapshot would lack it, but for handOverPause at most: the successor may be
+// lost.
 func (o *Owner) handOver(ctx context.Context, s route.ServiceID) {
 	to, epoch, ok := o.Holders.successor(s)
 	if !ok {
@@ -373,14 +377,20 @@
 	}
 	p := o.lockedPool(s)
 	snapshot := p.pool.Snapshot(o.Clock.Now())
+	p.gathering = true
 	p.mu.Unlock()
+	pause := time.AfterFunc(handOverPause.Duration(), func() { o.endGathering(s, p) })
 	args := &TakeArgs{Holder: holder.NewHolder(s, to, epoch+1), Books: snapshot}
 	ctx, cancel := context.WithTimeout(ctx, handOverWait.Duration())
 	defer cancel()
 	if err := o.Peers.Call(ctx, to.Address, Name+".Take", args, &peer.Empty{}); err != nil {
+		if pause.Stop() {
+			o.endGathering(s, p)
+		}
 		o.Log.Warn().Str(logline.Key, logline.Unreachable).Str("dependency", "successor").Str("peer", string(to.VM)).Err(err).Msg("service not handed over: the successor did not accept it")
 		return
 	}
+	pause.Stop()
 	o.Holders.Update(args.Holder, "handed over")
 }
 
--- a/daemon/placer/hold_test.go
+++ b/daemon/placer/hold_test.go
@@ -36,6 +36,36 @@
 	require.False(t, o.Holders.Holds("s"), "the holder answers probes and stays the holder")
 }
 
+// slowTake delays the message that hands a service over, and calls during before it arrives.
+type slowTake struct {
+	*network
+	during func()
+}
+
+func (n slowTake) Call(ctx context.Context, address, method string, args, reply any) error {
+	if method == Name+".Take" {
+		n.during()
+	}
+	return n.network.Call(ctx, address, method, args, reply)
+}
+
+// The owner stops as planned under load. Grants that it made after it had written the snapshot for its
+// successor would be unknown there, and engines would get more than their slots and limits.
+func TestNothingIsGrantedDuringHandOver(t *testing.T) {
+	d := newDeployment(t)
+	h, list := d.changingHolder()
+	var reply AskReply
+	h.Peers = slowTake{d.network, func() {
+		require.NoError(t, h.Ask(&AskArgs{Service: "s", Ask: wireAsk("2"), Wait: 20, Epoch: 1}, &reply))
+	}}
+	_, err := d.client.Ask(context.Background(), "s", ask("1"))
+	require.NoError(t, err)
+	list.set(d.ranked[1:])
+	h.HandOver(context.Background())
+	require.False(t, h.Holders.Holds("s"))
+	require.False(t, reply.Decided)
+}
+
 // Heartbeats go to several VMs each second. If each named the holders of all services, these names would be
 // most of what a fleet at rest sends. A VM that knows others, or an earlier version, must still be told.
 func TestHoldersAreSentOnlyToVMsThatKnowOthers(t *testing.T) {
--- a/daemon/placer/sends_test.go
+++ b/daemon/placer/sends_test.go
@@ -70,6 +70,14 @@
 	live atomic.Pointer[[]peer.Member]
 }
 
+// changingHolder returns the first owner in rank with its member list.
+func (d *deployment) changingHolder() (*Owner, *changingMembers) {
+	h, list := d.owners[d.ranked[0].Address], &changingMembers{self: d.ranked[0]}
+	list.set(d.ranked)
+	h.Members, h.Holders.members = list, list
+	return h, list
+}
+
 func (c *changingMembers) set(live []peer.Member) { c.live.Store(&live) }
 func (c *changingMembers) Live() []peer.Member    { return *c.live.Load() }
 func (c *changingMembers) Self() peer.Member      { return c.self }
@@ -79,10 +87,7 @@
 // the owner would have allowed, and no more.
 func TestPlannedSuccessorContinuesRetryBudget(t *testing.T) {
 	d := newSettledDeployment(t)
-	holder := d.owners[d.ranked[0].Address]
-	list := &changingMembers{self: d.ranked[0]}
-	list.set(d.ranked)
-	holder.Members, holder.Holders.members = list, list
+	holder, list := d.changingHolder()
 	_, err := d.client.Ask(context.Background(), "s", ask("1"))
 	require.NoError(t, err)
 	granted := d.retries(t, "before", 2)
