--- a/daemon/placer/standby_test.go
+++ b/daemon/placer/standby_test.go
@@ -102,23 +102,28 @@
 // A standby that takes over from a holder that runs leaves two owners, which allocate the same engines.
 func TestStandbyDoesNotSucceed(t *testing.T) {
 	unreached := func() error { return context.DeadlineExceeded }
-	for name, prepare := range map[string]func(t *testing.T, f *trio){
-		"a holder that is busy or stopped, whose VM accepts connections": func(_ *testing.T, f *trio) {
+	for name, play := range map[string]func(t *testing.T, f *trio){
+		"a holder that is busy or stopped, whose VM accepts connections": func(t *testing.T, f *trio) {
 			busy := probeNetwork{f.network, func() error { return peer.ErrUnreachable.Wrap(peer.ErrUnanswered.Wrap(context.DeadlineExceeded)) }}
 			f.standby.Peers, f.witness.Peers = busy, busy
+			f.keepalive(t, KeepaliveArgs{})
 		},
-		"a holder that a witness reaches": func(_ *testing.T, f *trio) {
+		"a holder that a witness reaches": func(t *testing.T, f *trio) {
 			f.standby.Peers = probeNetwork{f.network, unreached}
+			f.keepalive(t, KeepaliveArgs{})
 		},
-		"if no witness answers": func(_ *testing.T, f *trio) {
+		"if no witness answers": func(t *testing.T, f *trio) {
+			f.keepalive(t, KeepaliveArgs{})
 			f.fail(f.hanging, "holder")
 			f.fail(f.hanging, "witness")
 		},
 		"a holder whose keepalive arrives during the probes": func(t *testing.T, f *trio) {
 			f.standby.Peers = probeNetwork{f.network, func() error { f.keepalive(t, KeepaliveArgs{}); return context.DeadlineExceeded }}
 			f.witness.Peers = probeNetwork{f.network, unreached}
+			f.keepalive(t, KeepaliveArgs{})
 		},
 		"after the last keepalive": func(t *testing.T, f *trio) {
+			f.keepalive(t, KeepaliveArgs{})
 			f.keepalive(t, KeepaliveArgs{Final: true})
 			f.fail(f.hanging, "holder")
 		},
@@ -129,8 +134,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newTrio(t)
-			f.keepalive(t, KeepaliveArgs{})
-			prepare(t, f)
+			play(t, f)
 			time.Sleep(patientTime)
 			require.False(t, f.standby.Holders.Holds("s"))
 		})
