placer, span, gate: plainer comments and names

Comments that a newcomer would stumble over say what happens and why: fade is decay, follow is advance, heard is recordKeepalive.

--- a/daemon/placer/hold.go
+++ b/daemon/placer/hold.go
@@ -218,8 +218,8 @@
 	}()
 }
 
-// settleBudget makes the whole floor of the retry budget available if gates have presented the sends
-// that earlier owners granted.
+// settleBudget makes the whole floor of the retry budget available if enough gates have presented the sends
+// that earlier owners granted, and logs what the new owner knows.
 func (o *Owner) settleBudget(x peer.Holder, p *ownedPool, a *announcement) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -244,30 +244,31 @@
 
 // announcement is the announcement of a holder to all members.
 type announcement struct {
-	// members is the number of members, this VM included, and reached the number of those that have
-	// answered. Each of them has presented its live grants and earlier sends.
+	// members is the number of members, including this VM.
 	members int
+	// reached counts this VM and the members that have replied. Before it replies, a member presents its
+	// live grants and earlier sends.
 	reached atomic.Int64
-	// most is closed once most of the members that can answer have, done once all calls have ended.
+	// most is closed once mostShare of the members have replied, done once all calls have ended.
 	most, done chan struct{}
 }
 
-// mostShare is the fraction of the members, without the former holder, that are most of them.
+// mostShare is the fraction of the members, without the former holder, whose replies a new holder needs.
+// Others were probably lost together with the former holder.
 const mostShare = 0.9
 
-// needed is the number of members, this VM included, that are most of those that can answer.
+// needed is the number of members, including this VM, that make up mostShare.
 func (a *announcement) needed() int64 { return int64(math.Ceil(mostShare * float64(a.members-1))) }
 
-// answered counts a member that has answered.
+// answered counts a member that has replied.
 func (a *announcement) answered() {
 	if a.reached.Add(1) == max(1, a.needed()) {
 		close(a.most)
 	}
 }
 
-// wait waits until all members have answered, but at most until limit, and after most of them have
-// answered at most for half as long as these took. VMs that were lost together with the former holder are
-// still members and do not answer.
+// wait waits for the replies of all members. It stops waiting after limit, or earlier: once mostShare of
+// the members have replied, it waits for the others only half as long again.
 func (a *announcement) wait(limit time.Duration) {
 	began := time.Now()
 	t := time.NewTimer(limit)
@@ -286,12 +287,12 @@
 	}
 }
 
-// reachedHalf reports whether half of the members have answered. No third VM can claim the same: two
-// sides of a partition may, and the share of the retry budget of one owner allows for two.
+// reachedHalf reports whether at least half of the members have replied. At most two VMs, one on each side
+// of a partition, can achieve that, and the retry budget is divided so that two owners may use it.
 func (a *announcement) reachedHalf() bool { return 2*int(a.reached.Load()) >= a.members }
 
-// announce informs all members of a service's holder. Without the announcement each gate would
-// discover the change by itself, at the cost of one late request.
+// announce informs all members of a service's holder. Without the announcement, each gate would detect the
+// change only when one of its requests is late.
 func (o *Owner) announce(x peer.Holder) *announcement {
 	live, self := o.Members.Live(), o.Members.Self()
 	a := &announcement{members: len(live), most: make(chan struct{}), done: make(chan struct{})}
--- a/daemon/placer/sends.go
+++ b/daemon/placer/sends.go
@@ -7,14 +7,15 @@
 	"snipeshift.example/lib/route"
 )
 
-// The retry budget of a service covers the sends of all gates within a window, and its owner counts
-// them. An owner that stops hands its count over. For an owner that is lost, each gate counts its own
-// sends as well and presents those that earlier owners granted to the new one.
+// The owner of a service counts the sends of all gates for the retry budget. An owner that stops hands its
+// count over. In case the owner is lost, each gate also counts its own sends, and presents to a new owner
+// those that earlier owners granted.
 
 // sendCount counts the sends of this gate at one service.
 type sendCount struct {
-	// epoch is that of the owner that granted the sends in current; earlier has those before.
-	epoch            uint64
+	// epoch is the latest epoch of an owner that this gate has followed.
+	epoch uint64
+	// current has the sends granted in epoch, earlier those granted in earlier epochs.
 	earlier, current *gate.Tally
 }
 
@@ -24,18 +25,18 @@
 
 // add counts a send that the owner of an epoch granted.
 func (n *sendCount) add(now clock.Milli, epoch uint64, s gate.Sends) {
-	n.follow(now, epoch)
+	n.advance(now, epoch)
 	n.current.Add(now, s)
 }
 
 // before returns the sends that owners of earlier epochs granted.
 func (n *sendCount) before(now clock.Milli, epoch uint64) gate.Sends {
-	n.follow(now, epoch)
+	n.advance(now, epoch)
 	return n.earlier.Count(now)
 }
 
-// follow moves the counted sends to the earlier ones if the owner has changed.
-func (n *sendCount) follow(now clock.Milli, epoch uint64) {
+// advance starts a new epoch, if it is later than the present one.
+func (n *sendCount) advance(now clock.Milli, epoch uint64) {
 	if epoch <= n.epoch {
 		return
 	}
--- a/daemon/placer/standby.go
+++ b/daemon/placer/standby.go
@@ -167,7 +167,7 @@
 	o.Holders.Update(args.Holder, "announced")
 	*reply, _ = o.Holders.Of(args.Holder.Service)
 	if *reply == args.Holder {
-		o.watches.heard(o, args)
+		o.watches.recordKeepalive(o, args)
 	}
 	return nil
 }
@@ -186,7 +186,7 @@
 	return err == nil || peer.ErrUnanswered.Has(err)
 }
 
-// watches has the holders whose standby this VM is.
+// watches are the holders for which this VM is a standby.
 type watches struct {
 	mu        sync.Mutex
 	byService map[route.ServiceID]*watch
@@ -204,8 +204,8 @@
 	keptAt clock.Milli
 }
 
-// heard passes a keepalive on to the watch of its holder, which it starts if there is none.
-func (ws *watches) heard(o *Owner, args *KeepaliveArgs) {
+// recordKeepalive passes a keepalive on to the watch of its holder and starts the watch if there is none.
+func (ws *watches) recordKeepalive(o *Owner, args *KeepaliveArgs) {
 	ws.mu.Lock()
 	defer ws.mu.Unlock()
 	s := args.Holder.Service
--- a/lib/decide/gate/budget.go
+++ b/lib/decide/gate/budget.go
@@ -16,10 +16,11 @@
 // Sends are numbers of requests that were sent and of their retries.
 type Sends struct{ Requests, Retries float64 }
 
-// Tally counts sends over a sliding window: each send fades out over the window that follows it.
+// Tally counts sends over a sliding window. The weight of each send decays to zero within about one
+// window.
 type Tally struct {
 	window clock.Milli
-	// at is the time to which sends has faded.
+	// at is the time of the last decay.
 	at    clock.Milli
 	sends Sends
 }
@@ -32,19 +33,19 @@
 
 // Add counts further sends.
 func (t *Tally) Add(now clock.Milli, s Sends) {
-	t.fade(now)
+	t.decay(now)
 	t.sends.Requests += s.Requests
 	t.sends.Retries += s.Retries
 }
 
 // Count returns the sends within the window.
 func (t *Tally) Count(now clock.Milli) Sends {
-	t.fade(now)
+	t.decay(now)
 	return t.sends
 }
 
-// fade reduces both sums in proportion to the elapsed time, to zero after one window without a call.
-func (t *Tally) fade(now clock.Milli) {
+// decay reduces both sums in proportion to the elapsed time, to zero after one window without a call.
+func (t *Tally) decay(now clock.Milli) {
 	if now <= t.at {
 		return
 	}
@@ -112,7 +113,7 @@
 	return true
 }
 
-// Add counts sends that an earlier owner of the pool allowed.
+// Add counts sends that were granted by an earlier owner of the pool.
 func (b *Budget) Add(now clock.Milli, s Sends) { b.tally.Add(now, s) }
 
 // BudgetSnapshot is the state of a budget that the next owner of its pool continues.
@@ -131,8 +132,8 @@
 	return BudgetSnapshot{Sends: b.tally.Count(now), Grown: grown}
 }
 
-// Restore continues the budget of the previous owner. A smaller floor than that of b is not taken over:
-// owners of an earlier version hand over none.
+// Restore adds the sends that the previous owner counted and continues the growth of its floor. It never
+// reduces the floor of b: owners of versions without snapshots of the budget send an empty one.
 func (b *Budget) Restore(now clock.Milli, s BudgetSnapshot) {
 	b.tally.Add(now, s.Sends)
 	if b.since != 0 {
--- a/lib/decide/span/order.go
+++ b/lib/decide/span/order.go
@@ -16,8 +16,8 @@
 // orderedQueue returns the queue in the order of placing. Requests that can still meet their aims
 // come before late ones, since a late answer is worth a quarter of one in time, however late it is;
 // then by urgency; then those that occupy engines for the shortest time, which serves most clients.
-// Short requests that have begun come before all others: they can't be refused any more, and
-// under lasting overload new ones in time would keep them waiting until their deadlines.
+// Short requests that have begun come before all others. They are not refused for overload, so under
+// lasting overload they would wait behind new requests until their deadlines.
 // Large prompts in time are ordered by their aims, after all requests with a short prefill.
 func (p *Pool) orderedQueue(now clock.Milli) []*queuedRequest {
 	ws := make([]*queuedRequest, 0, len(p.queue))
--- a/lib/decide/span/span.go
+++ b/lib/decide/span/span.go
@@ -53,8 +53,9 @@
 	Suspect bool
 	// Again is set for every send of a request but the first.
 	Again bool
-	// Begun is set if an earlier send of the request may have run. A refusal can't say any more that
-	// it has not, and would break a stream that the client already reads.
+	// Begun is set if the request may have run on an upstream already. It is not refused for overload
+	// then: the refusal would wrongly state that the request has not run, or break a stream that the
+	// client is reading.
 	Begun bool
 	// Counted is set if nothing was sent under the previous grant of the request. The retry budget
 	// counted this send with that grant.
--- a/lib/logline/logline.go
+++ b/lib/logline/logline.go
@@ -36,8 +36,8 @@
 	Reader = "reader"
 	// Holder is a change of the VM that owns a service, with the source of the information.
 	Holder = "holder"
-	// Gathered is the end of the time in which the owner of a service that was taken over waits for
-	// gates to present their grants.
+	// Gathered is logged when a VM that has taken a service over starts to decide: it has waited for
+	// gates to present their live grants.
 	Gathered = "gathered"
 	// Report is an upstream's report of work that no grant accounts for, or the lack of a report.
 	Report = "report"
--- a/lib/peer/dialer.go
+++ b/lib/peer/dialer.go
@@ -16,8 +16,8 @@
 // unresponsive, or the call timed out. Whether the peer executed the call is unknown.
 var ErrUnreachable = errs.Class("peer unreachable")
 
-// ErrUnanswered is the class of errors of a probe whose connection was opened but that was not answered:
-// the peer's VM is running, and its process is busy or stopped.
+// ErrUnanswered is the class of errors of a probe for which a connection was opened but no reply arrived:
+// the kernel of the peer's VM is running, while the peer's process is busy or stopped.
 var ErrUnanswered = errs.Class("probe unanswered")
 
 // Times of connections between peers. If a firewall or NAT between two VMs drops its state of a connection, the
