placer: a test of an owner's loss runs in simulated time

The check and its bounds are the same; it runs in a synctest bubble now, where time only passes when all VMs wait.

--- a/daemon/placer/large_owner_test.go
+++ b/daemon/placer/large_owner_test.go
@@ -10,7 +10,6 @@
 	"github.com/stretchr/testify/require"
 
 	"snipeshift.example/daemon/member"
-	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
 	"snipeshift.example/lib/decide/span"
 )
@@ -60,7 +59,7 @@
 	}
 	d.localOwner = d.owners[ms[len(ms)-1].Address]
 	require.Equal(t, 120, member.Rank("s", ms)[0].Cores)
-	client := NewClient(clock.Boot{}, quietLog, ms, p, d.localOwner, "gate")
+	client := NewClient(testClock{}, quietLog, ms, p, d.localOwner, "gate")
 
 	const requests, gap = 150, 10 * time.Millisecond
 	var mu sync.Mutex
--- a/daemon/placer/loss_test.go
+++ b/daemon/placer/loss_test.go
@@ -13,7 +13,6 @@
 	"github.com/stretchr/testify/require"
 
 	"snipeshift.example/daemon/member"
-	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
 	"snipeshift.example/lib/decide/span"
 	"snipeshift.example/lib/decide/statement"
@@ -266,7 +265,7 @@
 	v := on[rand.IntN(len(on))]
 	f.mu.Unlock()
 	at := time.Since(f.began)
-	now := clock.Boot{}.Now()
+	now := testClock{}.Now()
 	a := span.Ask{
 		ID: decide.RequestID(fmt.Sprint("r", n)), Gate: decide.GateID(v.member.VM), Prompt: 5000, Output: 400,
 		Aim: now + 300, Deadline: now + 5000, Gap: 200, Stream: true,
@@ -578,7 +577,7 @@
 	}
 	s := vmView{f, m}
 	o := ownerAt(f.t, s, s, ids...)
-	c := NewClient(clock.Boot{}, quietLog, s, s, o, decide.GateID(m.VM))
+	c := NewClient(testClock{}, quietLog, s, s, o, decide.GateID(m.VM))
 	ctx, stop := context.WithCancel(context.Background())
 	go func() { _ = c.Run(ctx) }()
 	go func() { _ = o.Run(ctx) }()
--- a/daemon/placer/placer_test.go
+++ b/daemon/placer/placer_test.go
@@ -52,12 +52,17 @@
 
 var quietLog = &log.Logger{Level: log.FatalLevel}
 
+// testClock reads the time of package time, which is simulated in the bubbles of package synctest.
+type testClock struct{}
+
+func (testClock) Now() clock.Milli { return clock.Milli(time.Now().UnixMilli()) }
+
 // ownerAt returns the owner of one VM of a fleet.
 func ownerAt(t *testing.T, m Members, p Peers, ids ...decide.UpstreamID) *Owner {
 	t.Helper()
 	needs := OwnerNeeds{
-		Clock: clock.Boot{}, Knowledge: newView(t, ids...), Reports: idle{}, Alone: func() bool { return false },
-		Holders: NewHolders(m, clock.Boot{}, quietLog), Members: m, Peers: p, Log: quietLog,
+		Clock: testClock{}, Knowledge: newView(t, ids...), Reports: idle{}, Alone: func() bool { return false },
+		Holders: NewHolders(m, testClock{}, quietLog), Members: m, Peers: p, Log: quietLog,
 	}
 	return NewOwner(needs, Budget{Share: 0.2, Floor: 10, Window: 10 * clock.Second})
 }
@@ -164,12 +169,12 @@
 	}
 	self := d.ranked[len(d.ranked)-1]
 	d.localOwner = d.owners[self.Address]
-	d.client = NewClient(clock.Boot{}, &log.Logger{Level: log.FatalLevel}, members(d.ranked), d.network, d.localOwner, "gate")
+	d.client = NewClient(testClock{}, &log.Logger{Level: log.FatalLevel}, members(d.ranked), d.network, d.localOwner, "gate")
 	return d
 }
 
 func ask(id decide.RequestID) span.Ask {
-	now := clock.Boot{}.Now()
+	now := testClock{}.Now()
 	return span.Ask{ID: id, Gate: "gate", Prompt: 5000, Output: 1600, Aim: now + 300, Deadline: now + 5000, Gap: 200, Stream: true}
 }
 
@@ -292,8 +297,8 @@
 	}
 	m := members{{VM: "vm-1", Address: "vm-1"}}
 	needs := OwnerNeeds{
-		Clock: clock.Boot{}, Knowledge: newView(t, ids...), Reports: reports, Name: "vm-1", Alone: alone.Load,
-		Holders: NewHolders(m, clock.Boot{}, quietLog), Members: m, Peers: &network{}, Log: quietLog,
+		Clock: testClock{}, Knowledge: newView(t, ids...), Reports: reports, Name: "vm-1", Alone: alone.Load,
+		Holders: NewHolders(m, testClock{}, quietLog), Members: m, Peers: &network{}, Log: quietLog,
 	}
 	o := NewOwner(needs, Budget{Share: 0.2, Floor: 10, Window: 10 * clock.Second})
 	var reply AskReply
--- a/daemon/placer/standby_test.go
+++ b/daemon/placer/standby_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -15,34 +16,39 @@
 // The owner of a service loses power while requests are under way to it, alone or together with the VM next
 // in rank. VMs that could answer them must not wait until each gate has found that the owner is lost.
 func TestOwnerLossDelaysNoRequestUnderWay(t *testing.T) {
-	const loss, end, underWay = time.Second, 2 * time.Second, 40
 	for lostVMs, name := range map[int]string{1: "alone", 2: "with the next in rank"} {
-		t.Run(name, func(t *testing.T) {
-			f := newLossFleet(t)
-			var first time.Duration
-			var lost []peer.VM
-			f.run(end, map[time.Duration]func(){
-				loss: func() {
-					owner := f.placing()
-					lost = []peer.VM{owner, f.nextRanked(owner)}[:lostVMs]
-					first = time.Since(f.began)
-					for n := range underWay {
-						go f.request(-n)
-					}
-					time.Sleep(linkDelay / 2)
-					for _, v := range lost {
-						f.cutPower(v)
-					}
-				},
-			})
-			late, all := f.late(first, loss+recoveryTime, maxLatency)
-			late = slices.DeleteFunc(late, func(r result) bool { return slices.Contains(lost, r.gate) }) // their clients are cut off
-			require.GreaterOrEqual(t, all, underWay)
-			require.LessOrEqual(t, len(late), all/100, "late of %d requests: %v", all, late)
-		})
+		t.Run(name, func(t *testing.T) { synctest.Test(t, func(t *testing.T) { loseOwner(t, lostVMs) }) })
 	}
 }
 
+// loseOwner cuts the power of a service's owner, and of the VMs next in rank up to lostVMs in all, while
+// requests are under way.
+func loseOwner(t *testing.T, lostVMs int) {
+	const loss, end, underWay = time.Second, 2 * time.Second, 40
+	f := newLossFleet(t)
+	var first time.Duration
+	var lost []peer.VM
+	f.run(end, map[time.Duration]func(){
+		loss: func() {
+			owner := f.placing()
+			lost = []peer.VM{owner, f.nextRanked(owner)}[:lostVMs]
+			first = time.Since(f.began)
+			for n := range underWay {
+				go f.request(-n)
+			}
+			time.Sleep(linkDelay / 2)
+			for _, v := range lost {
+				f.cutPower(v)
+			}
+		},
+	})
+	time.Sleep(2 * detectionTime) // probes of lost VMs end once they are no members any more
+	late, all := f.late(first, loss+recoveryTime, maxLatency)
+	late = slices.DeleteFunc(late, func(r result) bool { return slices.Contains(lost, r.gate) }) // their clients are cut off
+	require.GreaterOrEqual(t, all, underWay)
+	require.LessOrEqual(t, len(late), all/100, "late of %d requests: %v", all, late)
+}
+
 // probeNetwork is a network on which probes of the holder call probe.
 type probeNetwork struct {
 	*network
--- a/daemon/placer/statements_test.go
+++ b/daemon/placer/statements_test.go
@@ -28,7 +28,7 @@
 // send records that a request reached an engine, and passes the statements of the engine's response
 // to the VM's client.
 func (f *lossFleet) send(v *lossVM, u decide.UpstreamID) {
-	now := clock.Boot{}.Now()
+	now := testClock{}.Now()
 	f.mu.Lock()
 	f.sends = append(f.sends, engineSend{u, time.Since(f.began)})
 	rate, named := f.limits[u]
@@ -148,7 +148,7 @@
 	for _, m := range d.ranked {
 		d.fail(d.refusing, m.Address)
 	}
-	now := clock.Boot{}.Now()
+	now := testClock{}.Now()
 	d.client.RecordStatement("s", "e0", statement.Statement{Kind: statement.Leaving, Named: true, Gate: "gate", At: now})
 	for i := range 5 {
 		id := decide.RequestID(fmt.Sprint(i))
