--- a/daemon/placer/loss_test.go
+++ b/daemon/placer/loss_test.go
@@ -458,9 +458,8 @@
 
 // The owner stops as planned. Its successor must know the running requests before it decides: with
 // an empty pool it would place short requests on full engines.
-func TestStoppingOwnerHandsOverItsSnapshot(t *testing.T) { inSimulatedTime(t, stopOwner) }
-
-func stopOwner(t *testing.T, f *lossFleet) {
+func TestStoppingOwnerHandsOverItsSnapshot(t *testing.T) {
+	f := newLossFleet(t)
 	const stop, end = time.Second, 2 * time.Second
 	var grantsBefore int
 	var owner peer.VM
