--- a/daemon/placer/hold_test.go
+++ b/daemon/placer/hold_test.go
@@ -36,7 +36,7 @@
 	require.False(t, o.Holders.Holds("s"), "the holder answers probes and stays the holder")
 }
 
-// slowTake delays the message that hands a service over, and calls during before it arrives.
+// slowTake is a network that calls the function during while the message of a hand-over is under way.
 type slowTake struct {
 	*network
 	during func()
