relay, placer: log lines of excluded upstreams and of crashes laid to a request

The owner logs each exclusion with the gate and the outcome, the gate each crash with the error of the send and of the probe.

Probes of upstreams open their connections as the transports do. No decision changes.

--- a/daemon/placer/owner.go
+++ b/daemon/placer/owner.go
@@ -14,6 +14,7 @@
 	"snipeshift.example/lib/decide"
 	"snipeshift.example/lib/decide/gate"
 	"snipeshift.example/lib/decide/span"
+	"snipeshift.example/lib/logline"
 	"snipeshift.example/lib/peer"
 	"snipeshift.example/lib/route"
 )
@@ -312,7 +313,10 @@
 	case FirstByte:
 		p.pool.First(now, args.Request)
 	case Ended:
-		p.pool.End(now, args.Request, args.Outcome, args.Culprit)
+		if x, excluded := p.pool.End(now, args.Request, args.Outcome, args.Culprit); excluded {
+			o.Log.Warn().Str(logline.Key, logline.Excluded).Str("service", string(args.Service)).Str("upstream", string(x.Upstream)).Str("gate", string(x.Gate)).
+				Str("send", x.Outcome.String()).Int64("for", int64(x.Until-now)).Msg("upstream gets no requests for a while after a failed send")
+		}
 	case Withdraw:
 		p.pool.Withdraw(now, args.Request)
 	}
--- a/daemon/relay.go
+++ b/daemon/relay.go
@@ -117,7 +117,8 @@
 	q := quarantine.New(d.clock, d.members, d.dialer)
 	d.holders = placer.NewHolders(d.members, d.clock, d.log)
 	d.members.Add(d.registry, q, d.holders)
-	pooled := upstreamTransport()
+	open := directDial(s)
+	pooled := upstreamTransport(open)
 	engines := platform.NewEngineClient(pooled)
 	id := peer.Gate(s.Name, incarnation)
 	d.owner = placer.NewOwner(placer.OwnerNeeds{
@@ -127,11 +128,11 @@
 		Share: ownerBudgetShare * s.Budget.Share, Floor: ownerBudgetShare * s.Budget.Floor, Window: s.Budget.Window,
 	})
 	d.placer = placer.NewClient(d.clock, d.log, d.members, d.dialer, d.owner, id)
-	unpooled := upstreamTransport()
+	unpooled := upstreamTransport(open)
 	unpooled.DisableKeepAlives = true
 	d.gate = relay.New(relay.Dependencies{
 		Clock: d.clock, Log: d.log, Codec: platform.Codec{}, Placer: d.placer, Registry: d.registry,
-		Suspects: q, Memory: engines, Pooled: pooled, Unpooled: unpooled,
+		Suspects: q, Memory: engines, Pooled: pooled, Unpooled: unpooled, Dial: open,
 	}, relay.Bounds{Revoke: s.Bounds.Revoke, Config: s.Bounds.Config, BodyBytes: int64(bodyMemoryShare * float64(s.Memory) * (1 << 20))}, id)
 	var g errList
 	g.add(d.peers.Register(member.Name, member.NewReceiver(d.members, noDocuments{})))
@@ -166,9 +167,14 @@
 // Newest implements member.Documents.
 func (noDocuments) Newest() (peer.Revision, []byte) { return 0, nil }
 
-func upstreamTransport() *http.Transport {
+// directDial returns the function that opens connections from this VM to upstreams.
+func directDial(s *settings.Relay) dial.Dial {
+	return dial.Hedged(injectFaults(s, (&net.Dialer{Timeout: upstreamDialTimeout}).DialContext), dial.HedgeDelay)
+}
+
+func upstreamTransport(open dial.Dial) *http.Transport {
 	return &http.Transport{
-		DialContext:        relay.DialPoolHost(dial.Hedged((&net.Dialer{Timeout: upstreamDialTimeout}).DialContext, dial.HedgeDelay)),
+		DialContext:        relay.DialPoolHost(open),
 		DisableCompression: true, MaxIdleConnsPerHost: maxIdlePerUpstream, IdleConnTimeout: upstreamIdleTimeout,
 		WriteBufferSize: 16 << 10,
 	}
--- a/daemon/relay/gate.go
+++ b/daemon/relay/gate.go
@@ -21,6 +21,7 @@
 	"snipeshift.example/lib/decide/gate"
 	"snipeshift.example/lib/decide/span"
 	"snipeshift.example/lib/decide/statement"
+	"snipeshift.example/lib/dial"
 	"snipeshift.example/lib/exchange"
 	"snipeshift.example/lib/fault"
 	"snipeshift.example/lib/route"
@@ -95,6 +96,8 @@
 	Memory   Memory
 	// Pooled reuses connections to upstreams; Unpooled opens a connection for each request.
 	Pooled, Unpooled http.RoundTripper
+	// Dial opens a connection to an upstream, as the transports do.
+	Dial dial.Dial
 }
 
 // Bounds are limits that the deployment sets. Times are in milliseconds.
--- a/daemon/relay/harness_test.go
+++ b/daemon/relay/harness_test.go
@@ -223,6 +223,7 @@
 	transport := &http.Transport{DisableCompression: true, DialContext: DialPoolHost((&net.Dialer{}).DialContext)}
 	t.Cleanup(transport.CloseIdleConnections)
 	w.deps = Dependencies{
+		Dial:  (&net.Dialer{}).DialContext,
 		Clock: clock.Boot{}, Log: &log.Logger{Level: log.FatalLevel}, Codec: testCodec{}, Placer: w.placer, Registry: w.registry,
 		Suspects: testSuspects{}, Pooled: transport, Unpooled: &http.Transport{DisableKeepAlives: true, DisableCompression: true},
 	}
--- a/daemon/relay/send.go
+++ b/daemon/relay/send.go
@@ -17,6 +17,7 @@
 	"snipeshift.example/daemon/registry"
 	"snipeshift.example/lib/decide/span"
 	"snipeshift.example/lib/exchange"
+	"snipeshift.example/lib/logline"
 	"snipeshift.example/lib/route"
 )
 
@@ -79,13 +80,25 @@
 		return res
 	}
 	res = x.roundTrip(ctx, cancel, grant, poolHost(u.Address, u.Born), memory.helpers(grant), v)
-	if res.suspicious && g.probeFails(grant.Leader.Address) {
-		g.Suspects.RecordCrash(x.fingerprint, u.ID, u.Born)
-		res.outcome = span.Unreachable
+	if res.suspicious {
+		x.recordCrash(grant.Leader.Address, u, &res)
 	}
 	return res
 }
 
+// recordCrash records that the upstream crashed while it ran the request if it accepts no connection.
+func (x *request) recordCrash(address string, u *route.Upstream, res *result) {
+	g := x.gate
+	err := g.probe(address)
+	if err == nil {
+		return
+	}
+	g.Log.Warn().Str(logline.Key, logline.Crashed).Str("id", x.head.ID).Str("upstream", string(u.ID)).Str("send", res.err.Error()).Err(err).
+		Msg("upstream accepts no connection after it broke off a response; the request is suspected")
+	g.Suspects.RecordCrash(x.fingerprint, u.ID, u.Born)
+	res.outcome = span.Unreachable
+}
+
 // roundTrip sends one request to the leader and handles its response.
 func (x *request) roundTrip(ctx context.Context, cancel context.CancelCauseFunc, grant span.Grant, host string, helpers []exchange.Helper, v *registry.View) result {
 	w := newWatchdog(x.gate, grant.Leader.Address, x.firstByteLimits(grant), func() { cancel(errUnresponsive) })
--- a/daemon/relay/watchdog.go
+++ b/daemon/relay/watchdog.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"sync"
 	"time"
 
@@ -107,7 +106,7 @@
 // unreachable reports whether two probes in a row fail: in a single probe, a packet may be lost.
 func (g *Gate) unreachable(address string) bool {
 	for range 2 {
-		if !g.probeFails(address) {
+		if g.probe(address) == nil {
 			return false
 		}
 	}
@@ -139,16 +138,14 @@
 	}
 }
 
-// probeFails reports whether an upstream refuses a new connection or does not accept it within
-// probeTimeout. An upstream that merely cut off a response accepts it.
-func (g *Gate) probeFails(address string) bool {
+// probe opens a new connection to an upstream and closes it. It returns an error if the upstream refuses
+// it or does not accept it within probeTimeout. An upstream that merely cut off a response accepts it.
+func (g *Gate) probe(address string) error {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
-	var d net.Dialer
-	c, err := d.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return true
+	c, err := g.Dial(ctx, "tcp", address)
+	if err == nil {
+		_ = c.Close()
 	}
-	_ = c.Close()
-	return false
+	return err
 }
--- a/lib/decide/span/health.go
+++ b/lib/decide/span/health.go
@@ -1,6 +1,9 @@
 package span
 
-import "snipeshift.example/lib/clock"
+import (
+	"snipeshift.example/lib/clock"
+	"snipeshift.example/lib/decide"
+)
 
 // Times and counts for excluding failing upstreams.
 const (
@@ -47,6 +50,15 @@
 	}
 }
 
+// Exclusion is the result of a failed send that makes an upstream unavailable to all gates for a while.
+type Exclusion struct {
+	Upstream decide.UpstreamID
+	Gate     decide.GateID
+	Outcome  Outcome
+	// Until is when the next request may try the upstream.
+	Until clock.Milli
+}
+
 // exclude excludes the upstream, for twice as long as the last time. It does nothing during an
 // exclusion.
 func (h *health) exclude(now clock.Milli) {
--- a/lib/decide/span/pool.go
+++ b/lib/decide/span/pool.go
@@ -208,18 +208,22 @@
 	return false
 }
 
-// End records the end of a send. The culprit is the upstream at fault; empty means the leader.
-func (p *Pool) End(now clock.Milli, id decide.RequestID, o Outcome, culprit decide.UpstreamID) {
+// End records the end of a send. The culprit is the upstream at fault; empty means the leader. It returns
+// the exclusion that the send caused, if it caused one.
+func (p *Pool) End(now clock.Milli, id decide.RequestID, o Outcome, culprit decide.UpstreamID) (x Exclusion, excluded bool) {
 	p.finished[id] = now
 	g := p.grants[id]
 	if g == nil {
-		return
+		return x, false
 	}
 	if culprit == "" {
 		culprit = g.Grant.Leader.Upstream
 	}
 	if r := p.upstreams[culprit]; r != nil && !r.pastIncarnation(g.Grant.incarnation(culprit)) {
+		available := r.health.available(now)
 		r.health.record(now, o)
+		excluded = available && !r.health.available(now)
+		x = Exclusion{Upstream: culprit, Gate: g.Grant.Gate, Outcome: o, Until: r.health.excludedUntil}
 		switch {
 		case o == Full && !g.leads(r):
 			r.health.recordDecline(now)
@@ -232,6 +236,7 @@
 		}
 	}
 	p.dropGrant(now, id)
+	return x, excluded
 }
 
 // Present reconciles the grants of one gate with its list of live grants. Listed grants that are
--- a/lib/logline/logline.go
+++ b/lib/logline/logline.go
@@ -43,6 +43,10 @@
 	Report = "report"
 	// Unresponsive is an upstream that neither responds nor accepts connections.
 	Unresponsive = "silent"
+	// Excluded is a failed send after which an owner grants an upstream to no gate for a while.
+	Excluded = "excluded"
+	// Crashed is the crash of an upstream that a gate attributes to a request.
+	Crashed = "crashed"
 	// Reserve and Release are failed orders to reserve or free memory of an engine.
 	Reserve = "reserve"
 	Release = "release"
@@ -83,6 +87,8 @@
 	Gathered:     "a VM that took a service over begins to decide: how many of its members have presented their grants, and the requests and retries that its budget of retries counts",
 	Report:       "an upstream reports work that no grant accounts for, or does not report",
 	Unresponsive: "an upstream neither responds nor accepts connections; the send is abandoned",
+	Excluded:     "an upstream gets no requests from any VM for a while after a failed send: whose send, how it ended, for how long",
+	Crashed:      "an upstream is taken to have crashed while it ran a request, which is suspected from then on: the error of the send and that of the probe",
 	Reserve:      "memory for a part of a prompt could not be reserved",
 	Release:      "reserved memory could not be freed; the reservation expires by itself",
 	Limit:        "an upstream declares, changes or withdraws its rate limit, in requests per second from all VMs together; with the source of the information",
