scenarios: VMs partitioned from all upstreams, a failing test

Three VMs of five, the holder of the engines among them, lose their paths to all upstreams, while clients, the store and the other VMs reach them. From a second on almost all first attempts must be served there too (the rule allows 10 + 1 in 50; the test 1 + 1 in 50).

--- a/scenarios/fleet/fleet.go
+++ b/scenarios/fleet/fleet.go
@@ -143,6 +143,58 @@
 	return nil
 }
 
+// UpstreamFault is how the connections of a VM to upstreams fail. For the connects the program must be built
+// with the tag "faults".
+type UpstreamFault string
+
+// The faults of a VM's connections to all upstreams.
+const (
+	// RefuseNew refuses connects; open connections continue.
+	RefuseNew UpstreamFault = "live on"
+	// ResetAll refuses connects and resets open connections.
+	ResetAll UpstreamFault = "reset"
+	// HangAll leaves connects without an answer and drops the data of open connections.
+	HangAll UpstreamFault = "hang"
+)
+
+// connects is what the fault does to connects, as daemons read it.
+func (x UpstreamFault) connects() string {
+	if x == HangAll {
+		return "hang"
+	}
+	return "refuse"
+}
+
+// CutUpstreams makes the connections of a VM to all upstreams fail until HealUpstreams.
+func (f *Fleet) CutUpstreams(v *VM, x UpstreamFault) error {
+	if err := os.WriteFile(f.faultPath(v), []byte(x.connects()), 0o600); err != nil {
+		return err
+	}
+	for _, l := range f.upstreams {
+		switch x {
+		case ResetAll:
+			l.Cut(v.Name)
+			l.Heal(v.Name)
+		case HangAll:
+			l.Silence(v.Name, relay.Both, false)
+		case RefuseNew:
+		}
+	}
+	return nil
+}
+
+// HealUpstreams ends the fault of CutUpstreams. Connections that it silenced are reset.
+func (f *Fleet) HealUpstreams(v *VM) error {
+	for _, l := range f.upstreams {
+		l.Cut(v.Name)
+		l.Heal(v.Name)
+	}
+	return os.Remove(f.faultPath(v))
+}
+
+// faultPath returns the path of the file that makes connects of a VM fail.
+func (f *Fleet) faultPath(v *VM) string { return filepath.Join(f.dir, v.Name) }
+
 // UpstreamRelay returns the relay in front of a runner.
 func (f *Fleet) UpstreamRelay(r *standin.Runner) *relay.Relay { return f.upstreams[r.Address()] }
 
--- a/scenarios/process/process.go
+++ b/scenarios/process/process.go
@@ -17,6 +17,10 @@
 // stopTimeout is how long a program may take over a graceful stop at the end of a scenario.
 const stopTimeout = 20 * time.Second
 
+// EnvFaults is the environment variable that names the folder of the fault files to daemons that are built
+// with the tag "faults". It is set to the folder of the logs.
+const EnvFaults = "SNIPESHIFT_FAULTS"
+
 // Process is one run of a program, from its start to its exit.
 type Process struct {
 	name    string
@@ -50,6 +54,7 @@
 		return nil, err
 	}
 	p.cmd.Stderr = log
+	p.cmd.Env = append(os.Environ(), EnvFaults+"="+dir)
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
 	out, err := p.cmd.StdoutPipe()
 	if err != nil {
--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -50,7 +50,7 @@
 	defer func() { _ = os.RemoveAll(dir) }()
 	binDir = dir
 	for name, pkg := range programs {
-		out, err := exec.Command("go", "build", "-o", filepath.Join(dir, name), pkg).CombinedOutput()
+		out, err := exec.Command("go", "build", "-tags", "faults", "-o", filepath.Join(dir, name), pkg).CombinedOutput()
 		if err != nil {
 			fmt.Fprintf(os.Stderr, "build %s: %v\n%s", pkg, err, out)
 			return 1
