path, tunnel: a VM that lost its paths to upstreams connects through other VMs

Cause: a gate sends from its own address alone, and takes each connect that fails for the upstream's fault: the owner excludes the upstream for all VMs, and the request goes on to the next one, over the same dead path. Evidence: in the incident's logs each send at the six VMs is a refused connect or a reset, on any of 22 upstreams, while the other VMs' sends to the same upstreams succeed in the same moment; the owner was cut in one of the two windows only, so it is not the cause.

Why the fix works: connects that fail, or take longer than 40 ms, are made by another VM (HTTP CONNECT on the port for peers), which says whether the upstream, the path or nobody is at fault. Two upstreams reached by others alone, and the VM's paths count as lost: no connect waits for them until two direct ones succeed. Polls, reservations and probes use the same dialer.

--- a/daemon/insight/insight.go
+++ b/daemon/insight/insight.go
@@ -15,6 +15,7 @@
 	"snipeshift.example/daemon/placer"
 	"snipeshift.example/daemon/registry"
 	"snipeshift.example/daemon/relay"
+	"snipeshift.example/daemon/tunnel"
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
 	"snipeshift.example/lib/decide/statement"
@@ -45,6 +46,7 @@
 	Owner     *placer.Owner
 	Store     Store
 	LogWriter *logline.Writer
+	Tunnels   *tunnel.Server
 }
 
 // Page serves the metrics address.
--- a/daemon/insight/metrics.go
+++ b/daemon/insight/metrics.go
@@ -14,6 +14,7 @@
 // metrics writes all metrics in the text format of Prometheus.
 func (p *Page) metrics(w http.ResponseWriter, _ *http.Request) {
 	p.Gate.WriteMetrics(w)
+	p.Tunnels.WriteMetrics(w)
 	v := p.Registry.View()
 	now := p.Clock.Now()
 	_, failed := p.Store.Calls()
--- a/daemon/relay.go
+++ b/daemon/relay.go
@@ -21,6 +21,7 @@
 	"snipeshift.example/daemon/registry"
 	"snipeshift.example/daemon/relay"
 	"snipeshift.example/daemon/settings"
+	"snipeshift.example/daemon/tunnel"
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/dial"
 	"snipeshift.example/lib/logline"
@@ -79,6 +80,8 @@
 	placer    *placer.Client
 	gate      *relay.Gate
 	peers     *peer.Server
+	paths     *tunnel.Dialer
+	tunnels   *tunnel.Server
 	store     *platform.Store
 	stopping  chan struct{}
 	// startedAt is when this process started.
@@ -117,8 +120,13 @@
 	q := quarantine.New(d.clock, d.members, d.dialer)
 	d.holders = placer.NewHolders(d.members, d.clock, d.log)
 	d.members.Add(d.registry, q, d.holders)
-	open := directDial(s)
-	pooled := upstreamTransport(open)
+	d.paths = tunnel.NewDialer(tunnel.Needs{
+		Clock: d.clock, Log: d.log, Members: d.members, Upstreams: listedUpstreams{d.registry}, Direct: directDial(s), Peer: dialPeer,
+	})
+	d.tunnels = tunnel.NewServer(d.paths)
+	d.peers.ServeTunnels(d.tunnels.Serve)
+	pooled := upstreamTransport(d.paths.Dial)
+	d.paths.OnHang(pooled.CloseIdleConnections)
 	engines := platform.NewEngineClient(pooled)
 	id := peer.Gate(s.Name, incarnation)
 	d.owner = placer.NewOwner(placer.OwnerNeeds{
@@ -128,11 +136,11 @@
 		Share: ownerBudgetShare * s.Budget.Share, Floor: ownerBudgetShare * s.Budget.Floor, Window: s.Budget.Window,
 	})
 	d.placer = placer.NewClient(d.clock, d.log, d.members, d.dialer, d.owner, id)
-	unpooled := upstreamTransport(open)
+	unpooled := upstreamTransport(d.paths.Dial)
 	unpooled.DisableKeepAlives = true
 	d.gate = relay.New(relay.Dependencies{
 		Clock: d.clock, Log: d.log, Codec: platform.Codec{}, Placer: d.placer, Registry: d.registry,
-		Suspects: q, Memory: engines, Pooled: pooled, Unpooled: unpooled, Dial: open,
+		Suspects: q, Memory: engines, Pooled: pooled, Unpooled: unpooled, Paths: d.paths,
 	}, relay.Bounds{Revoke: s.Bounds.Revoke, Config: s.Bounds.Config, BodyBytes: int64(bodyMemoryShare * float64(s.Memory) * (1 << 20))}, id)
 	var g errList
 	g.add(d.peers.Register(member.Name, member.NewReceiver(d.members, noDocuments{})))
@@ -160,6 +168,25 @@
 // Seeds implements member.Seeds.
 func (s staticSeeds) Seeds(context.Context) []string { return s }
 
+// listedUpstreams implements tunnel.Upstreams.
+type listedUpstreams struct{ registry *registry.Registry }
+
+// Addresses implements tunnel.Upstreams.
+func (l listedUpstreams) Addresses() []string {
+	var addresses []string
+	for _, us := range l.registry.View().Upstreams {
+		for i := range us {
+			if !us[i].Leaving {
+				addresses = append(addresses, us[i].Address)
+			}
+		}
+	}
+	return addresses
+}
+
+// Usable implements tunnel.Upstreams.
+func (l listedUpstreams) Usable(address string) bool { return slices.Contains(l.Addresses(), address) }
+
 // noDocuments is the empty source of documents: in relay mode peers fetch documents from the
 // registry's receiver instead.
 type noDocuments struct{}
@@ -215,6 +242,7 @@
 	}
 	start("registry", func() error { return d.registry.Run(work) })
 	start("heartbeats", func() error { return d.members.Run(work) })
+	start("paths", func() error { return d.paths.Run(work) })
 	start("placer", func() error { return d.placer.Run(work) })
 	start("owner", func() error { return d.owner.Run(work) })
 	d.log.Info().Str(logline.Key, logline.Started).Str("caller", s.Caller).Str("peer", s.Peer).Strs("peers", s.Peers).Msg("started")
@@ -248,6 +276,7 @@
 	remaining := max(d.settings.Bounds.Grace-balancerDelay-closingReserve, 0)
 	ctx, cancel := context.WithTimeout(context.Background(), remaining.Duration())
 	defer cancel()
+	defer d.tunnels.Drain(ctx)
 	if err := clients.Shutdown(ctx); err != nil {
 		d.log.Warn().Str(logline.Key, logline.Stopping).Err(err).Msg("the grace period ended before all responses were complete; the remaining ones are cut off")
 	}
@@ -298,7 +327,7 @@
 func (d *relayDaemon) insight() *insight.Page {
 	return insight.New(insight.Sources{
 		VM: d.settings.Name, Clock: d.clock, Gate: d.gate, Registry: d.registry, Members: d.members, Holders: d.holders,
-		Placer: d.placer, Owner: d.owner, Store: d.store, LogWriter: d.logWriter,
+		Placer: d.placer, Owner: d.owner, Store: d.store, LogWriter: d.logWriter, Tunnels: d.tunnels,
 	})
 }
 
--- a/daemon/relay/gate.go
+++ b/daemon/relay/gate.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -21,9 +22,9 @@
 	"snipeshift.example/lib/decide/gate"
 	"snipeshift.example/lib/decide/span"
 	"snipeshift.example/lib/decide/statement"
-	"snipeshift.example/lib/dial"
 	"snipeshift.example/lib/exchange"
 	"snipeshift.example/lib/fault"
+	"snipeshift.example/lib/peer"
 	"snipeshift.example/lib/route"
 )
 
@@ -82,6 +83,13 @@
 	Release(ctx context.Context, address, id string) (exchange.Declared, error)
 }
 
+// Paths opens connections to upstreams, directly or through another VM.
+type Paths interface {
+	// Dial opens a connection as the transports do. An error of class dial.ErrNoPath says nothing about the
+	// upstream.
+	Dial(ctx context.Context, network, address string) (net.Conn, error)
+}
+
 // Clock reads a clock that continues while the VM is suspended.
 type Clock interface{ Now() clock.Milli }
 
@@ -96,8 +104,7 @@
 	Memory   Memory
 	// Pooled reuses connections to upstreams; Unpooled opens a connection for each request.
 	Pooled, Unpooled http.RoundTripper
-	// Dial opens a connection to an upstream, as the transports do.
-	Dial dial.Dial
+	Paths            Paths
 }
 
 // Bounds are limits that the deployment sets. Times are in milliseconds.
@@ -165,6 +172,8 @@
 	// lastEventID is the id of the last event that was passed to the client completely.
 	lastEventID string
 	avoid       []decide.UpstreamID
+	// carrier is the VM through which the current send goes; nil for a direct connection.
+	carrier atomic.Pointer[peer.VM]
 }
 
 // ServeHTTP serves one request.
--- a/daemon/relay/harness_test.go
+++ b/daemon/relay/harness_test.go
@@ -28,6 +28,7 @@
 	"snipeshift.example/lib/decide/statement"
 	"snipeshift.example/lib/exchange"
 	"snipeshift.example/lib/fault"
+	"snipeshift.example/lib/peer"
 	"snipeshift.example/lib/route"
 )
 
@@ -173,6 +174,8 @@
 type testSuspects struct {
 	verdict gate.Verdict
 	whole   *[]bool
+	// crashes counts the recorded crashes.
+	crashes *atomic.Int64
 }
 
 func (n testSuspects) Check(uint64) gate.Verdict { return n.verdict }
@@ -182,12 +185,47 @@
 		*n.whole = append(*n.whole, whole)
 	}
 }
-func (testSuspects) RecordCrash(uint64, decide.UpstreamID, decide.Incarnation) {}
+
+func (n testSuspects) RecordCrash(uint64, decide.UpstreamID, decide.Incarnation) {
+	if n.crashes != nil {
+		n.crashes.Add(1)
+	}
+}
+
+// testPaths connects directly unless fail returns an error, and through the VM carrier if it is set.
+type testPaths struct {
+	net.Dialer
+	fail    func(address string) error
+	carrier peer.VM
+}
+
+func (p *testPaths) Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	if p.fail != nil {
+		if err := p.fail(address); err != nil {
+			return nil, err
+		}
+	}
+	c, err := p.DialContext(ctx, network, address)
+	if err != nil || p.carrier == "" {
+		return c, err
+	}
+	return carriedConn{c, p.carrier}, nil
+}
+
+// carriedConn is a connection through another VM.
+type carriedConn struct {
+	net.Conn
+	carrier peer.VM
+}
+
+func (c carriedConn) Carrier() peer.VM    { return c.carrier }
+func (c carriedConn) DirectRefused() bool { return false }
 
 // fixture is a gate with upstreams whose responses a test defines.
 type fixture struct {
 	t        *testing.T
 	placer   *testPlacer
+	paths    *testPaths
 	registry *testRegistry
 	gate     *Gate
 	server   *httptest.Server
@@ -220,12 +258,13 @@
 		})
 	}
 	w.setDocument(2*clock.Second, "key")
-	transport := &http.Transport{DisableCompression: true, DialContext: DialPoolHost((&net.Dialer{}).DialContext)}
+	w.paths = &testPaths{}
+	transport := &http.Transport{DisableCompression: true, DialContext: DialPoolHost(w.paths.Dial)}
 	t.Cleanup(transport.CloseIdleConnections)
 	w.deps = Dependencies{
-		Dial:  (&net.Dialer{}).DialContext,
+		Paths: w.paths,
 		Clock: clock.Boot{}, Log: &log.Logger{Level: log.FatalLevel}, Codec: testCodec{}, Placer: w.placer, Registry: w.registry,
-		Suspects: testSuspects{}, Pooled: transport, Unpooled: &http.Transport{DisableKeepAlives: true, DisableCompression: true},
+		Suspects: testSuspects{}, Pooled: transport, Unpooled: &http.Transport{DisableKeepAlives: true, DisableCompression: true, DialContext: w.paths.Dial},
 	}
 	w.start()
 	return w
--- /dev/null
+++ b/daemon/relay/paths_test.go
@@ -0,0 +1,46 @@
+package relay
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"snipeshift.example/lib/decide/span"
+	"snipeshift.example/lib/dial"
+)
+
+// failAt returns a function that fails connects to one address.
+func failAt(address string, err error) func(string) error {
+	return func(a string) error {
+		if a == address {
+			return err
+		}
+		return nil
+	}
+}
+
+var errNoPath = dial.ErrNoPath.New("test")
+
+// A VM that has lost its paths reports its failed connects; an owner that excluded the upstreams would refuse sound work of all VMs.
+func TestLostPathExcludesNoUpstream(t *testing.T) {
+	w := newFixture(t, respond("answer"), respond("answer"))
+	w.paths.fail = failAt(w.upstreams[0].Listener.Addr().String(), errNoPath)
+	_, _, err := w.call(http.MethodPost, "/once/", "")
+	require.NoError(t, err)
+	require.Equal(t, []span.Outcome{span.Left, span.Done}, w.placer.outcomes)
+}
+
+// The VM reaches no upstream and no other VM helps: the client is told at once that its request did not run.
+func TestRequestWithoutAnyPathIsRefusedAsNotRun(t *testing.T) {
+	w := newFixture(t, respond("answer"), respond("answer"), respond("answer"))
+	w.paths.fail = func(string) error { return errNoPath }
+	began := time.Now()
+	resp, _, err := w.call(http.MethodPost, "/again/", "")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	require.Equal(t, "0.2", resp.Header.Get("Retry-After"))
+	require.Less(t, time.Since(began), 200*time.Millisecond)
+	require.Len(t, w.placer.outcomes, maxNoPath)
+}
--- a/daemon/relay/record.go
+++ b/daemon/relay/record.go
@@ -10,6 +10,7 @@
 	"snipeshift.example/lib/decide/span"
 	"snipeshift.example/lib/fault"
 	"snipeshift.example/lib/logline"
+	"snipeshift.example/lib/peer"
 	"snipeshift.example/lib/route"
 )
 
@@ -56,9 +57,12 @@
 	r.lastEvent = now
 }
 
-// endSend records the end of one send.
-func (r *record) endSend(g span.Grant, res result) {
+// endSend records the end of one send; carrier is the VM through which it went, nil for none.
+func (r *record) endSend(g span.Grant, res result, carrier *peer.VM) {
 	text := string(g.Leader.Upstream) + "+" + strconv.Itoa(len(g.Helpers))
+	if carrier != nil {
+		text += " through " + string(*carrier)
+	}
 	if res.err != nil {
 		text += " " + res.err.Error()
 	}
--- a/daemon/relay/reserve.go
+++ b/daemon/relay/reserve.go
@@ -48,8 +48,8 @@
 }
 
 // reserve reserves memory on the helpers that must store a part of the prompt, on all of them or
-// on none. It returns the id of a helper that failed, or "".
-func (x *request) reserve(ctx context.Context, grant span.Grant) (*reservation, decide.UpstreamID) {
+// on none. If a helper failed, it returns the result of the send.
+func (x *request) reserve(ctx context.Context, grant span.Grant) (*reservation, *result) {
 	r := &reservation{gate: x.gate, id: x.head.ID, service: x.service, stop: func() {}}
 	for i, p := range grant.Helpers {
 		if p.Reserve > 0 {
@@ -57,25 +57,26 @@
 		}
 	}
 	if len(r.parts) == 0 {
-		return r, ""
+		return r, nil
 	}
-	if culprit := r.reserveAll(ctx); culprit != "" {
+	if culprit, err := r.reserveAll(ctx); err != nil {
 		r.free()
-		return r, culprit
+		res := &result{verdict: notRun, outcome: span.Full, err: errReserve, culprit: culprit}
+		return r, res
 	}
 	work, stop := context.WithCancel(ctx)
 	r.stop = stop
 	r.done.Go(func() { r.renew(work) })
-	return r, ""
+	return r, nil
 }
 
 // reserveAll reserves or renews the memory of all helpers concurrently. It returns the id of a
-// helper that failed, or "".
-func (r *reservation) reserveAll(ctx context.Context) decide.UpstreamID {
+// helper that failed and its error.
+func (r *reservation) reserveAll(ctx context.Context) (decide.UpstreamID, error) {
 	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
 	var g errgroup.Group
-	failed := make([]bool, len(r.parts))
+	failed := make([]error, len(r.parts))
 	for i, h := range r.parts {
 		g.Go(func() error {
 			answer, err := r.gate.Memory.Reserve(ctx, h.place.Address, h.ticket, h.place.Reserve, reserveHold)
@@ -84,7 +85,7 @@
 				err = errReserve
 			}
 			if err != nil {
-				failed[i] = true
+				failed[i] = err
 				r.gate.Log.Warn().Str(logline.Key, logline.Reserve).Str("id", r.id).Str("upstream", string(h.place.Upstream)).
 					Int64("tokens", int64(h.place.Reserve)).Err(err).Msg("reserving KV memory on a helper failed")
 			}
@@ -92,16 +93,16 @@
 		})
 	}
 	_ = g.Wait() // each failure is logged above
-	if i := slices.Index(failed, true); i >= 0 {
-		return r.parts[i].place.Upstream
+	if i := slices.IndexFunc(failed, func(err error) bool { return err != nil }); i >= 0 {
+		return r.parts[i].place.Upstream, failed[i]
 	}
-	return ""
+	return "", nil
 }
 
 // renew extends the reservations until the send ends.
 func (r *reservation) renew(ctx context.Context) {
 	// An engine that refuses a renewal also cuts off the request, so the send fails by itself.
-	guard.Every(ctx, renewInterval, func() { r.reserveAll(ctx) })
+	guard.Every(ctx, renewInterval, func() { _, _ = r.reserveAll(ctx) }) // failures are logged
 }
 
 // free releases the memory in the background, so that the client does not wait. It first waits
--- a/daemon/relay/reserve_test.go
+++ b/daemon/relay/reserve_test.go
@@ -23,7 +23,9 @@
 	reserved, released int
 	longest            clock.Milli
 	full               bool
-	declared           exchange.Declared
+	// err is the error of each reservation.
+	err      error
+	declared exchange.Declared
 	// during is called while memory is being reserved.
 	during func()
 }
@@ -36,7 +38,7 @@
 	defer m.mu.Unlock()
 	m.reserved++
 	m.longest = max(m.longest, hold)
-	return exchange.Reserved{Accepted: !m.full, Declared: m.declared}, nil
+	return exchange.Reserved{Accepted: !m.full, Declared: m.declared}, m.err
 }
 
 func (m *testMemory) Release(context.Context, string, string) (exchange.Declared, error) {
--- a/daemon/relay/run.go
+++ b/daemon/relay/run.go
@@ -8,6 +8,7 @@
 	"snipeshift.example/lib/decide"
 	"snipeshift.example/lib/decide/gate"
 	"snipeshift.example/lib/decide/span"
+	"snipeshift.example/lib/dial"
 	"snipeshift.example/lib/fault"
 	"snipeshift.example/lib/route"
 )
@@ -21,6 +22,10 @@
 	maxGroupRejections = 12
 )
 
+// maxNoPath is after how many grants of upstreams that neither this VM nor others reach, for no fault of the upstreams, a
+// request is refused: this VM probably reaches none.
+const maxNoPath = 2
+
 // verdict is the state of a request after one send.
 type verdict uint8
 
@@ -47,25 +52,27 @@
 	final *fault.Error
 	// suspicious is set if the request may have crashed the upstream.
 	suspicious bool
-	// withheld is set if nothing was sent because an upstream of the grant is leaving or a statement
-	// of it forbids the send; backOff if the upstream asked for a back-off in response to this send.
-	withheld, backOff bool
+	// unsent is set if nothing was sent: no connection was opened, an upstream of the grant is leaving, or a
+	// statement of it forbids the send. backOff is set if the upstream asked for a back-off in response to
+	// this send.
+	unsent, backOff bool
 }
 
 // run sends the request until it is answered or must not be sent again.
 func (x *request) run(ctx context.Context) *fault.Error {
 	var failure *answer
-	sent, rejected, withheld := 0, 0, 0
+	sent, rejected, unsent, noPath := 0, 0, 0, 0
 	counted := false
 	for {
-		grant, err := x.requestGrant(ctx, earlierSends{again: sent+rejected > withheld, counted: counted, mayHaveRun: sent > 0})
+		grant, err := x.requestGrant(ctx, earlierSends{again: sent+rejected > unsent, counted: counted, mayHaveRun: sent > 0})
 		if err != nil {
 			return x.conclude(failure, x.correctRefusal(ctx, sent, err))
 		}
 		x.record.beginSend(x.elapsed())
+		x.carrier.Store(nil)
 		res := x.send(ctx, grant)
 		x.gate.Placer.End(grant.Request, res.outcome, res.culprit)
-		x.record.endSend(grant, res)
+		x.record.endSend(grant, res, x.carrier.Load())
 		x.gate.metrics.countSend(res.outcome)
 		if res.failure != nil {
 			failure = res.failure
@@ -73,9 +80,12 @@
 		if !res.backOff || res.culprit != "" {
 			x.avoid = append(x.avoid, upstreamToAvoid(grant, res))
 		}
-		counted = res.withheld
-		if res.withheld {
-			withheld++
+		counted = res.unsent
+		if res.unsent {
+			unsent++
+		}
+		if dial.ErrNoPath.Has(res.err) {
+			noPath++
 		}
 		switch res.verdict {
 		case answered:
@@ -91,7 +101,7 @@
 		if ctx.Err() != nil {
 			return x.endFault(ctx, sent > 0)
 		}
-		if !x.mayRetry(sent, rejected, len(grant.Helpers) > 0) {
+		if noPath >= maxNoPath || !x.mayRetry(sent, rejected, len(grant.Helpers) > 0) {
 			return x.conclude(failure, x.exhausted(sent, res))
 		}
 	}
@@ -135,6 +145,9 @@
 
 // exhausted returns the fault for a request whose last permitted send has failed.
 func (x *request) exhausted(sent int, res result) *fault.Error {
+	if sent == 0 && dial.ErrNoPath.Has(res.err) {
+		return fault.New(fault.Unavailable, "this VM reaches no upstream: %v", res.err).WithRetry(notReadyRetry)
+	}
 	if sent == 0 {
 		return fault.New(fault.Overloaded, "every upstream that was asked turned it away: %v", res.err).WithRetry(busyRetry)
 	}
--- a/daemon/relay/send.go
+++ b/daemon/relay/send.go
@@ -16,6 +16,7 @@
 
 	"snipeshift.example/daemon/registry"
 	"snipeshift.example/lib/decide/span"
+	"snipeshift.example/lib/dial"
 	"snipeshift.example/lib/exchange"
 	"snipeshift.example/lib/logline"
 	"snipeshift.example/lib/route"
@@ -55,7 +56,7 @@
 	if u == nil || u.Leaving {
 		// The owner's list of upstreams is older than this VM's. A leaving upstream must not get
 		// new requests.
-		return result{verdict: notRun, outcome: span.Left, err: errLeaving, withheld: true}
+		return result{verdict: notRun, outcome: span.Left, err: errLeaving, unsent: true}
 	}
 	if !g.Suspects.Begin(x.fingerprint) {
 		return result{verdict: notRun, outcome: span.Left, err: errs.New("a copy of this suspect runs")}
@@ -68,9 +69,9 @@
 	if res, withheld = x.checkStatements(grant); withheld {
 		return res
 	}
-	memory, culprit := x.reserve(ctx, grant)
-	if culprit != "" {
-		res = result{verdict: notRun, outcome: span.Full, err: errReserve, culprit: culprit}
+	memory, failed := x.reserve(ctx, grant)
+	if failed != nil {
+		res = *failed
 		return res
 	}
 	defer memory.free()
@@ -81,33 +82,37 @@
 	}
 	res = x.roundTrip(ctx, cancel, grant, poolHost(u.Address, u.Born), memory.helpers(grant), v)
 	if res.suspicious {
-		x.recordCrash(grant.Leader.Address, u, &res)
+		x.attribute(grant.Leader.Address, u, &res)
 	}
 	return res
 }
 
-// recordCrash records that the upstream crashed while it ran the request if it accepts no connection.
-func (x *request) recordCrash(address string, u *route.Upstream, res *result) {
+// attribute decides what a broken or unanswered send says about the upstream. If the upstream accepts no connection,
+// from this VM or others, it crashed while it ran the request. If it accepts them through other VMs only, or the send
+// went through another VM, the send says nothing: its path may have failed.
+func (x *request) attribute(address string, u *route.Upstream, res *result) {
 	g := x.gate
-	err := g.probe(address)
-	if err == nil {
-		return
+	state, err := g.probe(address)
+	switch state {
+	case unreachable, unproven:
+		g.Log.Warn().Str(logline.Key, logline.Crashed).Str("id", x.head.ID).Str("upstream", string(u.ID)).Str("send", res.err.Error()).Err(err).
+			Msg("upstream accepts no connection after it broke off a response; the request is suspected")
+		g.Suspects.RecordCrash(x.fingerprint, u.ID, u.Born)
+		res.outcome = span.Unreachable
+	default:
 	}
-	g.Log.Warn().Str(logline.Key, logline.Crashed).Str("id", x.head.ID).Str("upstream", string(u.ID)).Str("send", res.err.Error()).Err(err).
-		Msg("upstream accepts no connection after it broke off a response; the request is suspected")
-	g.Suspects.RecordCrash(x.fingerprint, u.ID, u.Born)
-	res.outcome = span.Unreachable
 }
 
 // roundTrip sends one request to the leader and handles its response.
 func (x *request) roundTrip(ctx context.Context, cancel context.CancelCauseFunc, grant span.Grant, host string, helpers []exchange.Helper, v *registry.View) result {
-	w := newWatchdog(x.gate, grant.Leader.Address, x.firstByteLimits(grant), func() { cancel(errUnresponsive) })
+	w := x.newWatchdog(grant.Leader.Address, x.firstByteLimits(grant), func() { cancel(errUnresponsive) })
 	defer w.stop()
 	var wrote atomic.Bool
 	trace := &httptrace.ClientTrace{
 		WroteHeaders: func() { wrote.Store(true) },
-		GotConn: func(httptrace.GotConnInfo) {
+		GotConn: func(info httptrace.GotConnInfo) {
 			wrote.Store(true)
+			x.noteCarrier(info.Conn)
 			x.record.connected.Store(int64(x.elapsed()))
 		},
 		WroteRequest: func(httptrace.WroteRequestInfo) { x.record.sent.Store(int64(x.elapsed())) },
@@ -210,13 +215,15 @@
 // classifyError returns the result of a send that ended without a complete response; wrote is set if
 // the request or a part of it may have reached the upstream.
 func (x *request) classifyError(ctx context.Context, err error, wrote bool) result {
-	var dial *net.OpError
+	var failed *net.OpError
 	switch {
 	case errors.Is(context.Cause(ctx), errUnresponsive):
 		return result{verdict: mayHaveRun, outcome: span.Silent, err: errUnresponsive, suspicious: true}
 	case ctx.Err() != nil:
 		return result{verdict: mayHaveRun, outcome: span.Left, err: context.Cause(ctx)}
-	case !wrote && errors.As(err, &dial) && dial.Op == "dial":
+	case !wrote && dial.ErrNoPath.Has(err):
+		return noPath(err)
+	case !wrote && errors.As(err, &failed) && failed.Op == "dial":
 		return result{verdict: notRun, outcome: span.Unreachable, err: err}
 	case !wrote:
 		return result{verdict: notRun, outcome: span.Silent, err: err}
--- a/daemon/relay/statements.go
+++ b/daemon/relay/statements.go
@@ -66,7 +66,7 @@
 		g.Log.Info().Str(logline.Key, logline.Withheld).Str("id", x.head.ID).Str("service", string(x.service)).Str("upstream", string(p.Upstream)).
 			Str("statement", st.Kind.String()).Int64("age", int64(g.Clock.Now()-st.At)).Msg("request not sent: a statement of the upstream forbids it")
 		g.metrics.countWithheld(st.Kind)
-		return result{verdict: notRun, outcome: span.Left, culprit: p.Upstream, err: errWithheld, withheld: true}, true
+		return result{verdict: notRun, outcome: span.Left, culprit: p.Upstream, err: errWithheld, unsent: true}, true
 	}
 	return result{}, false
 }
--- a/daemon/relay/watchdog.go
+++ b/daemon/relay/watchdog.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"context"
 	"sync"
 	"time"
 
@@ -34,8 +33,6 @@
 	// does not respond, and probeInterval the time between two probes.
 	probeDelay    clock.Milli = 300
 	probeInterval clock.Milli = 600
-	// probeTimeout bounds a probe, which tests whether the upstream accepts a new connection.
-	probeTimeout = 150 * time.Millisecond
 )
 
 // limits bound one period without a response, both counted from its start.
@@ -71,6 +68,8 @@
 	gate    *Gate
 	address string
 	giveUp  func()
+	// viaCarrier reports whether the send goes through another VM.
+	viaCarrier func() bool
 
 	mu      sync.Mutex
 	probe   *time.Timer
@@ -79,8 +78,8 @@
 }
 
 // newWatchdog returns a running watchdog; l bounds the wait for the first byte.
-func newWatchdog(g *Gate, address string, l limits, giveUp func()) *watchdog {
-	w := &watchdog{gate: g, address: address, giveUp: giveUp}
+func (x *request) newWatchdog(address string, l limits, giveUp func()) *watchdog {
+	w := &watchdog{gate: x.gate, address: address, giveUp: giveUp, viaCarrier: func() bool { return x.carrier.Load() != nil }}
 	w.timeout = time.AfterFunc(l.timeout.Duration(), giveUp)
 	if l.probe > 0 {
 		w.mu.Lock()
@@ -103,20 +102,10 @@
 	}
 }
 
-// unreachable reports whether two probes in a row fail: in a single probe, a packet may be lost.
-func (g *Gate) unreachable(address string) bool {
-	for range 2 {
-		if g.probe(address) == nil {
-			return false
-		}
-	}
-	return true
-}
-
-// check probes the upstream, and gives up the send if the upstream is unreachable.
+// check probes the upstream, and gives up the send if the upstream is unreachable or the path to it carries nothing.
 func (w *watchdog) check() {
 	defer guard.ReportPanic(w.gate.Log, "probe of an upstream that does not respond")
-	if w.gate.unreachable(w.address) {
+	if w.deadTwice() {
 		w.gate.Log.Warn().Str(logline.Key, logline.Unresponsive).Str("address", w.address).Msg("upstream does not respond and accepts no connection; send given up")
 		w.giveUp()
 		return
@@ -128,6 +117,23 @@
 	}
 }
 
+// deadTwice reports whether two probes in a row show that the send will get no response: in a single one, a packet may
+// be lost.
+func (w *watchdog) deadTwice() bool {
+	for range 2 {
+		if !w.dead() {
+			return false
+		}
+	}
+	return true
+}
+
+// dead reports whether one probe shows that the send will get no response.
+func (w *watchdog) dead() bool {
+	state, _ := w.gate.probe(w.address) // the state tells all that counts here
+	return state == unreachable || state == detoured && !w.viaCarrier()
+}
+
 func (w *watchdog) stop() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -137,15 +143,3 @@
 		w.probe.Stop()
 	}
 }
-
-// probe opens a new connection to an upstream and closes it. It returns an error if the upstream refuses
-// it or does not accept it within probeTimeout. An upstream that merely cut off a response accepts it.
-func (g *Gate) probe(address string) error {
-	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
-	defer cancel()
-	c, err := g.Dial(ctx, "tcp", address)
-	if err == nil {
-		_ = c.Close()
-	}
-	return err
-}
--- /dev/null
+++ b/daemon/tunnel/server.go
@@ -0,0 +1,266 @@
+package tunnel
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"snipeshift.example/lib/clock"
+)
+
+// Limits of a carrier.
+const (
+	// maxTunnels bounds the open tunnels. Each uses two descriptors and two buffers.
+	maxTunnels = 1024
+	// requestTimeout bounds the time for reading a CONNECT.
+	requestTimeout = time.Second
+	// quietTime is how long a tunnel must have carried nothing to count as unused when the VM stops. Streams pause
+	// for less.
+	quietTime = 1500 * clock.Milli(1)
+	// checks is how many upstreams a carrier tries to prove that its paths work.
+	checks = 4
+)
+
+// keepAlive closes the tunnels of a VM that was lost within about eight seconds, so that engines free the memory of
+// its requests.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: time.Second, Count: 3}
+
+// Server carries connections of other VMs to upstreams. It is safe for concurrent use.
+type Server struct {
+	dialer *Dialer
+
+	mu       sync.Mutex
+	stopping bool
+	tunnels  map[*carried]struct{}
+}
+
+// carried is one tunnel.
+type carried struct {
+	// lastData is when data was last copied, in either direction, in milliseconds.
+	lastData atomic.Int64
+}
+
+// NewServer returns a server that connects to upstreams as d does directly.
+func NewServer(d *Dialer) *Server { return &Server{dialer: d, tunnels: map[*carried]struct{}{}} }
+
+// Serve serves one connection that began with a CONNECT until it ends. r reads the connection.
+func (s *Server) Serve(c net.Conn, r *bufio.Reader) {
+	_ = c.SetReadDeadline(time.Now().Add(requestTimeout)) // a closed connection fails at the read
+	req, err := http.ReadRequest(r)
+	if err != nil || req.Method != http.MethodConnect {
+		return
+	}
+	_ = c.SetReadDeadline(time.Time{})
+	if t, ok := c.(interface {
+		SetKeepAliveConfig(net.KeepAliveConfig) error
+	}); ok {
+		_ = t.SetKeepAliveConfig(keepAlive) // without keepalives a lost VM is noticed later
+	}
+	t, up, status := s.open(req.Host)
+	s.dialer.metrics.countCarried(status)
+	if status != http.StatusOK {
+		s.decline(c, status)
+		return
+	}
+	defer s.remove(t)
+	if _, err := fmt.Fprintf(c, "HTTP/1.1 %d %s\r\n\r\n", status, http.StatusText(status)); err != nil {
+		_ = up.Close()
+		return
+	}
+	t.splice(c, r, up, s.dialer.Clock)
+}
+
+// open connects to an upstream and adds a tunnel. The status is 200 if it succeeds.
+func (s *Server) open(address string) (*carried, net.Conn, int) {
+	d := s.dialer
+	if !d.Upstreams.Usable(address) {
+		return nil, nil, http.StatusNotFound
+	}
+	t, ok := s.add()
+	if !ok || d.Lost() {
+		s.remove(t)
+		return nil, nil, http.StatusServiceUnavailable
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), carryTimeout)
+	defer cancel()
+	up, err := d.connect(ctx, "tcp", address)
+	if err == nil {
+		return t, up, http.StatusOK
+	}
+	s.remove(t)
+	if !d.provesPaths(address, err) {
+		return nil, nil, http.StatusServiceUnavailable
+	}
+	return nil, nil, http.StatusBadGateway
+}
+
+// provesPaths reports whether this VM reaches upstreams other than the one at address. If it reaches none, its paths
+// count as lost.
+func (d *Dialer) provesPaths(address string, cause error) bool {
+	d.mu.Lock()
+	sound := d.table.Sound(d.Clock.Now())
+	d.mu.Unlock()
+	if sound {
+		return true
+	}
+	others := slices.DeleteFunc(d.Upstreams.Addresses(), func(a string) bool { return a == address })
+	if len(others) == 0 {
+		return false
+	}
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	if d.reachesAny(others[:min(len(others), checks)]) {
+		return true
+	}
+	d.mu.Lock()
+	lost := d.table.Unproven(d.Clock.Now())
+	d.mu.Unlock()
+	if lost {
+		d.noteLoss(cause)
+	}
+	return false
+}
+
+// reachesAny reports whether a direct connect to one of the upstreams succeeds. Each is tried once those before it have
+// failed or have not answered for checkInterval.
+func (d *Dialer) reachesAny(addresses []string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
+	defer cancel()
+	results := make(chan bool, len(addresses))
+	t := time.NewTicker(checkInterval)
+	defer t.Stop()
+	begun, failed := 0, 0
+	for failed < len(addresses) {
+		if begun < len(addresses) {
+			go func(a string) {
+				c, err := d.connect(ctx, "tcp", a)
+				if err == nil {
+					_ = c.Close()
+				}
+				results <- err == nil
+			}(addresses[begun])
+			begun++
+		}
+		select {
+		case reached := <-results:
+			if reached {
+				return true
+			}
+			failed++
+		case <-t.C:
+		}
+	}
+	return false
+}
+
+// decline answers a CONNECT that failed.
+func (s *Server) decline(c io.Writer, status int) {
+	through := ""
+	if status == http.StatusServiceUnavailable {
+		d := s.dialer
+		d.mu.Lock()
+		vs := d.table.Carriers(d.Clock.Now())
+		d.mu.Unlock()
+		names := make([]string, len(vs))
+		for i, v := range vs {
+			names[i] = string(v)
+		}
+		through = headerThrough + ": " + strings.Join(names, ",") + "\r\n"
+	}
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 %d %s\r\nContent-Length: 0\r\n%s\r\n", status, http.StatusText(status), through) // an error means that the VM has disconnected
+}
+
+// add adds a tunnel unless the server stops or has maxTunnels.
+func (s *Server) add() (*carried, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopping || len(s.tunnels) >= maxTunnels {
+		return nil, false
+	}
+	t := &carried{}
+	t.lastData.Store(int64(s.dialer.Clock.Now()))
+	s.tunnels[t] = struct{}{}
+	return t, true
+}
+
+func (s *Server) remove(t *carried) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.tunnels, t)
+}
+
+// Open returns the number of open tunnels.
+func (s *Server) Open() int { s.mu.Lock(); defer s.mu.Unlock(); return len(s.tunnels) }
+
+// splice copies data in both directions until one of them ends. An end in order of the upstream is passed on as such,
+// an error as a reset. The end of the asking VM's data means that it gave up the request.
+func (t *carried) splice(c net.Conn, r io.Reader, up net.Conn, k Clock) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		b := make([]byte, bufferSize)
+		_, _ = io.CopyBuffer(struct{ io.Writer }{up}, t.note(r, k), b) // either end closes both connections
+		_ = up.Close()
+	}()
+	if err := copyChunks(c, t.note(up, k)); err != nil {
+		reset(c)
+	}
+	_ = c.Close()
+	_ = up.Close()
+	<-done
+}
+
+// note returns a reader that records when data was read.
+func (t *carried) note(r io.Reader, k Clock) io.Reader { return &notedReader{r, t, k} }
+
+type notedReader struct {
+	io.Reader
+	tunnel *carried
+	clock  Clock
+}
+
+// Read implements io.Reader.
+func (n *notedReader) Read(p []byte) (int, error) {
+	c, err := n.Reader.Read(p)
+	if c > 0 {
+		n.tunnel.lastData.Store(int64(n.clock.Now()))
+	}
+	return c, err
+}
+
+// Drain takes no further tunnels and waits until those that are open are unused, or ctx ends.
+func (s *Server) Drain(ctx context.Context) {
+	s.mu.Lock()
+	s.stopping = true
+	s.mu.Unlock()
+	t := time.NewTicker(testPeriod)
+	defer t.Stop()
+	for s.inUse() > 0 {
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// inUse returns the number of tunnels that carried data a moment ago.
+func (s *Server) inUse() (n int) {
+	now := s.dialer.Clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for t := range s.tunnels {
+		if now-clock.Milli(t.lastData.Load()) < quietTime {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/lib/decide/path/path.go
@@ -0,0 +1,306 @@
+// Package path decides how a VM connects to upstreams: directly, or through another VM that still reaches
+// them. A VM can lose its paths to upstreams while clients and other VMs still reach it.
+//
+// A Table uses no sockets, goroutines or clock: the time and the random numbers are arguments.
+package path
+
+import (
+	"slices"
+
+	"snipeshift.example/lib/clock"
+	"snipeshift.example/lib/peer"
+)
+
+// Limits for judging the direct paths.
+const (
+	// lostAfter is how many upstreams must be reachable through other VMs only before all direct paths count
+	// as lost. A single one may be behind a link of its own.
+	lostAfter = 2
+	// regainAfter is how many direct connects in a row end the loss.
+	regainAfter = 2
+	// firstRetry and longestRetry are the first and the longest interval between direct connects to an upstream
+	// that is bypassed, and between those that test whether lost paths are back; intervals double.
+	firstRetry   = 500 * clock.Milli(1)
+	longestRetry = 2 * clock.Second
+	// soundFor is how long a direct connect proves that the paths of this VM work.
+	soundFor = 500 * clock.Milli(1)
+	// downFor is how long an upstream to which no VM connects is not asked for again: each request would
+	// cost several VMs a connect.
+	downFor = 300 * clock.Milli(1)
+	// isolatedFor is how long other VMs are not asked again once none of them could help.
+	isolatedFor = 100 * clock.Milli(1)
+)
+
+// Limits for choosing other VMs.
+const (
+	// maxCarriers is the number of VMs that are remembered as carriers, so that connects are spread over them.
+	maxCarriers = 4
+	// maxCandidates is the number of VMs that are asked for one connect.
+	maxCandidates = 8
+	// carrierTTL is how long a VM counts as a carrier without a further connect.
+	carrierTTL = 30 * clock.Second
+	// exploreOdds is the inverse of the probability that a connect asks a VM that is no carrier first while there are
+	// fewer than maxCarriers. Otherwise many VMs would use the first carrier that one of them found.
+	exploreOdds = 8
+	// pause is how long a VM that could not connect is asked last.
+	pause = clock.Second
+)
+
+// bypass is an upstream that other VMs reach and this VM does not.
+type bypass struct {
+	// retryAt is when a connect tries the direct path again; interval is the wait before it.
+	retryAt, interval clock.Milli
+}
+
+// candidate is what is known of another VM as a carrier.
+type candidate struct {
+	// carriedAt is when it last connected for this VM, or another VM named it as a carrier; zero for never.
+	carriedAt clock.Milli
+	// pausedUntil is when it may be asked before others again.
+	pausedUntil clock.Milli
+}
+
+// Table records the direct paths of one VM and the VMs that connect for it. It is not safe for concurrent use.
+type Table struct {
+	self peer.Member
+	// connectedAt is the time of the last direct connect; zero for none.
+	connectedAt clock.Milli
+	// bypassed holds the upstreams reached through other VMs only, by address. Entries are removed by a direct
+	// connect.
+	bypassed map[string]*bypass
+	// inRow holds the upstreams added to bypassed since the last direct connect.
+	inRow map[string]bool
+	// down holds the upstreams to which other VMs could not connect either, by address, with the end of that
+	// verdict.
+	down map[string]clock.Milli
+	// isolatedUntil is the end of the time in which no other VM is asked.
+	isolatedUntil clock.Milli
+	lost          bool
+	// refused is set if the last failed direct connect was refused, not left without an answer.
+	refused bool
+	// regained counts direct connects in a row while the paths are lost.
+	regained int
+	// testAt is when the next direct connect tests whether lost paths are back, testInterval the wait before it.
+	testAt, testInterval clock.Milli
+	candidates           map[peer.VM]*candidate
+}
+
+// New returns the table of a VM whose paths work.
+func New(self peer.Member) *Table {
+	return &Table{self: self, bypassed: map[string]*bypass{}, inRow: map[string]bool{}, down: map[string]clock.Milli{}, candidates: map[peer.VM]*candidate{}}
+}
+
+// Lost reports whether the direct paths to all upstreams count as lost.
+func (t *Table) Lost() bool { return t.lost }
+
+// Refused reports whether the last direct connect that failed was refused. Open connections may still work then.
+func (t *Table) Refused() bool { return t.refused }
+
+// Direct reports whether the next connect to address tries the direct path first. Of several connects to a
+// bypassed upstream one does so at a time.
+func (t *Table) Direct(now clock.Milli, address string) bool {
+	if t.lost {
+		return false
+	}
+	b := t.bypassed[address]
+	if b == nil {
+		return true
+	}
+	if now < b.retryAt {
+		return false
+	}
+	b.retryAt = now + b.interval
+	return true
+}
+
+// Connected records a direct connect. It returns true if the lost paths count as working again.
+func (t *Table) Connected(now clock.Milli, address string) (regained bool) {
+	t.connectedAt = now
+	delete(t.bypassed, address)
+	clear(t.inRow)
+	if !t.lost {
+		return false
+	}
+	if t.regained++; t.regained < regainAfter {
+		t.testAt = now
+		return false
+	}
+	t.lost = false
+	clear(t.bypassed)
+	return true
+}
+
+// Bypassed records that the direct connect to address failed while another VM connected. It returns true if all
+// direct paths count as lost from now on.
+func (t *Table) Bypassed(now clock.Milli, address string, refused bool) (lost bool) {
+	t.refused, t.regained = refused, 0
+	b := t.bypassed[address]
+	if b == nil {
+		if len(t.bypassed) >= maxKnown {
+			clear(t.bypassed)
+		}
+		b = &bypass{interval: firstRetry}
+		t.bypassed[address] = b
+	} else {
+		b.interval = min(2*b.interval, longestRetry)
+	}
+	b.retryAt = now + b.interval
+	t.inRow[address] = true
+	return len(t.inRow) >= lostAfter && t.lose(now)
+}
+
+// RecordDown records that VMs that reach other upstreams could not connect to this one.
+func (t *Table) RecordDown(now clock.Milli, address string) {
+	if len(t.down) >= maxKnown {
+		clear(t.down)
+	}
+	t.down[address] = now + downFor
+}
+
+// Down reports whether other VMs could not connect to an upstream a moment ago.
+func (t *Table) Down(now clock.Milli, address string) bool { return now < t.down[address] }
+
+// RecordIsolated records that no other VM could help.
+func (t *Table) RecordIsolated(now clock.Milli) { t.isolatedUntil = now + isolatedFor }
+
+// Isolated reports whether no other VM could help a moment ago.
+func (t *Table) Isolated(now clock.Milli) bool { return now < t.isolatedUntil }
+
+// Unproven records that no upstream that was tried took a direct connect. It returns true if all direct paths count
+// as lost from now on.
+func (t *Table) Unproven(now clock.Milli) (lost bool) { return t.lose(now) }
+
+func (t *Table) lose(now clock.Milli) bool {
+	if t.lost {
+		return false
+	}
+	t.lost, t.regained = true, 0
+	t.testInterval = firstRetry
+	t.testAt = now + t.testInterval
+	return true
+}
+
+// Sound reports whether a recent direct connect proves that the paths of this VM work.
+func (t *Table) Sound(now clock.Milli) bool {
+	return !t.lost && t.connectedAt > 0 && now-t.connectedAt < soundFor
+}
+
+// TestDue reports whether a direct connect should test now whether lost paths are back, and schedules the next one.
+func (t *Table) TestDue(now clock.Milli) bool {
+	if !t.lost || now < t.testAt {
+		return false
+	}
+	t.testAt = now + t.testInterval
+	t.testInterval = min(2*t.testInterval, longestRetry)
+	return true
+}
+
+// TestFailed records that a direct connect that tested lost paths failed.
+func (t *Table) TestFailed(refused bool) { t.regained, t.refused = 0, refused }
+
+// Candidates returns the VMs to ask for a connect, in order: carriers in turn, VMs of the same failure domain, other
+// VMs, and those that could not connect a moment ago. random returns a number below its argument.
+func (t *Table) Candidates(now clock.Milli, live []peer.Member, random func(n int) int) []peer.Member {
+	var groups [4][]peer.Member
+	for _, m := range live {
+		if m.VM == t.self.VM {
+			continue
+		}
+		g := t.group(now, m)
+		groups[g] = append(groups[g], m)
+	}
+	if n := len(groups[0]); n > 0 && n < maxCarriers && random(exploreOdds) == 0 {
+		groups[0], groups[1], groups[2] = groups[1], groups[2], groups[0]
+	}
+	out := make([]peer.Member, 0, maxCandidates)
+	for _, g := range groups {
+		for len(g) > 0 && len(out) < maxCandidates {
+			i := random(len(g))
+			out = append(out, g[i])
+			g[i] = g[len(g)-1]
+			g = g[:len(g)-1]
+		}
+	}
+	return out
+}
+
+// group returns the rank of the group to which a VM belongs as a candidate.
+func (t *Table) group(now clock.Milli, m peer.Member) int {
+	c := t.candidates[m.VM]
+	switch {
+	case c != nil && now < c.pausedUntil:
+		return 3
+	case c != nil && c.carriedAt > 0 && now-c.carriedAt < carrierTTL:
+		return 0
+	case m.Domain == t.self.Domain:
+		return 1
+	default:
+		return 2
+	}
+}
+
+// Carried records that a VM connected for this one.
+func (t *Table) Carried(now clock.Milli, v peer.VM) {
+	c := t.candidate(v)
+	c.carriedAt, c.pausedUntil = now, 0
+	t.limitCarriers()
+}
+
+// Declined records that a VM could not connect, for a reason of its own, and the carriers that it named.
+func (t *Table) Declined(now clock.Milli, v peer.VM, named []peer.VM) {
+	c := t.candidate(v)
+	c.carriedAt, c.pausedUntil = 0, now+pause
+	for _, n := range named[:min(len(named), maxCarriers)] {
+		if c := t.candidate(n); n != t.self.VM && now >= c.pausedUntil {
+			c.carriedAt = max(c.carriedAt, now)
+		}
+	}
+}
+
+// Carriers returns the VMs that connect for this one, for other VMs that look for one.
+func (t *Table) Carriers(now clock.Milli) []peer.VM {
+	var vs []peer.VM
+	for v, c := range t.candidates {
+		if c.carriedAt > 0 && now-c.carriedAt < carrierTTL && now >= c.pausedUntil {
+			vs = append(vs, v)
+		}
+	}
+	slices.Sort(vs)
+	return vs[:min(len(vs), maxCarriers)]
+}
+
+// maxKnown bounds the VMs and the upstreams of which something is recorded.
+const maxKnown = 4096
+
+func (t *Table) candidate(v peer.VM) *candidate {
+	c := t.candidates[v]
+	if c == nil {
+		if len(t.candidates) >= maxKnown {
+			clear(t.candidates)
+		}
+		c = &candidate{}
+		t.candidates[v] = c
+	}
+	return c
+}
+
+// limitCarriers forgets the carriers beyond maxCarriers that connected longest ago.
+func (t *Table) limitCarriers() {
+	for {
+		var oldest *candidate
+		n := 0
+		for _, c := range t.candidates {
+			if c.carriedAt == 0 {
+				continue
+			}
+			n++
+			if oldest == nil || c.carriedAt < oldest.carriedAt {
+				oldest = c
+			}
+		}
+		if n <= maxCarriers {
+			return
+		}
+		oldest.carriedAt = 0
+	}
+}
--- a/lib/dial/dial.go
+++ b/lib/dial/dial.go
@@ -5,8 +5,14 @@
 	"context"
 	"net"
 	"time"
+
+	"github.com/zeebo/errs"
 )
 
+// ErrNoPath is the class of errors of connects that failed although the target may take connections: this VM has
+// lost its paths, and no other VM could tell. Nothing was sent.
+var ErrNoPath = errs.Class("no path")
+
 // Dial opens a connection to address (host:port), as net.Dialer.DialContext does.
 type Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
--- a/lib/logline/logline.go
+++ b/lib/logline/logline.go
@@ -47,6 +47,8 @@
 	Excluded = "excluded"
 	// Crashed is the crash of an upstream that a gate attributes to a request.
 	Crashed = "crashed"
+	// Paths is the loss or the return of this VM's direct paths to upstreams.
+	Paths = "paths"
 	// Reserve and Release are failed orders to reserve or free memory of an engine.
 	Reserve = "reserve"
 	Release = "release"
@@ -89,6 +91,7 @@
 	Unresponsive: "an upstream neither responds nor accepts connections; the send is abandoned",
 	Excluded:     "an upstream gets no requests from any VM for a while after a failed send: whose send, how it ended, for how long",
 	Crashed:      "an upstream is taken to have crashed while it ran a request, which is suspected from then on: the error of the send and that of the probe",
+	Paths:        "the direct paths of this VM to upstreams are lost, so that it connects through other VMs, or work again",
 	Reserve:      "memory for a part of a prompt could not be reserved",
 	Release:      "reserved memory could not be freed; the reservation expires by itself",
 	Limit:        "an upstream declares, changes or withdraws its rate limit, in requests per second from all VMs together; with the source of the information",
--- a/lib/peer/server.go
+++ b/lib/peer/server.go
@@ -1,7 +1,10 @@
 package peer
 
 import (
+	"bufio"
+	"bytes"
 	"errors"
+	"io"
 	"net"
 	"net/rpc"
 	"sync"
@@ -16,6 +19,8 @@
 type Server struct {
 	rpc     *rpc.Server
 	traffic Traffic
+	// tunnels serves connections that begin with a CONNECT; nil closes them.
+	tunnels func(net.Conn, *bufio.Reader)
 
 	mu sync.Mutex
 	// conns holds all open connections; nil after Close.
@@ -42,6 +47,10 @@
 	return s.rpc.RegisterName(name, receiver)
 }
 
+// ServeTunnels makes f serve the connections that begin with an HTTP CONNECT; the reader reads the whole connection. It
+// must be called before Serve.
+func (s *Server) ServeTunnels(f func(net.Conn, *bufio.Reader)) { s.tunnels = f }
+
 // Serve accepts connections until the listener is closed.
 func (s *Server) Serve(l net.Listener) error {
 	for {
@@ -74,9 +83,38 @@
 	}
 }
 
+// connectMethod begins a request for a tunnel. No net/rpc connection begins with it: the second byte of that is not
+// a letter.
+var connectMethod = []byte("CONNECT ")
+
 func (s *Server) serve(c net.Conn) {
 	defer s.remove(c)
-	s.rpc.ServeConn(&idleConn{Conn: &countedConn{Conn: c, traffic: &s.traffic}})
+	r := bufio.NewReaderSize(&idleConn{Conn: c}, startBuffer)
+	start, err := r.Peek(len(connectMethod))
+	if err == nil && bytes.Equal(start, connectMethod) {
+		if s.tunnels != nil {
+			s.tunnels(c, bufio.NewReader(io.MultiReader(io.LimitReader(r, int64(r.Buffered())), c)))
+		}
+		return
+	}
+	s.rpc.ServeConn(&startedConn{Conn: &countedConn{Conn: c, traffic: &s.traffic}, reader: r, traffic: &s.traffic})
+}
+
+// startBuffer is the size in bytes of the buffer for the start of a connection. Longer reads bypass it.
+const startBuffer = 64
+
+// startedConn is a connection whose start has been read into a buffer.
+type startedConn struct {
+	net.Conn
+	reader  io.Reader
+	traffic *Traffic
+}
+
+// Read implements net.Conn.
+func (c *startedConn) Read(p []byte) (int, error) {
+	n, err := c.reader.Read(p)
+	c.traffic.read.Add(uint64(n))
+	return n, err
 }
 
 func (s *Server) add(c net.Conn) bool {
