relay: a connect that failed is no repeat

What callers saw: streams that broke, and first attempts after one failed connect, were refused with reason budget, at VMs that were cut and at others (thirty in 10 ms in the incident).

Cause: a grant after a send that failed counts as a repeat in the retry budget also if nothing was sent, and cut VMs use up what all VMs share. The rule counts arrivals. Evidence: request lines of the incident with sends that are refused connects alone, then reason budget.

Why the fix works: a send for which no connection was opened is treated as one that was withheld: the next grant takes its place in the budget.

TestFailedConnectIsNotCountedAsRetry before: expected []bool{false, false}, actual []bool{false, true} (Again of the second Ask), for a refused connect and for a lost path.

--- a/daemon/relay/paths_test.go
+++ b/daemon/relay/paths_test.go
@@ -1,7 +1,9 @@
 package relay
 
 import (
+	"net"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
@@ -21,7 +23,23 @@
 	}
 }
 
-var errNoPath = dial.ErrNoPath.New("test")
+var (
+	errRefused = &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
+	errNoPath  = dial.ErrNoPath.New("test")
+)
+
+// Connects that fail reach no upstream; charged as repeats they use up what requests that broke need.
+func TestFailedConnectIsNotCountedAsRetry(t *testing.T) {
+	for _, err := range []error{errRefused, errNoPath} {
+		w := newFixture(t, respond("answer"), respond("answer"))
+		w.paths.fail = failAt(w.upstreams[0].Listener.Addr().String(), err)
+		resp, _, callErr := w.call(http.MethodPost, "/once/", "")
+		require.NoError(t, callErr)
+		require.Equal(t, http.StatusOK, resp.StatusCode)
+		require.Equal(t, []bool{false, false}, w.placer.again)
+		require.Equal(t, []bool{false, true}, w.placer.counted)
+	}
+}
 
 // A VM that has lost its paths reports its failed connects; an owner that excluded the upstreams would refuse sound work of all VMs.
 func TestLostPathExcludesNoUpstream(t *testing.T) {
--- a/daemon/relay/send.go
+++ b/daemon/relay/send.go
@@ -224,9 +224,9 @@
 	case !wrote && dial.ErrNoPath.Has(err):
 		return noPath(err)
 	case !wrote && errors.As(err, &failed) && failed.Op == "dial":
-		return result{verdict: notRun, outcome: span.Unreachable, err: err}
+		return result{verdict: notRun, outcome: span.Unreachable, err: err, unsent: true}
 	case !wrote:
-		return result{verdict: notRun, outcome: span.Silent, err: err}
+		return result{verdict: notRun, outcome: span.Silent, err: err, unsent: true}
 	default:
 		return result{verdict: mayHaveRun, outcome: span.Broken, err: err, suspicious: true}
 	}
