relay: a send broken by the VM's own path is no fault of the upstream

What callers saw: 503 'upstreams died running this request' for sound requests, also at VMs that never were cut, while no upstream had died; and 503 with reason none there, since broken sends excluded upstreams for all VMs.

Cause: a gate whose stream breaks probes the upstream over the same dead path, and takes the failed probe for a crash that the request caused; the quarantine is told to all VMs. Two broken sends in a row exclude the upstream for all.

A broken send whose upstream is reached through others alone, by nobody who can tell, or that went through another VM, has the outcome left, which says nothing of the upstream.

Before: TestSendBrokenByLostPathIsNoCrash 'Should be zero, but was 1'; TestSendBrokenByCarrierExcludesNoUpstream expected left, actual broken.

--- a/daemon/relay/paths_test.go
+++ b/daemon/relay/paths_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -62,3 +63,34 @@
 	require.Less(t, time.Since(began), 200*time.Millisecond)
 	require.Len(t, w.placer.outcomes, maxNoPath)
 }
+
+// The VM's own paths break all its streams; taken for crashes, its requests would be refused by all VMs.
+func TestSendBrokenByLostPathIsNoCrash(t *testing.T) {
+	for _, route := range []string{"/again/", "/stream/"} {
+		var crashes atomic.Int64
+		w := newFixture(t, respondRaw(t, true, func(*http.Request) string { return "" }), respond("answer"))
+		address := w.upstreams[0].Listener.Addr().String()
+		var connects atomic.Int64
+		w.paths.fail = func(a string) error {
+			if a == address && connects.Add(1) > 1 {
+				return errNoPath
+			}
+			return nil
+		}
+		w.deps.Suspects = testSuspects{crashes: &crashes}
+		w.start()
+		_, _, err := w.call(http.MethodPost, route, "")
+		require.NoError(t, err)
+		require.Zero(t, crashes.Load())
+		require.Equal(t, span.Left, w.placer.outcomes[0])
+	}
+}
+
+// A connection through another VM breaks with that VM; the upstream is not at fault.
+func TestSendBrokenByCarrierExcludesNoUpstream(t *testing.T) {
+	w := newFixture(t, respondRaw(t, true, func(*http.Request) string { return "" }), respond("answer"))
+	w.paths.carrier = "vm-2"
+	_, _, err := w.call(http.MethodPost, "/again/", "")
+	require.NoError(t, err)
+	require.Equal(t, []span.Outcome{span.Left, span.Done}, w.placer.outcomes)
+}
--- a/daemon/relay/send.go
+++ b/daemon/relay/send.go
@@ -93,13 +93,14 @@
 func (x *request) attribute(address string, u *route.Upstream, res *result) {
 	g := x.gate
 	state, err := g.probe(address)
-	switch state {
-	case unreachable, unproven:
+	switch {
+	case state == unreachable:
 		g.Log.Warn().Str(logline.Key, logline.Crashed).Str("id", x.head.ID).Str("upstream", string(u.ID)).Str("send", res.err.Error()).Err(err).
 			Msg("upstream accepts no connection after it broke off a response; the request is suspected")
 		g.Suspects.RecordCrash(x.fingerprint, u.ID, u.Born)
 		res.outcome = span.Unreachable
-	default:
+	case state != reachable || x.carrier.Load() != nil:
+		res.outcome = span.Left
 	}
 }
 
