--- a/daemon/relay/paths_test.go
+++ b/daemon/relay/paths_test.go
@@ -94,3 +94,13 @@
 	require.NoError(t, err)
 	require.Equal(t, []span.Outcome{span.Left, span.Done}, w.placer.outcomes)
 }
+
+// A helper is reached by no VM that was asked; an owner that counted it as declining would keep it out of groups.
+func TestLostPathToHelperIsNoDecline(t *testing.T) {
+	w := newFixture(t, respondStream(eventText(1, 2)))
+	w.addHelper(&testMemory{err: errNoPath})
+	resp, _, err := w.call(http.MethodPost, "/stream/", "")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	require.Equal(t, []span.Outcome{span.Left}, w.placer.outcomes)
+}
--- a/daemon/relay/reserve.go
+++ b/daemon/relay/reserve.go
@@ -13,6 +13,7 @@
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
 	"snipeshift.example/lib/decide/span"
+	"snipeshift.example/lib/dial"
 	"snipeshift.example/lib/exchange"
 	"snipeshift.example/lib/logline"
 	"snipeshift.example/lib/route"
@@ -62,6 +63,10 @@
 	if culprit, err := r.reserveAll(ctx); err != nil {
 		r.free()
 		res := &result{verdict: notRun, outcome: span.Full, err: errReserve, culprit: culprit}
+		if dial.ErrNoPath.Has(err) {
+			*res = noPath(err)
+			res.culprit = culprit
+		}
 		return r, res
 	}
 	work, stop := context.WithCancel(ctx)
