daemon, caller: OpenAI's side connects through other VMs too, and blames no engine for a lost path

What callers would see: a VM of the OpenAI API that loses its paths to engines fails all its requests, and its failed connects are returned to owners as lost engines, on which they place nothing more for any VM; the crash check counts as one of the two crashes after which a request is refused everywhere.

A connect that fails for no known fault of the engine ends a grant as unused, and is no crash.

TestLostPathIsNoCrash before: 'Should not be: 0x2' (decide.Lost returned). No scenario over processes covers this side yet.

--- a/daemon/caller/crash_test.go
+++ b/daemon/caller/crash_test.go
@@ -9,6 +9,9 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"snipeshift.example/lib/decide"
+	"snipeshift.example/lib/dial"
 )
 
 // An upstream's process crashes. Its open streams break shortly before its listening socket is
@@ -41,3 +44,26 @@
 	require.False(t, b.gate.crashed(strings.TrimPrefix(s.URL, "http://")))
 	require.Zero(t, calls.Load())
 }
+
+// A VM that has lost its own paths must not report its upstreams as crashed: owners would place nothing on them, and the
+// requests would be refused by all VMs.
+func TestLostPathIsNoCrash(t *testing.T) {
+	var connects atomic.Int32
+	b := newHarness(t, func(w http.ResponseWriter, _ *http.Request) {
+		c, _, _ := w.(http.Hijacker).Hijack()
+		c.Close()
+	})
+	b.fakes.dialErr = func() error {
+		if connects.Add(1) > 1 {
+			return dial.ErrNoPath.New("test")
+		}
+		return nil
+	}
+	b.post("/v1/chat/completions", chatBody)
+	b.awaitIdle()
+	require.Empty(t, b.fakes.crashes)
+	for _, r := range b.fakes.returned {
+		require.NotEqual(t, decide.Lost, r.Outcome)
+	}
+	require.Greater(t, len(b.fakes.returned), 1)
+}
--- a/daemon/caller/generate.go
+++ b/daemon/caller/generate.go
@@ -248,7 +248,7 @@
 func (x *generation) failure(ctx context.Context, pg poolGrant, u document.Upstream, err error, usage peer.Usage) result {
 	if engine.ErrNotSent.Has(err) {
 		x.cancelAll(pg)
-		return result{unsent: true, outcome: decide.Lost, usage: usage, fault: fault.New(fault.Unavailable, "upstream %s cannot be reached", u.Name).WithRan(fault.RanNo).WithRetry(clock.Second)}
+		return result{unsent: true, outcome: unsentOutcome(err), usage: usage, fault: fault.New(fault.Unavailable, "upstream %s cannot be reached", u.Name).WithRan(fault.RanNo).WithRetry(clock.Second)}
 	}
 	var status *engine.StatusError
 	if errors.As(err, &status) {
--- a/daemon/caller/harness_test.go
+++ b/daemon/caller/harness_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -70,7 +71,9 @@
 	// rateRetry is the result of each request for rate tokens.
 	rateRetry clock.Milli
 	// refusals are the refusals of individual pools.
-	refusals  map[peer.PoolID]*peer.Fault
+	refusals map[peer.PoolID]*peer.Fault
+	// dialErr returns the error of each connect to an upstream; nil for none.
+	dialErr   func() error
 	upstreams []string
 	granted   int
 	serial    atomic.Uint64
@@ -119,6 +122,16 @@
 	return errors.New("unexpected " + method)
 }
 
+// dial connects unless dialErr returns an error.
+func (f *fakes) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	if f.dialErr != nil {
+		if err := f.dialErr(); err != nil {
+			return nil, err
+		}
+	}
+	return (&net.Dialer{Timeout: time.Second}).DialContext(ctx, network, address)
+}
+
 func (f *fakes) Owners(peer.PoolID) []peer.Member {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -210,7 +223,7 @@
 	b := &harness{t: t, fakes: f, index: document.NewIndex(d)}
 	b.gate = New(Dependencies{
 		Clock: clock.New(), Log: &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}, Registry: fixedRegistry{b.index}, Members: f, Peers: f,
-		Engines: engine.NewClient(time.Second), Claims: f, Meter: f, Retries: f, Suspects: f, Limits: f,
+		Engines: engine.NewClient(f.dial), Claims: f, Meter: f, Retries: f, Suspects: f, Limits: f,
 	}, "vm-1", "hall", 7)
 	b.server = httptest.NewServer(b.gate.Handler())
 	t.Cleanup(b.server.Close)
--- a/daemon/caller/serve.go
+++ b/daemon/caller/serve.go
@@ -12,6 +12,7 @@
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
 	"snipeshift.example/lib/decide/gate"
+	"snipeshift.example/lib/dial"
 	"snipeshift.example/lib/document"
 	"snipeshift.example/lib/fault"
 	"snipeshift.example/lib/peer"
@@ -474,11 +475,10 @@
 func (g *Gate) crashed(address string) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
 	defer cancel()
-	var d net.Dialer
 	for ctx.Err() == nil {
-		c, err := d.DialContext(ctx, "tcp", address)
+		c, err := g.Engines.Dial(ctx, address)
 		if err != nil {
-			return ctx.Err() == nil
+			return ctx.Err() == nil && unsentOutcome(err) == decide.Lost
 		}
 		stays := staysOpen(c)
 		_ = c.Close()
@@ -490,6 +490,15 @@
 	return false
 }
 
+// unsentOutcome returns the outcome of a grant for which no connection was opened. If that may be the fault of this VM's
+// own paths, it says nothing about the upstream.
+func unsentOutcome(err error) decide.Outcome {
+	if dial.ErrNoPath.Has(err) {
+		return decide.Unused
+	}
+	return decide.Lost
+}
+
 // staysOpen reports whether the other end keeps a new connection open for crashCheckOpenTime.
 func staysOpen(c net.Conn) bool {
 	if err := c.SetReadDeadline(time.Now().Add(crashCheckOpenTime)); err != nil {
--- a/daemon/caller/service.go
+++ b/daemon/caller/service.go
@@ -201,7 +201,7 @@
 // failure classifies an attempt without a response.
 func (x *serviceCall) failure(ctx context.Context, u document.Upstream, err error) result {
 	if engine.ErrNotSent.Has(err) && ctx.Err() == nil {
-		return result{unsent: true, outcome: decide.Lost, fault: fault.New(fault.Unavailable, "upstream %s cannot be reached", u.Name).WithRan(fault.RanNo).WithRetry(clock.Second)}
+		return result{unsent: true, outcome: unsentOutcome(err), fault: fault.New(fault.Unavailable, "upstream %s cannot be reached", u.Name).WithRan(fault.RanNo).WithRetry(clock.Second)}
 	}
 	// Nothing is charged, since nothing proves that the call ran. If packets are lost on the way to
 	// the service, a workspace would otherwise pay for calls that no upstream received.
--- a/daemon/config.go
+++ b/daemon/config.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -23,6 +24,22 @@
 	return x, x != nil
 }
 
+// Addresses implements tunnel.Upstreams.
+func (c *config) Addresses() []string {
+	x, ok := c.Index()
+	if !ok {
+		return nil
+	}
+	var addresses []string
+	for _, u := range x.Document().Upstreams {
+		addresses = append(addresses, u.Address)
+	}
+	return addresses
+}
+
+// Usable implements tunnel.Upstreams.
+func (c *config) Usable(address string) bool { return slices.Contains(c.Addresses(), address) }
+
 // Leaving implements pool.Registry.
 func (c *config) Leaving(id decide.UpstreamID) bool {
 	c.mu.RLock()
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -24,6 +24,7 @@
 	"snipeshift.example/daemon/pool"
 	"snipeshift.example/daemon/quarantine"
 	"snipeshift.example/daemon/settings"
+	"snipeshift.example/daemon/tunnel"
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
 	"snipeshift.example/lib/door"
@@ -38,6 +39,8 @@
 	// dialTimeout bounds a connect to an upstream. The network delay to the farthest upstream is
 	// only milliseconds.
 	dialTimeout = 2 * time.Second
+	// upstreamKeepAlive is the interval of keepalive probes on connections to upstreams.
+	upstreamKeepAlive = 5 * time.Second
 	// headerTimeout bounds the reading of a request's header: a client that sends its header
 	// byte by byte would otherwise occupy a connection indefinitely.
 	headerTimeout = 5 * time.Second
@@ -75,9 +78,12 @@
 	quarantine *quarantine.Quarantine
 	limits     *limit.Limits
 	endpoint   *door.Endpoint
-	engines    *engine.Client
-	leases     *lease.Leases
-	orders     *orders.Sender
+	// paths opens connections to upstreams, directly or through other daemons; tunnels does so for them.
+	paths   *tunnel.Dialer
+	tunnels *tunnel.Server
+	engines *engine.Client
+	leases  *lease.Leases
+	orders  *orders.Sender
 	// state is the state shared with other daemons through the store and heartbeats.
 	state *sharedState
 	// work is canceled when the last request has been served.
@@ -118,7 +124,13 @@
 	self := peer.Member{VM: s.Name, Incarnation: d.incarnation, Domain: s.Domain, Address: s.Advertise, Operator: s.Contact}
 	d.members = member.New(self, member.DefaultRules, d.dialer, member.NewSeedList(s.Peers, d.store), k)
 	d.directory = newDirectory(d.members, k, d.ring)
-	d.engines = engine.NewClient(dialTimeout)
+	d.paths = tunnel.NewDialer(tunnel.Needs{
+		Clock: k, Log: l, Members: d.members, Upstreams: d.config, Direct: (&net.Dialer{Timeout: dialTimeout, KeepAlive: upstreamKeepAlive}).DialContext, Peer: endpoint.Dial,
+	})
+	d.tunnels = tunnel.NewServer(d.paths)
+	d.peers.ServeTunnels(d.tunnels.Serve)
+	d.engines = engine.NewClient(d.paths.Dial)
+	d.paths.OnHang(d.engines.CloseIdle)
 	d.pause = member.NewPauseDetector(k, member.WallClock{}, pool.Lease, d.handlePause)
 	d.leases = lease.New(d.store, k, lease.DefaultRules, d.pause, self)
 	d.orders = orders.New(d.work, d.log, d.ring, d.config, d.engines, d.leases)
@@ -183,6 +195,7 @@
 	d.spawn(&g, "caller door", func() error { return ignoreServerClosed(clients.Serve(ls.client)) })
 	d.spawn(&g, "operator door", func() error { return ignoreServerClosed(operators.Serve(ls.operator)) })
 	d.spawn(&g, "heartbeats", func() error { return d.heartbeats() })
+	d.spawn(&g, "paths", func() error { return d.paths.Run(d.work) })
 	d.spawn(&g, "pause", func() error { return d.pause.Run(d.work) })
 	d.spawn(&g, "duties", func() error { d.watchOwnership(); return nil })
 	d.spawn(&g, "list of VMs", func() error { d.watchVMList(); return nil })
@@ -245,6 +258,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), finalTimeout)
 	defer cancel()
+	d.tunnels.Drain(ctx)
 	d.state.flush(ctx)
 	d.endWork()
 	d.leave(ctx)
--- a/lib/engine/client.go
+++ b/lib/engine/client.go
@@ -17,6 +17,7 @@
 
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
+	"snipeshift.example/lib/dial"
 	"snipeshift.example/lib/retryafter"
 )
 
@@ -46,6 +47,7 @@
 
 // Client calls engines and plain services by address. It is safe for concurrent use.
 type Client struct {
+	open dial.Dial
 	// pooled reuses connections; only calls that may run twice use it.
 	pooled *http.Client
 	// unpooled opens a connection for each call. A pooled connection may be broken without a sign,
@@ -54,17 +56,16 @@
 	unpooled *http.Client
 }
 
-// NewClient returns a client that uses dial as the time-out of a connect.
-func NewClient(dial time.Duration) *Client {
-	d := &net.Dialer{Timeout: dial, KeepAlive: 5 * time.Second}
+// NewClient returns a client that opens connections with open.
+func NewClient(open dial.Dial) *Client {
 	pooled := &http.Transport{
-		DialContext:         d.DialContext,
+		DialContext:         open,
 		MaxIdleConnsPerHost: 64,
 		IdleConnTimeout:     30 * time.Second,
 		DisableCompression:  true,
 	}
-	unpooled := &http.Transport{DialContext: d.DialContext, DisableKeepAlives: true, DisableCompression: true}
-	return &Client{pooled: &http.Client{Transport: pooled, CheckRedirect: noRedirect}, unpooled: &http.Client{Transport: unpooled, CheckRedirect: noRedirect}}
+	unpooled := &http.Transport{DialContext: open, DisableKeepAlives: true, DisableCompression: true}
+	return &Client{open: open, pooled: &http.Client{Transport: pooled, CheckRedirect: noRedirect}, unpooled: &http.Client{Transport: unpooled, CheckRedirect: noRedirect}}
 }
 
 // noRedirect makes http.Client return a redirect instead of following it, which would send the request
@@ -95,6 +96,11 @@
 	return nil, ErrBroken.Wrap(err)
 }
 
+// Dial opens a connection to an engine on which nothing is sent.
+func (c *Client) Dial(ctx context.Context, address string) (net.Conn, error) {
+	return c.open(ctx, "tcp", address)
+}
+
 // CloseIdle closes the idle pooled connections. It is called after one of them did not respond.
 func (c *Client) CloseIdle() { c.pooled.CloseIdleConnections() }
 
