tunnel: a refused connect asks three VMs at once, a slow one waits for its second packet

Cause: each VM that was asked in turn added a round trip to the resumption of a stream whose engine had crashed, and a first packet that was lost (not a lost path) moved connects to other VMs, whose loss then breaks them.

An upstream to which no VM connected is not waited for while that is known; 24 VMs at most are asked for one connect.

--- a/daemon/tunnel/dialer.go
+++ b/daemon/tunnel/dialer.go
@@ -73,7 +73,7 @@
 	case isolated:
 		return d.lastResort(ctx, network, address, dial.ErrNoPath.New("no other VM could connect a moment ago"))
 	}
-	c, err := d.through(ctx, address)
+	c, err := d.through(ctx, address, 1)
 	if err == nil || !dial.ErrNoPath.Has(err) {
 		return c, err
 	}
@@ -82,7 +82,7 @@
 
 // lastResort connects directly although the path counts as lost: it may be back, and no other VM can help.
 func (d *Dialer) lastResort(ctx context.Context, network, address string, cause error) (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, directWait)
+	ctx, cancel := context.WithTimeout(ctx, lastResortTimeout)
 	defer cancel()
 	c, err := d.connect(ctx, network, address)
 	if err != nil {
@@ -119,21 +119,26 @@
 		go closeLate(direct)
 		return nil, ctx.Err()
 	}
-	if directErr != nil && d.knownDown(address) {
-		return nil, directErr
+	if d.knownDown(address) {
+		if directErr == nil {
+			go closeLate(direct)
+		}
+		return nil, errUnreachable
 	}
-	c, err := d.through(ctx, address)
 	if directErr == nil {
+		c, err := d.through(ctx, address, 1)
 		return d.directLate(ctx, address, direct, attempt{c, err})
 	}
-	if err == nil {
+	c, err := d.through(ctx, address, verdicts)
+	switch {
+	case err == nil:
 		d.recordBypass(address, directErr)
 		return c, nil
-	}
-	if dial.ErrNoPath.Has(err) && len(d.Members.Live()) > 1 {
+	case dial.ErrNoPath.Has(err) && len(d.Members.Live()) > 1:
 		return nil, err
+	default:
+		return nil, directErr
 	}
-	return nil, directErr
 }
 
 // directLate chooses between a direct connect that takes long and the result of asking other VMs.
@@ -149,9 +154,13 @@
 		}()
 		return other.conn, nil
 	}
+	if !dial.ErrNoPath.Has(other.err) {
+		go closeLate(direct)
+		return nil, other.err
+	}
 	select {
 	case a := <-direct:
-		if a.err != nil && dial.ErrNoPath.Has(other.err) && len(d.Members.Live()) > 1 {
+		if a.err != nil && len(d.Members.Live()) > 1 {
 			return nil, other.err
 		}
 		return a.conn, a.err
@@ -248,13 +257,13 @@
 // errUnreachable means that a VM that reaches other upstreams can't connect to this one.
 var errUnreachable error = &net.OpError{Op: "dial", Net: "tcp", Err: errors.New("other VMs can't connect to the upstream either")}
 
-// through connects through another VM. An error that is not of class dial.ErrNoPath means that the upstream takes no
-// connection.
-func (d *Dialer) through(ctx context.Context, address string) (net.Conn, error) {
+// through connects through another VM, of which it asks a number at once. An error that is not of class dial.ErrNoPath means
+// that the upstream takes no connection.
+func (d *Dialer) through(ctx context.Context, address string, atOnce int) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, searchTimeout)
 	defer cancel()
 	s := &search{dialer: d, address: address, asked: map[peer.VM]bool{}, answers: make(chan attempt)}
-	c, err := s.run(ctx)
+	c, err := s.run(ctx, atOnce)
 	d.recordSearch(address, err)
 	return c, err
 }
@@ -275,6 +284,9 @@
 // of theirs may be lost as well.
 const verdicts = 3
 
+// maxAsked bounds the VMs that are asked for one connect. With nine in ten VMs cut, one of so many probably is not.
+const maxAsked = 24
+
 // search is the search for a VM that connects to an upstream. Further VMs are asked while earlier ones have not
 // answered.
 type search struct {
@@ -286,11 +298,14 @@
 	pending, failed int
 }
 
-func (s *search) run(ctx context.Context) (net.Conn, error) {
+func (s *search) run(ctx context.Context, atOnce int) (net.Conn, error) {
 	defer s.closePending()
 	t := time.NewTicker(askInterval)
 	defer t.Stop()
-	more := s.askNext(ctx)
+	more := true
+	for range atOnce {
+		more = more && s.askNext(ctx)
+	}
 	for s.pending > 0 && s.failed < verdicts {
 		select {
 		case a := <-s.answers:
@@ -301,7 +316,7 @@
 			if errors.Is(a.err, errUnreachable) {
 				s.failed++
 			}
-			more = s.askNext(ctx)
+			more = more && s.askNext(ctx)
 		case <-t.C:
 			more = more && s.askNext(ctx)
 		case <-ctx.Done():
@@ -322,7 +337,7 @@
 // askNext asks one more VM, if there is one.
 func (s *search) askNext(ctx context.Context) bool {
 	m, ok := s.dialer.nextCandidate(s.asked)
-	if !ok || ctx.Err() != nil {
+	if !ok || ctx.Err() != nil || len(s.asked) >= maxAsked {
 		return false
 	}
 	s.asked[m.VM] = true
--- a/daemon/tunnel/tunnel.go
+++ b/daemon/tunnel/tunnel.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"snipeshift.example/lib/clock"
+	"snipeshift.example/lib/dial"
 	"snipeshift.example/lib/peer"
 )
 
@@ -25,9 +26,11 @@
 
 // Times of connects.
 const (
-	// directWait is how long a direct connect may take before another VM is asked beside. Upstreams are a few
-	// milliseconds away.
-	directWait = 40 * time.Millisecond
+	// directWait is how long a direct connect may take before other VMs are asked beside. Upstreams are a few
+	// milliseconds away; a connect whose first packet is lost succeeds soon after dial.HedgeDelay.
+	directWait = dial.HedgeDelay + 15*time.Millisecond
+	// lastResortTimeout bounds a direct connect over a path that counts as lost.
+	lastResortTimeout = 40 * time.Millisecond
 	// searchTimeout bounds the time for finding a VM that connects.
 	searchTimeout = 300 * time.Millisecond
 	// askInterval is the time after which a further VM is asked while earlier ones have not answered.
