placer, relay: what an upstream says of itself binds the VM that carried its answer

What an upstream would see: it asks the VM that it answered for a back-off or says that it leaves; that VM only carried the answer, knows nothing of it and goes on sending.

Cause: a statement binds the gate, while the upstream knows the address of the carrier. Change: the gate passes statements of carried answers on (Placer.Carried); the carrier is bound as if it had been answered, and opens no tunnel to that upstream meanwhile. A tunnel that a third VM keeps open to it may still be used: open.

TestStatementInCarriedResponseBindsCarrier before: expected []string{'vm-2 u0 rest'}, actual []string(nil). VMs of versions before this answer Placer.Carried with an error, which is logged.

--- a/daemon/placer/messages.go
+++ b/daemon/placer/messages.go
@@ -92,6 +92,12 @@
 	Statements []statement.Message
 }
 
+// CarriedArgs passes on statements that upstreams made in responses which the receiver carried for another VM.
+type CarriedArgs struct {
+	Service    route.ServiceID
+	Statements []statement.Message
+}
+
 // PresentArgs lists all live grants of a gate at one service.
 type PresentArgs struct {
 	Service route.ServiceID
--- a/daemon/placer/statements.go
+++ b/daemon/placer/statements.go
@@ -1,11 +1,15 @@
 package placer
 
 import (
+	"context"
+
 	"snipeshift.example/daemon/statements"
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
 	"snipeshift.example/lib/decide/span"
 	"snipeshift.example/lib/decide/statement"
+	"snipeshift.example/lib/logline"
+	"snipeshift.example/lib/peer"
 	"snipeshift.example/lib/route"
 )
 
@@ -20,6 +24,36 @@
 	c.statements.Learn(s, u, st, statements.FromResponse)
 }
 
+// PassToCarrier passes a statement on to the VM that carried the response. The upstream saw a connection of that VM, so
+// the statement binds it too.
+func (c *Client) PassToCarrier(carrier peer.VM, s route.ServiceID, u decide.UpstreamID, st statement.Statement) {
+	args := &CarriedArgs{Service: s, Statements: []statement.Message{st.Message(c.clock.Now(), u)}}
+	for _, m := range c.members.Live() {
+		if m.VM != carrier {
+			continue
+		}
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), (askWait + answerSlack).Duration())
+			defer cancel()
+			if err := c.peers.Call(ctx, m.Address, Name+".Carried", args, &peer.Empty{}); err != nil {
+				c.log.Warn().Str(logline.Key, logline.Unreachable).Str("dependency", "peer").Str("peer", string(carrier)).Err(err).Msg("statement of an upstream not passed on to the VM that carried it")
+			}
+		}()
+		return
+	}
+}
+
+// Carried implements Placer.Carried: this VM is bound by statements in responses that it carried for another VM.
+func (o *Owner) Carried(args *CarriedArgs, _ *peer.Empty) error {
+	now := o.Clock.Now()
+	for _, m := range args.Statements {
+		st := m.Statement(now)
+		st.Gate = o.Gate
+		o.statements.Learn(args.Service, m.Upstream, st, statements.FromCarried)
+	}
+	return nil
+}
+
 // pendingStatements returns the statements that the followed owner has not acknowledged.
 func (c *Client) pendingStatements(s route.ServiceID) statements.Pending {
 	x, _ := c.holders.Of(s)
--- a/daemon/placer/statements_test.go
+++ b/daemon/placer/statements_test.go
@@ -165,3 +165,15 @@
 	require.Equal(t, fault.Overloaded, reply.Fault)
 	require.Less(t, time.Since(began), time.Second, "no upstream will accept the request, so it is refused at once")
 }
+
+// A response that this VM carried for another one names a back-off: this VM's own requests must be withheld.
+func TestCarriedStatementBindsThisVM(t *testing.T) {
+	d := newDeployment(t)
+	o := d.owners[d.ranked[0].Address]
+	now := testClock{}.Now()
+	st := statement.Statement{Kind: statement.BackOff, Named: true, Gate: "other", At: now, Until: now + clock.Second}
+	require.NoError(t, o.Carried(&CarriedArgs{Service: "s", Statements: []statement.Message{st.Message(now, "u")}}, &peer.Empty{}))
+	bound, ok := o.statements.Binding("s", "u", 0)
+	require.True(t, ok)
+	require.Equal(t, o.Gate, bound.Gate)
+}
--- a/daemon/relay.go
+++ b/daemon/relay.go
@@ -23,9 +23,12 @@
 	"snipeshift.example/daemon/settings"
 	"snipeshift.example/daemon/tunnel"
 	"snipeshift.example/lib/clock"
+	"snipeshift.example/lib/decide/span"
+	"snipeshift.example/lib/decide/statement"
 	"snipeshift.example/lib/dial"
 	"snipeshift.example/lib/logline"
 	"snipeshift.example/lib/peer"
+	"snipeshift.example/lib/route"
 	"snipeshift.example/platform"
 )
 
@@ -121,7 +124,7 @@
 	d.holders = placer.NewHolders(d.members, d.clock, d.log)
 	d.members.Add(d.registry, q, d.holders)
 	d.paths = tunnel.NewDialer(tunnel.Needs{
-		Clock: d.clock, Log: d.log, Members: d.members, Upstreams: listedUpstreams{d.registry}, Direct: directDial(s), Peer: dialPeer,
+		Clock: d.clock, Log: d.log, Members: d.members, Upstreams: listedUpstreams{d.registry, d.binding}, Direct: directDial(s), Peer: dialPeer,
 	})
 	d.tunnels = tunnel.NewServer(d.paths)
 	d.peers.ServeTunnels(d.tunnels.Serve)
@@ -168,8 +171,17 @@
 // Seeds implements member.Seeds.
 func (s staticSeeds) Seeds(context.Context) []string { return s }
 
+// binding returns a statement that forbids this VM to send to an upstream now, if there is one.
+func (d *relayDaemon) binding(s route.ServiceID, p span.Placement) (statement.Statement, bool) {
+	return d.placer.Binding(s, p)
+}
+
 // listedUpstreams implements tunnel.Upstreams.
-type listedUpstreams struct{ registry *registry.Registry }
+type listedUpstreams struct {
+	registry *registry.Registry
+	// binding returns a statement that forbids this VM to send to an upstream, if there is one.
+	binding func(route.ServiceID, span.Placement) (statement.Statement, bool)
+}
 
 // Addresses implements tunnel.Upstreams.
 func (l listedUpstreams) Addresses() []string {
@@ -185,7 +197,18 @@
 }
 
 // Usable implements tunnel.Upstreams.
-func (l listedUpstreams) Usable(address string) bool { return slices.Contains(l.Addresses(), address) }
+func (l listedUpstreams) Usable(address string) bool {
+	for s, us := range l.registry.View().Upstreams {
+		for i := range us {
+			if us[i].Address != address || us[i].Leaving {
+				continue
+			}
+			_, bound := l.binding(s, span.Placement{Upstream: us[i].ID, Born: us[i].Born})
+			return !bound
+		}
+	}
+	return false
+}
 
 // noDocuments is the empty source of documents: in relay mode peers fetch documents from the
 // registry's receiver instead.
--- a/daemon/relay/gate.go
+++ b/daemon/relay/gate.go
@@ -53,6 +53,8 @@
 	Withdraw(s route.ServiceID, id decide.RequestID)
 	// RecordStatement records a statement that upstream u has made about itself in a response.
 	RecordStatement(s route.ServiceID, u decide.UpstreamID, st statement.Statement)
+	// PassToCarrier passes a statement on to the VM that carried the response.
+	PassToCarrier(carrier peer.VM, s route.ServiceID, u decide.UpstreamID, st statement.Statement)
 	// Binding returns a statement of an upstream that forbids this VM to send to it now, if there
 	// is one.
 	Binding(s route.ServiceID, p span.Placement) (statement.Statement, bool)
--- a/daemon/relay/harness_test.go
+++ b/daemon/relay/harness_test.go
@@ -89,6 +89,8 @@
 	wait      time.Duration
 	beforeAsk func()
 	refuse    fault.Kind
+	// passed are the statements passed on to carriers.
+	passed []string
 	// helpers are the helpers in each grant.
 	helpers []span.Placement
 }
@@ -235,6 +237,12 @@
 	deps      Dependencies
 }
 
+func (p *testPlacer) PassToCarrier(carrier peer.VM, _ route.ServiceID, u decide.UpstreamID, st statement.Statement) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.passed = append(p.passed, fmt.Sprint(carrier, " ", u, " ", st.Kind))
+}
+
 // routes returns one route of each kind, under a prefix equal to its name.
 func routes(timeout clock.Milli) []route.Route {
 	r := func(name string, repeat route.Repeat, stream bool) route.Route {
--- a/daemon/relay/paths_test.go
+++ b/daemon/relay/paths_test.go
@@ -104,3 +104,12 @@
 	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
 	require.Equal(t, []span.Outcome{span.Left}, w.placer.outcomes)
 }
+
+// An upstream asks the VM that it saw for a back-off; it saw the carrier, which must not send either.
+func TestStatementInCarriedResponseBindsCarrier(t *testing.T) {
+	w := newFixture(t, rejectWithBackOff, respond("answer"))
+	w.paths.carrier = "vm-2"
+	_, _, err := w.call(http.MethodPost, "/once/", "")
+	require.NoError(t, err)
+	require.Equal(t, []string{"vm-2 u0 rest"}, w.placer.passed)
+}
--- a/daemon/relay/statements.go
+++ b/daemon/relay/statements.go
@@ -21,6 +21,11 @@
 		return
 	}
 	x.gate.reportStatements(x.service, leader, &head.Declared)
+	if carrier := x.carrier.Load(); carrier != nil {
+		for _, st := range head.Declared.Statements(x.gate.Clock.Now(), x.gate.id, leader.Born) {
+			x.gate.Placer.PassToCarrier(*carrier, x.service, leader.Upstream, st)
+		}
+	}
 	limit := head.Declared.Limit
 	if !limit.Named && limit.Unreadable == "" && head.Matches && head.Signed && !head.NotRun {
 		x.gate.Placer.RecordStatement(x.service, leader.Upstream, statement.Statement{Kind: statement.Limit, Born: leader.Born, At: sent})
--- a/daemon/statements/statements.go
+++ b/daemon/statements/statements.go
@@ -21,10 +21,11 @@
 // Sources of a statement, for log lines.
 const (
 	// FromResponse is a response that this VM received itself, FromOwner a grant of the owner,
-	// FromGate a message of a gate.
+	// FromGate a message of a gate, FromCarried a response that this VM carried for another one.
 	FromResponse = "answer"
 	FromOwner    = "owner"
 	FromGate     = "gate"
+	FromCarried  = "carried"
 )
 
 // Cache stores the statements that one VM received, as a gate and as an owner that polls upstreams.
--- a/daemon/tunnel/tunnel.go
+++ b/daemon/tunnel/tunnel.go
@@ -57,7 +57,8 @@
 type Upstreams interface {
 	// Addresses returns the addresses to which connections may be opened.
 	Addresses() []string
-	// Usable reports whether connections to address may be opened.
+	// Usable reports whether connections to address may be opened for other VMs: the upstream is listed, and has not
+	// asked this VM to send nothing.
 	Usable(address string) bool
 }
 
