scenarios: partitions from all upstreams in the soak; all VMs cut are refused at once

TestSoakPartitions adds to the faults of a seed that up to all of four VMs lose their paths to all upstreams, again and again; the seeds of TestSoak play as before. TestPlatformAllVMsPartitionedFromUpstreamsRefuseAtOnce: no VM reaches an upstream, each request gets 503 within half a second, none ran, and three seconds after the end all are served.

--- a/scenarios/platform_partition_test.go
+++ b/scenarios/platform_partition_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"sync"
 	"testing"
 	"time"
@@ -21,6 +22,11 @@
 	partitionTime = 4 * time.Second
 	// requestInterval is the time between two requests at one VM.
 	requestInterval = 40 * time.Millisecond
+	// refusalTime is how long a request that cannot be served may wait for its refusal.
+	refusalTime = 500 * time.Millisecond
+	// returnTime is how long after a partition VMs may need to use their direct paths again: the longest interval between
+	// their tests, and twice a test.
+	returnTime = 3 * time.Second
 	// allowedFailures and allowedShare bound the failed first attempts.
 	allowedFailures, allowedShare = 1, 0.02
 )
@@ -95,3 +101,38 @@
 		})
 	}
 }
+
+// All VMs lose their paths to all upstreams: no request can be served, and none may wait for its deadline.
+func TestPlatformAllVMsPartitionedFromUpstreamsRefuseAtOnce(t *testing.T) {
+	for _, fault := range []fleet.UpstreamFault{fleet.ResetAll, fleet.HangAll} {
+		t.Run(string(fault), func(t *testing.T) {
+			f := newFleet(t, 3)
+			l := newLoad(f)
+			l.awaitResponses(t)
+			l.stopAndCheck(t, f)
+			for _, v := range f.VMs {
+				require.NoError(t, f.CutUpstreams(v, fault))
+			}
+			var atFirst attempts
+			for _, v := range f.VMs {
+				atFirst.sendTo(v, time.Now().Add(detectTime))
+			}
+			c := standin.NewClient("ward")
+			for n := range 30 {
+				r := c.Call(f.VMs[n%3].Caller, []string{"draft", "lookup", "notice"}[n%3])
+				require.Equal(t, http.StatusServiceUnavailable, r.Status, "%s %s", r.ID, r.Text)
+				require.Less(t, r.Duration, refusalTime, "%s %s", r.ID, r.Text)
+				require.Zero(t, f.Platform.RunCount(r.ID))
+			}
+			for _, v := range f.VMs {
+				require.NoError(t, f.HealUpstreams(v))
+			}
+			time.Sleep(returnTime)
+			var after attempts
+			for _, v := range f.VMs {
+				after.sendTo(v, time.Now().Add(detectTime))
+			}
+			require.LessOrEqual(t, len(after.failed), 1, "%q", after.failed)
+		})
+	}
+}
--- a/scenarios/soak/check.go
+++ b/scenarios/soak/check.go
@@ -247,6 +247,9 @@
 	}
 	us := r.fleet.Platform.Runners()
 	for _, inj := range r.injections {
+		if inj.fault.Kind == Partition && inj.vm.Name == vm && inj.overlaps(from, to) {
+			return true
+		}
 		if inj.fault.LinkEnd == Upstream && inj.vm.Name == vm && us[inj.fault.Other%len(us)].Address() == u.Address() && inj.hitsLink() && inj.overlaps(from, to) {
 			return true
 		}
@@ -274,7 +277,7 @@
 
 // hitsLink reports whether the fault hits a link that a VM dials.
 func (inj *injection) hitsLink() bool {
-	return inj.fault.Kind == Cut || inj.fault.Kind == Reset || inj.fault.Kind == Silence || inj.fault.Kind == Delay
+	return inj.fault.Kind == Partition || inj.fault.Kind == Cut || inj.fault.Kind == Reset || inj.fault.Kind == Silence || inj.fault.Kind == Delay
 }
 
 func (inj *injection) overlaps(from, to time.Time) bool {
--- a/scenarios/soak/plan.go
+++ b/scenarios/soak/plan.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"snipeshift.example/platform/standin"
+	"snipeshift.example/scenarios/fleet"
 	"snipeshift.example/scenarios/relay"
 )
 
@@ -18,25 +19,26 @@
 
 // The kinds of fault.
 const (
-	Kill             Kind = "kill"     // a VM's process is killed and started again
-	Freeze           Kind = "freeze"   // a VM's process is paused
-	Stop             Kind = "stop"     // a VM is stopped gracefully and started again
-	ReloadSettings   Kind = "hangup"   // a VM gets SIGHUP, on which it reads its settings again
-	Cut              Kind = "cut"      // connections of a link are reset, new ones included
-	Reset            Kind = "reset"    // the open connections of a link are reset
-	Silence          Kind = "silence"  // a link drops all data in one direction or both
-	Delay            Kind = "delay"    // the data of a link is delayed
-	StoreOutage      Kind = "outage"   // the store is unavailable
-	DropHistory      Kind = "forget"   // the store drops its history, so that watchers must list again
-	ExpireEntries    Kind = "lapse"    // the store is unavailable, and the entries of all upstreams expire meanwhile
-	Crash            Kind = "crash"    // an upstream crashes and starts again with a new incarnation
-	Drain            Kind = "drain"    // an upstream announces in the store that it drains, ends and starts again
-	Misbehave        Kind = "sick"     // an upstream misbehaves as RunnerFault defines
-	AddRoute         Kind = "document" // the operator adds a route
-	DeclareLimit     Kind = "limit"    // an upstream declares a rate limit for some time
-	RestoreOlderCopy Kind = "drill"    // the store is restored from an older copy
-	DeclareLeaving   Kind = "leave"    // an upstream announces only in its responses that it drains, ends and starts again
-	Shed             Kind = "shed"     // an upstream rejects all requests and asks for back-off
+	Kill             Kind = "kill"      // a VM's process is killed and started again
+	Freeze           Kind = "freeze"    // a VM's process is paused
+	Stop             Kind = "stop"      // a VM is stopped gracefully and started again
+	ReloadSettings   Kind = "hangup"    // a VM gets SIGHUP, on which it reads its settings again
+	Cut              Kind = "cut"       // connections of a link are reset, new ones included
+	Reset            Kind = "reset"     // the open connections of a link are reset
+	Silence          Kind = "silence"   // a link drops all data in one direction or both
+	Delay            Kind = "delay"     // the data of a link is delayed
+	StoreOutage      Kind = "outage"    // the store is unavailable
+	DropHistory      Kind = "forget"    // the store drops its history, so that watchers must list again
+	ExpireEntries    Kind = "lapse"     // the store is unavailable, and the entries of all upstreams expire meanwhile
+	Crash            Kind = "crash"     // an upstream crashes and starts again with a new incarnation
+	Drain            Kind = "drain"     // an upstream announces in the store that it drains, ends and starts again
+	Misbehave        Kind = "sick"      // an upstream misbehaves as RunnerFault defines
+	AddRoute         Kind = "document"  // the operator adds a route
+	DeclareLimit     Kind = "limit"     // an upstream declares a rate limit for some time
+	RestoreOlderCopy Kind = "drill"     // the store is restored from an older copy
+	DeclareLeaving   Kind = "leave"     // an upstream announces only in its responses that it drains, ends and starts again
+	Partition        Kind = "partition" // a VM loses its paths to all upstreams
+	Shed             Kind = "shed"      // an upstream rejects all requests and asks for back-off
 )
 
 // weights are the relative frequencies of the kinds that planner.fault draws. The other kinds are
@@ -89,6 +91,8 @@
 	RunnerFault standin.RunnerFault
 	// Rate is the limit that an upstream declares, in requests per second.
 	Rate float64
+	// UpstreamFault is how the connections to upstreams of a partitioned VM fail.
+	UpstreamFault fleet.UpstreamFault
 	// CopyAge is the age of the copy from which the store is restored.
 	CopyAge time.Duration
 	// At is the time from the start of the schedule to the start of the fault, Duration the time it lasts.
@@ -107,6 +111,8 @@
 		s += fmt.Sprintf(" upstream %d, %.1f requests/s", f.Other, f.Rate)
 	case RestoreOlderCopy:
 		s += fmt.Sprintf(" mode %d, copy %v old", f.StoreMode, f.CopyAge.Round(time.Millisecond))
+	case Partition:
+		s += fmt.Sprintf(" %s", f.UpstreamFault)
 	case StoreOutage, ExpireEntries:
 		s += fmt.Sprintf(" mode %d", f.StoreMode)
 	default:
@@ -214,6 +220,31 @@
 	return out
 }
 
+// Times of partitions from all upstreams, and how many VMs are hit at the same time.
+const (
+	minPartition       = 500 * time.Millisecond
+	maxPartition       = 5 * time.Second
+	partitionPause     = 4 * time.Second
+	maxPartitionedVMs  = 4
+	partitionGap       = 300 * time.Millisecond
+	partitionKindCount = 3
+)
+
+// PartitionFaults draws faults of kind Partition from a random source of their own. Up to all VMs are hit within
+// a short time, each in the same way.
+func PartitionFaults(seed uint64, length time.Duration) []Fault {
+	p := planner{rand.New(rand.NewPCG(seed, 5))}
+	var out []Fault
+	for at := p.duration(0, partitionPause); at < length; at += p.duration(partitionPause/2, 2*partitionPause) {
+		first := p.IntN(indexRange)
+		how := []fleet.UpstreamFault{fleet.RefuseNew, fleet.ResetAll, fleet.HangAll}[p.IntN(partitionKindCount)]
+		for i := range 1 + p.IntN(maxPartitionedVMs) {
+			out = append(out, Fault{Kind: Partition, VM: first + i, UpstreamFault: how, At: at + p.duration(0, partitionGap), Duration: p.duration(minPartition, maxPartition)})
+		}
+	}
+	return out
+}
+
 type planner struct{ *rand.Rand }
 
 func (p planner) duration(lo, hi time.Duration) time.Duration {
--- a/scenarios/soak/run.go
+++ b/scenarios/soak/run.go
@@ -19,6 +19,8 @@
 	fleet *fleet.Fleet
 	log   Logf
 	seed  uint64
+	// faults is the schedule.
+	faults []Fault
 
 	mu sync.Mutex
 	// faulted holds the VMs and the addresses of the upstreams that a fault of their process
@@ -44,9 +46,9 @@
 	from, to time.Time
 }
 
-// New returns a run with the schedule of seed. The VMs of the fleet f must be ready.
-func New(f *fleet.Fleet, seed uint64, l Logf) *Run {
-	return &Run{fleet: f, log: l, seed: seed, faulted: map[any]bool{}}
+// New returns a run with a schedule of faults, which was drawn for seed. The VMs of the fleet f must be ready.
+func New(f *fleet.Fleet, seed uint64, faults []Fault, l Logf) *Run {
+	return &Run{fleet: f, log: l, seed: seed, faults: faults, faulted: map[any]bool{}}
 }
 
 // Limits on the time that VMs and upstreams need to recover from a fault.
@@ -64,15 +66,14 @@
 // and checks its guarantees. The returned error joins all faults that could not be injected and
 // all guarantees that were violated.
 func (r *Run) Execute(length time.Duration) error {
-	faults := Plan(r.seed, length)
 	stop := make(chan struct{})
 	var load, injecting sync.WaitGroup
 	for i := range clients {
 		load.Go(func() { r.runClient(i, stop) })
 	}
 	start := time.Now()
-	errs := make(chan error, len(faults)+1)
-	for _, f := range faults {
+	errs := make(chan error, len(r.faults)+1)
+	for _, f := range r.faults {
 		r.log("%s", f)
 		injecting.Go(func() {
 			time.Sleep(f.At - time.Since(start))
@@ -145,6 +146,8 @@
 	case Crash, Drain, Misbehave, DeclareLeaving, Shed:
 		us := r.fleet.Platform.Runners()
 		return r.injectUpstreamFault(f, us[f.Other%len(us)])
+	case Partition:
+		return r.injectPartition(f, v)
 	case DeclareLimit:
 		us := r.fleet.Platform.Runners()
 		u := us[f.Other%len(us)]
@@ -218,6 +221,21 @@
 	l.Heal(v.Name)
 }
 
+// partitioned is the key of acquire for the paths of a VM to upstreams.
+type partitioned struct{ *fleet.VM }
+
+func (r *Run) injectPartition(f Fault, v *fleet.VM) error {
+	if !r.acquire(partitioned{v}) {
+		return nil
+	}
+	defer r.release(partitioned{v})
+	if err := r.fleet.CutUpstreams(v, f.UpstreamFault); err != nil {
+		return err
+	}
+	time.Sleep(f.Duration)
+	return r.fleet.HealUpstreams(v)
+}
+
 func (r *Run) injectStoreFault(f Fault) {
 	p := r.fleet.Platform
 	if f.Kind == DropHistory {
--- a/scenarios/soak_test.go
+++ b/scenarios/soak_test.go
@@ -47,7 +47,22 @@
 // while clients send requests over connections that they keep open. It guards against guarantees that hold under each single
 // fault but not under several.
 func TestSoak(t *testing.T) {
-	for seed, length := range seeds(t, soakSeeds, envSoakSeed, envSoakLength, longSoakLength) {
+	runSoak(t, seeds(t, soakSeeds, envSoakSeed, envSoakLength, longSoakLength), soak.Plan)
+}
+
+// partitionSeeds are the seeds of TestSoakPartitions that run in CI.
+var partitionSeeds = map[uint64]time.Duration{58: soakLength, 59: soakLength}
+
+// TestSoakPartitions does the same while up to all VMs lose their paths to all upstreams again and again.
+func TestSoakPartitions(t *testing.T) {
+	runSoak(t, seeds(t, partitionSeeds, envSoakSeed, envSoakLength, longSoakLength), func(seed uint64, length time.Duration) []soak.Fault {
+		return append(soak.Plan(seed, length), soak.PartitionFaults(seed, length)...)
+	})
+}
+
+// runSoak injects the faults that plan draws for each seed.
+func runSoak(t *testing.T, lengths map[uint64]time.Duration, plan func(uint64, time.Duration) []soak.Fault) {
+	for seed, length := range lengths {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			slots <- struct{}{}
@@ -62,7 +77,7 @@
 			for _, v := range f.VMs {
 				require.NoError(t, v.AwaitReady(startTimeout))
 			}
-			err = soak.New(f, seed, t.Logf).Execute(length)
+			err = soak.New(f, seed, plan(seed, length), t.Logf).Execute(length)
 			if err != nil {
 				t.Log(f.Logs())
 			}
