path, bench: VMs that are cut share the VMs that carry for them

Cause: VMs named by a VM that declines were asked before all others, so that most of a fleet used the few that the first ones had found.

Change: VMs that others use are asked once two have declined, and a VM with fewer than four carriers asks another one in a quarter of its connects.

--- a/bench/fleet.go
+++ b/bench/fleet.go
@@ -27,9 +27,14 @@
 			&cli.FloatFlag{Name: "frozen", Value: 0.01, Usage: "share of VMs that freeze at a quarter of the time"},
 			&cli.FloatFlag{Name: "cut", Value: 0.01, Usage: "share of VMs from which nothing arrives at three quarters of the time"},
 			&cli.DurationFlag{Name: "down", Value: 12 * time.Second, Usage: "how long each fault lasts"},
+			&cli.FloatFlag{Name: "partitioned", Usage: "simulate instead a share of VMs that lose their paths to all upstreams"},
+			&cli.FloatFlag{Name: "rate", Value: 14, Usage: "new connections to upstreams per second and VM, with --partitioned"},
 			&cli.BoolFlag{Name: "json", Usage: "print JSON in place of a table"},
 		},
 		Action: func(_ context.Context, c *cli.Command) error {
+			if cut := c.Float("partitioned"); cut > 0 {
+				return simulatePaths(c, cut)
+			}
 			var results []fleet.Result
 			for _, n := range c.IntSlice("vms") {
 				results = append(results, fleet.Run(fleet.Load{
@@ -46,6 +51,24 @@
 	}
 }
 
+// simulatePaths prints a row for each size of a fleet in which a share of the VMs loses its paths to all upstreams.
+func simulatePaths(c *cli.Command, cut float64) error {
+	var results []fleet.PathResult
+	for _, n := range c.IntSlice("vms") {
+		results = append(results, fleet.RunPaths(fleet.PathLoad{VMs: n, Seed: c.Uint64("seed"), Cut: cut, Rate: c.Float("rate"), For: clock.Of(c.Duration("for"))}))
+	}
+	w := c.Root().Writer
+	if c.Bool("json") {
+		return json.NewEncoder(w).Encode(results)
+	}
+	fmt.Fprintf(w, "%6s %6s %16s %16s %8s %12s %12s %8s\n", "VMs", "cut", "failed in 1 s", "failed later", "asked", "carried/s", "most/s", "p99 ms")
+	for _, r := range results {
+		fmt.Fprintf(w, "%6d %6d %16s %16s %8.2f %12.1f %12.1f %8d\n", r.VMs, r.Cut, fmt.Sprintf("%d of %d", r.FailedFirst, r.ConnectsFirst),
+			fmt.Sprintf("%d of %d", r.Failed, r.Connects), r.Asked, r.Median, r.Most, r.Slowest)
+	}
+	return nil
+}
+
 // printFleets prints a row for each size. Traffic is what a VM sends on average, in bytes.
 func printFleets(w io.Writer, results []fleet.Result) {
 	fmt.Fprintf(w, "%6s %12s %12s %14s %14s %10s %10s %10s %10s %8s\n",
--- a/daemon/tunnel/dialer.go
+++ b/daemon/tunnel/dialer.go
@@ -294,8 +294,9 @@
 	address string
 	asked   map[peer.VM]bool
 	answers chan attempt
-	// pending counts the VMs that have not answered, failed those that reach other upstreams only.
-	pending, failed int
+	// pending counts the VMs that have not answered, failed those that reach other upstreams only, and declined
+	// those that can't tell.
+	pending, failed, declined int
 }
 
 func (s *search) run(ctx context.Context, atOnce int) (net.Conn, error) {
@@ -315,6 +316,8 @@
 			}
 			if errors.Is(a.err, errUnreachable) {
 				s.failed++
+			} else {
+				s.declined++
 			}
 			more = more && s.askNext(ctx)
 		case <-t.C:
@@ -336,7 +339,7 @@
 
 // askNext asks one more VM, if there is one.
 func (s *search) askNext(ctx context.Context) bool {
-	m, ok := s.dialer.nextCandidate(s.asked)
+	m, ok := s.dialer.nextCandidate(s.asked, s.declined)
 	if !ok || ctx.Err() != nil || len(s.asked) >= maxAsked {
 		return false
 	}
@@ -362,11 +365,11 @@
 }
 
 // nextCandidate returns a VM that has not been asked for this connect. Each answer may name better ones.
-func (d *Dialer) nextCandidate(asked map[peer.VM]bool) (peer.Member, bool) {
+func (d *Dialer) nextCandidate(asked map[peer.VM]bool, declined int) (peer.Member, bool) {
 	live := d.Members.Live()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for _, m := range d.table.Candidates(d.Clock.Now(), live, rand.IntN) {
+	for _, m := range d.table.Candidates(d.Clock.Now(), live, declined, rand.IntN) {
 		if !asked[m.VM] {
 			return m, true
 		}
--- a/lib/decide/path/path.go
+++ b/lib/decide/path/path.go
@@ -41,7 +41,9 @@
 	carrierTTL = 30 * clock.Second
 	// exploreOdds is the inverse of the probability that a connect asks a VM that is no carrier first while there are
 	// fewer than maxCarriers. Otherwise many VMs would use the first carrier that one of them found.
-	exploreOdds = 8
+	exploreOdds = 4
+	// declinesToNamed is how many VMs must have declined before those that others use are asked.
+	declinesToNamed = 2
 	// pause is how long a VM that could not connect is asked last.
 	pause = clock.Second
 )
@@ -54,8 +56,9 @@
 
 // candidate is what is known of another VM as a carrier.
 type candidate struct {
-	// carriedAt is when it last connected for this VM, or another VM named it as a carrier; zero for never.
-	carriedAt clock.Milli
+	// carriedAt is when it last connected for this VM, namedAt when another VM named it as a carrier; zero for
+	// never.
+	carriedAt, namedAt clock.Milli
 	// pausedUntil is when it may be asked before others again.
 	pausedUntil clock.Milli
 }
@@ -198,25 +201,47 @@
 // TestFailed records that a direct connect that tested lost paths failed.
 func (t *Table) TestFailed(refused bool) { t.regained, t.refused = 0, refused }
 
-// Candidates returns the VMs to ask for a connect, in order: carriers in turn, VMs of the same failure domain, other
-// VMs, and those that could not connect a moment ago. random returns a number below its argument.
-func (t *Table) Candidates(now clock.Milli, live []peer.Member, random func(n int) int) []peer.Member {
-	var groups [4][]peer.Member
-	for _, m := range live {
-		if m.VM == t.self.VM {
+// rank is the order in which VMs are asked.
+type rank int
+
+// Ranks of VMs.
+const (
+	carrier rank = iota
+	sameDomain
+	otherDomain
+	// named are VMs that others use. Each of these names the ones that it found first, so they are asked only once
+	// some VMs have declined: otherwise most of a fleet would use a few of them.
+	named
+	// paused are VMs that could not connect a moment ago.
+	paused
+	ranks
+)
+
+// Candidates returns the VMs to ask for a connect, in order. declined counts those that have been asked for it in vain;
+// random returns a number below its argument.
+func (t *Table) Candidates(now clock.Milli, live []peer.Member, declined int, random func(n int) int) []peer.Member {
+	var groups [ranks][]int
+	for i := range live {
+		if live[i].VM == t.self.VM {
 			continue
 		}
-		g := t.group(now, m)
-		groups[g] = append(groups[g], m)
+		r := t.rank(now, &live[i])
+		groups[r] = append(groups[r], i)
 	}
-	if n := len(groups[0]); n > 0 && n < maxCarriers && random(exploreOdds) == 0 {
-		groups[0], groups[1], groups[2] = groups[1], groups[2], groups[0]
+	order := [ranks]rank{carrier, sameDomain, otherDomain, named, paused}
+	n := len(groups[carrier])
+	switch {
+	case declined >= declinesToNamed:
+		order = [ranks]rank{carrier, named, sameDomain, otherDomain, paused}
+	case n > 0 && n < maxCarriers && random(exploreOdds) == 0:
+		order = [ranks]rank{sameDomain, otherDomain, carrier, named, paused}
 	}
 	out := make([]peer.Member, 0, maxCandidates)
-	for _, g := range groups {
+	for _, r := range order {
+		g := groups[r]
 		for len(g) > 0 && len(out) < maxCandidates {
 			i := random(len(g))
-			out = append(out, g[i])
+			out = append(out, live[g[i]])
 			g[i] = g[len(g)-1]
 			g = g[:len(g)-1]
 		}
@@ -224,21 +249,26 @@
 	return out
 }
 
-// group returns the rank of the group to which a VM belongs as a candidate.
-func (t *Table) group(now clock.Milli, m peer.Member) int {
+// rank returns the rank of a VM.
+func (t *Table) rank(now clock.Milli, m *peer.Member) rank {
 	c := t.candidates[m.VM]
 	switch {
 	case c != nil && now < c.pausedUntil:
-		return 3
-	case c != nil && c.carriedAt > 0 && now-c.carriedAt < carrierTTL:
-		return 0
+		return paused
+	case c != nil && recent(now, c.carriedAt):
+		return carrier
+	case c != nil && recent(now, c.namedAt):
+		return named
 	case m.Domain == t.self.Domain:
-		return 1
+		return sameDomain
 	default:
-		return 2
+		return otherDomain
 	}
 }
 
+// recent reports whether an instant, zero for never, is less than carrierTTL ago.
+func recent(now, at clock.Milli) bool { return at > 0 && now-at < carrierTTL }
+
 // Carried records that a VM connected for this one.
 func (t *Table) Carried(now clock.Milli, v peer.VM) {
 	c := t.candidate(v)
@@ -249,10 +279,10 @@
 // Declined records that a VM could not connect, for a reason of its own, and the carriers that it named.
 func (t *Table) Declined(now clock.Milli, v peer.VM, named []peer.VM) {
 	c := t.candidate(v)
-	c.carriedAt, c.pausedUntil = 0, now+pause
+	c.carriedAt, c.namedAt, c.pausedUntil = 0, 0, now+pause
 	for _, n := range named[:min(len(named), maxCarriers)] {
 		if c := t.candidate(n); n != t.self.VM && now >= c.pausedUntil {
-			c.carriedAt = max(c.carriedAt, now)
+			c.namedAt = now
 		}
 	}
 }
@@ -261,7 +291,7 @@
 func (t *Table) Carriers(now clock.Milli) []peer.VM {
 	var vs []peer.VM
 	for v, c := range t.candidates {
-		if c.carriedAt > 0 && now-c.carriedAt < carrierTTL && now >= c.pausedUntil {
+		if recent(now, c.carriedAt) && now >= c.pausedUntil {
 			vs = append(vs, v)
 		}
 	}
