--- a/daemon/tunnel/dialer.go
+++ b/daemon/tunnel/dialer.go
@@ -1,26 +1,20 @@
 package tunnel
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"math/rand/v2"
 	"net"
-	"net/http"
-	"net/url"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
 
 	"github.com/phuslu/log"
-	"github.com/zeebo/errs"
 
 	"snipeshift.example/daemon/guard"
 	"snipeshift.example/lib/decide/path"
 	"snipeshift.example/lib/dial"
 	"snipeshift.example/lib/logline"
-	"snipeshift.example/lib/peer"
 )
 
 // Needs are the dependencies of a Dialer.
@@ -250,192 +244,3 @@
 	defer d.mu.Unlock()
 	d.table.TestFailed(isRefusal(err))
 }
-
-// errDeclined means that a VM can't tell whether the upstream takes connections.
-var errDeclined = errors.New("the VM asked can't connect")
-
-// errUnreachable means that a VM that reaches other upstreams can't connect to this one.
-var errUnreachable error = &net.OpError{Op: "dial", Net: "tcp", Err: errors.New("other VMs can't connect to the upstream either")}
-
-// through connects through another VM, of which it asks a number at once. An error that is not of class dial.ErrNoPath means
-// that the upstream takes no connection.
-func (d *Dialer) through(ctx context.Context, address string, atOnce int) (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, searchTimeout)
-	defer cancel()
-	s := &search{dialer: d, address: address, asked: map[peer.VM]bool{}, answers: make(chan attempt)}
-	c, err := s.run(ctx, atOnce)
-	d.recordSearch(address, err)
-	return c, err
-}
-
-// recordSearch records what a search without a result says of the upstream or of this VM.
-func (d *Dialer) recordSearch(address string, err error) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	switch {
-	case errors.Is(err, errUnreachable):
-		d.table.RecordDown(d.Clock.Now(), address)
-	case dial.ErrNoPath.Has(err):
-		d.table.RecordIsolated(d.Clock.Now())
-	}
-}
-
-// verdicts is how many VMs that reach other upstreams must fail to connect to one before it is at fault: each may have
-// lost its path to that one as well.
-const verdicts = 5
-
-// maxAsked bounds the VMs that are asked for one connect. With nine in ten VMs cut, one of so many probably is not.
-const maxAsked = 24
-
-// search is the search for a VM that connects to an upstream. Further VMs are asked while earlier ones have not
-// answered.
-type search struct {
-	dialer  *Dialer
-	address string
-	asked   map[peer.VM]bool
-	answers chan attempt
-	// pending counts the VMs that have not answered, failed those that reach other upstreams only, and declined
-	// those that can't tell.
-	pending, failed, declined int
-}
-
-func (s *search) run(ctx context.Context, atOnce int) (net.Conn, error) {
-	defer s.closePending()
-	t := time.NewTicker(askInterval)
-	defer t.Stop()
-	more := true
-	for range atOnce {
-		more = more && s.askNext(ctx)
-	}
-	for s.pending > 0 && s.failed < verdicts {
-		select {
-		case a := <-s.answers:
-			s.pending--
-			if a.err == nil {
-				return a.conn, nil
-			}
-			if errors.Is(a.err, errUnreachable) {
-				s.failed++
-			} else {
-				s.declined++
-			}
-			more = more && s.askNext(ctx)
-		case <-t.C:
-			more = more && s.askNext(ctx)
-		case <-ctx.Done():
-			return nil, s.failure()
-		}
-	}
-	return nil, s.failure()
-}
-
-// failure returns the error of a search that found no VM.
-func (s *search) failure() error {
-	if s.failed >= verdicts || s.failed > 0 && s.pending == 0 {
-		return errUnreachable
-	}
-	return dial.ErrNoPath.New("%d other VMs were asked", len(s.asked))
-}
-
-// askNext asks one more VM, if there is one.
-func (s *search) askNext(ctx context.Context) bool {
-	m, ok := s.dialer.nextCandidate(s.asked, s.declined)
-	if !ok || ctx.Err() != nil || len(s.asked) >= maxAsked {
-		return false
-	}
-	s.asked[m.VM] = true
-	s.pending++
-	go func() {
-		c, err := s.dialer.ask(ctx, m, s.address)
-		s.dialer.metrics.countAsk(err)
-		s.answers <- attempt{c, err}
-	}()
-	return true
-}
-
-// closePending closes the connections that VMs still open.
-func (s *search) closePending() {
-	go func(n int) {
-		for range n {
-			if a := <-s.answers; a.err == nil {
-				_ = a.conn.Close()
-			}
-		}
-	}(s.pending)
-}
-
-// nextCandidate returns a VM that has not been asked for this connect. Each answer may name better ones.
-func (d *Dialer) nextCandidate(asked map[peer.VM]bool, declined int) (peer.Member, bool) {
-	live := d.Members.Live()
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for _, m := range d.table.Candidates(d.Clock.Now(), live, declined, rand.IntN) {
-		if !asked[m.VM] {
-			return m, true
-		}
-	}
-	return peer.Member{}, false
-}
-
-// ask asks a VM to connect to an upstream and records what that says of the VM.
-func (d *Dialer) ask(ctx context.Context, m peer.Member, address string) (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
-	c, resp, err := d.connectRequest(ctx, m, address)
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	now := d.Clock.Now()
-	switch {
-	case errors.Is(ctx.Err(), context.Canceled):
-		return nil, ctx.Err() // another VM has connected
-	case err != nil:
-		d.table.Declined(now, m.VM, nil)
-		return nil, err
-	case resp.StatusCode == http.StatusOK:
-		d.table.Carried(now, m.VM)
-		c.directRefused = d.table.Refused()
-		return c, nil
-	case resp.StatusCode == http.StatusBadGateway:
-		return nil, errUnreachable
-	case resp.StatusCode == http.StatusServiceUnavailable:
-		d.table.Declined(now, m.VM, carriersOf(resp.Header))
-		return nil, errDeclined
-	default:
-		return nil, errs.New("CONNECT answered with status %d", resp.StatusCode)
-	}
-}
-
-// connectRequest sends a CONNECT and reads the answer. The connection is closed unless the status is 200.
-func (d *Dialer) connectRequest(ctx context.Context, m peer.Member, address string) (*Conn, *http.Response, error) {
-	conn, err := d.Peer(ctx, m.Address)
-	if err != nil {
-		return nil, nil, err
-	}
-	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
-	defer stop()
-	r := &http.Request{Method: http.MethodConnect, URL: &url.URL{Host: address}, Host: address, Header: http.Header{headerVM: {string(d.Members.Self().VM)}}}
-	br := bufio.NewReader(conn)
-	var resp *http.Response
-	if err = r.Write(conn); err == nil {
-		resp, err = http.ReadResponse(br, r) //nolint:bodyclose // the connection is the body
-	}
-	if err == nil && !stop() {
-		err = ctx.Err()
-	}
-	if err != nil || resp.StatusCode != http.StatusOK {
-		_ = conn.Close()
-		return nil, resp, err
-	}
-	return newConn(conn, br, m.VM), resp, nil
-}
-
-// carriersOf returns the VMs that an answer names.
-func carriersOf(h http.Header) []peer.VM {
-	var vs []peer.VM
-	for _, name := range strings.Split(h.Get(headerThrough), ",") {
-		if name != "" {
-			vs = append(vs, peer.VM(name))
-		}
-	}
-	return vs
-}
