path: one moment without a direct connect is no loss of paths

Cause: a carrier whose connect and checks are late, for want of processor time, took its paths for lost at the first such moment, and declined all connects for half a second and more. With both carriers in it, nobody was left.

Why the fix works: the paths are lost only if no direct connect succeeded for 0.15 s from the first such moment to the next. A VM that is cut is asked all the while and gets there; one that is late connects in between.

--- a/lib/decide/path/path.go
+++ b/lib/decide/path/path.go
@@ -18,6 +18,9 @@
 	lostAfter = 2
 	// regainAfter is how many direct connects in a row end the loss.
 	regainAfter = 2
+	// unprovenFor is for how long no upstream must take a direct connect before all direct paths count as lost. A
+	// VM without processor time can't connect in time either.
+	unprovenFor = 150 * clock.Milli(1)
 	// firstRetry and longestRetry are the first and the longest interval between direct connects to an upstream
 	// that is bypassed, and between those that test whether lost paths are back; intervals double.
 	firstRetry   = 500 * clock.Milli(1)
@@ -74,6 +77,9 @@
 	// down holds the upstreams to which other VMs could not connect either, by address, with the end of that
 	// verdict.
 	down map[string]clock.Milli
+	// unprovenAt is when no upstream that was tried took a direct connect, first since the last one did; zero for
+	// never.
+	unprovenAt clock.Milli
 	// isolatedUntil is the end of the time in which no other VM is asked.
 	isolatedUntil clock.Milli
 	lost          bool
@@ -116,7 +122,7 @@
 
 // Connected records a direct connect. It returns true if the lost paths count as working again.
 func (t *Table) Connected(now clock.Milli, address string) (regained bool) {
-	t.connectedAt = now
+	t.connectedAt, t.unprovenAt = now, 0
 	delete(t.bypassed, address)
 	clear(t.inRow)
 	if !t.lost {
@@ -168,8 +174,13 @@
 func (t *Table) Isolated(now clock.Milli) bool { return now < t.isolatedUntil }
 
 // Unproven records that no upstream that was tried took a direct connect. It returns true if all direct paths count
-// as lost from now on.
-func (t *Table) Unproven(now clock.Milli) (lost bool) { return t.lose(now) }
+// as lost from now on: if this was so unprovenFor before, with no direct connect between.
+func (t *Table) Unproven(now clock.Milli) (lost bool) {
+	if t.unprovenAt == 0 {
+		t.unprovenAt = now
+	}
+	return now-t.unprovenAt >= unprovenFor && t.lose(now)
+}
 
 func (t *Table) lose(now clock.Milli) bool {
 	if t.lost {
