--- a/bench/fleet/paths.go
+++ b/bench/fleet/paths.go
@@ -133,7 +133,7 @@
 			}
 			return asked, true
 		}
-		c.table.Unproven(now)
+		c.table.Unproven(now, true)
 		v.table.Declined(now, c.member.VM, c.table.Carriers(now))
 	}
 	return asked, false
--- a/daemon/tunnel/check.go
+++ b/daemon/tunnel/check.go
@@ -27,7 +27,7 @@
 		return true
 	}
 	d.mu.Lock()
-	lost := d.table.Unproven(d.Clock.Now())
+	lost := d.table.Unproven(d.Clock.Now(), isRefusal(cause))
 	d.mu.Unlock()
 	if lost {
 		d.noteLoss(cause)
--- a/lib/decide/path/path_test.go
+++ b/lib/decide/path/path_test.go
@@ -44,8 +44,8 @@
 // Cuts that flap would move all connects to and fro if one direct connect ended a loss.
 func TestLossEndsAfterDirectConnectsInRow(t *testing.T) {
 	p := New(self)
-	p.Unproven(1000 - unprovenFor)
-	p.Unproven(1000)
+	p.Unproven(1000-unprovenFor, true)
+	p.Unproven(1000, true)
 	require.False(t, p.TestDue(1400))
 	require.True(t, p.TestDue(1500))
 	require.False(t, p.Connected(1510, "u1"))
@@ -61,18 +61,20 @@
 // the VMs that are.
 func TestOneMomentWithoutConnectIsNoLossOfPaths(t *testing.T) {
 	p := New(self)
-	require.False(t, p.Unproven(1000))
-	require.False(t, p.Unproven(1000))
-	p.Connected(1050, "u1")
-	require.False(t, p.Unproven(1200))
-	require.True(t, p.Unproven(1200+unprovenFor))
+	require.False(t, p.Unproven(1000, true))
+	require.False(t, p.Unproven(1000, true))
+	require.False(t, p.Unproven(1001+unprovenTTL, true), "the moment before is long ago")
+	p.Connected(2100, "u1")
+	require.False(t, p.Unproven(2200, true))
+	require.True(t, p.Unproven(2200+unprovenFor, true))
+	require.True(t, p.Refused())
 }
 
 // Tests of lost paths must not become a load of their own while a cut lasts.
 func TestIntervalBetweenTestsGrows(t *testing.T) {
 	p := New(self)
-	p.Unproven(1)
-	p.Unproven(1 + unprovenFor)
+	p.Unproven(1, true)
+	p.Unproven(1+unprovenFor, true)
 	tests := 0
 	for now := clock.Milli(0); now < 20*clock.Second; now += 100 {
 		if p.TestDue(now) {
