tunnel: 512 tunnels a VM

Two descriptors each: 1,024 tunnels and the 2,140 descriptors that a VM of the whole fleet has in use (CAPACITY) are more than the 4,100 of a small one.

--- a/daemon/tunnel/server.go
+++ b/daemon/tunnel/server.go
@@ -18,7 +18,7 @@
 // Limits of a carrier.
 const (
 	// maxTunnels bounds the open tunnels. Each uses two descriptors and two buffers.
-	maxTunnels = 1024
+	maxTunnels = 512
 	// requestTimeout bounds the time for reading a CONNECT.
 	requestTimeout = time.Second
 	// quietTime is how long a tunnel must have carried nothing to count as unused when the VM stops. Streams pause
