tunnel, relay: no tunnels from the beginning of a stop; probes end with the request's time

Read in the diff: a VM that stops took new tunnels until its own callers were served, and cut those that were begun late; a send that broke just before its deadline waited up to 0.4 s for the probe, so that the answer came later than the half second that the platform allows. Stop is separate from Drain; a probe has what is left of the request's time, 0.15 s at least, as before.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -250,6 +250,7 @@
 	d.stopping.Store(true)
 	d.members.Stop()
 	d.gate.Stop()
+	d.tunnels.Stop()
 	d.owner.HandOver()
 	t := time.NewTimer(d.settings.Grace.Duration())
 	<-t.C
--- a/daemon/relay.go
+++ b/daemon/relay.go
@@ -295,6 +295,7 @@
 	d.members.Stop()
 	d.owner.HandOver(context.Background())
 	d.gate.Stop()
+	d.tunnels.Stop()
 	time.Sleep(balancerDelay.Duration())
 	remaining := max(d.settings.Bounds.Grace-balancerDelay-closingReserve, 0)
 	ctx, cancel := context.WithTimeout(context.Background(), remaining.Duration())
--- a/daemon/relay/paths.go
+++ b/daemon/relay/paths.go
@@ -11,8 +11,11 @@
 )
 
 // probeTimeout bounds a probe, which tests whether the upstream accepts a new connection. Other VMs are asked within it
-// if this VM can't connect.
-const probeTimeout = 400 * time.Millisecond
+// if this VM can't connect. A request whose time is over waits for minProbeTimeout at most.
+const (
+	probeTimeout    = 400 * time.Millisecond
+	minProbeTimeout = 150 * time.Millisecond
+)
 
 // reach is the result of a probe.
 type reach uint8
@@ -41,8 +44,8 @@
 
 // probe opens a new connection to an upstream and closes it. The error is that of a connect that failed. An upstream
 // that merely cut off a response is reachable.
-func (g *Gate) probe(address string) (reach, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+func (g *Gate) probe(address string, timeout time.Duration) (reach, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	c, err := g.Paths.Dial(ctx, "tcp", address)
 	switch {
--- a/daemon/relay/send.go
+++ b/daemon/relay/send.go
@@ -92,7 +92,7 @@
 // went through another VM, the send says nothing: its path may have failed.
 func (x *request) attribute(address string, u *route.Upstream, res *result) {
 	g := x.gate
-	state, err := g.probe(address)
+	state, err := g.probe(address, min(probeTimeout, max(minProbeTimeout, x.timeLeft().Duration())))
 	switch {
 	case state == unreachable:
 		g.Log.Warn().Str(logline.Key, logline.Crashed).Str("id", x.head.ID).Str("upstream", string(u.ID)).Str("send", res.err.Error()).Err(err).
--- a/daemon/relay/watchdog.go
+++ b/daemon/relay/watchdog.go
@@ -130,7 +130,7 @@
 
 // dead reports whether one probe shows that the send will get no response.
 func (w *watchdog) dead() bool {
-	state, _ := w.gate.probe(w.address) // the state tells all that counts here
+	state, _ := w.gate.probe(w.address, probeTimeout) // the state tells all that counts here
 	return state == unreachable || state == detoured && !w.viaCarrier()
 }
 
--- a/daemon/tunnel/server.go
+++ b/daemon/tunnel/server.go
@@ -207,11 +207,15 @@
 	return c, err
 }
 
-// Drain takes no further tunnels and waits until those that are open are unused, or ctx ends.
-func (s *Server) Drain(ctx context.Context) {
+// Stop makes the server take no further tunnels.
+func (s *Server) Stop() {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.stopping = true
-	s.mu.Unlock()
+}
+
+// Drain waits until the tunnels that are open are unused, or ctx ends. It must be called after Stop.
+func (s *Server) Drain(ctx context.Context) {
 	t := time.NewTicker(testPeriod)
 	defer t.Stop()
 	for s.inUse() > 0 {
--- a/daemon/tunnel/tunnel_test.go
+++ b/daemon/tunnel/tunnel_test.go
@@ -305,6 +305,7 @@
 	require.Eventually(t, func() bool { return carrier.tunnel.Open() == 1 }, time.Second, time.Millisecond)
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
+	carrier.tunnel.Stop()
 	carrier.tunnel.Drain(ctx)
 	carrier.server.Close()
 	wg.Wait()
