--- a/daemon/caller/crash_test.go
+++ b/daemon/caller/crash_test.go
@@ -4,14 +4,17 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"snipeshift.example/lib/decide"
 	"snipeshift.example/lib/dial"
+	"snipeshift.example/lib/peer"
 )
 
 // An upstream's process crashes. Its open streams break shortly before its listening socket is
@@ -60,10 +63,17 @@
 		return nil
 	}
 	b.post("/v1/chat/completions", chatBody)
+	returned := func() []peer.ReturnArgs {
+		b.fakes.mu.Lock()
+		defer b.fakes.mu.Unlock()
+		return slices.Clone(b.fakes.returned)
+	}
+	require.Eventually(t, func() bool { return len(returned()) > 1 }, 5*time.Second, 5*time.Millisecond)
 	b.awaitIdle()
-	require.Empty(t, b.fakes.crashes)
-	for _, r := range b.fakes.returned {
+	for _, r := range returned() {
 		require.NotEqual(t, decide.Lost, r.Outcome)
 	}
-	require.Greater(t, len(b.fakes.returned), 1)
+	b.fakes.mu.Lock()
+	defer b.fakes.mu.Unlock()
+	require.Empty(t, b.fakes.crashes)
 }
