--- a/daemon/relay/record.go
+++ b/daemon/relay/record.go
@@ -7,6 +7,7 @@
 
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
+	"snipeshift.example/lib/decide/blame"
 	"snipeshift.example/lib/decide/span"
 	"snipeshift.example/lib/fault"
 	"snipeshift.example/lib/logline"
@@ -36,6 +37,15 @@
 	// pause is the longest time between two events; lastEvent is when the last event was passed on.
 	pause, lastEvent clock.Milli
 	sends            []string
+	// send is how far the current send has come.
+	send progress
+}
+
+// progress is how far the response to one send has come.
+type progress struct {
+	// head is set once the header has arrived, events counts the events that were passed on.
+	head   bool
+	events int
 }
 
 // beginSend records that a grant was received and the next send begins.
@@ -43,6 +53,7 @@
 	r.placed.Store(int64(after))
 	r.connected.Store(0)
 	r.sent.Store(0)
+	r.send = progress{}
 }
 
 // beginResponse records the first byte of a response.
@@ -51,6 +62,7 @@
 // addEvent records one event of a stream.
 func (r *record) addEvent(now clock.Milli) {
 	r.events++
+	r.send.events++
 	if r.lastEvent > 0 {
 		r.pause = max(r.pause, now-r.lastEvent)
 	}
@@ -93,7 +105,7 @@
 	g.metrics.countRequest(routeName, name, r.first, r.queued, total)
 	e = e.Str(logline.Key, logline.Request).Str("id", x.head.ID).Str("route", routeName).Str("service", string(x.service)).
 		Str("workspace", string(x.workspaceID())).Uint64("revision", r.revision).Int64("age", int64(r.age)).
-		Int64("prompt", int64(x.head.Prompt)).Int64("output", int64(x.head.Output)).Int64("aim", int64(aim)).Int64("gap", int64(gap)).
+		Str("parts", partNames(x.head.Parts)).Int64("prompt", int64(x.head.Prompt)).Int64("output", int64(x.head.Output)).Int64("aim", int64(aim)).Int64("gap", int64(gap)).
 		Int64("due", int64(due)).Int("urgency", int(urgency)).Int64("left", int64(x.head.TimeLeft)).Str("last", x.head.LastEventID).Int64("queued", int64(r.queued)).Str("reason", r.reason).
 		Int64("read", int64(r.read)).Int64("placed", r.placed.Load()).Int64("connected", r.connected.Load()).Int64("sent", r.sent.Load()).
 		Int("waiting", r.waiting).Int("running", r.running).
@@ -104,3 +116,21 @@
 	}
 	e.Msg("request")
 }
+
+// maxLoggedParts bounds the parts of a prompt in a log line.
+const maxLoggedParts = 8
+
+// partNames returns the parts of a prompt for a log line: the first ones and the last.
+func partNames(parts []blame.Part) string {
+	var b strings.Builder
+	for i, p := range parts {
+		if i >= maxLoggedParts-1 && i < len(parts)-1 {
+			continue
+		}
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		b.WriteString(p.String())
+	}
+	return b.String()
+}
--- a/daemon/relay/send.go
+++ b/daemon/relay/send.go
@@ -96,6 +96,7 @@
 	switch {
 	case state == unreachable:
 		g.Log.Warn().Str(logline.Key, logline.Crashed).Str("id", x.head.ID).Str("upstream", string(u.ID)).Str("send", res.err.Error()).Err(err).
+			Bool("head", x.record.send.head).Int("events", x.record.send.events).Str("parts", partNames(x.head.Parts)).
 			Msg("upstream accepts no connection after it broke off a response; the request is suspected")
 		g.Suspects.RecordCrash(x.fingerprint, u.ID, u.Born)
 		res.outcome = span.Unreachable
@@ -125,6 +126,7 @@
 		return x.classifyError(ctx, err, wrote.Load())
 	}
 	defer resp.Body.Close()
+	x.record.send.head = true
 	head := x.gate.Codec.ResponseHead(resp, x.head.ID)
 	x.reportStatements(&head, grant.Leader, sent)
 	if culprit := v.Upstream(x.service, func(u *route.Upstream) bool { return u.Address == head.Culprit }); culprit != nil {
--- a/lib/exchange/exchange.go
+++ b/lib/exchange/exchange.go
@@ -6,6 +6,7 @@
 import (
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
+	"snipeshift.example/lib/decide/blame"
 	"snipeshift.example/lib/route"
 )
 
@@ -25,6 +26,9 @@
 	// LastEventID is the id of the last event of this stream that the client has; empty for a
 	// stream from the start.
 	LastEventID string
+	// Parts are the parts of the prompt in order, empty if not declared. The last one belongs to the request itself or
+	// to its session, the others may be shared by any requests.
+	Parts []blame.Part
 }
 
 // Send is the data that the gate adds to the client's header in the request to an upstream.
--- a/lib/logline/logline.go
+++ b/lib/logline/logline.go
@@ -70,7 +70,7 @@
 
 // Descriptions describes each event in one line. The operations manual repeats these lines.
 var Descriptions = map[string]string{
-	Request:      "a request has ended: route, workspace, document with its age, placement with the queue at the decision, each send, outcome",
+	Request:      "a request has ended: route, workspace, document with its age, parts of the prompt, placement with the queue at the decision, each send, outcome",
 	Started:      "a process accepts requests of clients",
 	Stopping:     "a planned stop has begun, or a response is cut off at the end of the stop",
 	Stopped:      "a planned stop is complete",
@@ -90,7 +90,7 @@
 	Report:       "an upstream reports work that no grant accounts for, or does not report",
 	Unresponsive: "an upstream neither responds nor accepts connections; the send is abandoned",
 	Excluded:     "an upstream gets no requests from any VM for a while after a failed send: whose send, how it ended, for how long",
-	Crashed:      "an upstream is taken to have crashed while it ran a request, which is suspected from then on: the error of the send and that of the probe",
+	Crashed:      "an upstream is taken to have crashed while it ran a request, which is suspected from then on: the error of the send and that of the probe, whether the response had a header by then, and how many events",
 	Paths:        "the direct paths of this VM to upstreams are lost, so that it connects through other VMs, or work again",
 	Reserve:      "memory for a part of a prompt could not be reserved",
 	Release:      "reserved memory could not be freed; the reservation expires by itself",
