--- a/scenarios/fleet/fleet.go
+++ b/scenarios/fleet/fleet.go
@@ -40,6 +40,9 @@
 	VMs      []*VM
 	// StoreRelay is the relay for the connections of all VMs to the store.
 	StoreRelay *relay.Relay
+	// Respawn is how long after its crash a runner gets a successor with a new id; zero for none. It must be set before
+	// the first crash.
+	Respawn time.Duration
 
 	dir, program string
 	finder       *relay.Finder
@@ -198,10 +201,12 @@
 // UpstreamRelay returns the relay in front of a runner.
 func (f *Fleet) UpstreamRelay(r *standin.Runner) *relay.Relay { return f.upstreams[r.Address()] }
 
-// Crash crashes a runner. Its registered address then refuses connections.
+// Crash crashes a runner. Its registered address then refuses connections, until it gets a successor.
 func (f *Fleet) Crash(r *standin.Runner) {
 	f.UpstreamRelay(r).Down()
-	r.Crash()
+	if r.Crash() && f.Respawn > 0 {
+		time.AfterFunc(f.Respawn, func() { _ = f.Replace(r) })
+	}
 }
 
 // Replace starts a runner with a new id at the registered address of one that has crashed.
