blame, span, placer, relay: parts of prompts that crash upstreams are found and held back

Cause: whom a crash speaks against was known by the hash of the whole request, so each of them was new, was allowed two engines, and taught nothing about the next. Change: lib/decide/blame counts crashes and answers by part. The owner of the service, which places every send, holds requests with a suspect part back, one at a time in the fleet, and refuses those with a blamed one; an answer acquits. Gates keep copies of the crashes for the next owner. Why it works: a part that crashes all upstreams is never answered, so three crashes settle it; a sound one is answered somewhere within a few hundred milliseconds.

--- a/daemon/placer/client.go
+++ b/daemon/placer/client.go
@@ -74,6 +74,8 @@
 	live map[decide.RequestID]*activeGrant
 	// sends counts the sends of this gate.
 	sends map[route.ServiceID]*sendCount
+	// crashes are copies of what the owners know of parts of prompts.
+	crashes map[route.ServiceID]*crashCopy
 }
 
 // activeGrant is a grant in use.
@@ -88,7 +90,7 @@
 	c := &Client{
 		clock: k, log: l, members: m, peers: p, localOwner: localOwner, holders: localOwner.Holders, gate: gate,
 		silent: silent.New(l, m, p), queried: map[route.ServiceID]bool{}, live: map[decide.RequestID]*activeGrant{}, sends: map[route.ServiceID]*sendCount{},
-		statements: localOwner.statements,
+		crashes: map[route.ServiceID]*crashCopy{}, statements: localOwner.statements,
 	}
 	c.holders.OnChange(c.onHolderChange)
 	return c
@@ -138,6 +140,8 @@
 	defer cancel()
 	for range maxRoutings {
 		args.Earlier = c.earlierSends(s)
+		x, _ := c.holders.Of(s)
+		c.attachCrashes(args, x.Epoch)
 		var reply PresentReply
 		if owner, remote := c.owner(s); !remote {
 			_ = c.localOwner.Present(args, &reply) // Present returns no errors
@@ -147,6 +151,7 @@
 		}
 		if reply.Holder == nil {
 			c.statements.Acknowledge(s, unacked)
+			c.learnCrashes(s, &reply, x.Epoch)
 			return
 		}
 		c.holders.Update(*reply.Holder, "answer")
@@ -221,6 +226,7 @@
 func (c *Client) askLocal(s route.ServiceID, a span.Ask, wait clock.Milli) (AskReply, error) {
 	args := c.newAskArgs(s, a, wait)
 	args.Local, args.Statements = true, c.statements.All(s)
+	c.localOwner.addCrashes(s, c.copiedCrashes(s))
 	var reply AskReply
 	return reply, c.localOwner.Ask(args, &reply)
 }
--- a/daemon/placer/messages.go
+++ b/daemon/placer/messages.go
@@ -13,6 +13,7 @@
 import (
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
+	"snipeshift.example/lib/decide/blame"
 	"snipeshift.example/lib/decide/gate"
 	"snipeshift.example/lib/decide/span"
 	"snipeshift.example/lib/decide/statement"
@@ -107,12 +108,19 @@
 	Earlier gate.Sends
 	// Statements of upstreams are those that this owner has not acknowledged yet.
 	Statements []statement.Message
+	// Crashes is the gate's copy of the crashes that speak against parts of prompts, for an owner that may not know them;
+	// empty for others. CrashDigest is the digest of that copy.
+	Crashes     []blame.Crash
+	CrashDigest uint64
 }
 
 // PresentReply is the answer to a list of live grants.
 type PresentReply struct {
 	// Holder is set if another VM holds the service; the list was ignored then.
 	Holder *peer.Holder
+	// Crashes replaces the gate's copy if NewCrashes is set.
+	Crashes    []blame.Crash
+	NewCrashes bool
 }
 
 // TakeArgs hands a service over to the called VM.
--- a/daemon/placer/owner.go
+++ b/daemon/placer/owner.go
@@ -323,6 +323,7 @@
 	if p.pool.Counts().Queued < longQueue {
 		o.tick(p, now)
 	}
+	o.logParts(args.Service, p)
 	return nil
 }
 
@@ -339,6 +340,8 @@
 	o.learnStatements(args.Service, p, now, args.Statements)
 	p.countEarlier(now, args)
 	p.pool.Present(now, args.Gate, args.Live)
+	p.exchangeCrashes(now, args, reply)
 	o.tick(p, now)
+	o.logParts(args.Service, p)
 	return nil
 }
--- a/daemon/relay/gate.go
+++ b/daemon/relay/gate.go
@@ -19,6 +19,7 @@
 	"snipeshift.example/daemon/registry"
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
+	"snipeshift.example/lib/decide/blame"
 	"snipeshift.example/lib/decide/gate"
 	"snipeshift.example/lib/decide/span"
 	"snipeshift.example/lib/decide/statement"
@@ -305,3 +306,9 @@
 	}
 	return x.workspace.ID
 }
+
+// sharedParts returns the parts of the prompt that other requests may share: all but the last.
+func (x *request) sharedParts() []blame.Part {
+	parts := x.head.Parts
+	return parts[:min(max(len(parts)-1, 0), blame.MaxParts)]
+}
--- a/daemon/relay/run.go
+++ b/daemon/relay/run.go
@@ -192,7 +192,7 @@
 		ID:   decide.RequestID(string(g.id) + "#" + strconv.FormatUint(g.serial.Add(1), 36)),
 		Gate: g.id, Workspace: x.workspaceID(), Urgency: route.Urgency(x.route, x.workspace),
 		Prompt: x.head.Prompt, Output: x.head.Output, Likely: x.likelyOutput(), Aim: x.firstByteTarget(now), Patience: x.patienceEnd(now), Deadline: x.deadline, Gap: x.route.Gap,
-		Stream: x.route.Stream, Avoid: x.avoid, Suspect: check == gate.Suspected,
+		Stream: x.route.Stream, Avoid: x.avoid, Suspect: check == gate.Suspected, Parts: x.sharedParts(),
 		Again: before.again, Begun: before.mayHaveRun, Counted: before.counted,
 	}
 	reply, err := g.Placer.Ask(ctx, x.service, a)
--- a/daemon/relay/send.go
+++ b/daemon/relay/send.go
@@ -99,7 +99,11 @@
 			Bool("head", x.record.send.head).Int("events", x.record.send.events).Str("parts", partNames(x.head.Parts)).
 			Msg("upstream accepts no connection after it broke off a response; the request is suspected")
 		g.Suspects.RecordCrash(x.fingerprint, u.ID, u.Born)
-		res.outcome = span.Unreachable
+		if res.outcome == span.Silent {
+			res.outcome = span.Unreachable
+		} else {
+			res.outcome = span.Crashed
+		}
 	case state != reachable || x.carrier.Load() != nil:
 		res.outcome = span.Left
 	}
--- /dev/null
+++ b/lib/decide/blame/copy.go
@@ -0,0 +1,85 @@
+package blame
+
+import (
+	"encoding/binary"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"snipeshift.example/lib/clock"
+)
+
+// crashesToCopy is the number of crashes from which a part is worth copying to other VMs. Single crashes are frequent, and
+// losing one costs one crash more.
+const crashesToCopy = 2
+
+// Crash is one crash in a copy of a table.
+type Crash struct {
+	Upstream Upstream
+	// Ago is the time since the crash.
+	Ago clock.Milli
+	// Parts are the suspect parts that were there.
+	Parts []Part
+}
+
+// Copy returns the crashes that speak against parts with at least this many crashes.
+func (t *Table) Copy(now clock.Milli, least int) []Crash {
+	byCrash := map[*crash][]Part{}
+	for p, s := range t.suspects {
+		if len(s.crashes) < least {
+			continue
+		}
+		for _, x := range s.crashes {
+			byCrash[x] = append(byCrash[x], p)
+		}
+	}
+	out := make([]Crash, 0, len(byCrash))
+	for _, x := range t.crashes {
+		if parts := byCrash[x]; len(parts) > 0 {
+			slices.Sort(parts)
+			out = append(out, Crash{Upstream: x.upstream, Ago: now - x.at, Parts: parts})
+		}
+	}
+	return out
+}
+
+// ForPeers returns the copy that other VMs keep.
+func (t *Table) ForPeers(now clock.Milli) []Crash { return t.Copy(now, crashesToCopy) }
+
+// Whole returns the copy for a planned successor.
+func (t *Table) Whole(now clock.Milli) []Crash { return t.Copy(now, 1) }
+
+// Merge adds the crashes of a copy. Parts that were answered after a crash are left out.
+func (t *Table) Merge(now clock.Milli, cs []Crash) {
+	for _, c := range cs[:min(len(cs), maxRecords)] {
+		x := t.crash(now-c.Ago, c.Upstream)
+		for _, p := range c.Parts[:min(len(c.Parts), maxSuspects)] {
+			if at, ok := t.answeredAt(p); !ok || at < x.at {
+				t.add(now, p, x)
+			}
+		}
+	}
+}
+
+// Digest returns a hash of a copy that does not depend on the time; zero for an empty copy.
+func Digest(cs []Crash) uint64 {
+	if len(cs) == 0 {
+		return 0
+	}
+	var d xxhash.Digest
+	d.Reset()
+	var b [8]byte
+	write := func(n uint64) {
+		binary.LittleEndian.PutUint64(b[:], n)
+		_, _ = d.Write(b[:])
+	}
+	for _, c := range cs {
+		_, _ = d.WriteString(c.Upstream.ID)
+		write(uint64(c.Upstream.Born))
+		write(uint64(len(c.Parts)))
+		for _, p := range c.Parts {
+			write(uint64(p))
+		}
+	}
+	return d.Sum64()
+}
--- a/lib/decide/span/health.go
+++ b/lib/decide/span/health.go
@@ -39,7 +39,7 @@
 	switch o {
 	case Done:
 		*h = health{helpsFrom: h.helpsFrom, declinePause: h.declinePause}
-	case Unreachable:
+	case Unreachable, Crashed:
 		h.exclude(now)
 	case Silent, Broken:
 		h.failures++
--- a/lib/decide/span/place.go
+++ b/lib/decide/span/place.go
@@ -85,6 +85,9 @@
 // empty for long prefills. An engine accepts a request if the pass that includes its prefill stays
 // within the shortest pause tolerated by the streams there.
 func (p *Pool) placeShort(now clock.Milli, a *Ask, prefillTime float64) (plan, bool) {
+	if a.Suspect {
+		return p.placeSuspect(now, a, prefillTime)
+	}
 	for _, r := range p.packOrder {
 		if !r.declared.limit.ProbeDue(now) {
 			continue
--- a/lib/decide/span/pool.go
+++ b/lib/decide/span/pool.go
@@ -7,6 +7,7 @@
 
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
+	"snipeshift.example/lib/decide/blame"
 	"snipeshift.example/lib/decide/gate"
 	"snipeshift.example/lib/decide/statement"
 	"snipeshift.example/lib/route"
@@ -51,12 +52,14 @@
 	declared     declarations
 	// budget limits the repeated sends of requests.
 	budget *gate.Budget
+	// parts knows the parts of prompts that crash upstreams.
+	parts *blame.Table
 }
 
 // New returns an empty pool that limits repeated sends by b.
 func New(r Rules, b *gate.Budget) *Pool {
 	return &Pool{
-		rules: r, budget: b, upstreams: map[decide.UpstreamID]*upstreamState{},
+		rules: r, budget: b, parts: blame.New(), upstreams: map[decide.UpstreamID]*upstreamState{},
 		queue: map[decide.RequestID]*queuedRequest{}, grants: map[decide.RequestID]*grantState{}, finished: map[decide.RequestID]clock.Milli{},
 		declared: declarations{byUpstream: map[decide.UpstreamID]*declared{}},
 	}
@@ -184,6 +187,7 @@
 	}
 	g.suspectIfLate(now)
 	g.Writing, g.namedAt = true, now
+	p.parts.Begun(now, blame.Run(id))
 	ups := g.upstreams
 	for _, r := range ups {
 		r.noteServed(now, id, g.Grant.Gate)
@@ -216,6 +220,7 @@
 	if g == nil {
 		return x, false
 	}
+	p.endRun(now, g, o)
 	if culprit == "" {
 		culprit = g.Grant.Leader.Upstream
 	}
@@ -270,6 +275,7 @@
 func (p *Pool) addGrant(now clock.Milli, l LiveGrant, a Ask) *grantState {
 	g := &grantState{LiveGrant: l, ask: a, grantedAt: now, namedAt: now}
 	p.grants[l.Grant.Request] = g
+	p.startRun(now, g)
 	for _, pl := range append([]Placement{l.Grant.Leader}, l.Grant.Helpers...) {
 		r := p.upstreams[pl.Upstream]
 		if r == nil || r.pastIncarnation(pl.Born) {
@@ -292,6 +298,7 @@
 		return
 	}
 	delete(p.grants, id)
+	p.parts.Ended(now, blame.Run(id))
 	for _, r := range g.upstreams {
 		delete(r.grants, id)
 		r.noteEnded(now)
--- a/lib/decide/span/queue.go
+++ b/lib/decide/span/queue.go
@@ -99,7 +99,7 @@
 	p.largeReserve.choose(now, p.queue, p.maxGroup())
 	o := round{pool: p, now: now, backlogInTime: p.totalBacklog(now), unverified: p.allUnverified(), supply: p.totalSupply(now)}
 	for _, w := range p.orderedQueue(now) {
-		if d, decided := o.decide(w); decided {
+		if d, decided := o.judge(w); decided {
 			delete(p.queue, w.ID)
 			if w.long {
 				p.largeReserve.noteDecided(w, d.Action == Refused)
@@ -125,6 +125,19 @@
 	return true
 }
 
+// judge decides on one request unless it has to wait for the answer to another one with the same suspect part.
+func (o *round) judge(w *queuedRequest) (Decision, bool) {
+	d, refused, held := o.pool.judgeParts(o.now, w)
+	switch {
+	case refused:
+		return d, true
+	case held:
+		return o.pool.refuse(o.now, w)
+	default:
+		return o.decide(w)
+	}
+}
+
 // decide places one request, refuses it, or leaves it in the queue. It is called in the order of
 // placing. A request that can be placed now is never refused, however high the load of the last
 // seconds was: refusing it would leave an engine idle.
--- a/lib/decide/span/snapshot.go
+++ b/lib/decide/span/snapshot.go
@@ -3,6 +3,7 @@
 import (
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
+	"snipeshift.example/lib/decide/blame"
 	"snipeshift.example/lib/decide/gate"
 	"snipeshift.example/lib/decide/statement"
 )
@@ -24,6 +25,8 @@
 	Saved, Mean, LargeRefused, OthersRefused float64
 	// Budget is the state of the retry budget.
 	Budget gate.BudgetSnapshot
+	// Crashes are those that speak against parts of prompts.
+	Crashes []blame.Crash
 }
 
 // GrantSnapshot is one live grant in a snapshot.
@@ -33,6 +36,7 @@
 	Age, Unheard clock.Milli
 	Workspace    decide.WorkspaceID
 	Suspect      bool
+	Parts        []blame.Part
 }
 
 // UpstreamSnapshot is the state of one upstream in a snapshot, derived from outcomes, reports and
@@ -70,11 +74,11 @@
 	b := Snapshot{
 		Busy: p.headroom.busy, Served: p.headroom.placeRate,
 		Saved: p.largeReserve.savedPrefill, Mean: p.largeReserve.meanPrefill, LargeRefused: p.largeReserve.large.refused, OthersRefused: p.largeReserve.others.refused,
-		Budget: p.budget.Snapshot(now),
+		Budget: p.budget.Snapshot(now), Crashes: p.parts.Whole(now),
 	}
 	for _, g := range p.grants {
 		b.Grants = append(b.Grants, GrantSnapshot{
-			Live: g.LiveGrant, Age: now - g.grantedAt, Unheard: now - g.namedAt, Workspace: g.ask.Workspace, Suspect: g.ask.Suspect,
+			Live: g.LiveGrant, Age: now - g.grantedAt, Unheard: now - g.namedAt, Workspace: g.ask.Workspace, Suspect: g.ask.Suspect, Parts: g.ask.Parts,
 		})
 	}
 	for _, r := range p.packOrder {
@@ -97,7 +101,7 @@
 	for _, l := range b.Grants {
 		g := p.grants[l.Live.Grant.Request]
 		if g == nil {
-			g = p.addGrant(now, l.Live, Ask{ID: l.Live.Grant.Request, Gate: l.Live.Grant.Gate, Workspace: l.Workspace, Suspect: l.Suspect})
+			g = p.addGrant(now, l.Live, Ask{ID: l.Live.Grant.Request, Gate: l.Live.Grant.Gate, Workspace: l.Workspace, Suspect: l.Suspect, Parts: l.Parts})
 		}
 		g.grantedAt, g.namedAt = now-l.Age, now-l.Unheard
 	}
@@ -126,6 +130,7 @@
 		r.unverified, r.reportWanted = c.Doubtful, c.Suspected
 	}
 	p.budget.Restore(now, b.Budget)
+	p.parts.Merge(now, b.Crashes)
 	p.headroom = headroom{busy: b.Busy, at: now, engines: p.headroom.engines, placeRate: b.Served}
 	p.largeReserve.savedPrefill, p.largeReserve.meanPrefill = b.Saved, b.Mean
 	p.largeReserve.large.refused, p.largeReserve.others.refused = b.LargeRefused, b.OthersRefused
--- a/lib/decide/span/span.go
+++ b/lib/decide/span/span.go
@@ -21,6 +21,7 @@
 import (
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
+	"snipeshift.example/lib/decide/blame"
 	"snipeshift.example/lib/decide/statement"
 	"snipeshift.example/lib/fault"
 )
@@ -51,6 +52,8 @@
 	// two such requests are placed on one upstream, so that the next crash shows which of them is
 	// at fault.
 	Suspect bool
+	// Parts are the parts of the prompt that other requests may share.
+	Parts []blame.Part
 	// Again is set for every send of a request but the first.
 	Again bool
 	// Begun is set if the request may have run on an upstream already. It is not refused for overload
@@ -139,10 +142,12 @@
 	// Left carries no information on the upstream: the client disconnected or the send never
 	// happened.
 	Left
+	// Crashed is a response that the upstream broke off before it became unreachable.
+	Crashed
 )
 
 var outcomeNames = [...]string{
-	Done: "done", Failed: "failed", Full: "full", Broken: "broken", Silent: "silent", Unreachable: "unreachable", Left: "left",
+	Done: "done", Failed: "failed", Full: "full", Broken: "broken", Silent: "silent", Unreachable: "unreachable", Left: "left", Crashed: "crashed",
 }
 
 // String returns the name of the outcome.
--- a/lib/logline/logline.go
+++ b/lib/logline/logline.go
@@ -47,6 +47,8 @@
 	Excluded = "excluded"
 	// Crashed is the crash of an upstream that a gate attributes to a request.
 	Crashed = "crashed"
+	// Blame is a change of what is known of a part of prompts that crashes upstreams.
+	Blame = "blame"
 	// Paths is the loss or the return of this VM's direct paths to upstreams.
 	Paths = "paths"
 	// Reserve and Release are failed orders to reserve or free memory of an engine.
@@ -91,6 +93,7 @@
 	Unresponsive: "an upstream neither responds nor accepts connections; the send is abandoned",
 	Excluded:     "an upstream gets no requests from any VM for a while after a failed send: whose send, how it ended, for how long",
 	Crashed:      "an upstream is taken to have crashed while it ran a request, which is suspected from then on: the error of the send and that of the probe, whether the response had a header by then, and how many events",
+	Blame:        "a part of prompts is blamed for crashes of upstreams and its requests are refused, or that has ended: by an answer (acquitted), after a long time without such requests (lapsed), by the operator (pardoned); with the crashes, and whether the part had been answered shortly before (familiar)",
 	Paths:        "the direct paths of this VM to upstreams are lost, so that it connects through other VMs, or work again",
 	Reserve:      "memory for a part of a prompt could not be reserved",
 	Release:      "reserved memory could not be freed; the reservation expires by itself",
