relay: a stream that had lasted is not suspected when its upstream crashes

Cause: each request on an upstream that crashes was recorded against its fingerprint, whatever it had done there. Class: blame falls on who was there. Change: a send whose first event was passed on a quarter of a second or more before the crash is not recorded. The owner is told of the end of a send before all VMs are told of the suspect, which may take half a second if one of them is dark. Why it works: what crashes an upstream as it begins to answer has no answer that lasts. Result: TestLongStreamCutOffByCrashIsNotSuspected passes, as do the other tests of the package.

--- a/daemon/relay/paths_test.go
+++ b/daemon/relay/paths_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"snipeshift.example/lib/decide/blame"
 	"snipeshift.example/lib/decide/span"
 	"snipeshift.example/lib/dial"
 )
@@ -86,6 +87,29 @@
 	}
 }
 
+// An upstream crashes under a stream that it has been writing for a while; suspected twice, the client's request would be
+// refused everywhere.
+func TestLongStreamCutOffByCrashIsNotSuspected(t *testing.T) {
+	for written, suspected := range map[time.Duration]int64{0: 1, 2 * blame.ProveTime.Duration(): 0} {
+		var crashes atomic.Int64
+		var w *fixture
+		w = newFixture(t, func(rw http.ResponseWriter, r *http.Request) {
+			rw.Header().Set("Content-Type", "text/event-stream")
+			respond(eventText(1, 2))(rw, r)
+			_ = http.NewResponseController(rw).Flush()
+			time.Sleep(written)
+			_ = w.upstreams[0].Listener.Close()
+			panic(http.ErrAbortHandler)
+		}, respondStream(eventText(3, 4)))
+		w.deps.Suspects = testSuspects{crashes: &crashes}
+		w.start()
+		_, _, err := w.call(http.MethodPost, "/stream/", "")
+		require.NoError(t, err)
+		require.Equal(t, []span.Outcome{span.Crashed, span.Done}, w.placer.outcomes)
+		require.Equal(t, suspected, crashes.Load(), "crash %v after the first event", written)
+	}
+}
+
 // A connection through another VM breaks with that VM; the upstream is not at fault.
 func TestSendBrokenByCarrierExcludesNoUpstream(t *testing.T) {
 	w := newFixture(t, respondRaw(t, true, func(*http.Request) string { return "" }), respond("answer"))
--- a/daemon/relay/record.go
+++ b/daemon/relay/record.go
@@ -46,6 +46,13 @@
 	// head is set once the header has arrived, events counts the events that were passed on.
 	head   bool
 	events int
+	// begunAt is when the first of them was passed on.
+	begunAt clock.Milli
+}
+
+// lasted reports whether the response has lasted so long that a crash of the upstream says nothing about the request.
+func (p *progress) lasted(now clock.Milli) bool {
+	return p.events > 0 && now-p.begunAt >= blame.ProveTime
 }
 
 // beginSend records that a grant was received and the next send begins.
@@ -62,7 +69,9 @@
 // addEvent records one event of a stream.
 func (r *record) addEvent(now clock.Milli) {
 	r.events++
-	r.send.events++
+	if r.send.events++; r.send.events == 1 {
+		r.send.begunAt = now
+	}
 	if r.lastEvent > 0 {
 		r.pause = max(r.pause, now-r.lastEvent)
 	}
--- a/daemon/relay/run.go
+++ b/daemon/relay/run.go
@@ -50,8 +50,10 @@
 	err error
 	// final is set if the request must not be sent again.
 	final *fault.Error
-	// suspicious is set if the request may have crashed the upstream.
+	// suspicious is set if the request may have crashed the upstream; crashed is that upstream once it is known to have
+	// crashed.
 	suspicious bool
+	crashed    *route.Upstream
 	// unsent is set if nothing was sent: no connection was opened, an upstream of the grant is leaving, or a
 	// statement of it forbids the send. backOff is set if the upstream asked for a back-off in response to
 	// this send.
@@ -72,6 +74,10 @@
 		x.carrier.Store(nil)
 		res := x.send(ctx, grant)
 		x.gate.Placer.End(grant.Request, res.outcome, res.culprit)
+		if res.crashed != nil {
+			// This waits for all VMs, so the owner is told first.
+			x.gate.Suspects.RecordCrash(x.fingerprint, res.crashed.ID, res.crashed.Born)
+		}
 		x.record.endSend(grant, res, x.carrier.Load())
 		x.gate.metrics.countSend(res.outcome)
 		if res.failure != nil {
--- a/daemon/relay/send.go
+++ b/daemon/relay/send.go
@@ -88,17 +88,21 @@
 }
 
 // attribute decides what a broken or unanswered send says about the upstream. If the upstream accepts no connection,
-// from this VM or others, it crashed while it ran the request. If it accepts them through other VMs only, or the send
-// went through another VM, the send says nothing: its path may have failed.
+// from this VM or others, it crashed while it ran the request, which is suspected unless its response had lasted. If it
+// accepts them through other VMs only, or the send went through another VM, the send says nothing: its path may have
+// failed.
 func (x *request) attribute(address string, u *route.Upstream, res *result) {
 	g := x.gate
+	suspected := !x.record.send.lasted(g.Clock.Now())
 	state, err := g.probe(address, min(probeTimeout, max(minProbeTimeout, x.timeLeft().Duration())))
 	switch {
 	case state == unreachable:
 		g.Log.Warn().Str(logline.Key, logline.Crashed).Str("id", x.head.ID).Str("upstream", string(u.ID)).Str("send", res.err.Error()).Err(err).
 			Bool("head", x.record.send.head).Int("events", x.record.send.events).Str("parts", partNames(x.head.Parts)).
-			Msg("upstream accepts no connection after it broke off a response; the request is suspected")
-		g.Suspects.RecordCrash(x.fingerprint, u.ID, u.Born)
+			Bool("suspected", suspected).Msg("upstream accepts no connection after it broke off a response")
+		if suspected {
+			res.crashed = u
+		}
 		if res.outcome == span.Silent {
 			res.outcome = span.Unreachable
 		} else {
--- a/lib/decide/blame/blame_test.go
+++ b/lib/decide/blame/blame_test.go
@@ -75,7 +75,7 @@
 	for range 6 {
 		id := b.start(1)
 		b.Begun(b.now, id)
-		b.now += proveTime
+		b.now += ProveTime
 		b.Crashed(b.now, id)
 	}
 	require.Equal(t, Clear, b.verdict(1))
@@ -88,7 +88,7 @@
 		id := b.start(1)
 		b.now += 100
 		b.Begun(b.now, id)
-		b.now += proveTime - 1
+		b.now += ProveTime - 1
 		b.Crashed(b.now, id)
 	}
 	require.Equal(t, Refused, b.verdict(1))
@@ -138,7 +138,7 @@
 	}
 	require.Equal(t, Held, b.verdict(1))
 	b.Begun(b.now, last)
-	b.now += proveTime
+	b.now += ProveTime
 	require.Equal(t, Clear, b.verdict(1))
 }
 
--- a/lib/decide/blame/part.go
+++ b/lib/decide/blame/part.go
@@ -27,11 +27,12 @@
 	Born int64
 }
 
+// ProveTime is how long an answer must last to acquit the parts of its prompt. A crash within that time of the first event
+// still speaks against them.
+const ProveTime = 250 * clock.Milli(1)
+
 // Limits for blaming parts.
 const (
-	// proveTime is how long an answer must last to acquit the parts of its prompt. A crash within that time of the
-	// first event still speaks against them.
-	proveTime = 250 * clock.Milli(1)
 	// crashesToBlame is the number of crashes from which a part is blamed, crashesToBlameFamiliar that of a part that
 	// was answered shortly before.
 	crashesToBlame, crashesToBlameFamiliar = 3, 4
--- a/lib/decide/blame/table.go
+++ b/lib/decide/blame/table.go
@@ -126,7 +126,7 @@
 // Advance acquits the parts of runs whose answers have lasted long enough.
 func (t *Table) Advance(now clock.Milli) {
 	n := 0
-	for ; n < len(t.begun) && (t.begun[n].ended || now-t.begun[n].begunAt >= proveTime); n++ {
+	for ; n < len(t.begun) && (t.begun[n].ended || now-t.begun[n].begunAt >= ProveTime); n++ {
 		if r := t.begun[n]; !r.ended {
 			t.prove(r)
 		}
