placer: a query that holds a suspect part tells the owner what the gate knows of it

What callers saw: nothing yet; 2 of 30 runs of TestVerdictOnPartOutlivesOwner with -race: a new owner granted a request with a blamed part. Cause: a new owner decides 40 ms after it has taken over at the latest, whether the gates' lists of live grants, which carry the crashes, have arrived or not. Change: a gate adds its copy to each query whose parts it concerns, also to its own VM's owner.

--- a/daemon/placer/client.go
+++ b/daemon/placer/client.go
@@ -226,7 +226,6 @@
 func (c *Client) askLocal(s route.ServiceID, a span.Ask, wait clock.Milli) (AskReply, error) {
 	args := c.newAskArgs(s, a, wait)
 	args.Local, args.Statements = true, c.statements.All(s)
-	c.localOwner.addCrashes(s, c.copiedCrashes(s))
 	var reply AskReply
 	return reply, c.localOwner.Ask(args, &reply)
 }
@@ -240,7 +239,7 @@
 		a.Patience -= now
 	}
 	x, _ := c.holders.Of(s)
-	return &AskArgs{Service: s, Ask: a, Wait: wait, Epoch: x.Epoch}
+	return &AskArgs{Service: s, Ask: a, Wait: wait, Epoch: x.Epoch, Crashes: c.crashesUnder(s, a.Parts)}
 }
 
 // FirstByte reports to the owner that the first byte of a response has arrived.
--- a/daemon/placer/messages.go
+++ b/daemon/placer/messages.go
@@ -45,6 +45,8 @@
 	Local bool
 	// Statements of upstreams are those that this owner has not acknowledged yet.
 	Statements []statement.Message
+	// Crashes are those that speak against parts of this prompt, as far as the gate knows: the owner may be a new one.
+	Crashes []blame.Crash
 }
 
 // AskReply is the answer to a placement query.
--- a/daemon/placer/owner.go
+++ b/daemon/placer/owner.go
@@ -191,6 +191,7 @@
 	p := o.lockedPool(args.Service)
 	p.pool.SetLimitShare(now, o.limitShare(args))
 	o.learnStatements(args.Service, p, now, args.Statements)
+	p.pool.Parts().Merge(now, args.Crashes)
 	p.lastAsk = now
 	o.keepStandbys(args.Service, p)
 	o.pollReports(args.Service, p)
--- a/daemon/placer/parts.go
+++ b/daemon/placer/parts.go
@@ -11,7 +11,8 @@
 )
 
 // The owner of a service knows which parts of prompts crash upstreams. Each gate keeps a copy of the crashes that matter, so
-// that the knowledge outlives the owner: a new one gets them with the first list of live grants of each gate.
+// that the knowledge outlives the owner: a new one gets them with the first list of live grants of each gate, and with the
+// queries that they concern.
 
 // crashCopy is a gate's copy of the crashes that speak against parts of prompts.
 type crashCopy struct {
@@ -61,14 +62,17 @@
 	}
 }
 
-// copiedCrashes returns this gate's copy of the crashes of a service.
-func (c *Client) copiedCrashes(s route.ServiceID) []blame.Crash {
+// crashesUnder returns, from this gate's copy, the crashes of a service if some speak against one of the parts.
+func (c *Client) crashesUnder(s route.ServiceID, parts []blame.Part) []blame.Crash {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if k := c.crashes[s]; k != nil {
-		return k.present(c.clock.Now())
+	k := c.crashes[s]
+	if k == nil || !slices.ContainsFunc(k.crashes, func(x blame.Crash) bool {
+		return slices.ContainsFunc(x.Parts, func(p blame.Part) bool { return slices.Contains(parts, p) })
+	}) {
+		return nil
 	}
-	return nil
+	return k.present(c.clock.Now())
 }
 
 // exchangeCrashes adds a gate's copy to what is known here, and replies with the present copy if the gate's differs. The
@@ -82,16 +86,6 @@
 	}
 }
 
-// addCrashes adds crashes to what is known of a service.
-func (o *Owner) addCrashes(s route.ServiceID, cs []blame.Crash) {
-	if len(cs) == 0 {
-		return
-	}
-	p := o.lockedPool(s)
-	defer p.mu.Unlock()
-	p.pool.Parts().Merge(o.Clock.Now(), cs)
-}
-
 // logParts logs what has become known of parts of prompts. The pool's lock is held.
 func (o *Owner) logParts(s route.ServiceID, p *ownedPool) {
 	for _, c := range p.pool.Parts().TakeChanges() {
--- a/daemon/placer/parts_test.go
+++ b/daemon/placer/parts_test.go
@@ -105,7 +105,8 @@
 	d.crashThree(t)
 	d.requireRefused(t, "at the owner")
 	d.client.present(context.Background(), "s", nil)
-	require.Len(t, d.client.copiedCrashes("s"), 3)
+	require.Len(t, d.client.crashesUnder("s", []blame.Part{badPart}), 3)
+	require.Empty(t, d.client.crashesUnder("s", []blame.Part{1}))
 	d.fail(d.refusing, d.ranked[0].Address)
 	d.requireRefused(t, "at the next owner")
 	for _, m := range d.ranked {
