relay: requests of plain services are known by their target

Cause: such a request has no parts, and its fingerprint covers workspace and body. Change: method and target of a request without a prompt are its only part. Why it works: a target that all requests share is answered all the time and so never blamed; one that crashes its upstream is never answered.

--- a/daemon/relay/gate.go
+++ b/daemon/relay/gate.go
@@ -307,8 +307,15 @@
 	return x.workspace.ID
 }
 
-// sharedParts returns the parts of the prompt that other requests may share: all but the last.
+// sharedParts returns the parts of the prompt that other requests may share: all but the last. A request without a prompt
+// has one part, its method and target.
 func (x *request) sharedParts() []blame.Part {
 	parts := x.head.Parts
-	return parts[:min(max(len(parts)-1, 0), blame.MaxParts)]
+	if len(parts) > 0 {
+		return parts[:min(len(parts)-1, blame.MaxParts)]
+	}
+	if x.head.Prompt > 0 {
+		return nil
+	}
+	return []blame.Part{blame.Part(xxhash.Sum64String(x.r.Method + " " + x.r.Host + x.r.RequestURI))}
 }
--- a/daemon/relay/harness_test.go
+++ b/daemon/relay/harness_test.go
@@ -23,6 +23,7 @@
 	"snipeshift.example/daemon/registry"
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
+	"snipeshift.example/lib/decide/blame"
 	"snipeshift.example/lib/decide/gate"
 	"snipeshift.example/lib/decide/span"
 	"snipeshift.example/lib/decide/statement"
@@ -36,7 +37,11 @@
 type testCodec struct{}
 
 func (testCodec) RequestHead(h http.Header) (exchange.RequestHead, error) {
-	return exchange.RequestHead{ID: h.Get("Id"), Key: route.Key(h.Get("Key")), LastEventID: h.Get("Last")}, nil
+	head := exchange.RequestHead{ID: h.Get("Id"), Key: route.Key(h.Get("Key")), LastEventID: h.Get("Last")}
+	for _, p := range h.Get("Parts") {
+		head.Parts = append(head.Parts, blame.Part(p))
+	}
+	return head, nil
 }
 
 func (testCodec) Forward(from http.Header, s exchange.Send) http.Header {
@@ -82,8 +87,9 @@
 	mu        sync.Mutex
 	upstreams []route.Upstream
 	outcomes  []span.Outcome
-	// again and counted record the fields Again and Counted of each Ask.
+	// again and counted record the fields Again and Counted of each Ask, parts its parts.
 	again, counted []bool
+	parts          [][]blame.Part
 	statements     *statement.Table
 	// wait is how long each Ask takes; beforeAsk is called at its start.
 	wait      time.Duration
@@ -102,6 +108,7 @@
 	p.mu.Lock()
 	p.again = append(p.again, a.Again)
 	p.counted = append(p.counted, a.Counted)
+	p.parts = append(p.parts, a.Parts)
 	p.mu.Unlock()
 	select {
 	case <-time.After(p.wait):
--- a/scenarios/platform_part_test.go
+++ b/scenarios/platform_part_test.go
@@ -46,19 +46,18 @@
 	calls []partCall
 }
 
-// run sends requests with the given parts until the time is over. If repeat is set, each failed one is sent once more,
-// at another VM, which is not recorded.
-func (l *partLoad) run(f *fleet.Fleet, interval time.Duration, until time.Time, repeat bool, parts []string) {
-	c := standin.NewClient("ward")
+// run sends requests by call until the time is over. If repeat is set, each failed one is sent once more, at another VM,
+// which is not recorded.
+func (l *partLoad) run(f *fleet.Fleet, interval time.Duration, until time.Time, repeat bool, call func(address string) standin.Response) {
 	for n := 0; time.Now().Before(until); n++ {
 		l.wg.Go(func() {
 			at := time.Now()
-			r := c.CallParts(f.VMs[n%len(f.VMs)].Caller, "draft", parts...)
+			r := call(f.VMs[n%len(f.VMs)].Caller)
 			l.mu.Lock()
 			l.calls = append(l.calls, partCall{at, r})
 			l.mu.Unlock()
 			if repeat && !r.Complete {
-				c.CallParts(f.VMs[(n+1)%len(f.VMs)].Caller, "draft", parts...)
+				call(f.VMs[(n+1)%len(f.VMs)].Caller)
 			}
 		})
 		time.Sleep(interval)
@@ -82,6 +81,18 @@
 	return float64(complete) / float64(max(sent, 1))
 }
 
+// draftOf returns a function that calls an engine with a prompt of these parts.
+func draftOf(parts []string) func(string) standin.Response {
+	c := standin.NewClient("ward")
+	return func(address string) standin.Response { return c.CallParts(address, "draft", parts...) }
+}
+
+// lookupOf returns a function that calls a plain service with this path.
+func lookupOf(path string) func(string) standin.Response {
+	c := standin.NewClient("ward")
+	return func(address string) standin.Response { return c.CallPath(address, "lookup", path) }
+}
+
 // Requests that share one part, and are otherwise new each time, crash each runner that begins to answer them; the service
 // must not lose more than five runners to them, and all other requests must be served as before.
 func TestPlatformPartOfPromptsCrashesFewUpstreams(t *testing.T) {
@@ -90,39 +101,50 @@
 		headFirst bool
 	}{"first": {0, false}, "middle": {1, true}, "last shared": {2, false}} {
 		t.Run(name, func(t *testing.T) {
-			f := newFleet(t, partVMs)
-			f.Respawn = respawnTime
 			bad := slices.Clone(soundParts)
 			bad[x.position] = "bad"
-			f.Platform.SetBadPart(standin.BadPart{ID: "bad", HeadFirst: x.headFirst})
-			var sound, poison partLoad
-			start := time.Now()
-			turn, end := start.Add(calmTime), start.Add(calmTime+badTime)
-			sound.wg.Go(func() { sound.run(f, soundInterval, end, false, soundParts) })
-			time.Sleep(calmTime)
-			poison.run(f, badInterval, end, true, bad)
-			sound.wg.Wait()
-			poison.wg.Wait()
-
-			crashes, arrivals := f.Platform.BadPartCrashes(), f.Platform.BadPartArrivals()
-			t.Logf("%d crashes, %d arrivals", len(crashes), len(arrivals))
-			require.GreaterOrEqual(t, len(crashes), verdictCrashes)
-			known := crashes[verdictCrashes-1].Add(verdictTime)
-			before, after := sound.served(start, turn), sound.served(known, end)
-			t.Logf("sound first attempts served: %.3f before, %.3f from %v after the first crash", before, after, known.Sub(crashes[0]))
-			require.LessOrEqual(t, len(crashes), maxPartCrashes)
-			require.False(t, arrivals[len(arrivals)-1].After(known), "sent %v after the verdict was due", arrivals[len(arrivals)-1].Sub(known))
-			require.GreaterOrEqual(t, after, servedShare*before)
-			for _, y := range poison.calls {
-				require.False(t, y.response.Complete)
-				if y.response.Status == http.StatusServiceUnavailable {
-					require.Zero(t, f.Platform.RunCount(y.response.ID), "%s ran", y.response.ID)
-				}
-			}
+			testBadPart(t, standin.BadPart{ID: "bad", HeadFirst: x.headFirst}, draftOf(soundParts), draftOf(bad))
 		})
 	}
 }
 
+// Lookups of one record crash each runner of a plain service, whoever sends them with whatever body.
+func TestPlatformTargetCrashesFewPlainUpstreams(t *testing.T) {
+	testBadPart(t, standin.BadPart{ID: "/lookup/bad"}, lookupOf("/lookup/1"), lookupOf("/lookup/bad"))
+}
+
+// testBadPart sends sound requests, and later bad ones beside them, and checks what these did.
+func testBadPart(t *testing.T, part standin.BadPart, callSound, callBad func(address string) standin.Response) {
+	t.Helper()
+	f := newFleet(t, partVMs)
+	f.Respawn = respawnTime
+	f.Platform.SetBadPart(part)
+	var sound, bad partLoad
+	start := time.Now()
+	turn, end := start.Add(calmTime), start.Add(calmTime+badTime)
+	sound.wg.Go(func() { sound.run(f, soundInterval, end, false, callSound) })
+	time.Sleep(calmTime)
+	bad.run(f, badInterval, end, true, callBad)
+	sound.wg.Wait()
+	bad.wg.Wait()
+
+	crashes, arrivals := f.Platform.BadPartCrashes(), f.Platform.BadPartArrivals()
+	t.Logf("%d crashes, %d arrivals", len(crashes), len(arrivals))
+	require.GreaterOrEqual(t, len(crashes), verdictCrashes)
+	known := crashes[verdictCrashes-1].Add(verdictTime)
+	before, after := sound.served(start, turn), sound.served(known, end)
+	t.Logf("sound first attempts served: %.3f before, %.3f from %v after the first crash", before, after, known.Sub(crashes[0]))
+	require.LessOrEqual(t, len(crashes), maxPartCrashes)
+	require.False(t, arrivals[len(arrivals)-1].After(known), "sent %v after the verdict was due", arrivals[len(arrivals)-1].Sub(known))
+	require.GreaterOrEqual(t, after, servedShare*before)
+	for _, x := range bad.calls {
+		require.False(t, x.response.Complete)
+		if x.response.Status == http.StatusServiceUnavailable {
+			require.Zero(t, f.Platform.RunCount(x.response.ID), "%s ran", x.response.ID)
+		}
+	}
+}
+
 // Runners crash by themselves under requests that share their parts; none of these is to blame, and all stay served.
 func TestPlatformPartIsNotBlamedForOtherCrashes(t *testing.T) {
 	f := newFleet(t, partVMs)
@@ -130,7 +152,7 @@
 	var sound partLoad
 	start := time.Now()
 	end := start.Add(calmTime + badTime)
-	sound.wg.Go(func() { sound.run(f, soundInterval, end, false, soundParts) })
+	sound.wg.Go(func() { sound.run(f, soundInterval, end, false, draftOf(soundParts)) })
 	time.Sleep(calmTime)
 	rng := rand.New(rand.NewPCG(1, 1))
 	for range 12 {
