caller, decide: a refused connection is no crash under the request

Cause: a gate returned a grant whose connection the engine refused with the same outcome as one under which the engine crashed, and the owner counted both against the request's fingerprint. An owner that has not noticed the crashes yet grants dead engines twice, which is enough. Class: blame falls on who was there. Evidence: the answers name the owner's refusal (its text is the bare word quarantined), and these requests were sent to nobody. Change: the outcome Unreached; it frees the grant's memory as before and accuses nobody.

--- a/daemon/caller/serve.go
+++ b/daemon/caller/serve.go
@@ -478,7 +478,7 @@
 	for ctx.Err() == nil {
 		c, err := g.Engines.Dial(ctx, address)
 		if err != nil {
-			return ctx.Err() == nil && unsentOutcome(err) == decide.Lost
+			return ctx.Err() == nil && !dial.ErrNoPath.Has(err)
 		}
 		stays := staysOpen(c)
 		_ = c.Close()
@@ -496,7 +496,7 @@
 	if dial.ErrNoPath.Has(err) {
 		return decide.Unused
 	}
-	return decide.Lost
+	return decide.Unreached
 }
 
 // staysOpen reports whether the other end keeps a new connection open for crashCheckOpenTime.
--- a/lib/decide/api.go
+++ b/lib/decide/api.go
@@ -142,11 +142,12 @@
 
 // Outcomes.
 const (
-	Done     Outcome = iota // the answer is complete
-	Failed                  // the upstream answered with an error or cut the stream
-	Lost                    // the upstream crashed or its VM is gone
-	Unused                  // returned before any byte was sent
-	Canceled                // the client disconnected; the engine was notified
+	Done      Outcome = iota // the answer is complete
+	Failed                   // the upstream answered with an error or cut the stream
+	Lost                     // the upstream crashed or its VM is gone
+	Unused                   // returned before any byte was sent
+	Canceled                 // the client disconnected; the engine was notified
+	Unreached                // no connection could be opened to the upstream, so nothing was sent
 )
 
 // Action is the kind of a Decision.
--- a/lib/decide/fault_test.go
+++ b/lib/decide/fault_test.go
@@ -190,6 +190,21 @@
 	require.Len(t, b.granted, 3)
 }
 
+// Engines have crashed and refuse connections; requests that were refused by two of them have crashed nothing.
+func TestRefusedConnectionsAccuseNobody(t *testing.T) {
+	b := newHarness(t, 6)
+	r := b.request("r")
+	r.Fingerprint = 7
+	for i := range 5 {
+		r.ID = RequestID(fmt.Sprint("r", i))
+		b.submit(r)
+		require.False(t, b.grant(string(r.ID)).Suspect)
+		b.finish(string(r.ID), Unreached)
+	}
+	require.Empty(t, b.refused)
+	require.Zero(t, b.view(0).Reserved)
+}
+
 // All engines of a failure domain are leaving. If the pool looked idle, gates would send every
 // request there first, only to be refused.
 func TestPoolWithoutUpstreamsDoesNotLookIdle(t *testing.T) {
--- a/lib/decide/grants.go
+++ b/lib/decide/grants.go
@@ -282,7 +282,7 @@
 	if o == Lost {
 		p.countCrash(now, g)
 	}
-	if o == Done || o == Lost || o == Unused {
+	if o == Done || o == Lost || o == Unused || o == Unreached {
 		p.removeGrant(now, g)
 		return
 	}
