decide, pool, caller: parts of requests that crash upstreams, on OpenAI's side

Cause: the gates and the owner of a pool know a request by the hash of its body alone. Evidence: the scenario crash-part (nine engines, six requests with one first message) failed before: 8 of 9 engines died, and the last requests were sent still. Change: the pool judges beginnings of prompts, first messages and targets with lib/decide/blame; requests that must wait leave their lane; summaries carry the crashes to the owners of other pools and to the next owner; a refusal as quarantined is not tried elsewhere.

--- a/daemon/caller/request.go
+++ b/daemon/caller/request.go
@@ -16,6 +16,7 @@
 	"snipeshift.example/daemon/openai"
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
+	"snipeshift.example/lib/decide/blame"
 	"snipeshift.example/lib/document"
 	"snipeshift.example/lib/fault"
 	"snipeshift.example/lib/peer"
@@ -54,8 +55,10 @@
 	prompt decide.Tokens
 	output decide.Tokens
 	// prefixes are hashes of increasingly long prefixes of the prompt.
-	prefixes     []decide.PrefixHash
-	fingerprint  uint64
+	prefixes    []decide.PrefixHash
+	fingerprint uint64
+	// parts are the parts that other requests may share, besides prefixes.
+	parts        []blame.Part
 	stream       bool
 	includeUsage bool
 	chat         bool
@@ -191,6 +194,9 @@
 		return fault.New(fault.Oversize, "prompt and output need %d tokens, model %s takes %d", q.prompt+q.output, m.Name, m.Context)
 	}
 	q.prefixes = prefixHashes(x.Prompt)
+	if x.First > 0 {
+		q.parts = []blame.Part{blame.Part(xxhash.Sum64(x.Prompt[:x.First]))}
+	}
 	q.fingerprint = xxhash.Sum64(b)
 	q.body = x.EngineBody(q.output)
 	return nil
--- a/daemon/caller/serve.go
+++ b/daemon/caller/serve.go
@@ -266,6 +266,9 @@
 			if ctx.Err() != nil {
 				return poolGrant{}, g.noOwner(ctx, q)
 			}
+			if answered && e.Kind == fault.Quarantined {
+				return poolGrant{}, e // it would crash upstreams of the other pools as well
+			}
 			if answered && (refused == nil || preferRefusal(e, refused)) {
 				refused = e
 			}
@@ -345,7 +348,7 @@
 	return decide.Request{
 		ID: q.id, Workspace: decide.WorkspaceID(q.workspace.Name), Gate: g.ID(), Urgency: q.kind.Urgency,
 		Prompt: q.prompt, Output: q.output, Prefixes: q.prefixes, Repeatable: q.kind.Repeatable,
-		Avoid: avoid, Fingerprint: q.fingerprint, Suspect: g.Suspects.Check(q.fingerprint) == gate.Suspected,
+		Avoid: avoid, Fingerprint: q.fingerprint, Parts: q.parts, Suspect: g.Suspects.Check(q.fingerprint) == gate.Suspected,
 	}
 }
 
--- a/daemon/caller/service.go
+++ b/daemon/caller/service.go
@@ -13,6 +13,7 @@
 	"snipeshift.example/daemon/claim"
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
+	"snipeshift.example/lib/decide/blame"
 	"snipeshift.example/lib/document"
 	"snipeshift.example/lib/engine"
 	"snipeshift.example/lib/fault"
@@ -51,6 +52,7 @@
 		return
 	}
 	q.fingerprint = fingerprint(r, q.body)
+	q.parts = []blame.Part{blame.Part(fingerprint(r, nil))}
 	ctx, cancel := context.WithTimeout(r.Context(), (q.deadline - g.Clock.Now()).Duration())
 	defer cancel()
 	g.recordEvent(q, timeline.Arrived, "", q.kind.Name)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -144,6 +144,7 @@
 	}, s.Name, s.Domain, d.incarnation)
 	d.members.Add(d.directory, d.state.follower, d.state.counters, d.quarantine)
 	d.directory.summaries = d.owner.Summaries
+	d.owner.CrashesElsewhere = d.directory.Crashes
 	return d, d.register()
 }
 
--- a/daemon/directory.go
+++ b/daemon/directory.go
@@ -7,6 +7,8 @@
 	"snipeshift.example/daemon/member"
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
+	"snipeshift.example/lib/decide/blame"
+	"snipeshift.example/lib/document"
 	"snipeshift.example/lib/peer"
 	"snipeshift.example/lib/timeline"
 )
@@ -25,6 +27,8 @@
 
 	mu    sync.Mutex
 	pools map[peer.PoolID]timedSummary
+	// crashing holds the pools whose summaries name crashes.
+	crashing map[peer.PoolID]bool
 	// known has the newest record of each VM and retains it after the VM has left.
 	known map[peer.VM]memberRecord
 	// ranks caches what depends only on the list of live members.
@@ -69,7 +73,7 @@
 }
 
 func newDirectory(m *member.Members, k *clock.Clock, r *timeline.Ring) *directory {
-	return &directory{members: m, clock: k, ring: r, pools: map[peer.PoolID]timedSummary{}, known: map[peer.VM]memberRecord{}}
+	return &directory{members: m, clock: k, ring: r, pools: map[peer.PoolID]timedSummary{}, crashing: map[peer.PoolID]bool{}, known: map[peer.VM]memberRecord{}}
 }
 
 // maxOwners is how many members are cached as owners of a pool, in order of rank: more than a gate
@@ -115,6 +119,25 @@
 	return h.summary, true
 }
 
+// Crashes returns the crashes under parts of requests that the owners of all pools of one model or service named last.
+func (d *directory) Crashes(id peer.PoolID) []blame.Crash {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.clock.Now()
+	var out []blame.Crash
+	for other := range d.crashing {
+		if document.ServedBy(other) != document.ServedBy(id) {
+			continue
+		}
+		x := d.pools[other]
+		for _, c := range x.summary.Crashes {
+			c.Ago += now - x.receivedAt
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
 // RecordSummary implements caller.Members.
 func (d *directory) RecordSummary(id peer.PoolID, s decide.Summary) {
 	d.storeSummaries([]peer.PoolSummary{{Pool: id, Summary: s}})
@@ -202,5 +225,10 @@
 	now := d.clock.Now()
 	for _, p := range ps {
 		d.pools[p.Pool] = timedSummary{summary: p.Summary, receivedAt: now}
+		if len(p.Summary.Crashes) > 0 {
+			d.crashing[p.Pool] = true
+		} else {
+			delete(d.crashing, p.Pool)
+		}
 	}
 }
--- a/daemon/openai/body.go
+++ b/daemon/openai/body.go
@@ -30,6 +30,8 @@
 	MaxTokens decide.Tokens
 	// Prompt is the prompt, its parts in the order in which an engine reads them.
 	Prompt []byte
+	// First is the length in bytes of the first of several messages, with which Prompt begins; zero for a single one.
+	First int
 
 	fields fields
 	size   int
@@ -59,11 +61,11 @@
 	if e != nil {
 		return nil, e
 	}
-	text, e := x.promptText(chat, len(b))
+	text, first, e := x.promptText(chat, len(b))
 	if e != nil {
 		return nil, e
 	}
-	return &Request{Model: x.Model, Stream: x.Stream, IncludeUsage: x.IncludeUsage, MaxTokens: limit, Prompt: text, fields: f, size: len(b)}, nil
+	return &Request{Model: x.Model, Stream: x.Stream, IncludeUsage: x.IncludeUsage, MaxTokens: limit, Prompt: text, First: first, fields: f, size: len(b)}, nil
 }
 
 // outputLimit returns the client's limit of output tokens, zero for none.
@@ -168,21 +170,24 @@
 	return x, x.Options.decode("include_usage", "true or false", &x.IncludeUsage)
 }
 
-// promptText joins the parts of the prompt in the order in which an engine reads them. The
-// parameter size is the length of the whole body, an upper bound for the result.
-func (x *parameters) promptText(chat bool, size int) ([]byte, *fault.Error) {
+// promptText joins the parts of the prompt in the order in which an engine reads them, and returns the length of the first
+// of several. The parameter size is the length of the whole body, an upper bound for the result.
+func (x *parameters) promptText(chat bool, size int) (text []byte, first int, _ *fault.Error) {
 	if !chat {
 		var s string
 		if err := json.Unmarshal(x.Prompt, &s); err != nil {
-			return nil, fault.New(fault.Malformed, "prompt is one text")
+			return nil, 0, fault.New(fault.Malformed, "prompt is one text")
 		}
-		return []byte(s), nil
+		return []byte(s), 0, nil
 	}
 	if len(x.Messages) == 0 {
-		return nil, fault.New(fault.Malformed, "messages has no message")
+		return nil, 0, fault.New(fault.Malformed, "messages has no message")
 	}
 	out := make([]byte, 0, size)
 	for i, m := range x.Messages {
+		if i == 1 {
+			first = len(out)
+		}
 		if i > 0 {
 			out = append(out, '\n')
 		}
@@ -194,7 +199,7 @@
 		// Content that is not a string, such as a list of parts, is counted with its JSON text.
 		out = append(out, m["content"]...)
 	}
-	return out, nil
+	return out, first, nil
 }
 
 // EngineBody returns the body to send to the engine. It always asks for a stream with usage,
--- a/daemon/pool/owner.go
+++ b/daemon/pool/owner.go
@@ -18,6 +18,7 @@
 	"snipeshift.example/daemon/guard"
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
+	"snipeshift.example/lib/decide/blame"
 	"snipeshift.example/lib/document"
 	"snipeshift.example/lib/engine"
 	"snipeshift.example/lib/fault"
@@ -93,6 +94,10 @@
 	gates    Gates
 	orders   Orders
 
+	// CrashesElsewhere returns the crashes that other owners know of a pool and of others of the same model or service;
+	// nil if there are no others. It must be set before the first call.
+	CrashesElsewhere func(id peer.PoolID) []blame.Crash
+
 	mu sync.Mutex
 	// epoch is the epoch of the pool opened last. It starts as the incarnation of
 	// this process.
--- a/daemon/pool/pool.go
+++ b/daemon/pool/pool.go
@@ -157,6 +157,9 @@
 	cs, known := p.waiters[r.ID]
 	p.waiters[r.ID] = append(cs, c)
 	if !known {
+		if f := p.owner.CrashesElsewhere; f != nil {
+			p.scheduler.LearnCrashes(now, f(p.id))
+		}
 		p.scheduler.Submit(now, r)
 		p.recordEvent(timeline.Queued, r.ID, r.Workspace, "", "")
 	}
@@ -322,6 +325,10 @@
 	for _, d := range p.scheduler.Tick(now) {
 		p.execute(now, d)
 	}
+	for _, c := range p.scheduler.TakePartChanges() {
+		p.owner.log.Warn().Str("pool", string(p.id)).Str("part", c.Part.String()).Str("verdict", string(c.Kind)).Strs("upstreams", c.Crashes).
+			Bool("familiar", c.Familiar).Msg("what is known of a part of requests that crashes upstreams has changed")
+	}
 }
 
 // execute carries out one decision of the scheduler. The caller holds mu.
@@ -398,6 +405,8 @@
 		return "the prompt fits no group of engines"
 	case fault.Unavailable:
 		return "no upstream of the pool takes work"
+	case fault.Quarantined:
+		return "upstreams died running requests with the same content or part"
 	default:
 		return string(k)
 	}
--- a/lib/decide/admit.go
+++ b/lib/decide/admit.go
@@ -2,6 +2,7 @@
 
 import (
 	"snipeshift.example/lib/clock"
+	"snipeshift.example/lib/decide/blame"
 	"snipeshift.example/lib/fault"
 )
 
@@ -55,6 +56,10 @@
 		p.refuse(r.ID, r.Gate, fault.Quarantined, 0)
 		return
 	}
+	if j := p.parts.Judge(now, r.sharedParts()); j.Verdict == blame.Refused {
+		p.refuse(r.ID, r.Gate, fault.Quarantined, j.Retry)
+		return
+	}
 	if p.boundaries.accepting == 0 || p.allAvoided(r) {
 		p.refuse(r.ID, r.Gate, fault.Unavailable, noUpstreamRetry)
 		return
@@ -109,7 +114,7 @@
 
 // estimate fills a row with the cost of the request on an idle upstream.
 func (p *Pool) estimate(now clock.Milli, w *waiting, r *Request) {
-	w.Request = *r
+	w.Request, w.shared = *r, r.sharedParts()
 	w.Suspect = w.Suspect || p.crashes.count(now, r.Fingerprint) > 0
 	w.queuedAt = now
 	w.flow = p.flow(r)
--- a/lib/decide/api.go
+++ b/lib/decide/api.go
@@ -11,6 +11,7 @@
 
 import (
 	"snipeshift.example/lib/clock"
+	"snipeshift.example/lib/decide/blame"
 	"snipeshift.example/lib/fault"
 )
 
@@ -36,8 +37,8 @@
 	Tokens int64
 	// Rate is in tokens per second.
 	Rate float64
-	// PrefixHash is the hash of the leading blocks of a prompt up to one block boundary.
-	PrefixHash uint64
+	// PrefixHash is the hash of the leading blocks of a prompt up to one block boundary, a part that prompts may share.
+	PrefixHash = blame.Part
 	// Urgency orders kinds of requests: 0 is the most urgent, 3 the least. Larger values count as
 	// 3.
 	Urgency uint8
@@ -67,6 +68,8 @@
 	Suspect bool
 	// Fingerprint is equal for requests with equal content; zero if unknown.
 	Fingerprint uint64
+	// Parts are the parts of the request that others may share.
+	Parts []blame.Part
 }
 
 // PrefixBlock is the length in tokens of the first entry of Request.Prefixes.
@@ -225,4 +228,7 @@
 	// Largest is the total KV memory in tokens of these upstreams, the bound for a prompt that
 	// spans a group of engines.
 	Largest Tokens
+	// Crashes are those that speak against parts of requests, for other pools of the same model or service and for
+	// the next owner of this one.
+	Crashes []blame.Crash
 }
--- a/lib/decide/blame/blame_test.go
+++ b/lib/decide/blame/blame_test.go
@@ -23,7 +23,7 @@
 // start grants a run on an upstream of its own.
 func (b *bench) start(parts ...Part) Run {
 	b.n++
-	id := Run(fmt.Sprint("r", b.n))
+	id := Run{Number: uint64(b.n)}
 	b.Granted(b.now, id, Upstream{ID: fmt.Sprint("u", b.n), Born: 1}, parts)
 	return id
 }
@@ -167,11 +167,11 @@
 
 func TestCrashesOfOneUpstreamCountOnce(t *testing.T) {
 	b := newBench()
-	for i := range 5 {
-		b.Granted(b.now, Run(fmt.Sprint(i)), Upstream{ID: "u", Born: 7}, []Part{1})
+	for i := range uint64(5) {
+		b.Granted(b.now, Run{Number: i}, Upstream{ID: "u", Born: 7}, []Part{1})
 	}
-	for i := range 5 {
-		b.Crashed(b.now, Run(fmt.Sprint(i)))
+	for i := range uint64(5) {
+		b.Crashed(b.now, Run{Number: i})
 	}
 	require.Len(t, b.suspects[1].crashes, 1)
 }
--- a/lib/decide/blame/part.go
+++ b/lib/decide/blame/part.go
@@ -17,8 +17,11 @@
 // String returns the part in hexadecimal digits.
 func (p Part) String() string { return strconv.FormatUint(uint64(p), 16) }
 
-// Run identifies one send of a request.
-type Run string
+// Run identifies one send of a request, by the name of the send, or by its number.
+type Run struct {
+	Name   string
+	Number uint64
+}
 
 // Upstream is one incarnation of an upstream.
 type Upstream struct {
--- a/lib/decide/blame/table.go
+++ b/lib/decide/blame/table.go
@@ -20,6 +20,8 @@
 	crashes                  []*crash
 	suspects                 map[Part]*suspect
 	changes                  []Change
+	// spare are rows for reuse, so that a send in steady state does not allocate.
+	spare []*run
 }
 
 // run is one send.
@@ -30,8 +32,9 @@
 	grantedAt clock.Milli
 	// begunAt is the time of the first event; zero before it.
 	begunAt clock.Milli
-	// proven is set once the answer has acquitted the parts, ended once the send has ended.
-	proven, ended bool
+	// proven is set once the answer has acquitted the parts, ended once the send has ended, listed while the run is in
+	// Table.begun.
+	proven, ended, listed bool
 }
 
 // crash is one crash of an upstream.
@@ -60,29 +63,49 @@
 	if len(parts) == 0 || t.runs[id] != nil {
 		return
 	}
-	r := &run{id: id, upstream: u, parts: distinct(parts), grantedAt: now}
+	r := t.newRun()
+	r.id, r.upstream, r.grantedAt = id, u, now
+	r.parts = appendDistinct(r.parts, parts)
 	t.runs[id] = r
 	for _, p := range r.parts {
 		t.unproven[p]++
 	}
 }
 
-// distinct returns the first MaxParts parts without repetitions.
-func distinct(parts []Part) []Part {
-	out := make([]Part, 0, min(len(parts), MaxParts))
-	for _, p := range parts {
-		if len(out) < MaxParts && !slices.Contains(out, p) {
-			out = append(out, p)
+// newRun returns an empty row.
+func (t *Table) newRun() *run {
+	n := len(t.spare)
+	if n == 0 {
+		return &run{}
+	}
+	r := t.spare[n-1]
+	t.spare = t.spare[:n-1]
+	return r
+}
+
+// recycle makes the row of a run available again.
+func (t *Table) recycle(r *run) {
+	if r.ended && !r.listed {
+		*r = run{parts: r.parts[:0]}
+		t.spare = append(t.spare, r)
+	}
+}
+
+// appendDistinct appends the first MaxParts parts without repetitions.
+func appendDistinct(to, parts []Part) []Part {
+	for _, p := range parts[:min(len(parts), MaxParts)] {
+		if !slices.Contains(to, p) {
+			to = append(to, p)
 		}
 	}
-	return out
+	return to
 }
 
 // Begun records that the first event of the answer to a run has arrived.
 func (t *Table) Begun(now clock.Milli, id Run) {
 	t.Advance(now)
 	if r := t.runs[id]; r != nil && r.begunAt == 0 {
-		r.begunAt = now
+		r.begunAt, r.listed = now, true
 		t.begun = append(t.begun, r)
 	}
 }
@@ -127,9 +150,12 @@
 func (t *Table) Advance(now clock.Milli) {
 	n := 0
 	for ; n < len(t.begun) && (t.begun[n].ended || now-t.begun[n].begunAt >= ProveTime); n++ {
-		if r := t.begun[n]; !r.ended {
+		r := t.begun[n]
+		if !r.ended {
 			t.prove(r)
 		}
+		r.listed = false
+		t.recycle(r)
 	}
 	t.begun = slices.Delete(t.begun, 0, n)
 }
@@ -153,6 +179,7 @@
 	}
 	r.ended = true
 	delete(t.runs, r.id)
+	t.recycle(r)
 }
 
 // release removes a run from the counts of unproven ones.
--- a/lib/decide/grants.go
+++ b/lib/decide/grants.go
@@ -28,7 +28,7 @@
 		Suspect:     w.Suspect,
 		Fingerprint: w.Fingerprint,
 	}
-	g.prefixes = w.Prefixes
+	g.prefixes, g.parts = w.Prefixes, w.shared
 	g.long = w.flow.lane.long
 	g.Priority = priority(w.Urgency, g.long)
 	return g
@@ -61,6 +61,7 @@
 	p.grants[g.ID] = g
 	p.live[g.Request] = g
 	p.crashes.startRun(g.Fingerprint)
+	p.startRun(now, g)
 	for i, u := range g.on {
 		u.drain(now)
 		u.grants = append(u.grants, g)
@@ -225,6 +226,7 @@
 }
 
 func (p *Pool) releaseGrantRow(g *grant) {
+	p.parts.Ended(p.ticked, g.run())
 	delete(p.grants, g.ID)
 	if p.orphans[g.Request] == g {
 		delete(p.orphans, g.Request)
@@ -282,6 +284,7 @@
 	if o == Lost {
 		p.countCrash(now, g)
 	}
+	p.endRun(now, g, o)
 	if o == Done || o == Lost || o == Unused || o == Unreached {
 		p.removeGrant(now, g)
 		return
--- a/lib/decide/pool.go
+++ b/lib/decide/pool.go
@@ -5,6 +5,7 @@
 	"strings"
 
 	"snipeshift.example/lib/clock"
+	"snipeshift.example/lib/decide/blame"
 )
 
 const (
@@ -72,6 +73,10 @@
 	boundaries boundaries
 
 	crashes crashTable
+	// parts knows the parts of requests that crash upstreams. aside are the queued requests that wait for the answer to
+	// another one with the same suspect part or the same content; they are in no lane.
+	parts *blame.Table
+	aside []*waiting
 
 	// answerTime is the smoothed duration of complete answers in milliseconds. slots is the total
 	// number of slots of upstreams that accept new work.
@@ -108,6 +113,7 @@
 		live:           make(map[RequestID]*grant),
 		orphans:        make(map[RequestID]*grant),
 		crashes:        crashTable{running: make(map[uint64]int), byFingerprint: make(map[uint64]crashEntry)},
+		parts:          blame.New(),
 		recovering:     c.Recovery > 0,
 		longSideShared: true,
 	}
--- a/lib/decide/queue.go
+++ b/lib/decide/queue.go
@@ -149,12 +149,16 @@
 // dequeue removes a request from every table but does not release its row.
 func (p *Pool) dequeue(w *waiting) {
 	f, l := w.flow, w.flow.lane
-	f.queue.remove(w.heapIndex)
 	p.expiries.remove(w.expiryIndex)
 	delete(p.queued, w.ID)
 	if p.earmark.request == w {
 		p.releaseEarmark()
 	}
+	if w.aside {
+		p.aside = without(p.aside, w)
+		return
+	}
+	f.queue.remove(w.heapIndex)
 	f.work -= w.work
 	l.work -= w.work
 	l.memoryTime -= w.memoryTime()
@@ -176,9 +180,14 @@
 // another by one request, not by the whole burst.
 func (f *flow) charge(w *waiting) {
 	f.lane.granted += w.work
+	if w.aside {
+		f.startTag = max(f.startTag, f.lane.virtualTime)
+	}
 	f.lane.virtualTime = max(f.lane.virtualTime, f.startTag)
 	f.startTag += float64(w.tokens()) / f.workspace.spec.Weight
-	f.lane.flows.fix(f.heapIndex)
+	if f.heapIndex >= 0 {
+		f.lane.flows.fix(f.heapIndex)
+	}
 }
 
 // rank returns the order in which lanes are served: by urgency, raised by one for each third of its
--- a/lib/decide/serve.go
+++ b/lib/decide/serve.go
@@ -1,6 +1,9 @@
 package decide
 
-import "snipeshift.example/lib/clock"
+import (
+	"snipeshift.example/lib/clock"
+	"snipeshift.example/lib/decide/blame"
+)
 
 const (
 	// maxBackfill is the number of other workspaces tried while the first long request waits for
@@ -18,6 +21,7 @@
 		return
 	}
 	p.grantEarmarked(now)
+	p.serveAside(now)
 	p.boundaries.refillBudget(now)
 	p.longSideShared = p.longSideOpen()
 	p.serveLanes(now)
@@ -27,6 +31,7 @@
 		p.longSideShared = true
 		p.serveLanes(now)
 	}
+	p.serveAside(now)
 }
 
 func (p *Pool) serveLanes(now clock.Milli) {
@@ -80,7 +85,11 @@
 	return false
 }
 
+// serveOne places a request or takes it out of its lane. It returns false if the request stays there.
 func (p *Pool) serveOne(now clock.Milli, w *waiting) bool {
+	if p.setAside(now, w) {
+		return true
+	}
 	g, ok := p.place(now, w)
 	if !ok {
 		return false
@@ -195,7 +204,7 @@
 // grantEarmarked grants the request of the earmark once the memory on all of its upstreams is free.
 func (p *Pool) grantEarmarked(now clock.Milli) {
 	w := p.earmark.request
-	if w == nil || w.Suspect && p.crashes.running[w.Fingerprint] > 0 {
+	if w == nil || p.judge(now, w).Verdict > blame.Alone {
 		return
 	}
 	for i, u := range p.earmark.on {
--- a/lib/decide/span/parts.go
+++ b/lib/decide/span/parts.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"snipeshift.example/lib/clock"
+	"snipeshift.example/lib/decide"
 	"snipeshift.example/lib/decide/blame"
 	"snipeshift.example/lib/fault"
 )
@@ -13,10 +14,13 @@
 // Parts returns what is known of the parts of prompts that crash upstreams.
 func (p *Pool) Parts() *blame.Table { return p.parts }
 
+// run returns the send of a request in the table of parts.
+func run(id decide.RequestID) blame.Run { return blame.Run{Name: string(id)} }
+
 // startRun records a grant in the table of parts.
 func (p *Pool) startRun(now clock.Milli, g *grantState) {
 	l := g.Grant.Leader
-	id := blame.Run(g.Grant.Request)
+	id := run(g.Grant.Request)
 	p.parts.Granted(now, id, blame.Upstream{ID: string(l.Upstream), Born: int64(l.Born)}, g.ask.Parts)
 	if g.Writing {
 		p.parts.Begun(now, id)
@@ -25,7 +29,7 @@
 
 // endRun records the end of a send in the table of parts. An upstream that leaves may break off its last responses.
 func (p *Pool) endRun(now clock.Milli, g *grantState, o Outcome) {
-	id := blame.Run(g.Grant.Request)
+	id := run(g.Grant.Request)
 	r := p.upstreams[g.Grant.Leader.Upstream]
 	switch {
 	case o == Done || o == Failed:
--- a/lib/decide/span/pool.go
+++ b/lib/decide/span/pool.go
@@ -187,7 +187,7 @@
 	}
 	g.suspectIfLate(now)
 	g.Writing, g.namedAt = true, now
-	p.parts.Begun(now, blame.Run(id))
+	p.parts.Begun(now, run(id))
 	ups := g.upstreams
 	for _, r := range ups {
 		r.noteServed(now, id, g.Grant.Gate)
@@ -298,7 +298,7 @@
 		return
 	}
 	delete(p.grants, id)
-	p.parts.Ended(now, blame.Run(id))
+	p.parts.Ended(now, run(id))
 	for _, r := range g.upstreams {
 		delete(r.grants, id)
 		r.noteEnded(now)
--- a/lib/decide/table.go
+++ b/lib/decide/table.go
@@ -1,6 +1,9 @@
 package decide
 
-import "snipeshift.example/lib/clock"
+import (
+	"snipeshift.example/lib/clock"
+	"snipeshift.example/lib/decide/blame"
+)
 
 // side is the set that an upstream belongs to, which determines the work that it accepts.
 type side uint8
@@ -79,6 +82,8 @@
 	listedIn uint64
 	// prefixes are recorded as cached on the upstream once the first token came.
 	prefixes []PrefixHash
+	// parts are those of the request that others may share.
+	parts []blame.Part
 	// checkAt is the time of the next check by expire; timerIndex is the position in Pool.timers.
 	checkAt    clock.Milli
 	timerIndex int
@@ -88,6 +93,8 @@
 type waiting struct {
 	Request
 	flow *flow
+	// shared are the parts of the request that others may share.
+	shared []blame.Part
 	// work is the prefill time and serviceTime the total time on an idle upstream, in milliseconds.
 	work, serviceTime float64
 	queuedAt          clock.Milli
@@ -95,6 +102,8 @@
 	latestStart clock.Milli
 	// heapIndex and expiryIndex are the positions in the flow and in Pool.expiries.
 	heapIndex, expiryIndex int
+	// aside is set while the request is in Pool.aside and not in its flow.
+	aside bool
 }
 
 // tokens is the amount charged in fair sharing.
--- a/lib/decide/view.go
+++ b/lib/decide/view.go
@@ -93,7 +93,7 @@
 	if p.treeStale {
 		p.rebuildTables(now)
 	}
-	s := Summary{Queued: len(p.queued), Running: len(p.live)}
+	s := Summary{Queued: len(p.queued), Running: len(p.live), Crashes: p.parts.ForPeers(now)}
 	for i := range s.Wait {
 		s.Wait[i] = p.newWorkspaceWait(Urgency(i), false)
 		s.Long[i] = p.newWorkspaceWait(Urgency(i), true)
--- a/lib/document/index.go
+++ b/lib/document/index.go
@@ -150,6 +150,11 @@
 	return peer.PoolID(served + poolSeparator + string(domain))
 }
 
+// ServedBy returns the model or service of a pool.
+func ServedBy(id peer.PoolID) string {
+	return string(id[:max(strings.LastIndex(string(id), poolSeparator), 0)])
+}
+
 // Pool returns the id of the upstream's pool.
 func (u *Upstream) Pool() peer.PoolID {
 	return PoolOf(u.Model+u.Service, peer.Domain(u.Domain))
--- a/scenarios/script/call.go
+++ b/scenarios/script/call.go
@@ -24,6 +24,7 @@
 	f.StringVar(&c.Workspace, "workspace", "", "")
 	f.StringVar(&c.Key, "key", "", "")
 	f.StringVar(&c.PromptStart, "text", "", "")
+	f.StringVar(&c.System, "system", "", "")
 	f.IntVar(&c.PromptTokens, "prompt", 0, "")
 	f.IntVar(&c.OutputLimit, "output", 0, "")
 	f.BoolVar(&c.Service, "service", false, "")
--- a/scenarios/world/call.go
+++ b/scenarios/world/call.go
@@ -29,6 +29,8 @@
 	// PromptStart is the start of the prompt, or the path at the plain service. Calls with the same
 	// PromptStart are the same request. It defaults to Name.
 	PromptStart string
+	// System is the text of a first message before the prompt; empty for none.
+	System string
 	// PromptTokens is the length of the prompt. OutputLimit is the limit of output tokens; zero means the
 	// limit of the kind.
 	PromptTokens, OutputLimit int
@@ -303,7 +305,11 @@
 	if c.Service {
 		return []byte(c.prompt()), nil
 	}
-	return json.Marshal(completionRequest{Model: Model, Stream: !c.NonStreaming, Max: c.OutputLimit, Messages: []message{{"user", c.prompt()}}})
+	messages := []message{{"user", c.prompt()}}
+	if c.System != "" {
+		messages = append([]message{{"system", c.System}}, messages...)
+	}
+	return json.Marshal(completionRequest{Model: Model, Stream: !c.NonStreaming, Max: c.OutputLimit, Messages: messages})
 }
 
 func (c *Call) path() string {
