listener, relay: a VM closes connections that it has no room for

Cause: no bound on connections; once descriptors are used up, accepts stop, and so do connects to upstreams, peers and the store. Change: half of the descriptors, a quarter of the memory and a thousand streams a core are for clients. Idle connections make room, the oldest first, silent new ones after a second; else a new one is closed unread at once. The VM is not ready for 3 s then, up to 12 s if it fills up again soon, and closes kept connections after their responses. A connection that is closed in favor of others returns no byte more, so that no request of it is sent on. Why it works: what is accepted can be served, and what is not learns so in a moment and meets another VM. Processor time is bounded by the number of streams alone, not measured.

--- a/daemon/insight/insight.go
+++ b/daemon/insight/insight.go
@@ -12,6 +12,7 @@
 	"net/http/pprof"
 	"slices"
 
+	"snipeshift.example/daemon/listener"
 	"snipeshift.example/daemon/placer"
 	"snipeshift.example/daemon/registry"
 	"snipeshift.example/daemon/relay"
@@ -47,6 +48,7 @@
 	Store     Store
 	LogWriter *logline.Writer
 	Tunnels   *tunnel.Server
+	Clients   *listener.Listener
 }
 
 // Page serves the metrics address.
--- a/daemon/insight/metrics.go
+++ b/daemon/insight/metrics.go
@@ -50,6 +50,11 @@
 	for _, d := range v.Evacuated {
 		gauge(fmt.Sprintf("snipeshift_domain_evacuated{domain=%q}", d), 1)
 	}
+	connections := p.Clients.Counts()
+	gauge("snipeshift_connections_open", float64(connections.Open))
+	gauge("snipeshift_connections_busy", float64(connections.Busy))
+	vm.WriteCounterUint64(w, "snipeshift_connections_refused_total", connections.Refused)
+	vm.WriteCounterUint64(w, "snipeshift_connections_evicted_total", connections.Evicted)
 	vm.WriteCounterUint64(w, "snipeshift_questions_hedged_total", p.Placer.Hedged())
 	vm.WriteCounterUint64(w, "snipeshift_messages_dropped_total", p.Owner.Dropped())
 	for c, n := range p.Registry.Calls() {
--- a/daemon/relay.go
+++ b/daemon/relay.go
@@ -14,6 +14,7 @@
 
 	"snipeshift.example/daemon/guard"
 	"snipeshift.example/daemon/insight"
+	"snipeshift.example/daemon/listener"
 	"snipeshift.example/daemon/member"
 	"snipeshift.example/daemon/placer"
 	"snipeshift.example/daemon/quarantine"
@@ -87,6 +88,8 @@
 	tunnels   *tunnel.Server
 	store     *platform.Store
 	stopping  chan struct{}
+	// clients accepts the connections of clients; nil before run has opened it.
+	clients *listener.Listener
 	// startedAt is when this process started.
 	startedAt clock.Milli
 }
@@ -240,7 +243,13 @@
 	if err != nil {
 		return err
 	}
-	clients := d.server(d.gate)
+	clientListener, err := c.Listen(ctx, "tcp", s.Caller)
+	if err != nil {
+		return err
+	}
+	d.clients = listener.New(clientListener, listener.LimitsOf(listener.Resources{Descriptors: descriptors(s), Memory: s.Memory << 20, Cores: s.Cores}), d.clock)
+	clients := d.server(d.clients.Handler(d.gate))
+	clients.ConnState = d.clients.Track
 	ready := d.server(d.readiness())
 	var g errgroup.Group
 	start := func(name string, f func() error) {
@@ -255,7 +264,7 @@
 		})
 	}
 	start("peer door", func() error { return d.peers.Serve(peerListener) })
-	start("caller door", func() error { return listenAndServe(ctx, clients, s.Caller) })
+	start("caller door", func() error { return ignoreServerClosed(clients.Serve(d.clients)) })
 	start("ready door", func() error { return listenAndServe(ctx, ready, s.Ready) })
 	servers := []*http.Server{ready}
 	if s.Metrics != "" {
@@ -307,7 +316,7 @@
 }
 
 // readiness returns the handler of the balancer's readiness check. The VM is ready while it has a
-// current configuration document and a list of upstreams and is not stopping.
+// current configuration document, a list of upstreams and room for connections and is not stopping.
 func (d *relayDaemon) readiness() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path != platform.ReadyPath {
@@ -328,7 +337,17 @@
 	}
 	now := d.clock.Now()
 	v := d.registry.View()
-	return v.Table != nil && v.UpstreamsVerified > 0 && now-v.TableVerified < d.settings.Bounds.Revoke
+	return v.Table != nil && v.UpstreamsVerified > 0 && now-v.TableVerified < d.settings.Bounds.Revoke && !d.clients.Full()
+}
+
+// descriptors returns the number of descriptors that the process may open, the smaller one of the settings and of the
+// system's limit; zero if neither is known.
+func descriptors(s *settings.Relay) int {
+	limit := listener.Descriptors()
+	if s.Descriptors > 0 && (limit == 0 || s.Descriptors < limit) {
+		return s.Descriptors
+	}
+	return limit
 }
 
 func (d *relayDaemon) server(h http.Handler) *http.Server {
@@ -351,7 +370,7 @@
 func (d *relayDaemon) insight() *insight.Page {
 	return insight.New(insight.Sources{
 		VM: d.settings.Name, Clock: d.clock, Gate: d.gate, Registry: d.registry, Members: d.members, Holders: d.holders,
-		Placer: d.placer, Owner: d.owner, Store: d.store, LogWriter: d.logWriter, Tunnels: d.tunnels,
+		Placer: d.placer, Owner: d.owner, Store: d.store, LogWriter: d.logWriter, Tunnels: d.tunnels, Clients: d.clients,
 	})
 }
 
--- a/daemon/settings/relay_test.go
+++ b/daemon/settings/relay_test.go
@@ -39,6 +39,7 @@
 		"bounds.revocation_ms|json": "5000", "bounds.grace_period_s|json": "8", "bounds.retry_budget_ratio|json": "0.2",
 		"bounds.retry_budget_slack|json": "106", "bounds.budget_window_s|json": "10",
 		"#bounds.evacuation_ms": "", ".": "5000", "/bounds.evacuation_ms": "",
+		"#limits.file_descriptors": "", "/limits.file_descriptors": "",
 	}
 	filled := regexp.MustCompile(`\{\{([^}]+)\}\}`).ReplaceAllStringFunc(string(text), func(m string) string {
 		v, ok := values[m[2:len(m)-2]]
@@ -54,6 +55,7 @@
 	require.True(t, s.First)
 	require.InDelta(t, 0.4, s.Cores, 0)
 	require.InDelta(t, 20, s.Link, 0)
+	require.Equal(t, 5000, s.Descriptors)
 }
 
 func FuzzParseRelay(f *testing.F) {
--- a/scenarios/fleet/fleet.go
+++ b/scenarios/fleet/fleet.go
@@ -43,6 +43,8 @@
 	// Respawn is how long after its crash a runner gets a successor with a new id; zero for none. It must be set before
 	// the first crash.
 	Respawn time.Duration
+	// Descriptors is the number of descriptors that each VM may open; zero for no limit of the test's own.
+	Descriptors int
 
 	dir, program string
 	finder       *relay.Finder
@@ -52,12 +54,13 @@
 }
 
 // New starts an emulated platform and a number of VMs that run the given program. Settings and
-// logs are written to dir. On an error the returned fleet still has to be closed.
-func New(dir, program string, vms int) (*Fleet, error) {
+// logs are written to dir. prepare is called before the VMs start. On an error the returned fleet still has to be closed.
+func New(dir, program string, vms int, prepare func(*Fleet)) (*Fleet, error) {
 	f := &Fleet{
 		Platform: standin.New(modelRunners, serviceRunners, "ward", "desk"), dir: dir, program: program,
 		finder: relay.NewFinder(), upstreams: map[string]*relay.Relay{},
 	}
+	prepare(f)
 	f.finder.AddProcess(os.Getpid(), Client)
 	var err error
 	if f.StoreRelay, err = f.newRelay(f.Platform.Address()); err != nil {
@@ -134,7 +137,11 @@
 
 // Start starts the process of a VM that is not running.
 func (f *Fleet) Start(v *VM) error {
-	p, err := process.Start(f.dir, v.Name, f.program, "relay", "--settings", v.settingsPath)
+	program, args := f.program, []string{"relay", "--settings", v.settingsPath}
+	if f.Descriptors > 0 {
+		program, args = "/bin/sh", append([]string{"-c", fmt.Sprintf(`ulimit -n %d; exec "$@"`, f.Descriptors), "sh", program}, args...)
+	}
+	p, err := process.Start(f.dir, v.Name, program, args...)
 	if err != nil {
 		return err
 	}
--- a/scenarios/platform_test.go
+++ b/scenarios/platform_test.go
@@ -22,7 +22,13 @@
 // ready.
 func newFleet(t *testing.T, vms int) *fleet.Fleet {
 	t.Helper()
-	f, err := fleet.New(t.TempDir(), filepath.Join(binDir, "snipeshiftd"), vms)
+	return newFleetWith(t, vms, func(*fleet.Fleet) {})
+}
+
+// newFleetWith is newFleet with a function that is called before the VMs start.
+func newFleetWith(t *testing.T, vms int, prepare func(*fleet.Fleet)) *fleet.Fleet {
+	t.Helper()
+	f, err := fleet.New(t.TempDir(), filepath.Join(binDir, "snipeshiftd"), vms, prepare)
 	t.Cleanup(f.Close)
 	require.NoError(t, err)
 	for _, v := range f.VMs {
--- a/scenarios/soak_test.go
+++ b/scenarios/soak_test.go
@@ -71,7 +71,7 @@
 			if logDir := os.Getenv(envSoakLogs); logDir != "" {
 				dir = logDir
 			}
-			f, err := fleet.New(dir, filepath.Join(binDir, "snipeshiftd"), 4)
+			f, err := fleet.New(dir, filepath.Join(binDir, "snipeshiftd"), 4, func(*fleet.Fleet) {})
 			t.Cleanup(f.Close)
 			require.NoError(t, err)
 			for _, v := range f.VMs {
