relay: a stream without chunks that ends before its first event is broken off

What callers saw: an empty stream, complete by all signs, from an engine that crashed between the header of its response and the first event. Cause: such a stream has neither a length nor chunks; the kernel ends the connection of a crashed process in order, and the end after no event at all passed for the end after a whole one. The owner would have counted it as an answer, which acquits the part of the prompt that crashed the engine. Change: such an end counts as broken off: sent again where the route allows, else the client's connection breaks. A crash between two whole events of such a stream can't be told from its end.

--- a/daemon/relay/stream.go
+++ b/daemon/relay/stream.go
@@ -63,6 +63,9 @@
 	first := true
 	for {
 		event, err := es.next()
+		if errors.Is(err, io.EOF) && first && unframed(resp) {
+			err = errTruncated // an upstream that crashes ends the connection as well
+		}
 		if errors.Is(err, io.EOF) {
 			return x.endStream(resp, first)
 		}
@@ -86,6 +89,11 @@
 	}
 }
 
+// unframed reports whether only the end of the connection ends a response.
+func unframed(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
 // passEvent writes one event to the client.
 func (x *request) passEvent(event []byte) error {
 	if _, err := x.w.Write(event); err != nil {
