caller, decide: a stream that had lasted is not suspected when its upstream crashes

What callers saw: as for the relaying daemon: a request that had streamed on two engines which others crashed is refused as quarantined by all VMs for half an hour. Cause: the gate and the owner of the pool each record any crash under a request against its fingerprint. Evidence: TestLongStreamCutOffByCrashIsNotSuspected (caller) failed before: one crash recorded against a stream whose first token was 500 ms old; TestStreamThatLastedIsNotSuspected: it ran alone from then on. Result: both pass.

--- a/daemon/caller/crash_test.go
+++ b/daemon/caller/crash_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"snipeshift.example/lib/decide"
+	"snipeshift.example/lib/decide/blame"
 	"snipeshift.example/lib/dial"
 	"snipeshift.example/lib/peer"
 )
@@ -77,3 +78,22 @@
 	defer b.fakes.mu.Unlock()
 	require.Empty(t, b.fakes.crashes)
 }
+
+// An engine crashes under a stream that it has been writing for a while; suspected twice, the request would be refused
+// everywhere.
+func TestLongStreamCutOffByCrashIsNotSuspected(t *testing.T) {
+	for written, suspected := range map[time.Duration]int{0: 1, 2 * blame.ProveTime.Duration(): 0} {
+		b := newHarness(t, func(w http.ResponseWriter, r *http.Request) {
+			writeChunk(w, r, 0, "x")
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(written)
+			_ = r.Context().Value(http.ServerContextKey).(*http.Server).Close()
+			panic(http.ErrAbortHandler)
+		})
+		b.post("/v1/chat/completions", chatBody)
+		b.awaitIdle()
+		b.fakes.mu.Lock()
+		require.Len(t, b.fakes.crashes, suspected, "crash %v after the first token", written)
+		b.fakes.mu.Unlock()
+	}
+}
--- a/daemon/caller/serve.go
+++ b/daemon/caller/serve.go
@@ -11,6 +11,7 @@
 	"snipeshift.example/daemon/guard"
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
+	"snipeshift.example/lib/decide/blame"
 	"snipeshift.example/lib/decide/gate"
 	"snipeshift.example/lib/dial"
 	"snipeshift.example/lib/document"
@@ -71,6 +72,12 @@
 	metered decide.Tokens
 }
 
+// lasted reports whether a response had lasted so long that a crash of the upstream says nothing about the request. The
+// arguments are the times since the grant and from the grant to the first token, zero if there was none.
+func (r *result) lasted(since, first clock.Milli) bool {
+	return first > 0 && since-first >= blame.ProveTime
+}
+
 // serve executes a request. It returns nil after d has forwarded a complete response, otherwise a
 // fault.
 func (g *Gate) serve(ctx context.Context, c *document.Index, q *request, d dispatcher) *fault.Error {
@@ -236,8 +243,9 @@
 	r := d.dispatch(ctx, pg, *u)
 	g.mu.Lock()
 	a.granted = false
+	lasted := r.lasted(g.Clock.Now()-a.grantedAt, clock.Milli(a.firstToken.Load()))
 	g.mu.Unlock()
-	if r.outcome == decide.Lost && !r.unsent {
+	if r.outcome == decide.Lost && !r.unsent && !lasted {
 		g.Suspects.RecordCrash(q.fingerprint, pg.grant.Upstreams[0], 0)
 	}
 	unmetered := r.usage
--- a/lib/decide/fault_test.go
+++ b/lib/decide/fault_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"snipeshift.example/lib/clock"
+	"snipeshift.example/lib/decide/blame"
 	"snipeshift.example/lib/fault"
 )
 
@@ -190,6 +191,22 @@
 	require.Len(t, b.granted, 3)
 }
 
+// An engine crashes under a stream that it has been writing for a while, and another one under its repeat: other requests
+// crashed them.
+func TestStreamThatLastedIsNotSuspected(t *testing.T) {
+	b := newHarness(t, 6)
+	r := b.request("r")
+	r.Fingerprint = 7
+	for i := range 4 {
+		r.ID = RequestID(fmt.Sprint("r", i))
+		b.submit(r)
+		require.False(t, b.grant(string(r.ID)).Suspect)
+		b.firstToken(string(r.ID))
+		b.wait(blame.ProveTime)
+		b.finish(string(r.ID), Lost)
+	}
+}
+
 // Engines have crashed and refuse connections; requests that were refused by two of them have crashed nothing.
 func TestRefusedConnectionsAccuseNobody(t *testing.T) {
 	b := newHarness(t, 6)
--- a/lib/decide/poison.go
+++ b/lib/decide/poison.go
@@ -2,6 +2,7 @@
 
 import (
 	"snipeshift.example/lib/clock"
+	"snipeshift.example/lib/decide/blame"
 	"snipeshift.example/lib/fault"
 )
 
@@ -58,10 +59,11 @@
 }
 
 // countCrash records that the upstream of a grant crashed. Queued copies of the request become
-// suspects after the first crash, and are refused after the second.
+// suspects after the first crash, and are refused after the second. A request whose answer had lasted
+// was merely there.
 func (p *Pool) countCrash(now clock.Milli, g *grant) {
 	fingerprint := g.Fingerprint
-	if fingerprint == 0 {
+	if fingerprint == 0 || g.firstAt > 0 && now-g.firstAt >= blame.ProveTime {
 		return
 	}
 	count := p.crashes.count(now, fingerprint) + 1
--- a/lib/decide/report.go
+++ b/lib/decide/report.go
@@ -91,6 +91,7 @@
 	if !first || g.gotFirst {
 		return
 	}
+	g.firstAt = now
 	p.parts.Begun(now, g.run())
 	u := g.on[0]
 	if g.expectedFirst >= minObservable {
--- a/lib/decide/table.go
+++ b/lib/decide/table.go
@@ -75,8 +75,10 @@
 	// the estimated slowdown of the upstream at the time of the grant.
 	expectedFirst, assumedSlowdown float64
 	gotFirst                       bool
-	output                         Tokens
-	long                           bool
+	// firstAt is the time of the first token; zero before it.
+	firstAt clock.Milli
+	output  Tokens
+	long    bool
 	// listedIn is the number (Pool.reportSeq) of the last report of any upstream that listed the
 	// request.
 	listedIn uint64
