soak: parts that crash upstreams, and floods of connections

The check: five crashes a part, twice as many while faults keep VMs from learning of each other; and all checks as before.

--- a/scenarios/fleet/fleet.go
+++ b/scenarios/fleet/fleet.go
@@ -40,8 +40,8 @@
 	VMs      []*VM
 	// StoreRelay is the relay for the connections of all VMs to the store.
 	StoreRelay *relay.Relay
-	// Respawn is how long after its crash a runner gets a successor with a new id; zero for none. It must be set before
-	// the first crash.
+	// Respawn is how long after a crash under a poison request or a bad part a runner gets a successor with a new id; zero
+	// for none. It must be set before the first crash.
 	Respawn time.Duration
 	// Descriptors is the number of descriptors that each VM may open; zero for no limit of the test's own.
 	Descriptors int
@@ -73,7 +73,7 @@
 		}
 		l.WaitForSource(identifyTimeout)
 		f.upstreams[l.Address()] = l
-		r.OnCrash, r.ResolveVM = f.Crash, l.Source
+		r.OnCrash, r.ResolveVM = f.CrashAndRespawn, l.Source
 		r.RegisterAt(l.Address())
 	}
 	for i := range vms {
@@ -208,10 +208,16 @@
 // UpstreamRelay returns the relay in front of a runner.
 func (f *Fleet) UpstreamRelay(r *standin.Runner) *relay.Relay { return f.upstreams[r.Address()] }
 
-// Crash crashes a runner. Its registered address then refuses connections, until it gets a successor.
-func (f *Fleet) Crash(r *standin.Runner) {
+// Crash crashes a runner. Its registered address then refuses connections. It returns false if the runner had crashed
+// before.
+func (f *Fleet) Crash(r *standin.Runner) bool {
 	f.UpstreamRelay(r).Down()
-	if r.Crash() && f.Respawn > 0 {
+	return r.Crash()
+}
+
+// CrashAndRespawn crashes a runner that gets a successor after Respawn.
+func (f *Fleet) CrashAndRespawn(r *standin.Runner) {
+	if f.Crash(r) && f.Respawn > 0 {
 		time.AfterFunc(f.Respawn, func() { _ = f.Replace(r) })
 	}
 }
@@ -233,7 +239,7 @@
 	if err := l.Up(r.ListenAddress()); err != nil {
 		return err
 	}
-	r.OnCrash, r.ResolveVM = f.Crash, l.Source
+	r.OnCrash, r.ResolveVM = f.CrashAndRespawn, l.Source
 	r.RegisterAt(l.Address())
 	return nil
 }
--- a/scenarios/platform_part_test.go
+++ b/scenarios/platform_part_test.go
@@ -156,7 +156,7 @@
 	time.Sleep(calmTime)
 	rng := rand.New(rand.NewPCG(1, 1))
 	for range 12 {
-		f.Crash(f.Platform.Runner(standin.Model, rng.IntN(4)))
+		f.CrashAndRespawn(f.Platform.Runner(standin.Model, rng.IntN(4)))
 		time.Sleep(badTime / 12)
 	}
 	sound.wg.Wait()
--- a/scenarios/soak/check.go
+++ b/scenarios/soak/check.go
@@ -111,6 +111,7 @@
 	for _, text := range p.IgnoredStatements(standin.Exemptions{MissedResponse: r.mayHaveMissed, Restarted: r.restarted, RestartedOrCut: r.disrupted}) {
 		errs = append(errs, errors.New(text))
 	}
+	errs = append(errs, r.partErrors...)
 	errs = append(errs, r.checkRecovered()...)
 	r.log("%d calls by outcome: %v", len(calls), countOutcomes(calls))
 	r.log("upstreams in the store: %v", p.Names("servers"))
@@ -195,7 +196,7 @@
 			continue
 		}
 		switch inj.fault.Kind {
-		case Kill, Freeze:
+		case Kill, Freeze, Flood:
 			return true
 		case Stop:
 			if c.at.After(inj.from) {
--- a/scenarios/soak/plan.go
+++ b/scenarios/soak/plan.go
@@ -39,6 +39,8 @@
 	DeclareLeaving   Kind = "leave"     // an upstream announces only in its responses that it drains, ends and starts again
 	Partition        Kind = "partition" // a VM loses its paths to all upstreams
 	Shed             Kind = "shed"      // an upstream rejects all requests and asks for back-off
+	SendBadPart      Kind = "part"      // clients send requests with a part that crashes each upstream
+	Flood            Kind = "flood"     // many connections to a VM open that carry nothing
 )
 
 // weights are the relative frequencies of the kinds that planner.fault draws. The other kinds are
@@ -245,6 +247,25 @@
 	return out
 }
 
+// Times of requests with a bad part and of floods of connections.
+const (
+	minPartTime = 2 * time.Second
+	maxPartTime = 5 * time.Second
+	partPause   = 6 * time.Second
+)
+
+// PartFaults draws faults of kinds SendBadPart and Flood, each from a random source of its own.
+func PartFaults(seed uint64, length time.Duration) []Fault {
+	var out []Fault
+	for i, kind := range []Kind{SendBadPart, Flood} {
+		p := planner{rand.New(rand.NewPCG(seed, uint64(6+i)))}
+		for at := p.duration(0, partPause); at < length; at += p.duration(maxPartTime, maxPartTime+partPause) {
+			out = append(out, Fault{Kind: kind, VM: p.IntN(indexRange), At: at, Duration: p.duration(minPartTime, maxPartTime)})
+		}
+	}
+	return out
+}
+
 type planner struct{ *rand.Rand }
 
 func (p planner) duration(lo, hi time.Duration) time.Duration {
--- a/scenarios/soak/run.go
+++ b/scenarios/soak/run.go
@@ -19,8 +19,9 @@
 	fleet *fleet.Fleet
 	log   Logf
 	seed  uint64
-	// faults is the schedule.
+	// faults is the schedule, start its beginning.
 	faults []Fault
+	start  time.Time
 
 	mu sync.Mutex
 	// faulted holds the VMs and the addresses of the upstreams that a fault of their process
@@ -33,6 +34,9 @@
 	// revokeStart and revoked are the times when the revocation of revokedWorkspace's key was started
 	// and confirmed. In between a VM may accept or reject the key.
 	revokeStart, revoked time.Time
+	// partErrors lists the violations of the bound on crashes under bad parts, parts counts these parts.
+	partErrors []error
+	parts      int
 	// extraRoutes counts the routes that faults of kind AddRoute added.
 	extraRoutes int
 	// storeMu serializes the faults of the store.
@@ -72,6 +76,7 @@
 		load.Go(func() { r.runClient(i, stop) })
 	}
 	start := time.Now()
+	r.start = start
 	errs := make(chan error, len(r.faults)+1)
 	for _, f := range r.faults {
 		r.log("%s", f)
@@ -148,6 +153,10 @@
 		return r.injectUpstreamFault(f, us[f.Other%len(us)])
 	case Partition:
 		return r.injectPartition(f, v)
+	case SendBadPart:
+		r.sendBadPart(f)
+	case Flood:
+		flood(f, v)
 	case DeclareLimit:
 		us := r.fleet.Platform.Runners()
 		u := us[f.Other%len(us)]
--- a/scenarios/soak_test.go
+++ b/scenarios/soak_test.go
@@ -60,8 +60,26 @@
 	})
 }
 
+// partSeeds are the seeds of TestSoakParts that run in CI.
+var partSeeds = map[uint64]time.Duration{61: soakLength, 62: soakLength}
+
+// TestSoakParts does the same while requests share a part that crashes each upstream, and VMs of few descriptors are flooded
+// with connections.
+func TestSoakParts(t *testing.T) {
+	runSoakOn(t, seeds(t, partSeeds, envSoakSeed, envSoakLength, longSoakLength), func(f *fleet.Fleet) {
+		f.Respawn, f.Descriptors = respawnTime, floodDescriptors
+	}, func(seed uint64, length time.Duration) []soak.Fault {
+		return append(soak.Plan(seed, length), soak.PartFaults(seed, length)...)
+	})
+}
+
 // runSoak injects the faults that plan draws for each seed.
 func runSoak(t *testing.T, lengths map[uint64]time.Duration, plan func(uint64, time.Duration) []soak.Fault) {
+	runSoakOn(t, lengths, func(*fleet.Fleet) {}, plan)
+}
+
+// runSoakOn is runSoak on fleets that prepare changes before they start.
+func runSoakOn(t *testing.T, lengths map[uint64]time.Duration, prepare func(*fleet.Fleet), plan func(uint64, time.Duration) []soak.Fault) {
 	for seed, length := range lengths {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
@@ -71,7 +89,7 @@
 			if logDir := os.Getenv(envSoakLogs); logDir != "" {
 				dir = logDir
 			}
-			f, err := fleet.New(dir, filepath.Join(binDir, "snipeshiftd"), 4, func(*fleet.Fleet) {})
+			f, err := fleet.New(dir, filepath.Join(binDir, "snipeshiftd"), 4, prepare)
 			t.Cleanup(f.Close)
 			require.NoError(t, err)
 			for _, v := range f.VMs {
