--- a/bench/fleet.go
+++ b/bench/fleet.go
@@ -28,6 +28,7 @@
 			&cli.FloatFlag{Name: "cut", Value: 0.01, Usage: "share of VMs from which nothing arrives at three quarters of the time"},
 			&cli.DurationFlag{Name: "down", Value: 12 * time.Second, Usage: "how long each fault lasts"},
 			&cli.FloatFlag{Name: "partitioned", Usage: "simulate instead a share of VMs that lose their paths to all upstreams"},
+			&cli.IntFlag{Name: "bad-parts", Usage: "simulate instead a number of parts of prompts that crash upstreams; --vms are upstreams then"},
 			&cli.FloatFlag{Name: "rate", Value: 14, Usage: "new connections to upstreams per second and VM, with --partitioned"},
 			&cli.BoolFlag{Name: "json", Usage: "print JSON in place of a table"},
 		},
@@ -35,6 +36,9 @@
 			if cut := c.Float("partitioned"); cut > 0 {
 				return simulatePaths(c, cut)
 			}
+			if n := c.Int("bad-parts"); n > 0 {
+				return simulateParts(c, n)
+			}
 			var results []fleet.Result
 			for _, n := range c.IntSlice("vms") {
 				results = append(results, fleet.Run(fleet.Load{
@@ -69,6 +73,33 @@
 	return nil
 }
 
+// Rates of simulateParts, for each upstream: sound requests a second, and crashes without a cause in any request.
+const (
+	soundRate = 11
+	crashRate = 0.002
+	// badRate is the number of requests a second with each bad part.
+	badRate = 10
+)
+
+// simulateParts prints a row for each number of upstreams of a service whose prompts hold bad parts.
+func simulateParts(c *cli.Command, bad int) error {
+	var results []fleet.PartResult
+	for _, n := range c.IntSlice("vms") {
+		results = append(results, fleet.RunParts(fleet.PartLoad{
+			Engines: n, Seed: c.Uint64("seed"), Rate: soundRate * float64(n), BadRate: badRate, Bad: bad, Crashes: crashRate * float64(n), For: clock.Of(c.Duration("for")),
+		}))
+	}
+	w := c.Root().Writer
+	if c.Bool("json") {
+		return json.NewEncoder(w).Encode(results)
+	}
+	fmt.Fprintf(w, "%9s %8s %10s %8s %10s %10s %9s %9s %9s %8s\n", "upstreams", "crashes", "most/part", "others", "verdict ms", "sound", "refused", "held", "held ms", "copied")
+	for _, r := range results {
+		fmt.Fprintf(w, "%9d %8d %10d %8d %10d %10d %9d %9d %9d %8d\n", r.Engines, r.Crashes, r.MostCrashes, r.Others, r.Verdict, r.Sound, r.Refused, r.Held, r.HeldFor, r.Copied)
+	}
+	return nil
+}
+
 // printFleets prints a row for each size. Traffic is what a VM sends on average, in bytes.
 func printFleets(w io.Writer, results []fleet.Result) {
 	fmt.Fprintf(w, "%6s %12s %12s %14s %14s %10s %10s %10s %10s %8s\n",
