span: a suspect that is being answered makes room for the next one

What callers saw: nothing yet; found by reading the diff: after a domain of engines has crashed, each of its waiting requests is a suspect, and each upstream took one of them until the end of its stream. Cause: the separation of suspects lasted as long as their grants. Evidence: TestSuspectThatIsAnsweredMakesRoom failed before. Change: it ends with the first byte, after which a crash no longer speaks against the request for long. Result: the package's tests pass.

--- a/lib/decide/span/engine.go
+++ b/lib/decide/span/engine.go
@@ -87,7 +87,7 @@
 	// which the first byte of one of them is expected.
 	prefills int
 	firstDue clock.Milli
-	// suspects counts the grants of suspect requests, see Ask.Suspect.
+	// suspects counts the grants of suspect requests that have no answer yet, see Ask.Suspect.
 	suspects int
 	// pause is the shortest pause that the streams tolerate; zero for none.
 	pause clock.Milli
@@ -105,7 +105,7 @@
 			}
 			r.prefills++
 		}
-		if g.ask.Suspect {
+		if g.ask.Suspect && !g.Writing {
 			r.suspects++
 		}
 		if !g.leads(r) {
--- a/lib/decide/span/pool_test.go
+++ b/lib/decide/span/pool_test.go
@@ -482,6 +482,20 @@
 	require.False(t, decided)
 }
 
+// Engines crashed under many requests. One that is being answered is no longer likely to crash its engine; if it kept other
+// suspects away until its end, these would wait for seconds.
+func TestSuspectThatIsAnsweredMakesRoom(t *testing.T) {
+	b := newTestPool(t, 1)
+	suspect := func() Ask { a := b.shortAsk(now); a.Suspect = true; return a }
+	g := b.mustGrant(now, suspect())
+	next := suspect()
+	_, decided := b.ask(now, next)
+	require.False(t, decided)
+	b.First(now+100, g.Request)
+	_, decided = b.ask(now+100, next)
+	require.True(t, decided)
+}
+
 // An engine that declares that it is leaving keeps its streams and gets no new requests.
 func TestLeavingEngineKeepsItsGrants(t *testing.T) {
 	b := newTestPool(t, 2)
