standin: a successor is set up before it is registered

Callers saw nothing: the fault is in the stand-in. Cause: a runner that replaced a crashed one was registered, and its relay opened, before the fleet had set its hooks (OnCrash, ResolveVM). A request that came in between read them while they were written.

--- a/scenarios/fleet/fleet.go
+++ b/scenarios/fleet/fleet.go
@@ -236,10 +236,10 @@
 func (f *Fleet) startSuccessor(old *standin.Runner, start func(*standin.Runner) *standin.Runner) error {
 	l := f.UpstreamRelay(old)
 	r := start(old)
+	r.OnCrash, r.ResolveVM = f.CrashAndRespawn, l.Source
 	if err := l.Up(r.ListenAddress()); err != nil {
 		return err
 	}
-	r.OnCrash, r.ResolveVM = f.CrashAndRespawn, l.Source
 	r.RegisterAt(l.Address())
 	return nil
 }
