listener: a stop does not wait for connections that carry nothing

Seen: TestSoakParts/135: two VMs under a flood of silent connections needed 7.2 s from the signal to the line "stopped". Platforms kill a VM at the end of its grace period (8 s), so what is said goodbye to last is cut off. Cause: http.Server.Shutdown waits five seconds for a connection on which no byte has arrived, after the two that the balancer is given. Change: Listener.Drain gives such connections one second, the time after which they also make room for others. Evidence: TestSilentConnectionDoesNotDelayStop, before: "5.754258532s" is not less than "3s"; after: passes.

--- a/daemon/listener/listener.go
+++ b/daemon/listener/listener.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"sync"
 	"syscall"
+	"time"
 
 	"snipeshift.example/lib/clock"
 )
@@ -195,6 +196,19 @@
 	return l.clock.Now() < l.fullUntil
 }
 
+// Drain makes the server close the connections that carry no request within a moment. The server would wait for them much
+// longer before it ends.
+func (l *Listener) Drain() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	deadline := time.Now().Add(silentTime.Duration())
+	for x := range l.conns {
+		if !x.busy && !x.served {
+			_ = x.Conn.SetReadDeadline(deadline) // the server moves it once it has read a header
+		}
+	}
+}
+
 // Counts are the numbers of open connections, of those that carry a request, and of all connections that were closed unread
 // or while they were idle.
 type Counts struct {
--- a/daemon/listener/listener_test.go
+++ b/daemon/listener/listener_test.go
@@ -23,6 +23,7 @@
 // server is a server behind a Listener. Requests for /wait end once release is closed.
 type server struct {
 	*Listener
+	http    *http.Server
 	clock   *manualClock
 	release chan struct{}
 }
@@ -34,13 +35,13 @@
 	s := &server{clock: &manualClock{}, release: make(chan struct{})}
 	s.clock.now.Store(int64(clock.Minute))
 	s.Listener = New(inner, x, s.clock)
-	h := &http.Server{ConnState: s.Track, ReadHeaderTimeout: time.Minute, Handler: s.Handler(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+	s.http = &http.Server{ConnState: s.Track, ReadHeaderTimeout: time.Minute, Handler: s.Handler(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/wait" {
 			<-s.release
 		}
 	}))}
-	go func() { _ = h.Serve(s.Listener) }()
-	t.Cleanup(func() { _ = h.Close() })
+	go func() { _ = s.http.Serve(s.Listener) }()
+	t.Cleanup(func() { _ = s.http.Close() })
 	return s
 }
 
@@ -131,6 +132,23 @@
 	require.True(t, answered(c))
 }
 
+// A connection that carries nothing is open when the VM stops; the stop must not wait for it, and requests still get their
+// responses.
+func TestSilentConnectionDoesNotDelayStop(t *testing.T) {
+	s := newServer(t, Limits{Connections: 3, Requests: 3})
+	s.dial(t)
+	c := s.dial(t)
+	s.awaitOpen(t, 2)
+	request(t, c, "/wait")
+	require.Eventually(t, func() bool { return s.Counts().Busy == 1 }, 5*time.Second, time.Millisecond)
+	time.AfterFunc(silentTime.Duration()*3/2, func() { close(s.release) })
+	stopped := time.Now()
+	s.Drain()
+	require.NoError(t, s.http.Shutdown(t.Context()))
+	require.Less(t, time.Since(stopped), 3*time.Second)
+	require.True(t, answered(c))
+}
+
 // A VM that is full again as soon as it is ready must not return to rotation every few seconds.
 func TestVMStaysFullForLongerEachTime(t *testing.T) {
 	l := New(nil, Limits{}, &manualClock{})
--- a/daemon/relay.go
+++ b/daemon/relay.go
@@ -310,6 +310,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), remaining.Duration())
 	defer cancel()
 	defer d.tunnels.Drain(ctx)
+	d.clients.Drain()
 	if err := clients.Shutdown(ctx); err != nil {
 		d.log.Warn().Str(logline.Key, logline.Stopping).Err(err).Msg("the grace period ended before all responses were complete; the remaining ones are cut off")
 	}
