daemon: the listener for clients bounds connections in the mode of the OpenAI interface too

Seen: the fault of "most new connections go to one VM" was mended for relay mode only; the other daemon accepted whatever came, until the process had no descriptor left for engines, peers and the store. Change: the same listener, within half of the process's descriptors (setting "descriptors", default the system's limit); /ready says so while there is no room; a stop does not wait for connections that carry nothing. Evidence: TestDaemonClosesConnectionsBeyondItsDescriptors; before, there was nothing to bound them (the test does not compile).

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"snipeshift.example/daemon/guard"
 	"snipeshift.example/daemon/lease"
 	"snipeshift.example/daemon/limit"
+	"snipeshift.example/daemon/listener"
 	"snipeshift.example/daemon/member"
 	"snipeshift.example/daemon/orders"
 	"snipeshift.example/daemon/pool"
@@ -78,6 +79,8 @@
 	quarantine *quarantine.Quarantine
 	limits     *limit.Limits
 	endpoint   *door.Endpoint
+	// clients accepts the connections of clients; set by listen.
+	clients *listener.Listener
 	// paths opens connections to upstreams, directly or through other daemons; tunnels does so for them.
 	paths   *tunnel.Dialer
 	tunnels *tunnel.Server
@@ -189,7 +192,7 @@
 	if err != nil {
 		return err
 	}
-	clients := d.server(d.gate.Handler())
+	clients := d.clientServer(d.gate.Handler())
 	operators := d.server(d.operatorHandler())
 	var g errgroup.Group
 	d.spawn(&g, "peer door", func() error { return d.peers.Serve(ls.peer) })
@@ -255,6 +258,7 @@
 	d.owner.HandOver()
 	t := time.NewTimer(d.settings.Grace.Duration())
 	<-t.C
+	d.clients.Drain()
 	if err := clients.Shutdown(context.Background()); err != nil {
 		d.log.Warn().Err(err).Msg("cannot shut down the listener for clients")
 	}
@@ -331,9 +335,12 @@
 		return ls, err
 	}
 	var c net.ListenConfig
-	if ls.client, err = c.Listen(ctx, "tcp", d.settings.Caller); err != nil {
+	inner, err := c.Listen(ctx, "tcp", d.settings.Caller)
+	if err != nil {
 		return ls, err
 	}
+	d.clients = listener.New(inner, listener.LimitsOf(listener.Resources{Descriptors: descriptors(d.settings.Descriptors)}), d.clock)
+	ls.client = d.clients
 	t := d.settings.TLS
 	if t.CallerCert == "" {
 		return ls, nil
@@ -348,6 +355,13 @@
 	return ls, nil
 }
 
+// clientServer returns the server of the listener for clients.
+func (d *daemon) clientServer(h http.Handler) *http.Server {
+	s := d.server(d.clients.Handler(h))
+	s.ConnState = d.clients.Track
+	return s
+}
+
 func (d *daemon) server(h http.Handler) *http.Server {
 	return &http.Server{
 		Handler: h, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerLimit, IdleTimeout: idleTimeout,
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -51,6 +51,9 @@
 	if v.daemon.stopping.Load() {
 		why = append(why, "this VM is stopping")
 	}
+	if v.daemon.clients.Full() {
+		why = append(why, "there was no room for a connection a moment ago")
+	}
 	return append(why, v.daemon.state.unready()...)
 }
 
--- a/daemon/relay.go
+++ b/daemon/relay.go
@@ -247,7 +247,7 @@
 	if err != nil {
 		return err
 	}
-	d.clients = listener.New(clientListener, listener.LimitsOf(listener.Resources{Descriptors: descriptors(s), Memory: s.Memory << 20, Cores: s.Cores}), d.clock)
+	d.clients = listener.New(clientListener, listener.LimitsOf(listener.Resources{Descriptors: descriptors(s.Descriptors), Memory: s.Memory << 20, Cores: s.Cores}), d.clock)
 	clients := d.server(d.clients.Handler(d.gate))
 	clients.ConnState = d.clients.Track
 	ready := d.server(d.readiness())
@@ -341,12 +341,12 @@
 	return v.Table != nil && v.UpstreamsVerified > 0 && now-v.TableVerified < d.settings.Bounds.Revoke && !d.clients.Full()
 }
 
-// descriptors returns the number of descriptors that the process may open, the smaller one of the settings and of the
+// descriptors returns the number of descriptors that the process may open, the smaller one of the setting and of the
 // system's limit; zero if neither is known.
-func descriptors(s *settings.Relay) int {
+func descriptors(setting int) int {
 	limit := listener.Descriptors()
-	if s.Descriptors > 0 && (limit == 0 || s.Descriptors < limit) {
-		return s.Descriptors
+	if setting > 0 && (limit == 0 || setting < limit) {
+		return setting
 	}
 	return limit
 }
--- a/daemon/server_test.go
+++ b/daemon/server_test.go
@@ -15,8 +15,10 @@
 	"github.com/stretchr/testify/require"
 
 	"snipeshift.example/daemon/caller"
+	"snipeshift.example/daemon/settings"
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
+	"snipeshift.example/lib/door"
 	answers "snipeshift.example/lib/operator"
 )
 
@@ -62,6 +64,33 @@
 	require.Eventually(t, func() bool { return runtime.NumGoroutine() <= before+1 }, 5*time.Second, 10*time.Millisecond)
 }
 
+// The balancer hands most new connections to one VM. Beyond half of its descriptors it must close them unread, or none is
+// left for engines and other VMs, and a stop must not wait for connections that carry nothing.
+func TestDaemonClosesConnectionsBeyondItsDescriptors(t *testing.T) {
+	c := clock.New()
+	d := &daemon{clock: c, log: &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}, endpoint: &door.Endpoint{}, settings: &settings.Settings{
+		Caller: "127.0.0.1:0", Operator: "127.0.0.1:0", Peer: "127.0.0.1:0", Descriptors: 200,
+	}}
+	ls, err := d.listen()
+	require.NoError(t, err)
+	s := d.clientServer(http.NotFoundHandler())
+	go func() { _ = s.Serve(ls.client) }()
+	defer func() { require.NoError(t, s.Close()) }()
+	address := ls.client.Addr().String()
+	for range 100 {
+		c, err := net.Dial("tcp", address)
+		require.NoError(t, err)
+		defer c.Close()
+	}
+	_, err = http.Get("http://" + address) //nolint:bodyclose,noctx // there is no response
+	require.Error(t, err)
+	require.True(t, d.clients.Full())
+	stopped := time.Now()
+	d.clients.Drain()
+	require.NoError(t, s.Shutdown(t.Context()))
+	require.Less(t, time.Since(stopped), 3*time.Second)
+}
+
 // An engine crashes and is excluded from placement, for which it is marked as leaving. Operators must
 // not be told that it is draining.
 func TestSilentEngineIsNotShownAsDraining(t *testing.T) {
--- a/daemon/settings/settings.go
+++ b/daemon/settings/settings.go
@@ -37,7 +37,10 @@
 	Peers     []string    `json:"peers"`
 	Grace     clock.Milli `json:"grace"`
 	Level     string      `json:"level"`
-	TLS       TLS         `json:"tls"`
+	// Descriptors is the number of descriptors that the process may open, if that is less than the system's limit; zero
+	// if it is not.
+	Descriptors int `json:"descriptors"`
+	TLS         TLS `json:"tls"`
 }
 
 // TLS names the files with certificates and keys, in PEM.
