placer, blame: each gate keeps the crashes that it saw and tells them to the next owner

Callers saw: a part that crashes upstreams crashed up to thirteen where five are allowed, and sound requests were not served meanwhile. Cause: a crash was known to the owner that heard of it and to nobody else until the next list of live grants, up to a second later, and a report that was lost on its way to nobody at all. When VMs are slow to answer each other, owners change several times a second, each new one begins without the crashes of the second before, and the part gets a new one's worth of trials. Change: each gate records its own sends in a table, and the crashes of the last minute under parts that it had no answer on go with its lists of live grants until an owner has got them, and with each query that holds such a part. TestCrashesWhoseReportsAreLostCount, before: expected "quarantined", actual "" after three crashes, each at an owner that was lost.

--- a/daemon/placer/client.go
+++ b/daemon/placer/client.go
@@ -13,6 +13,7 @@
 	"snipeshift.example/daemon/statements"
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
+	"snipeshift.example/lib/decide/blame"
 	"snipeshift.example/lib/decide/span"
 	"snipeshift.example/lib/peer"
 	"snipeshift.example/lib/route"
@@ -74,7 +75,7 @@
 	live map[decide.RequestID]*activeGrant
 	// sends counts the sends of this gate.
 	sends map[route.ServiceID]*sendCount
-	// crashes are copies of what the owners know of parts of prompts.
+	// crashes is what this gate knows of parts of prompts.
 	crashes map[route.ServiceID]*crashCopy
 }
 
@@ -141,7 +142,7 @@
 	for range maxRoutings {
 		args.Earlier = c.earlierSends(s)
 		x, _ := c.holders.Of(s)
-		c.attachCrashes(args, x.Epoch)
+		own := c.attachCrashes(args, x.Epoch)
 		var reply PresentReply
 		if owner, remote := c.owner(s); !remote {
 			_ = c.localOwner.Present(args, &reply) // Present returns no errors
@@ -151,7 +152,7 @@
 		}
 		if reply.Holder == nil {
 			c.statements.Acknowledge(s, unacked)
-			c.learnCrashes(s, &reply, x.Epoch)
+			c.learnCrashes(s, &reply, x.Epoch, own)
 			return
 		}
 		c.holders.Update(*reply.Holder, "answer")
@@ -208,6 +209,8 @@
 	c.mu.Lock()
 	c.live[reply.Grant.Request] = &activeGrant{LiveGrant: span.LiveGrant{Grant: reply.Grant}, service: s}
 	c.countSend(s, a, reply)
+	l := reply.Grant.Leader
+	c.crashesOf(s).own.Granted(c.clock.Now(), blame.Run{Name: string(a.ID)}, blame.Upstream{ID: string(l.Upstream), Born: int64(l.Born)}, a.Parts)
 	c.mu.Unlock()
 	if l := reply.Limit; l != nil {
 		c.statements.Learn(s, l.Upstream, l.Statement(c.clock.Now()), statements.FromOwner)
@@ -248,6 +251,7 @@
 	g := c.live[id]
 	if g != nil {
 		g.Writing = true
+		c.crashesOf(g.service).own.Begun(c.clock.Now(), blame.Run{Name: string(id)})
 	}
 	c.mu.Unlock()
 	if g != nil {
@@ -261,6 +265,9 @@
 	c.mu.Lock()
 	g := c.live[id]
 	delete(c.live, id)
+	if g != nil {
+		c.endOwn(g, o)
+	}
 	c.mu.Unlock()
 	if g != nil {
 		c.sendNote(NoteArgs{Service: g.service, Request: id, Event: Ended, Outcome: o, Culprit: culprit, Statements: c.grantStatements(g)})
--- a/daemon/placer/parts_test.go
+++ b/daemon/placer/parts_test.go
@@ -115,6 +115,37 @@
 	d.requireRefused(t, "at a VM that reaches no other")
 }
 
+// Each owner is lost just before a crash is reported to it; if the reports went with them the part would never be blamed.
+func TestCrashesWhoseReportsAreLostCount(t *testing.T) {
+	d := newPartDeployment(t)
+	for i := range 3 {
+		id := decide.RequestID(fmt.Sprint("bad", i))
+		reply, err := d.client.Ask(context.Background(), "s", askWith(id, badPart))
+		require.NoError(t, err)
+		require.Empty(t, reply.Fault)
+		owner, _ := d.client.owner("s")
+		d.fail(d.refusing, owner.Address)
+		d.client.End(id, span.Crashed, "")
+		d.respawn(reply.Grant.Leader.Upstream)
+	}
+	d.requireRefused(t, "after three crashes")
+}
+
+// Prompts share a part and the VM of their client has had answers on it; a crash beside them must not follow them to a new
+// owner, which would hold them back.
+func TestCrashesUnderFamiliarPartsAreNotPassedOn(t *testing.T) {
+	d := newPartDeployment(t)
+	for _, x := range []struct {
+		id      decide.RequestID
+		outcome span.Outcome
+	}{{"sound", span.Done}, {"cut off", span.Crashed}} {
+		_, err := d.client.Ask(context.Background(), "s", askWith(x.id, 1))
+		require.NoError(t, err)
+		d.client.End(x.id, x.outcome, "")
+	}
+	require.Empty(t, d.client.crashesUnder("s", []blame.Part{1}))
+}
+
 func TestPlannedSuccessorKnowsBlamedParts(t *testing.T) {
 	d := newPartDeployment(t)
 	h, list := d.changingHolder()
--- a/lib/decide/blame/copy.go
+++ b/lib/decide/blame/copy.go
@@ -13,6 +13,9 @@
 // losing one costs one crash more.
 const crashesToCopy = 2
 
+// recentTime is longer than it takes to agree on a new owner.
+const recentTime = clock.Minute
+
 // Crash is one crash in a copy of a table.
 type Crash struct {
 	Upstream Upstream
@@ -22,15 +25,17 @@
 	Parts []Part
 }
 
-// Copy returns the crashes that speak against parts with at least this many crashes.
-func (t *Table) Copy(now clock.Milli, least int) []Crash {
+// copyWhere returns the crashes that speak against parts, where keep returns true.
+func (t *Table) copyWhere(now clock.Milli, keep func(*suspect, *crash) bool) []Crash {
+	if len(t.suspects) == 0 {
+		return nil
+	}
 	byCrash := map[*crash][]Part{}
 	for p, s := range t.suspects {
-		if len(s.crashes) < least {
-			continue
-		}
 		for _, x := range s.crashes {
-			byCrash[x] = append(byCrash[x], p)
+			if keep(s, x) {
+				byCrash[x] = append(byCrash[x], p)
+			}
 		}
 	}
 	out := make([]Crash, 0, len(byCrash))
@@ -43,11 +48,21 @@
 	return out
 }
 
-// ForPeers returns the copy that other VMs keep.
-func (t *Table) ForPeers(now clock.Milli) []Crash { return t.Copy(now, crashesToCopy) }
+// ForPeers returns the copy that other VMs keep: the crashes of parts with several.
+func (t *Table) ForPeers(now clock.Milli) []Crash {
+	return t.copyWhere(now, func(s *suspect, _ *crash) bool { return len(s.crashes) >= crashesToCopy })
+}
 
 // Whole returns the copy for a planned successor.
-func (t *Table) Whole(now clock.Milli) []Crash { return t.Copy(now, 1) }
+func (t *Table) Whole(now clock.Milli) []Crash {
+	return t.copyWhere(now, func(*suspect, *crash) bool { return true })
+}
+
+// Recent returns the crashes of the last minute under parts that were not answered shortly before: those that a VM saw
+// itself, for an owner that may not know them.
+func (t *Table) Recent(now clock.Milli) []Crash {
+	return t.copyWhere(now, func(s *suspect, x *crash) bool { return !s.familiar && now-x.at < recentTime })
+}
 
 // Merge adds the crashes of a copy. Parts that were answered after a crash are left out.
 func (t *Table) Merge(now clock.Milli, cs []Crash) {
