operator, placer: snipeshift parts lists and clears parts that are blamed

Change: each VM in relay mode lists the parts that owners told it of (GET /parts on its metrics address), and passes an order to clear one on to the owner (PUT). A cleared part counts as answered then, so copies of its crashes at gates do not bring it back. Names: suspect.crashesNeeded, directory.withCrashes.

--- a/daemon/directory.go
+++ b/daemon/directory.go
@@ -27,8 +27,8 @@
 
 	mu    sync.Mutex
 	pools map[peer.PoolID]timedSummary
-	// crashing holds the pools whose summaries name crashes.
-	crashing map[peer.PoolID]bool
+	// withCrashes holds the pools whose summaries name crashes.
+	withCrashes map[peer.PoolID]bool
 	// known has the newest record of each VM and retains it after the VM has left.
 	known map[peer.VM]memberRecord
 	// ranks caches what depends only on the list of live members.
@@ -73,7 +73,7 @@
 }
 
 func newDirectory(m *member.Members, k *clock.Clock, r *timeline.Ring) *directory {
-	return &directory{members: m, clock: k, ring: r, pools: map[peer.PoolID]timedSummary{}, crashing: map[peer.PoolID]bool{}, known: map[peer.VM]memberRecord{}}
+	return &directory{members: m, clock: k, ring: r, pools: map[peer.PoolID]timedSummary{}, withCrashes: map[peer.PoolID]bool{}, known: map[peer.VM]memberRecord{}}
 }
 
 // maxOwners is how many members are cached as owners of a pool, in order of rank: more than a gate
@@ -125,7 +125,7 @@
 	defer d.mu.Unlock()
 	now := d.clock.Now()
 	var out []blame.Crash
-	for other := range d.crashing {
+	for other := range d.withCrashes {
 		if document.ServedBy(other) != document.ServedBy(id) {
 			continue
 		}
@@ -226,9 +226,9 @@
 	for _, p := range ps {
 		d.pools[p.Pool] = timedSummary{summary: p.Summary, receivedAt: now}
 		if len(p.Summary.Crashes) > 0 {
-			d.crashing[p.Pool] = true
+			d.withCrashes[p.Pool] = true
 		} else {
-			delete(d.crashing, p.Pool)
+			delete(d.withCrashes, p.Pool)
 		}
 	}
 }
--- a/daemon/insight/insight.go
+++ b/daemon/insight/insight.go
@@ -6,7 +6,6 @@
 
 import (
 	"cmp"
-	"encoding/json"
 	"maps"
 	"net/http"
 	"net/http/pprof"
@@ -64,13 +63,14 @@
 	m.HandleFunc("/debug/pprof/", pprof.Index)
 	m.HandleFunc("/debug/pprof/profile", pprof.Profile)
 	m.HandleFunc("GET "+answers.PathServices, p.servicesPage)
+	m.HandleFunc("GET "+answers.PathParts, p.partsPage)
+	m.HandleFunc("PUT "+answers.PathParts, p.clearPart)
 	m.HandleFunc("/", p.metrics)
 	return m
 }
 
 func (p *Page) servicesPage(w http.ResponseWriter, _ *http.Request) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(p.Status()) // an error means that the operator has disconnected
+	writeJSON(w, p.Status())
 }
 
 // Status returns the services and the statements of upstreams that this VM knows now.
--- a/daemon/placer/messages.go
+++ b/daemon/placer/messages.go
@@ -125,6 +125,20 @@
 	NewCrashes bool
 }
 
+// PardonArgs clears a part of prompts that is suspected of crashing upstreams, for the operator.
+type PardonArgs struct {
+	Service route.ServiceID
+	Part    blame.Part
+}
+
+// PardonReply is the answer to PardonArgs.
+type PardonReply struct {
+	// Holder is set if another VM holds the service; nothing was cleared then.
+	Holder *peer.Holder
+	// Suspect reports whether the part was suspect.
+	Suspect bool
+}
+
 // TakeArgs hands a service over to the called VM.
 type TakeArgs struct {
 	// Holder is the called VM as holder, at the epoch after that of the VM that hands over.
--- a/daemon/placer/owner.go
+++ b/daemon/placer/owner.go
@@ -328,6 +328,20 @@
 	return nil
 }
 
+// Pardon implements Placer.Pardon.
+func (o *Owner) Pardon(args *PardonArgs, reply *PardonReply) error {
+	if _, ok := o.remoteHolder(args.Service); ok {
+		x, _ := o.Holders.Of(args.Service)
+		reply.Holder = &x
+		return nil
+	}
+	p := o.lockedPool(args.Service)
+	defer p.mu.Unlock()
+	reply.Suspect = p.pool.Parts().Pardon(o.Clock.Now(), args.Part)
+	o.logParts(args.Service, p)
+	return nil
+}
+
 // Present implements Placer.Present.
 func (o *Owner) Present(args *PresentArgs, reply *PresentReply) error {
 	if _, ok := o.remoteHolder(args.Service); ok {
--- a/daemon/placer/parts_test.go
+++ b/daemon/placer/parts_test.go
@@ -146,6 +146,30 @@
 	require.Empty(t, d.client.crashesUnder("s", []blame.Part{1}))
 }
 
+// The upstreams are repaired and clients go on sending the part, so that no verdict would end by itself; once the operator
+// has cleared it, copies of its crashes at gates must not bring it back.
+func TestOperatorClearsBlamedPart(t *testing.T) {
+	d := newPartDeployment(t)
+	d.crashThree(t)
+	d.requireRefused(t, "before")
+	d.client.present(context.Background(), "s", nil)
+	rows := d.client.SuspectParts()
+	require.Len(t, rows, 1)
+	require.Equal(t, badPart, rows[0].Part)
+	require.Len(t, rows[0].Upstreams, 3)
+	suspect, err := d.client.Pardon(context.Background(), "s", badPart)
+	require.NoError(t, err)
+	require.True(t, suspect)
+	reply, err := d.client.Ask(context.Background(), "s", askWith("after", badPart))
+	require.NoError(t, err)
+	require.Empty(t, reply.Fault)
+	d.client.present(context.Background(), "s", nil)
+	require.Empty(t, d.client.SuspectParts())
+	suspect, err = d.client.Pardon(context.Background(), "s", badPart)
+	require.NoError(t, err)
+	require.False(t, suspect)
+}
+
 func TestPlannedSuccessorKnowsBlamedParts(t *testing.T) {
 	d := newPartDeployment(t)
 	h, list := d.changingHolder()
--- a/lib/decide/blame/judge.go
+++ b/lib/decide/blame/judge.go
@@ -55,7 +55,7 @@
 		t.clear(now, p, Lapsed)
 		return Judgment{}
 	}
-	blamed := len(s.crashes) >= s.toBlame() && !t.explainedElsewhere(s, parts)
+	blamed := len(s.crashes) >= s.crashesNeeded() && !t.explainedElsewhere(s, parts)
 	if blamed {
 		s.seenAt = now
 	}
@@ -71,8 +71,8 @@
 	}
 }
 
-// toBlame returns the number of crashes from which the part is blamed.
-func (s *suspect) toBlame() int {
+// crashesNeeded returns the number of crashes from which the part is blamed.
+func (s *suspect) crashesNeeded() int {
 	if s.familiar {
 		return crashesToBlameFamiliar
 	}
@@ -105,10 +105,12 @@
 	})
 }
 
-// Pardon clears a part, for the operator. It reports whether the part was suspect.
+// Pardon clears a part, for the operator. It reports whether the part was suspect. Copies of its crashes that arrive later
+// do not count, as after an answer.
 func (t *Table) Pardon(now clock.Milli, p Part) bool {
 	known := t.suspects[p] != nil
 	t.clear(now, p, Pardoned)
+	t.recordAnswer(p, now)
 	return known
 }
 
--- a/lib/decide/blame/part.go
+++ b/lib/decide/blame/part.go
@@ -17,6 +17,12 @@
 // String returns the part in hexadecimal digits.
 func (p Part) String() string { return strconv.FormatUint(uint64(p), 16) }
 
+// ParsePart returns the part that String returned as text.
+func ParsePart(text string) (Part, error) {
+	n, err := strconv.ParseUint(text, 16, 64)
+	return Part(n), err
+}
+
 // Run identifies one send of a request, by the name of the send, or by its number.
 type Run struct {
 	Name   string
--- a/lib/decide/blame/table.go
+++ b/lib/decide/blame/table.go
@@ -217,7 +217,7 @@
 	}
 	s.crashes = append(s.crashes, x)
 	slices.SortStableFunc(s.crashes, func(x, y *crash) int { return cmp.Compare(x.at, y.at) })
-	if len(s.crashes) >= s.toBlame() {
+	if len(s.crashes) >= s.crashesNeeded() {
 		t.note(now, Blamed, p, s)
 	}
 }
@@ -267,12 +267,7 @@
 
 // acquit removes the crashes before an answer on a part from those that speak against it.
 func (t *Table) acquit(p Part, begunAt clock.Milli) {
-	if at, ok := t.answeredAt(p); !ok || begunAt > at {
-		t.answered[p] = begunAt
-		if len(t.answered) > maxAnswered {
-			t.answered, t.answeredBefore = map[Part]clock.Milli{}, t.answered
-		}
-	}
+	t.recordAnswer(p, begunAt)
 	s := t.suspects[p]
 	if s == nil {
 		return
@@ -290,6 +285,17 @@
 	}
 }
 
+// recordAnswer records when an answer on a part began.
+func (t *Table) recordAnswer(p Part, begunAt clock.Milli) {
+	if at, ok := t.answeredAt(p); ok && begunAt <= at {
+		return
+	}
+	t.answered[p] = begunAt
+	if len(t.answered) > maxAnswered {
+		t.answered, t.answeredBefore = map[Part]clock.Milli{}, t.answered
+	}
+}
+
 // answeredAt returns when the latest proven answer on a part began.
 func (t *Table) answeredAt(p Part) (clock.Milli, bool) {
 	at, ok := t.answered[p]
--- a/lib/operator/relay.go
+++ b/lib/operator/relay.go
@@ -11,6 +11,25 @@
 // address.
 const PathServices = "/services"
 
+// PathParts is the path of the page of suspect parts of prompts, on the metrics address of a VM in relay mode. GET lists
+// them, PUT of a Part clears it.
+const PathParts = "/parts"
+
+// Part is a part of prompts under which several upstreams crashed. Requests that hold it run one at a time, and are refused
+// from the third or fourth crash on.
+type Part struct {
+	Service route.ServiceID `json:"service"`
+	// Part is a hash of the part's name, in hexadecimal digits, as in log lines.
+	Part string `json:"part"`
+	// Upstreams are those that crashed, by the times of their crashes.
+	Upstreams []decide.UpstreamID `json:"upstreams"`
+	// First and Last are the times since the first and the last crash, in milliseconds.
+	First clock.Milli `json:"first"`
+	Last  clock.Milli `json:"last"`
+	// Cleared is set in the response to PUT if the part was suspect.
+	Cleared bool `json:"cleared,omitempty"`
+}
+
 // RelayStatus is the response of the services page: the services and statements that one VM in relay
 // mode has recorded.
 type RelayStatus struct {
--- a/operator/commands/services.go
+++ b/operator/commands/services.go
@@ -23,34 +23,45 @@
 }
 
 func runServices(ctx context.Context, c *cli.Command) error {
+	relays, err := askRelays(c, func(k *daemon.Client, address string) (answers.RelayStatus, error) {
+		return daemon.Get[answers.RelayStatus](ctx, k, address, answers.PathServices)
+	})
+	if len(relays) == 0 {
+		return err
+	}
+	if err := showRelays(c, relays); err != nil {
+		return err
+	}
+	return err
+}
+
+// needRelays advises to name VMs in relay mode.
+const needRelays = "name the metrics addresses of VMs in relay mode by --daemon or SNIPESHIFT_DAEMON, such as 10.0.0.7:9102"
+
+// askRelays queries the VMs in relay mode that --daemon names. It returns the answers, and an error if any VM gave none.
+func askRelays[A any](c *cli.Command, ask func(k *daemon.Client, address string) (A, error)) ([]A, error) {
 	addresses := c.StringSlice(flagDaemon)
 	if len(addresses) == 0 {
-		return usageError("name the metrics addresses of VMs in relay mode by --daemon or SNIPESHIFT_DAEMON, such as 10.0.0.7:9102")
+		return nil, usageError(needRelays)
 	}
 	k, err := newClient(c)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	relays := []answers.RelayStatus{}
+	var out []A
 	var lastErr error
 	for _, a := range addresses {
-		r, err := daemon.Get[answers.RelayStatus](ctx, k, a, answers.PathServices)
+		x, err := ask(k, a)
 		if err != nil {
 			lastErr = err
 			continue
 		}
-		relays = append(relays, r)
-	}
-	if len(relays) == 0 {
-		return lastErr
-	}
-	if err := showRelays(c, relays); err != nil {
-		return err
+		out = append(out, x)
 	}
-	if lastErr != nil {
-		return withAdvice(errPartial, "%d of %d VMs gave no answer, the rest is shown; the last error: %v", len(addresses)-len(relays), len(addresses), lastErr)
+	if len(out) == 0 || lastErr == nil {
+		return out, lastErr
 	}
-	return nil
+	return out, withAdvice(errPartial, "%d of %d VMs gave no answer, the rest is shown; the last error: %v", len(addresses)-len(out), len(addresses), lastErr)
 }
 
 // showRelays prints a table of services and, if there are any, a table of the statements of upstreams.
--- a/operator/fleet_test.go
+++ b/operator/fleet_test.go
@@ -151,6 +151,16 @@
 			_ = json.NewEncoder(w).Encode(e)
 		}
 	})
+	m.HandleFunc("PUT "+answers.PathParts, func(w http.ResponseWriter, r *http.Request) {
+		var x answers.Part
+		_ = json.NewDecoder(r.Body).Decode(&x)
+		x.Cleared = x.Part == "bad1"
+		_ = json.NewEncoder(w).Encode(x)
+	})
+	bad := answers.Part{Service: "notice-writer", Part: "bad1", Upstreams: []decide.UpstreamID{"u-1", "u-2", "u-3"}, First: 64_000, Last: 62_000}
+	page(answers.PathParts,
+		[]answers.Part{{Service: "notice-writer", Part: "bad1", Upstreams: bad.Upstreams[:2], First: 64_000, Last: 63_000}, {Service: "alert-desk", Part: "f00", Upstreams: []decide.UpstreamID{"u-8", "u-9"}, First: 9000, Last: 5500}},
+		[]answers.Part{bad})
 	page(answers.PathServices,
 		answers.RelayStatus{
 			VM: "vm-1", Era: 2, Evacuated: []route.Domain{"kochi-hall"},
