placer: parts of prompts in three files, by who uses them

The file had grown to two jobs: what a gate knows and sends, what the owner does, and what the operator sees and clears. crashCopy is knownCrashes, since it holds what the gate saw itself too. No behavior changes.

--- a/daemon/placer/client.go
+++ b/daemon/placer/client.go
@@ -76,7 +76,7 @@
 	// sends counts the sends of this gate.
 	sends map[route.ServiceID]*sendCount
 	// crashes is what this gate knows of parts of prompts.
-	crashes map[route.ServiceID]*crashCopy
+	crashes map[route.ServiceID]*knownCrashes
 }
 
 // activeGrant is a grant in use.
@@ -91,7 +91,7 @@
 	c := &Client{
 		clock: k, log: l, members: m, peers: p, localOwner: localOwner, holders: localOwner.Holders, gate: gate,
 		silent: silent.New(l, m, p), queried: map[route.ServiceID]bool{}, live: map[decide.RequestID]*activeGrant{}, sends: map[route.ServiceID]*sendCount{},
-		crashes: map[route.ServiceID]*crashCopy{}, statements: localOwner.statements,
+		crashes: map[route.ServiceID]*knownCrashes{}, statements: localOwner.statements,
 	}
 	c.holders.OnChange(c.onHolderChange)
 	return c
--- a/daemon/placer/parts.go
+++ b/daemon/placer/parts.go
@@ -1,17 +1,12 @@
 package placer
 
 import (
-	"context"
-	"maps"
 	"slices"
-	"strings"
 
 	"snipeshift.example/lib/clock"
-	"snipeshift.example/lib/decide"
 	"snipeshift.example/lib/decide/blame"
 	"snipeshift.example/lib/decide/span"
 	"snipeshift.example/lib/decide/statement"
-	"snipeshift.example/lib/logline"
 	"snipeshift.example/lib/route"
 )
 
@@ -19,8 +14,8 @@
 // those that it saw itself, so that the knowledge outlives the owner and reports that are lost: an owner that may not know
 // them gets them with the next list of live grants of each gate, and with the queries that they concern.
 
-// crashCopy is what a gate knows of the crashes that speak against parts of prompts.
-type crashCopy struct {
+// knownCrashes is what a gate knows of the crashes that speak against parts of prompts.
+type knownCrashes struct {
 	// crashes is the copy of what the owner knew at the time at.
 	crashes []blame.Crash
 	digest  uint64
@@ -32,7 +27,7 @@
 }
 
 // present returns the crashes with their present ages.
-func (k *crashCopy) present(now clock.Milli) []blame.Crash {
+func (k *knownCrashes) present(now clock.Milli) []blame.Crash {
 	cs := slices.Clone(k.crashes)
 	for i := range cs {
 		cs[i].Ago += now - k.at
@@ -41,10 +36,10 @@
 }
 
 // crashesOf returns what is known of the crashes of a service. The lock is held.
-func (c *Client) crashesOf(s route.ServiceID) *crashCopy {
+func (c *Client) crashesOf(s route.ServiceID) *knownCrashes {
 	k := c.crashes[s]
 	if k == nil {
-		k = &crashCopy{own: blame.New()}
+		k = &knownCrashes{own: blame.New()}
 		c.crashes[s] = k
 	}
 	return k
@@ -110,89 +105,3 @@
 	}
 	return cs
 }
-
-// Pardon clears a part of prompts at the owner of a service, and reports whether it was suspect there.
-func (c *Client) Pardon(ctx context.Context, s route.ServiceID, p blame.Part) (bool, error) {
-	ctx, cancel := context.WithTimeout(ctx, (askWait + answerSlack).Duration())
-	defer cancel()
-	args := &PardonArgs{Service: s, Part: p}
-	for range maxRoutings {
-		var reply PardonReply
-		if owner, remote := c.owner(s); !remote {
-			_ = c.localOwner.Pardon(args, &reply) // Pardon returns no errors
-		} else if err := c.peers.Call(ctx, owner.Address, Name+".Pardon", args, &reply); err != nil {
-			return false, err
-		}
-		if reply.Holder == nil {
-			return reply.Suspect, nil
-		}
-		c.holders.Update(*reply.Holder, "answer")
-	}
-	return false, errNoOwner
-}
-
-// SuspectPart is a part of prompts under which several upstreams crashed.
-type SuspectPart struct {
-	Service route.ServiceID
-	Part    blame.Part
-	// Upstreams are those that crashed, by the times of their crashes.
-	Upstreams []decide.UpstreamID
-	// First and Last are the times since the first and the last crash.
-	First, Last clock.Milli
-}
-
-// SuspectParts lists the parts of prompts that this gate has heard of from the owners of services.
-func (c *Client) SuspectParts() []SuspectPart {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	now := c.clock.Now()
-	var out []SuspectPart
-	for _, s := range slices.Sorted(maps.Keys(c.crashes)) {
-		out = append(out, c.crashes[s].suspectParts(now, s)...)
-	}
-	return out
-}
-
-// suspectParts lists the parts of the owner's copy.
-func (k *crashCopy) suspectParts(now clock.Milli, s route.ServiceID) []SuspectPart {
-	byPart := map[blame.Part]*SuspectPart{}
-	for _, x := range k.crashes {
-		ago := x.Ago + now - k.at
-		for _, p := range x.Parts {
-			row := byPart[p]
-			if row == nil {
-				row = &SuspectPart{Service: s, Part: p, First: ago}
-				byPart[p] = row
-			}
-			row.Upstreams, row.Last = append(row.Upstreams, decide.UpstreamID(x.Upstream.ID)), ago
-		}
-	}
-	out := make([]SuspectPart, 0, len(byPart))
-	for _, p := range slices.Sorted(maps.Keys(byPart)) {
-		out = append(out, *byPart[p])
-	}
-	return out
-}
-
-// exchangeCrashes adds a gate's copy to what is known here, and replies with the present copy if the gate's differs. The
-// pool's lock is held.
-func (p *ownedPool) exchangeCrashes(now clock.Milli, args *PresentArgs, reply *PresentReply) {
-	parts := p.pool.Parts()
-	parts.Merge(now, args.Crashes)
-	known := parts.ForPeers(now)
-	if blame.Digest(known) != args.CrashDigest {
-		reply.Crashes, reply.NewCrashes = known, true
-	}
-}
-
-// logParts logs what has become known of parts of prompts. The pool's lock is held.
-func (o *Owner) logParts(s route.ServiceID, p *ownedPool) {
-	for _, c := range p.pool.Parts().TakeChanges() {
-		o.Log.Warn().Str(logline.Key, logline.Blame).Str("service", string(s)).Str("part", c.Part.String()).Str("verdict", string(c.Kind)).
-			Int("crashes", len(c.Crashes)).Str("upstreams", strings.Join(c.Crashes[:min(len(c.Crashes), maxNamedCrashes)], " ")).
-			Int64("first", int64(c.First)).Bool("familiar", c.Familiar).Msg("what is known of a part of prompts that crashes upstreams has changed")
-	}
-}
-
-// maxNamedCrashes bounds the upstreams that a log line names.
-const maxNamedCrashes = 8
