placer: tests of lost and stopped owners in simulated time

Change: the five tests of loss_test.go run by inSimulatedTime, as TestOwnerLossDelaysNoRequestUnderWay does; checks and bounds are as they were. The pause of a hand-over stays: it makes no request late there.

--- a/daemon/placer/loss_test.go
+++ b/daemon/placer/loss_test.go
@@ -395,89 +395,94 @@
 // other, two VMs would allocate the same engines. The loss may delay only requests in flight at
 // that moment, and the return none.
 func TestLossAndReturnOfOwnerDelayNoRequests(t *testing.T) {
-	f := newLossFleet(t)
-	const loss, back, end = time.Second, 5 * time.Second, 7 * time.Second
-	var owner peer.VM
-	f.run(end, map[time.Duration]func(){
-		loss: func() { owner = f.placing(); f.cutPower(owner) },
-		back: func() { f.restart(owner) },
+	inSimulatedTime(t, func(t *testing.T, f *lossFleet) {
+		const loss, back, end = time.Second, 5 * time.Second, 7 * time.Second
+		var owner peer.VM
+		f.run(end, map[time.Duration]func(){
+			loss: func() { owner = f.placing(); f.cutPower(owner) },
+			back: func() { f.restart(owner) },
+		})
+		f.check(end, loss)
+		for _, at := range f.unansweredQueries {
+			require.Less(t, at, loss+recoveryTime, "a VM without power was queried again")
+		}
+		require.LessOrEqual(t, f.overlap(loss+recoveryTime), maxOverlap)
 	})
-	f.check(end, loss)
-	for _, at := range f.unansweredQueries {
-		require.Less(t, at, loss+recoveryTime, "a VM without power was queried again")
-	}
-	require.LessOrEqual(t, f.overlap(loss+recoveryTime), maxOverlap)
 }
 
 // The owner and the VM next in rank lose power together; half a second later their successor does.
 func TestConsecutiveOwnerLossesDelayNoRequests(t *testing.T) {
-	f := newLossFleet(t)
-	const first, second, end = time.Second, 1500 * time.Millisecond, 3 * time.Second
-	f.run(end, map[time.Duration]func(){
-		first: func() {
-			owner := f.placing()
-			f.cutPower(owner)
-			f.cutPower(f.nextRanked(owner))
-		},
-		second: func() { f.cutPower(f.placing()) },
+	inSimulatedTime(t, func(t *testing.T, f *lossFleet) {
+		const first, second, end = time.Second, 1500 * time.Millisecond, 3 * time.Second
+		f.run(end, map[time.Duration]func(){
+			first: func() {
+				owner := f.placing()
+				f.cutPower(owner)
+				f.cutPower(f.nextRanked(owner))
+			},
+			second: func() { f.cutPower(f.placing()) },
+		})
+		f.check(end, first, second)
 	})
-	f.check(end, first, second)
 }
 
 // The owner's VM is paused for four seconds, during which gates follow another owner. It resumes
 // with the outdated view that it is the owner.
 func TestResumedOwnerFollowsItsSuccessor(t *testing.T) {
-	f := newLossFleet(t)
-	const loss, back, end = time.Second, 5 * time.Second, 6 * time.Second
-	var owner peer.VM
-	f.run(end, map[time.Duration]func(){
-		loss: func() { owner = f.placing(); f.freeze(owner, true) },
-		back: func() { f.freeze(owner, false) },
+	inSimulatedTime(t, func(t *testing.T, f *lossFleet) {
+		const loss, back, end = time.Second, 5 * time.Second, 6 * time.Second
+		var owner peer.VM
+		f.run(end, map[time.Duration]func(){
+			loss: func() { owner = f.placing(); f.freeze(owner, true) },
+			back: func() { f.freeze(owner, false) },
+		})
+		f.check(end, loss)
+		require.LessOrEqual(t, f.overlap(loss+recoveryTime), maxOverlap)
 	})
-	f.check(end, loss)
-	require.LessOrEqual(t, f.overlap(loss+recoveryTime), maxOverlap)
 }
 
 // Half of the gates cannot reach the owner, the others can. Gates that cannot reach it query the
 // next VM, which forwards the query to the owner: if that VM decided itself, two VMs would allocate
 // the same engines for as long as the network fault lasts.
 func TestOwnerUnreachableForSomeGatesRemainsOwner(t *testing.T) {
-	f := newLossFleet(t)
-	const cut, end = time.Second, 3 * time.Second
-	var owner peer.VM
-	f.run(end, map[time.Duration]func(){
-		cut: func() { owner = f.placing(); f.cutFrom(owner) },
-	})
-	f.check(end, cut)
-	for _, a := range f.results {
-		if a.at > cut+recoveryTime {
-			require.Equal(t, owner, a.by, "at %v", a.at)
+	inSimulatedTime(t, func(t *testing.T, f *lossFleet) {
+		const cut, end = time.Second, 3 * time.Second
+		var owner peer.VM
+		f.run(end, map[time.Duration]func(){
+			cut: func() { owner = f.placing(); f.cutFrom(owner) },
+		})
+		f.check(end, cut)
+		for _, a := range f.results {
+			if a.at > cut+recoveryTime {
+				require.Equal(t, owner, a.by, "at %v", a.at)
+			}
 		}
-	}
+	})
 }
 
 // The owner stops as planned. Its successor must know the running requests before it decides: with
 // an empty pool it would place short requests on full engines.
 func TestStoppingOwnerHandsOverItsSnapshot(t *testing.T) {
-	f := newLossFleet(t)
-	const stop, end = time.Second, 2 * time.Second
-	var grantsBefore int
-	var owner peer.VM
-	f.run(end, map[time.Duration]func(){
-		stop: func() {
-			owner = f.placing()
-			grantsBefore = f.grants(owner)
-			f.stopPlanned(owner)
-		},
+	inSimulatedTime(t, func(t *testing.T, f *lossFleet) {
+		const stop, end = time.Second, 2 * time.Second
+		var grantsBefore int
+		var owner peer.VM
+		f.run(end, map[time.Duration]func(){
+			stop: func() {
+				owner = f.placing()
+				grantsBefore = f.grants(owner)
+				f.stopPlanned(owner)
+			},
+		})
+		f.check(end)
+		require.NotEqual(t, owner, f.placing())
+		require.Greater(t, grantsBefore, 50)
+		require.NotEmpty(t, f.handOvers)
+		for _, x := range f.handOvers {
+			require.InDelta(t, x.running, x.known, float64(grantsBefore)/10)
+		}
+		require.LessOrEqual(t, f.overlap(stop), maxOverlap)
 	})
-	f.check(end)
-	require.NotEqual(t, owner, f.placing())
-	require.Greater(t, grantsBefore, 50)
-	require.NotEmpty(t, f.handOvers)
-	for _, x := range f.handOvers {
-		require.InDelta(t, x.running, x.known, float64(grantsBefore)/10)
-	}
-	require.LessOrEqual(t, f.overlap(stop), maxOverlap)
 }
 
 // nextRanked returns the member that ranks first when one VM is left out.
