placer: a VM that does not reach the owner queries it through another one

Callers saw: while two failure domains cannot reach each other, and both reach a third, requests wait for owners that change several times a second. Cause: a VM whose forwarded query gets no answer becomes the owner at once. Its epoch reaches the other domain through the third one, whose VMs in turn get no answer from it. Standbys ask witnesses before they take over, but three random ones, perhaps all of cut domains. Change: a VM that forwards has witnesses asked at the same time as it probes the owner, one of each domain first. If one reaches it, the query goes through that VM (AskArgs.Detour), and later ones do so at once until the direct path works again. Who gets such a query never takes over because of it.

--- a/daemon/placer/hold.go
+++ b/daemon/placer/hold.go
@@ -84,6 +84,10 @@
 			if o.forward(args, reply, to) == nil {
 				return nil
 			}
+			if args.Detour {
+				reply.Moved = true
+				return nil
+			}
 			o.becomeHolder(args.Service, epoch, "silent")
 		}
 	}
@@ -118,6 +122,9 @@
 	}
 	n := *args
 	n.Forwarded = true
+	if m, ok := o.detours.to(to.VM); ok {
+		n.Forwarded, to = false, m
+	}
 	go func() {
 		defer func() { <-o.noteSlots }()
 		ctx, cancel := context.WithTimeout(context.Background(), (askWait + answerSlack).Duration())
@@ -163,14 +170,26 @@
 	}
 }
 
-// queryHolder sends one query to the holder. It fails only if the holder answers neither on the
-// persistent connection nor to a probe on a new one. If the probe succeeds but the query times out,
-// the reply is empty, that is undecided.
+// queryHolder sends one query to the holder, through another VM if this one does not reach it. It fails only if the holder
+// answers neither on the persistent connection nor to a probe on a new one, and witnesses do not reach it either. If the
+// probe succeeds but the query times out, the reply is empty, that is undecided.
 func (o *Owner) queryHolder(to peer.Member, args *AskArgs) (AskReply, error) {
+	if m, ok := o.detours.to(to.VM); ok {
+		if r, err := o.queryThrough(m, args); err == nil {
+			return r, nil
+		}
+		o.detours.remove(to.VM)
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), forwardTimeout.Duration())
 	defer cancel()
 	probed := make(chan error, 1)
-	probe := func() { probed <- o.Peers.Probe(ctx, to.Address) }
+	detour := make(chan *peer.Member, 1)
+	probe := func() {
+		if !args.Detour {
+			go func() { detour <- <-o.findDetour(args.Service, to) }()
+		}
+		probed <- o.Peers.Probe(ctx, to.Address)
+	}
 	t := time.AfterFunc(probeAfter.Duration(), probe)
 	var reply AskReply
 	err := o.Peers.Call(ctx, to.Address, Name+".Ask", args, &reply)
@@ -184,6 +203,14 @@
 		// A late answer may still be decoded into reply, so reply must not be used here.
 		return AskReply{}, nil
 	}
+	if args.Detour {
+		return AskReply{}, err
+	}
+	if m := <-detour; m != nil {
+		if r, err := o.startDetour(to, *m, args); err == nil {
+			return r, nil
+		}
+	}
 	o.Log.Warn().Str(logline.Key, logline.Unreachable).Str("dependency", "holder").Str("peer", string(to.VM)).Err(err).Msg("the holder of a service does not respond; this VM tries to become the holder")
 	return AskReply{}, err
 }
--- a/daemon/placer/holders.go
+++ b/daemon/placer/holders.go
@@ -204,13 +204,24 @@
 	return ms
 }
 
-// witnesses returns up to n random VMs that are neither this one nor the holder of a service.
+// witnesses returns up to n random VMs that are neither this one nor the holder of a service, of different failure domains
+// if there are as many: the network between two domains may be cut.
 func (h *Holders) witnesses(s route.ServiceID, n int) []peer.Member {
 	x, _ := h.Of(s)
 	ms := slices.Clone(h.members.Live())
 	ms = slices.DeleteFunc(ms, func(m peer.Member) bool { return m.VM == x.VM || m.VM == h.members.Self().VM })
 	rand.Shuffle(len(ms), func(i, j int) { ms[i], ms[j] = ms[j], ms[i] })
-	return ms[:min(n, len(ms))]
+	seen := map[peer.Domain]bool{}
+	var first, others []peer.Member
+	for _, m := range ms {
+		if seen[m.Domain] {
+			others = append(others, m)
+			continue
+		}
+		seen[m.Domain] = true
+		first = append(first, m)
+	}
+	return slices.Concat(first, others)[:min(n, len(ms))]
 }
 
 // take makes this VM the holder if the current epoch is still prevEpoch.
--- a/daemon/placer/loss_test.go
+++ b/daemon/placer/loss_test.go
@@ -63,6 +63,8 @@
 	unansweredQueries []time.Duration
 	// cuts maps a VM to another VM that it cannot reach.
 	cuts map[peer.VM]peer.VM
+	// apart are two failure domains whose VMs cannot reach each other; all reach the third.
+	apart [2]peer.Domain
 	// sideB is true for the VMs on one of the two sides of a partition; sides has the member list
 	// of each side once heartbeats have detected the partition.
 	sideB map[peer.VM]bool
@@ -95,7 +97,7 @@
 	t.Helper()
 	f := &lossFleet{t: t, began: time.Now(), vms: map[peer.VM]*lossVM{}, cuts: map[peer.VM]peer.VM{}}
 	for i := range fleetVMs {
-		m := peer.Member{VM: peer.VM(fmt.Sprintf("vm-%02d", i)), Address: fmt.Sprintf("vm-%02d", i), Incarnation: 1, Cores: 192, Link: 20}
+		m := peer.Member{VM: peer.VM(fmt.Sprintf("vm-%02d", i)), Address: fmt.Sprintf("vm-%02d", i), Incarnation: 1, Cores: 192, Link: 20, Domain: peer.Domain(fmt.Sprint("d", (i+i/12)%3))}
 		if i%12 == 0 {
 			m.Cores, m.Link = 800, 200
 		}
@@ -160,7 +162,13 @@
 // reaches reports whether one VM can reach another. The lock is held.
 func (f *lossFleet) reaches(from, to peer.VM) bool {
 	v := f.vms[to]
-	return v != nil && !v.off && !f.vms[from].off && f.cuts[from] != to && f.sideB[from] == f.sideB[to]
+	return v != nil && !v.off && !f.vms[from].off && f.cuts[from] != to && f.sideB[from] == f.sideB[to] && !f.areApart(from, to)
+}
+
+// areApart reports whether two VMs are in the two domains that cannot reach each other. The lock is held.
+func (f *lossFleet) areApart(x, y peer.VM) bool {
+	a, b := f.vms[x].member.Domain, f.vms[y].member.Domain
+	return f.apart[0] != "" && (f.apart == [2]peer.Domain{a, b} || f.apart == [2]peer.Domain{b, a})
 }
 
 // split partitions the fleet into two sides for a time. Heartbeats detect the partition after
@@ -460,6 +468,39 @@
 	})
 }
 
+// Two failure domains cannot reach each other, both reach a third. VMs of both would become the owner in turn, several times
+// a second, each time the other's latest epoch arrives through the third domain.
+func TestOwnerCutFromOneDomainRemainsOwner(t *testing.T) {
+	inSimulatedTime(t, func(t *testing.T, f *lossFleet) {
+		const cut, healed, end = time.Second, 4 * time.Second, 5 * time.Second
+		var epoch uint64
+		set := func(apart [2]peer.Domain) { f.mu.Lock(); defer f.mu.Unlock(); f.apart = apart }
+		known := func() uint64 { x, _ := f.vms["vm-01"].owner.Holders.Of("s"); return x.Epoch }
+		f.run(end, map[time.Duration]func(){
+			cut: func() {
+				epoch = known()
+				set(f.rankedDomains())
+			},
+			healed: func() { set([2]peer.Domain{}) },
+		})
+		t.Logf("%d changes", known()-epoch)
+		require.LessOrEqual(t, known()-epoch, uint64(1), "changes of the owner")
+		f.check(end, cut, healed)
+		require.LessOrEqual(t, f.overlap(cut+recoveryTime), maxOverlap)
+	})
+}
+
+// rankedDomains returns the domain of the owner and that of the first VM in rank in another domain.
+func (f *lossFleet) rankedDomains() [2]peer.Domain {
+	owner := f.vms[f.placing()].member
+	for _, m := range member.RankByCapacity("s", f.live) {
+		if m.Domain != owner.Domain {
+			return [2]peer.Domain{owner.Domain, m.Domain}
+		}
+	}
+	return [2]peer.Domain{}
+}
+
 // The owner stops as planned. Its successor must know the running requests before it decides: with
 // an empty pool it would place short requests on full engines.
 func TestStoppingOwnerHandsOverItsSnapshot(t *testing.T) {
--- a/daemon/placer/messages.go
+++ b/daemon/placer/messages.go
@@ -40,6 +40,9 @@
 	Known *peer.Holder
 	// Forwarded is set if another VM sends the query on behalf of the gate.
 	Forwarded bool
+	// Detour is set if another VM that does not reach the holder sends the query through the receiver, which must not become
+	// the holder if it does not reach it either.
+	Detour bool
 	// Local is set if the gate reaches no other VM, so that its own VM decides whichever VM holds
 	// the service.
 	Local bool
--- a/daemon/placer/owner.go
+++ b/daemon/placer/owner.go
@@ -93,6 +93,7 @@
 	// queries does.
 	holderMu sync.Mutex
 	watches  watches
+	detours  detours
 }
 
 // ownedPool is the pool of one service with the queries that wait for its decisions.
@@ -132,6 +133,7 @@
 func NewOwner(n OwnerNeeds, b Budget) *Owner {
 	o := &Owner{OwnerNeeds: n, budget: b, statements: statements.New(n.Clock, n.Log), pools: map[route.ServiceID]*ownedPool{}, noteSlots: make(chan struct{}, maxForwardedNotes)}
 	o.watches.byService = map[route.ServiceID]*watch{}
+	o.detours.byVM = map[peer.VM]peer.Member{}
 	n.Holders.OnChange(o.onHolderChange)
 	return o
 }
