placer: the query to the holder in two functions

queryHolder had grown to the direct query, its probe, the search for a detour and the log line. queryDirectly is the first two; findDetour sends its result itself.

--- a/daemon/placer/detour.go
+++ b/daemon/placer/detour.go
@@ -51,34 +51,29 @@
 	delete(d.byVM, x)
 }
 
-// findDetour asks witnesses whether they reach a holder, and sends the first one that does to the returned channel, nil if
-// none does.
-func (o *Owner) findDetour(s route.ServiceID, x peer.Member) <-chan *peer.Member {
-	found := make(chan *peer.Member, 1)
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), witnessTimeout.Duration())
-		defer cancel()
-		witnesses := o.Holders.witnesses(s, maxWitnesses)
-		replies := make(chan *peer.Member, len(witnesses))
-		for _, m := range witnesses {
-			go func() {
-				var r ReachReply
-				if o.Peers.Call(ctx, m.Address, Name+".Reach", &ReachArgs{Address: x.Address}, &r) != nil || !r.Reached {
-					replies <- nil
-					return
-				}
-				replies <- &m
-			}()
-		}
-		for range witnesses {
-			if m := <-replies; m != nil {
-				found <- m
+// findDetour asks witnesses whether they reach a holder, and sends the first one that does, nil if none does.
+func (o *Owner) findDetour(s route.ServiceID, to peer.Member, found chan<- *peer.Member) {
+	ctx, cancel := context.WithTimeout(context.Background(), witnessTimeout.Duration())
+	defer cancel()
+	witnesses := o.Holders.witnesses(s, maxWitnesses)
+	replies := make(chan *peer.Member, len(witnesses))
+	for _, m := range witnesses {
+		go func() {
+			var r ReachReply
+			if o.Peers.Call(ctx, m.Address, Name+".Reach", &ReachArgs{Address: to.Address}, &r) != nil || !r.Reached {
+				replies <- nil
 				return
 			}
+			replies <- &m
+		}()
+	}
+	for range witnesses {
+		if m := <-replies; m != nil {
+			found <- m
+			return
 		}
-		found <- nil
-	}()
-	return found
+	}
+	found <- nil
 }
 
 // queryThrough sends a query to the holder through another VM.
--- a/daemon/placer/hold.go
+++ b/daemon/placer/hold.go
@@ -180,13 +180,29 @@
 		}
 		o.detours.remove(to.VM)
 	}
+	detour := make(chan *peer.Member, 1)
+	r, err := o.queryDirectly(to, args, detour)
+	if err == nil || args.Detour {
+		return r, err
+	}
+	if m := <-detour; m != nil {
+		if r, err := o.startDetour(to, *m, args); err == nil {
+			return r, nil
+		}
+	}
+	o.Log.Warn().Str(logline.Key, logline.Unreachable).Str("dependency", "holder").Str("peer", string(to.VM)).Err(err).Msg("the holder of a service does not respond; this VM tries to become the holder")
+	return AskReply{}, err
+}
+
+// queryDirectly sends one query to the holder over this VM's own connections. If the holder does not answer soon, it is
+// probed, and a detour is looked for at the same time, unless the query is on one already.
+func (o *Owner) queryDirectly(to peer.Member, args *AskArgs, detour chan<- *peer.Member) (AskReply, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), forwardTimeout.Duration())
 	defer cancel()
 	probed := make(chan error, 1)
-	detour := make(chan *peer.Member, 1)
 	probe := func() {
 		if !args.Detour {
-			go func() { detour <- <-o.findDetour(args.Service, to) }()
+			go o.findDetour(args.Service, to, detour)
 		}
 		probed <- o.Peers.Probe(ctx, to.Address)
 	}
@@ -200,18 +216,9 @@
 		return reply, nil
 	}
 	if <-probed == nil {
-		// A late answer may still be decoded into reply, so reply must not be used here.
-		return AskReply{}, nil
-	}
-	if args.Detour {
-		return AskReply{}, err
+		err = nil
 	}
-	if m := <-detour; m != nil {
-		if r, err := o.startDetour(to, *m, args); err == nil {
-			return r, nil
-		}
-	}
-	o.Log.Warn().Str(logline.Key, logline.Unreachable).Str("dependency", "holder").Str("peer", string(to.VM)).Err(err).Msg("the holder of a service does not respond; this VM tries to become the holder")
+	// A late answer may still be decoded into reply, so reply must not be used here.
 	return AskReply{}, err
 }
 
