placer: a detour is no reason to wait for an owner that is paused or has ended

The tests of owners, standbys and losses pass; paused VMs accept connections there now. TestResumedOwnerFollowsItsSuccessor passes either way.

--- a/daemon/placer/detour.go
+++ b/daemon/placer/detour.go
@@ -51,7 +51,8 @@
 	delete(d.byVM, x)
 }
 
-// findDetour asks witnesses whether they reach a holder, and sends the first one that does, nil if none does.
+// findDetour asks witnesses whether a holder answers them, and sends the first one that says so, nil if neededWitnesses say
+// that it does not, or too few reply.
 func (o *Owner) findDetour(s route.ServiceID, to peer.Member, found chan<- *peer.Member) {
 	ctx, cancel := context.WithTimeout(context.Background(), witnessTimeout.Duration())
 	defer cancel()
@@ -60,17 +61,23 @@
 	for _, m := range witnesses {
 		go func() {
 			var r ReachReply
-			if o.Peers.Call(ctx, m.Address, Name+".Reach", &ReachArgs{Address: to.Address}, &r) != nil || !r.Reached {
+			switch err := o.Peers.Call(ctx, m.Address, Name+".Reach", &ReachArgs{Address: to.Address, Answers: true}, &r); {
+			case err != nil:
+			case r.Reached:
+				replies <- &m
+			default:
 				replies <- nil
-				return
 			}
-			replies <- &m
 		}()
 	}
-	for range witnesses {
-		if m := <-replies; m != nil {
-			found <- m
-			return
+	for range min(neededWitnesses, len(witnesses)) {
+		select {
+		case m := <-replies:
+			if m != nil {
+				found <- m
+				return
+			}
+		case <-ctx.Done():
 		}
 	}
 	found <- nil
@@ -113,7 +120,7 @@
 			return
 		case <-time.After(detourCheck.Duration()):
 		}
-		if _, ok := o.detours.to(to.VM); !ok || o.reaches(to.Address) {
+		if _, ok := o.detours.to(to.VM); !ok || o.reaches(to.Address, true) {
 			return
 		}
 	}
--- a/daemon/placer/hold.go
+++ b/daemon/placer/hold.go
@@ -6,6 +6,7 @@
 	"math"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -185,9 +186,12 @@
 	if err == nil || args.Detour {
 		return r, err
 	}
-	if m := <-detour; m != nil {
-		if r, err := o.startDetour(to, *m, args); err == nil {
-			return r, nil
+	// A refused connection means that the holder's process has ended, which no detour changes.
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		if m := <-detour; m != nil {
+			if r, err := o.startDetour(to, *m, args); err == nil {
+				return r, nil
+			}
 		}
 	}
 	o.Log.Warn().Str(logline.Key, logline.Unreachable).Str("dependency", "holder").Str("peer", string(to.VM)).Err(err).Msg("the holder of a service does not respond; this VM tries to become the holder")
@@ -215,11 +219,11 @@
 	if err == nil {
 		return reply, nil
 	}
-	if <-probed == nil {
-		err = nil
-	}
 	// A late answer may still be decoded into reply, so reply must not be used here.
-	return AskReply{}, err
+	if e := <-probed; e != nil {
+		return AskReply{}, errors.Join(err, e)
+	}
+	return AskReply{}, nil
 }
 
 // becomeHolder makes this VM the holder of a service if the current epoch is still prevEpoch. If the
--- a/daemon/placer/loss_test.go
+++ b/daemon/placer/loss_test.go
@@ -89,8 +89,8 @@
 	client *Client
 	stop   context.CancelFunc
 	// off is set while the VM has no power or is paused: calls to it are accepted and never
-	// answered.
-	off bool
+	// answered. The kernel of a paused VM accepts connections.
+	off, paused bool
 }
 
 func newLossFleet(t *testing.T) *lossFleet {
@@ -237,12 +237,17 @@
 	time.Sleep(2 * linkDelay)
 	s.fleet.mu.Lock()
 	off := !s.fleet.reaches(s.self.VM, peer.VM(address))
+	v := s.fleet.vms[peer.VM(address)]
+	paused := v != nil && v.paused
 	s.fleet.mu.Unlock()
-	if off {
-		<-ctx.Done()
-		return ctx.Err()
+	if !off {
+		return nil
+	}
+	<-ctx.Done()
+	if paused {
+		return peer.ErrUnanswered.Wrap(ctx.Err())
 	}
-	return nil
+	return ctx.Err()
 }
 
 // cutPower cuts the power of a VM; heartbeats detect the loss after detectionTime.
@@ -543,7 +548,7 @@
 func (f *lossFleet) freeze(vm peer.VM, paused bool) {
 	f.mu.Lock()
 	v := f.vms[vm]
-	v.off = paused
+	v.off, v.paused = paused, paused
 	f.mu.Unlock()
 	if !paused {
 		f.heartbeat(v)
--- a/daemon/placer/standby.go
+++ b/daemon/placer/standby.go
@@ -60,7 +60,11 @@
 }
 
 // ReachArgs asks a witness whether it reaches the VM at an address.
-type ReachArgs struct{ Address string }
+type ReachArgs struct {
+	Address string
+	// Answers is set if the VM must answer a call too: the kernel of a paused one accepts connections.
+	Answers bool
+}
 
 // ReachReply tells whether a VM reaches another one.
 type ReachReply struct{ Reached bool }
@@ -174,16 +178,17 @@
 
 // Reach implements Placer.Reach: this VM, a witness, tells whether it reaches the VM at an address.
 func (o *Owner) Reach(args *ReachArgs, reply *ReachReply) error {
-	reply.Reached = o.reaches(args.Address)
+	reply.Reached = o.reaches(args.Address, args.Answers)
 	return nil
 }
 
-// reaches reports whether this VM can open a connection to an address within reachTimeout.
-func (o *Owner) reaches(address string) bool {
+// reaches reports whether this VM can open a connection to an address within reachTimeout, and gets an answer in that time if
+// it is asked for.
+func (o *Owner) reaches(address string, answers bool) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), reachTimeout.Duration())
 	defer cancel()
 	err := o.Peers.Probe(ctx, address)
-	return err == nil || peer.ErrUnanswered.Has(err)
+	return err == nil || !answers && peer.ErrUnanswered.Has(err)
 }
 
 // watches are the holders for which this VM is a standby.
@@ -334,8 +339,8 @@
 			go o.askWitness(ctx, m, x.Address, replies)
 		}
 		firstReached := make(chan bool, 1)
-		go func() { firstReached <- first != "" && o.reaches(first) }()
-		if o.reaches(x.Address) || <-firstReached {
+		go func() { firstReached <- first != "" && o.reaches(first, false) }()
+		if o.reaches(x.Address, false) || <-firstReached {
 			result <- reached
 			return
 		}
