--- a/daemon/placer/client.go
+++ b/daemon/placer/client.go
@@ -13,7 +13,6 @@
 	"snipeshift.example/daemon/statements"
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
-	"snipeshift.example/lib/decide/blame"
 	"snipeshift.example/lib/decide/span"
 	"snipeshift.example/lib/peer"
 	"snipeshift.example/lib/route"
@@ -209,8 +208,7 @@
 	c.mu.Lock()
 	c.live[reply.Grant.Request] = &activeGrant{LiveGrant: span.LiveGrant{Grant: reply.Grant}, service: s}
 	c.countSend(s, a, reply)
-	l := reply.Grant.Leader
-	c.crashesOf(s).own.Granted(c.clock.Now(), blame.Run{Name: string(a.ID)}, blame.Upstream{ID: string(l.Upstream), Born: int64(l.Born)}, a.Parts)
+	c.startOwn(s, a, reply.Grant.Leader)
 	c.mu.Unlock()
 	if l := reply.Limit; l != nil {
 		c.statements.Learn(s, l.Upstream, l.Statement(c.clock.Now()), statements.FromOwner)
@@ -251,7 +249,7 @@
 	g := c.live[id]
 	if g != nil {
 		g.Writing = true
-		c.crashesOf(g.service).own.Begun(c.clock.Now(), blame.Run{Name: string(id)})
+		c.crashesOf(g.service).own.Begun(c.clock.Now(), run(id))
 	}
 	c.mu.Unlock()
 	if g != nil {
--- a/daemon/placer/parts.go
+++ b/daemon/placer/parts.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"snipeshift.example/lib/clock"
+	"snipeshift.example/lib/decide"
 	"snipeshift.example/lib/decide/blame"
 	"snipeshift.example/lib/decide/span"
 	"snipeshift.example/lib/decide/statement"
@@ -45,9 +46,17 @@
 	return k
 }
 
+// run returns the send of a request in this gate's table of parts.
+func run(id decide.RequestID) blame.Run { return blame.Run{Name: string(id)} }
+
+// startOwn records a send of this gate. The lock is held.
+func (c *Client) startOwn(s route.ServiceID, a *span.Ask, p span.Placement) {
+	c.crashesOf(s).own.Granted(c.clock.Now(), run(a.ID), blame.Upstream{ID: string(p.Upstream), Born: int64(p.Born)}, a.Parts)
+}
+
 // endOwn records the end of a send of this gate. An upstream that leaves may break off its last responses. The lock is held.
 func (c *Client) endOwn(g *activeGrant, o span.Outcome) {
-	now, own, id := c.clock.Now(), c.crashesOf(g.service).own, blame.Run{Name: string(g.Grant.Request)}
+	now, own, id := c.clock.Now(), c.crashesOf(g.service).own, run(g.Grant.Request)
 	switch {
 	case o == span.Done || o == span.Failed:
 		own.Answered(now, id)
