listener: connections that carry nothing get their second also if the server begins to serve them after Drain

Cause: the server sets its own deadline for a header when it begins to serve a connection, later than Drain if the connection is new.

--- a/daemon/listener/listener.go
+++ b/daemon/listener/listener.go
@@ -96,6 +96,8 @@
 	// fullUntil is when the VM no longer counts as full, fullTime for how long it did last.
 	fullUntil, fullTime clock.Milli
 	refused, evicted    uint64
+	// drainedBy is when connections that carry nothing are closed; zero before Drain.
+	drainedBy time.Time
 }
 
 // New returns a Listener that accepts from l.
@@ -201,10 +203,10 @@
 func (l *Listener) Drain() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	deadline := time.Now().Add(silentTime.Duration())
+	l.drainedBy = time.Now().Add(silentTime.Duration())
 	for x := range l.conns {
-		if !x.busy && !x.served {
-			_ = x.Conn.SetReadDeadline(deadline) // the server moves it once it has read a header
+		if x.silent() {
+			_ = x.Conn.SetReadDeadline(l.drainedBy) // the server moves it once it has read a header
 		}
 	}
 }
@@ -258,6 +260,21 @@
 	}
 }
 
+// silent reports whether no byte has arrived on the connection yet. The listener's lock is held.
+func (c *conn) silent() bool { return !c.busy && !c.served }
+
+// SetReadDeadline implements net.Conn. The server sets its own deadline for a header as it begins to serve a connection, which
+// may be after Drain.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	l := c.listener
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.drainedBy.IsZero() && c.silent() && (t.IsZero() || t.After(l.drainedBy)) {
+		t = l.drainedBy
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
 // Read implements net.Conn. A connection that was closed in favor of others returns nothing more: its request would reach
 // an upstream, and its client never get the response.
 func (c *conn) Read(b []byte) (int, error) {
--- a/daemon/listener/listener_test.go
+++ b/daemon/listener/listener_test.go
@@ -26,6 +26,8 @@
 	http    *http.Server
 	clock   *manualClock
 	release chan struct{}
+	// waiting counts the requests for /wait that the handler has got.
+	waiting atomic.Int64
 }
 
 func newServer(t *testing.T, x Limits) *server {
@@ -37,6 +39,7 @@
 	s.Listener = New(inner, x, s.clock)
 	s.http = &http.Server{ConnState: s.Track, ReadHeaderTimeout: time.Minute, Handler: s.Handler(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/wait" {
+			s.waiting.Add(1)
 			<-s.release
 		}
 	}))}
@@ -108,9 +111,9 @@
 		request(t, c, "/")
 		require.True(t, answered(c))
 		idle = append(idle, c)
+		require.Eventually(t, func() bool { return s.Counts().Busy == 0 }, 5*time.Second, time.Millisecond)
 		s.clock.now.Add(10)
 	}
-	require.Eventually(t, func() bool { return s.Counts().Busy == 0 }, 5*time.Second, time.Millisecond)
 	c := s.dial(t)
 	request(t, c, "/")
 	require.True(t, answered(c))
@@ -140,7 +143,7 @@
 	c := s.dial(t)
 	s.awaitOpen(t, 2)
 	request(t, c, "/wait")
-	require.Eventually(t, func() bool { return s.Counts().Busy == 1 }, 5*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return s.waiting.Load() == 1 }, 5*time.Second, time.Millisecond)
 	time.AfterFunc(silentTime.Duration()*3/2, func() { close(s.release) })
 	stopped := time.Now()
 	s.Drain()
