placer: a VM answers an announced holder only once its gate has presented its grants

Callers: a new owner may fill engines again that running requests occupy. Cause: a VM that hears of a new holder by two ways, an answer and the announcement, presents its grants on the first and answers the second at once; the owner takes that for "has presented" and decides. Change: Follow waits for what the first message has begun.

--- a/daemon/placer/hold.go
+++ b/daemon/placer/hold.go
@@ -244,9 +244,10 @@
 }
 
 // Follow implements Placer.Follow: it records a holder and replies with the one that this VM
-// follows afterwards.
+// follows afterwards. By then the gate of this VM has presented its live grants, also if it has heard of the holder before.
 func (o *Owner) Follow(args, reply *peer.Holder) error {
 	o.Holders.Update(*args, "announced")
+	o.Holders.awaitNotified(args.Service)
 	*reply, _ = o.Holders.Of(args.Service)
 	return nil
 }
--- a/daemon/placer/holders.go
+++ b/daemon/placer/holders.go
@@ -30,6 +30,8 @@
 	ranks rankCache
 	// changes has a channel per service that is waited for; it is closed when the holder changes.
 	changes map[route.ServiceID]chan struct{}
+	// notified has a channel per service that is closed once the onChange functions know its holder.
+	notified map[route.ServiceID]chan struct{}
 	// heard is the digest of holders that each VM sent last.
 	heard map[peer.VM]uint64
 	// onChange functions are called with each new holder, without locks held.
@@ -41,7 +43,7 @@
 	return &Holders{
 		members: m, clock: k, log: l, table: holder.New(m.Self()),
 		since: map[route.ServiceID]clock.Milli{}, changes: map[route.ServiceID]chan struct{}{},
-		heard: map[peer.VM]uint64{},
+		notified: map[route.ServiceID]chan struct{}{}, heard: map[peer.VM]uint64{},
 	}
 }
 
@@ -72,8 +74,8 @@
 	h.heard[b.From.VM] = b.HolderDigest
 	h.mu.Unlock()
 	for _, x := range b.Holders {
-		if h.learn(x) {
-			go h.notifyChange(x, "heartbeat")
+		if done := h.learn(x); done != nil {
+			go h.notifyChange(x, "heartbeat", done)
 		}
 	}
 }
@@ -81,19 +83,40 @@
 // Update records a holder reported by another VM. When it returns, this VM follows that holder unless
 // it knows a newer one.
 func (h *Holders) Update(x peer.Holder, cause string) {
-	if x.VM != "" && h.learn(x) {
-		h.notifyChange(x, cause)
+	if x.VM == "" {
+		return
+	}
+	if done := h.learn(x); done != nil {
+		h.notifyChange(x, cause, done)
 	}
 }
 
-func (h *Holders) learn(x peer.Holder) bool {
+// learn records a holder. If it replaces the known one, the caller has to call notifyChange with the returned channel, which
+// is nil otherwise.
+func (h *Holders) learn(x peer.Holder) chan struct{} {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.table.Learn(x)
+	if !h.table.Learn(x) {
+		return nil
+	}
+	done := make(chan struct{})
+	h.notified[x.Service] = done
+	return done
+}
+
+// awaitNotified waits until the onChange functions know the holder of a service. They must not call it.
+func (h *Holders) awaitNotified(s route.ServiceID) {
+	h.mu.Lock()
+	done := h.notified[s]
+	h.mu.Unlock()
+	if done != nil {
+		<-done
+	}
 }
 
-// notifyChange wakes the waiters for a change of holder and calls the registered functions.
-func (h *Holders) notifyChange(x peer.Holder, cause string) {
+// notifyChange wakes the waiters for a change of holder, calls the registered functions and closes done.
+func (h *Holders) notifyChange(x peer.Holder, cause string, done chan struct{}) {
+	defer close(done)
 	h.mu.Lock()
 	h.since[x.Service] = h.clock.Now()
 	if c := h.changes[x.Service]; c != nil {
@@ -230,7 +253,7 @@
 	x, ok := h.table.Take(s, prevEpoch)
 	h.mu.Unlock()
 	if ok {
-		h.notifyChange(x, cause)
+		h.notifyChange(x, cause, make(chan struct{}))
 	}
 	return x, ok
 }
