placer: a query carries only the crashes that concern its parts; lists of live grants carry no crashes of the gate's own

Cause, by reading: each query with one suspect part carried all crashes that the gate knew, with all their parts, and each list of live grants the gate's own ones again whenever one was added or lapsed; where hundreds of streams end at once these are long. Tests of parts, verdicts and lost reports pass.

--- a/daemon/placer/client.go
+++ b/daemon/placer/client.go
@@ -141,7 +141,7 @@
 	for range maxRoutings {
 		args.Earlier = c.earlierSends(s)
 		x, _ := c.holders.Of(s)
-		own := c.attachCrashes(args, x.Epoch)
+		c.attachCrashes(args, x.Epoch)
 		var reply PresentReply
 		if owner, remote := c.owner(s); !remote {
 			_ = c.localOwner.Present(args, &reply) // Present returns no errors
@@ -151,7 +151,7 @@
 		}
 		if reply.Holder == nil {
 			c.statements.Acknowledge(s, unacked)
-			c.learnCrashes(s, &reply, x.Epoch, own)
+			c.learnCrashes(s, &reply, x.Epoch)
 			return
 		}
 		c.holders.Update(*reply.Holder, "answer")
--- a/daemon/placer/parts.go
+++ b/daemon/placer/parts.go
@@ -12,8 +12,8 @@
 )
 
 // The owner of a service knows which parts of prompts crash upstreams. Each gate keeps a copy of the crashes that matter, and
-// those that it saw itself, so that the knowledge outlives the owner and reports that are lost: an owner that may not know
-// them gets them with the next list of live grants of each gate, and with the queries that they concern.
+// those that it saw itself, so that the knowledge outlives the owner and reports that are lost: a new owner gets the copy with
+// the first list of live grants of each gate, and any owner gets both with the queries that they concern.
 
 // knownCrashes is what a gate knows of the crashes that speak against parts of prompts.
 type knownCrashes struct {
@@ -23,17 +23,17 @@
 	at      clock.Milli
 	// own records the sends of this gate.
 	own *blame.Table
-	// sentTo is the epoch of the owner that has got the copy from this gate, and the crashes of the digest sentOwn with it.
-	sentTo, sentOwn uint64
+	// sentTo is the epoch of the owner that has got the copy from this gate.
+	sentTo uint64
 }
 
-// present returns the crashes with their present ages.
+// present returns the copy with the present ages of its crashes.
 func (k *knownCrashes) present(now clock.Milli) []blame.Crash {
 	cs := slices.Clone(k.crashes)
 	for i := range cs {
 		cs[i].Ago += now - k.at
 	}
-	return append(cs, k.own.Recent(now)...)
+	return cs
 }
 
 // crashesOf returns what is known of the crashes of a service. The lock is held.
@@ -76,41 +76,40 @@
 	return u != nil && u.Leaving
 }
 
-// attachCrashes adds what this gate knows of crashes to a list of live grants, if the owner of this epoch may not know it.
-// It returns the digest of the crashes that the gate saw itself.
-func (c *Client) attachCrashes(args *PresentArgs, epoch uint64) (own uint64) {
+// attachCrashes adds this gate's copy of crashes to a list of live grants, if the owner of this epoch may not know them.
+func (c *Client) attachCrashes(args *PresentArgs, epoch uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now, k := c.clock.Now(), c.crashesOf(args.Service)
-	own = blame.Digest(k.own.Recent(now))
+	k := c.crashesOf(args.Service)
 	args.Crashes, args.CrashDigest = nil, k.digest
-	if k.sentTo != epoch || k.sentOwn != own {
-		args.Crashes = k.present(now)
+	if k.sentTo != epoch {
+		args.Crashes = k.present(c.clock.Now())
 	}
-	return own
 }
 
-// learnCrashes records that the owner of an epoch knows the crashes of this gate, and replaces the copy of those of the
-// owner.
-func (c *Client) learnCrashes(s route.ServiceID, reply *PresentReply, epoch, own uint64) {
+// learnCrashes replaces this gate's copy by that of the owner of an epoch.
+func (c *Client) learnCrashes(s route.ServiceID, reply *PresentReply, epoch uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	k := c.crashesOf(s)
-	k.sentTo, k.sentOwn = epoch, own
+	k.sentTo = epoch
 	if reply.NewCrashes {
 		k.crashes, k.digest, k.at = reply.Crashes, blame.Digest(reply.Crashes), c.clock.Now()
 	}
 }
 
-// crashesUnder returns what this gate knows of the crashes of a service if some speak against one of the parts.
+// crashesUnder returns what this gate knows of the crashes that speak against these parts, each with those of them that were
+// there.
 func (c *Client) crashesUnder(s route.ServiceID, parts []blame.Part) []blame.Crash {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	cs := c.crashesOf(s).present(c.clock.Now())
-	if !slices.ContainsFunc(cs, func(x blame.Crash) bool {
-		return slices.ContainsFunc(x.Parts, func(p blame.Part) bool { return slices.Contains(parts, p) })
-	}) {
-		return nil
+	k, now := c.crashesOf(s), c.clock.Now()
+	var out []blame.Crash
+	for _, x := range append(k.present(now), k.own.Recent(now)...) {
+		x.Parts = slices.DeleteFunc(slices.Clone(x.Parts), func(p blame.Part) bool { return !slices.Contains(parts, p) })
+		if len(x.Parts) > 0 {
+			out = append(out, x)
+		}
 	}
-	return cs
+	return out
 }
