placer: what a gate knows of crashes is looked up by part

Suspected, by reading: each query, and each of its repeats while it waits, walked all suspect parts of the gate's table (up to 1,024) and built lists of them, to throw most away. Where hundreds of streams end at once and hundreds of requests wait, that uses up a small VM. Change: only the query's own parts are looked up. The tests of blame, and of parts, owners and presents in placer, pass.

--- a/daemon/placer/parts.go
+++ b/daemon/placer/parts.go
@@ -104,10 +104,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	k, now := c.crashesOf(s), c.clock.Now()
-	var out []blame.Crash
-	for _, x := range append(k.present(now), k.own.Recent(now)...) {
+	out := k.own.RecentUnder(now, parts)
+	for _, x := range k.crashes {
 		x.Parts = slices.DeleteFunc(slices.Clone(x.Parts), func(p blame.Part) bool { return !slices.Contains(parts, p) })
 		if len(x.Parts) > 0 {
+			x.Ago += now - k.at
 			out = append(out, x)
 		}
 	}
--- a/lib/decide/blame/copy.go
+++ b/lib/decide/blame/copy.go
@@ -58,13 +58,23 @@
 	return t.copyWhere(now, func(*suspect, *crash) bool { return true })
 }
 
-// Recent returns the crashes of the last minute under parts with several that were not answered shortly before: those that a
-// VM saw itself, for an owner that may not know them. Single ones are frequent where many upstreams crash at once, and an
-// owner that knows no answers yet would hold back all requests with these parts.
-func (t *Table) Recent(now clock.Milli) []Crash {
-	return t.copyWhere(now, func(s *suspect, x *crash) bool {
-		return !s.familiar && len(s.crashes) >= crashesToCopy && now-x.at < recentTime
-	})
+// RecentUnder returns the crashes of the last minute under those of some parts that have several and were not answered shortly
+// before: those that a VM saw itself, for an owner that may not know them. Single ones are frequent where many upstreams crash
+// at once, and an owner that knows no answers yet would hold back all requests with these parts.
+func (t *Table) RecentUnder(now clock.Milli, parts []Part) []Crash {
+	var out []Crash
+	for _, p := range parts {
+		s := t.suspects[p]
+		if s == nil || s.familiar || len(s.crashes) < crashesToCopy {
+			continue
+		}
+		for _, x := range s.crashes {
+			if now-x.at < recentTime {
+				out = append(out, Crash{Upstream: x.upstream, Ago: now - x.at, Parts: []Part{p}})
+			}
+		}
+	}
+	return out
 }
 
 // Merge adds the crashes of a copy. Parts that were answered after a crash are left out.
