listener: a VM that is out of descriptors lives on

Callers of a VM whose limit of descriptors was below what it reckoned with got 503 after 4 s, and its process ended: the server of peers returned at the first error of Accept, net/http at those that it does not count as temporary (ENOBUFS, ENOMEM). A connect that failed for want of a descriptor was taken for a lost path or an upstream's fault.

Every listener of both daemons goes through lib/accept now: it tries again, the VM is not ready for a second after a failure, one log line and a counter say so, and idle connections are closed until the present limit holds. Connections of peers, tunnels and those to upstreams have shares of the descriptors, listeners of operators and monitoring 64 connections.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -26,8 +26,10 @@
 	"snipeshift.example/daemon/quarantine"
 	"snipeshift.example/daemon/settings"
 	"snipeshift.example/daemon/tunnel"
+	"snipeshift.example/lib/accept"
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
+	"snipeshift.example/lib/dial"
 	"snipeshift.example/lib/door"
 	"snipeshift.example/lib/engine"
 	"snipeshift.example/lib/peer"
@@ -84,9 +86,12 @@
 	// paths opens connections to upstreams, directly or through other daemons; tunnels does so for them.
 	paths   *tunnel.Dialer
 	tunnels *tunnel.Server
-	engines *engine.Client
-	leases  *lease.Leases
-	orders  *orders.Sender
+	// accepts counts the failures of all listeners, upstreams the connections to upstreams.
+	accepts   *accept.Monitor
+	upstreams *dial.Bound
+	engines   *engine.Client
+	leases    *lease.Leases
+	orders    *orders.Sender
 	// state is the state shared with other daemons through the store and heartbeats.
 	state *sharedState
 	// work is canceled when the last request has been served.
@@ -127,11 +132,17 @@
 	self := peer.Member{VM: s.Name, Incarnation: d.incarnation, Domain: s.Domain, Address: s.Advertise, Operator: s.Contact}
 	d.members = member.New(self, member.DefaultRules, d.dialer, member.NewSeedList(s.Peers, d.store), k)
 	d.directory = newDirectory(d.members, k, d.ring)
+	shares := listener.SharesOf(descriptors(s.Descriptors))
+	d.accepts = accept.NewMonitor(k, d.reportAccept, d.shed)
+	d.upstreams = dial.NewBound(shares.Upstreams, func() { d.engines.CloseIdle() })
+	direct := (&net.Dialer{Timeout: dialTimeout, KeepAlive: upstreamKeepAlive}).DialContext
 	d.paths = tunnel.NewDialer(tunnel.Needs{
-		Clock: k, Log: l, Members: d.members, Upstreams: d.config, Direct: (&net.Dialer{Timeout: dialTimeout, KeepAlive: upstreamKeepAlive}).DialContext, Peer: endpoint.Dial,
+		Clock: k, Log: l, Members: d.members, Upstreams: d.config, Direct: d.upstreams.Dial(direct), Peer: endpoint.Dial,
 	})
 	d.tunnels = tunnel.NewServer(d.paths)
+	d.tunnels.SetLimit(shares.Tunnels)
 	d.peers.ServeTunnels(d.tunnels.Serve)
+	d.peers.SetLimit(shares.Peers)
 	d.engines = engine.NewClient(d.paths.Dial)
 	d.paths.OnHang(d.engines.CloseIdle)
 	d.pause = member.NewPauseDetector(k, member.WallClock{}, pool.Lease, d.handlePause)
@@ -194,6 +205,7 @@
 	}
 	clients := d.clientServer(d.gate.Handler())
 	operators := d.server(d.operatorHandler())
+	operators.ConnState = ls.trackOperators
 	var g errgroup.Group
 	d.spawn(&g, "peer door", func() error { return d.peers.Serve(ls.peer) })
 	d.spawn(&g, "caller door", func() error { return ignoreServerClosed(clients.Serve(ls.client)) })
@@ -318,7 +330,11 @@
 }
 
 // listeners are the listeners for clients, operators and peers.
-type listeners struct{ client, operator, peer net.Listener }
+type listeners struct {
+	client, operator, peer net.Listener
+	// trackOperators is the ConnState hook of the server for operators.
+	trackOperators func(net.Conn, http.ConnState)
+}
 
 // listen opens the listeners. Without certificates the listeners for peers and operators bind to
 // loopback only: whoever can connect to them can drain VMs and read which workspace sends which
@@ -328,10 +344,16 @@
 	if !d.endpoint.Secure() {
 		d.log.Warn().Msg("no certificates in the settings: the listeners for peers and operators bind to loopback only")
 	}
-	if ls.operator, err = d.endpoint.Listen(ctx, d.settings.Operator); err != nil {
+	ls.operator, err = d.endpoint.ListenWrapped(ctx, d.settings.Operator, func(l net.Listener) net.Listener {
+		bounded := listener.New(d.accepts.Listener(operatorListener, l), listener.OperatorLimits, d.clock)
+		ls.trackOperators = bounded.Track
+		return bounded
+	})
+	if err != nil {
 		return ls, err
 	}
-	if ls.peer, err = d.endpoint.Listen(ctx, d.settings.Peer); err != nil {
+	ls.peer, err = d.endpoint.ListenWrapped(ctx, d.settings.Peer, func(l net.Listener) net.Listener { return d.accepts.Listener(peerListener, l) })
+	if err != nil {
 		return ls, err
 	}
 	var c net.ListenConfig
@@ -339,7 +361,7 @@
 	if err != nil {
 		return ls, err
 	}
-	d.clients = listener.New(inner, listener.LimitsOf(listener.Resources{Descriptors: descriptors(d.settings.Descriptors)}), d.clock)
+	d.clients = listener.New(d.accepts.Listener(clientListener, inner), listener.LimitsOf(listener.Resources{Descriptors: descriptors(d.settings.Descriptors)}), d.clock)
 	ls.client = d.clients
 	t := d.settings.TLS
 	if t.CallerCert == "" {
@@ -355,6 +377,18 @@
 	return ls, nil
 }
 
+// reportAccept logs that a listener has begun to fail.
+func (d *daemon) reportAccept(name string, err error) {
+	d.log.Error().Str("listener", name).Err(err).Msg("a listener cannot accept connections; it tries again")
+}
+
+// shed makes room for all listeners once the process is out of descriptors. The limit may have been lowered since its start.
+func (d *daemon) shed() {
+	n := descriptors(d.settings.Descriptors)
+	d.clients.Shed(n)
+	d.peers.SetLimit(listener.SharesOf(n).Peers)
+}
+
 // clientServer returns the server of the listener for clients.
 func (d *daemon) clientServer(h http.Handler) *http.Server {
 	s := d.server(d.clients.Handler(h))
--- a/daemon/insight/insight.go
+++ b/daemon/insight/insight.go
@@ -6,6 +6,7 @@
 
 import (
 	"cmp"
+	"io"
 	"maps"
 	"net/http"
 	"net/http/pprof"
@@ -34,6 +35,9 @@
 // Store counts calls to the platform's store.
 type Store interface{ Calls() (all, failed uint64) }
 
+// Metrics writes metrics in the text format of Prometheus.
+type Metrics interface{ WritePrometheus(w io.Writer) }
+
 // Sources are the components of the daemon that the page reads. All are required.
 type Sources struct {
 	VM        peer.VM
@@ -48,6 +52,8 @@
 	LogWriter *logline.Writer
 	Tunnels   *tunnel.Server
 	Clients   *listener.Listener
+	// Connections writes the metrics of connections of peers and to upstreams.
+	Connections Metrics
 }
 
 // Page serves the metrics address.
--- a/daemon/listener/listener.go
+++ b/daemon/listener/listener.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"syscall"
 	"time"
 
 	"snipeshift.example/lib/clock"
@@ -31,6 +30,9 @@
 	Connections, Requests int
 }
 
+// OperatorLimits are those of listeners for operators, monitoring and the balancer's checks.
+var OperatorLimits = Limits{Connections: minLimit, Requests: minLimit}
+
 // Resources are those of a VM; zero for unknown ones.
 type Resources struct {
 	// Descriptors is the number of descriptors that the process may open, Memory its memory in bytes.
@@ -71,15 +73,6 @@
 	return l
 }
 
-// Descriptors returns the number of descriptors that this process may open; zero if it is not known.
-func Descriptors() int {
-	var x syscall.Rlimit
-	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &x); err != nil || x.Cur > math.MaxInt32 {
-		return 0
-	}
-	return int(x.Cur)
-}
-
 // Clock reads the time of this process.
 type Clock interface{ Now() clock.Milli }
 
@@ -145,6 +138,21 @@
 	return x
 }
 
+// Shed makes room after the process has run out of descriptors, although all limits hold: it may open fewer than at its
+// start, or the rest of the process has more open than its share. Idle connections are closed down to the lower limit, one
+// at least, and the VM counts as full. descriptors is the number that the process may open now, zero if it is not known.
+func (l *Listener) Shed(descriptors int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if descriptors > 0 {
+		l.limits.Connections = min(l.limits.Connections, max(descriptors/descriptorsPerConnection, minLimit))
+	}
+	now := l.clock.Now()
+	l.noteFull(now)
+	for l.evict(now) && len(l.conns) > l.limits.Connections {
+	}
+}
+
 // evict closes the connection that has been idle longest. It returns false if there is none. The lock is held.
 func (l *Listener) evict(now clock.Milli) bool {
 	var oldest *conn
--- a/daemon/listener/listener_test.go
+++ b/daemon/listener/listener_test.go
@@ -171,3 +171,36 @@
 	require.Equal(t, Limits{Connections: 150, Requests: 150}, LimitsOf(Resources{Descriptors: 300, Memory: 256 << 20}))
 	require.Equal(t, Limits{Connections: minLimit, Requests: minLimit}, LimitsOf(Resources{Descriptors: 64, Memory: 1 << 20, Cores: 0.01}))
 }
+
+// The process is out of descriptors below its limits of connections: idle connections make room until the lower limit
+// holds, and those that carry requests stay.
+func TestIdleConnectionsAreShed(t *testing.T) {
+	s := newServer(t, Limits{Connections: 200, Requests: 200})
+	busy := s.dial(t)
+	request(t, busy, "/wait")
+	require.Eventually(t, func() bool { return s.Counts().Busy == 1 }, 5*time.Second, time.Millisecond)
+	for range 149 {
+		s.dial(t)
+	}
+	s.awaitOpen(t, 150)
+	s.Shed(2 * 100)
+	require.Equal(t, 150, s.Counts().Open, "the connections may send a request yet")
+	require.True(t, s.Full())
+	s.clock.now.Add(int64(silentTime))
+	s.Shed(2 * 100)
+	require.Equal(t, 100, s.Counts().Open)
+	s.Shed(2 * 100)
+	require.Equal(t, 99, s.Counts().Open, "other parts of the process need room as well")
+	close(s.release)
+	require.True(t, answered(busy))
+}
+
+func TestSharesOfDescriptors(t *testing.T) {
+	require.Equal(t, Shares{Peers: 768, Upstreams: 1025, Tunnels: 512}, SharesOf(4100))
+	require.Equal(t, Shares{Peers: minShare, Upstreams: minShare, Tunnels: minShare}, SharesOf(32))
+	require.Zero(t, SharesOf(0))
+	for _, n := range []int{300, 2870, 4100, 8192} {
+		s := SharesOf(n)
+		require.Less(t, LimitsOf(Resources{Descriptors: n}).Connections+s.Peers+s.Upstreams, n)
+	}
+}
--- /dev/null
+++ b/daemon/listener/shares.go
@@ -0,0 +1,41 @@
+package listener
+
+import (
+	"math"
+	"syscall"
+)
+
+// Shares of a process's descriptors for connections other than those of clients, which get half. A tunnel takes one of the
+// share of peers and one of that of upstreams. The rest is for listeners, the store, connections to peers and files.
+const (
+	peerShare     = 3. / 16
+	upstreamShare = 1. / 4
+	tunnelShare   = 1. / 8
+	// minShare is the least share in connections, however few descriptors there are.
+	minShare = 16
+)
+
+// Shares bounds the open connections of a process by kind; zero for no bound.
+type Shares struct {
+	// Peers are those that other VMs opened, tunnels included, Upstreams those to upstreams, and Tunnels those that this VM
+	// carries for others.
+	Peers, Upstreams, Tunnels int
+}
+
+// SharesOf returns the shares of a process that may open a number of descriptors; zero for an unknown number.
+func SharesOf(descriptors int) Shares {
+	if descriptors == 0 {
+		return Shares{}
+	}
+	part := func(share float64) int { return max(int(share*float64(descriptors)), minShare) }
+	return Shares{Peers: part(peerShare), Upstreams: part(upstreamShare), Tunnels: part(tunnelShare)}
+}
+
+// Descriptors returns the number of descriptors that this process may open now; zero if it is not known.
+func Descriptors() int {
+	var x syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &x); err != nil || x.Cur > math.MaxInt32 {
+		return 0
+	}
+	return int(x.Cur)
+}
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -15,7 +15,7 @@
 	v := operatorViews{d}
 	s := operator.Sources{
 		Health: v, Members: v, Pools: v, Usage: v, Documents: d.state, Timeline: d.ring, Stopper: v, Store: d.store,
-		Metrics: []operator.Metrics{d.gate.Metrics(), peerTraffic{d.dialer.Traffic(), d.peers.Traffic()}},
+		Metrics: []operator.Metrics{d.gate.Metrics(), peerTraffic{d.dialer.Traffic(), d.peers.Traffic()}, connectionMetrics{d.accepts, d.peers, d.upstreams}},
 	}
 	return operator.New(s, d.log).Handler()
 }
@@ -54,6 +54,9 @@
 	if v.daemon.clients.Full() {
 		why = append(why, "there was no room for a connection a moment ago")
 	}
+	if v.daemon.accepts.Failing() {
+		why = append(why, "a listener could not accept a connection a moment ago")
+	}
 	return append(why, v.daemon.state.unready()...)
 }
 
--- a/daemon/relay.go
+++ b/daemon/relay.go
@@ -23,6 +23,7 @@
 	"snipeshift.example/daemon/relay"
 	"snipeshift.example/daemon/settings"
 	"snipeshift.example/daemon/tunnel"
+	"snipeshift.example/lib/accept"
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide/span"
 	"snipeshift.example/lib/decide/statement"
@@ -90,6 +91,9 @@
 	stopping  chan struct{}
 	// clients accepts the connections of clients; nil before run has opened it.
 	clients *listener.Listener
+	// accepts counts the failures of all listeners, upstreams the connections to upstreams.
+	accepts   *accept.Monitor
+	upstreams *dial.Bound
 	// startedAt is when this process started.
 	startedAt clock.Milli
 }
@@ -111,6 +115,8 @@
 		store: platform.NewStore(s.Store), stopping: make(chan struct{}),
 	}
 	d.startedAt = d.clock.Now()
+	d.accepts = accept.NewMonitor(d.clock, d.reportAccept, d.shed)
+	shares := listener.SharesOf(descriptors(s.Descriptors))
 	incarnation := peer.Incarnation(time.Now().UnixMilli())
 	self := peer.Member{VM: s.Name, Incarnation: incarnation, Domain: s.Domain, Address: s.Advertise, Cores: int(s.Cores * milliCoresPerCore), Link: int(s.Link)}
 	d.members = member.New(self, member.RelayRules, d.dialer, staticSeeds(s.Peers), d.clock)
@@ -126,12 +132,17 @@
 	q := quarantine.New(d.clock, d.members, d.dialer)
 	d.holders = placer.NewHolders(d.members, d.clock, d.log)
 	d.members.Add(d.registry, q, d.holders)
+	var pooled *http.Transport
+	d.upstreams = dial.NewBound(shares.Upstreams, func() { pooled.CloseIdleConnections() })
 	d.paths = tunnel.NewDialer(tunnel.Needs{
-		Clock: d.clock, Log: d.log, Members: d.members, Upstreams: listedUpstreams{d.registry, d.binding}, Direct: directDial(s), Peer: dialPeer,
+		Clock: d.clock, Log: d.log, Members: d.members, Upstreams: listedUpstreams{d.registry, d.binding},
+		Direct: d.upstreams.Dial(directDial(s)), Peer: dialPeer,
 	})
 	d.tunnels = tunnel.NewServer(d.paths)
+	d.tunnels.SetLimit(shares.Tunnels)
 	d.peers.ServeTunnels(d.tunnels.Serve)
-	pooled := upstreamTransport(d.paths.Dial)
+	d.peers.SetLimit(shares.Peers)
+	pooled = upstreamTransport(d.paths.Dial)
 	d.paths.OnHang(pooled.CloseIdleConnections)
 	engines := platform.NewEngineClient(pooled)
 	id := peer.Gate(s.Name, incarnation)
@@ -239,15 +250,15 @@
 	defer end()
 	s := d.settings
 	var c net.ListenConfig
-	peerListener, err := c.Listen(ctx, "tcp", s.Peer)
+	peers, err := c.Listen(ctx, "tcp", s.Peer)
 	if err != nil {
 		return err
 	}
-	clientListener, err := c.Listen(ctx, "tcp", s.Caller)
+	callers, err := c.Listen(ctx, "tcp", s.Caller)
 	if err != nil {
 		return err
 	}
-	d.clients = listener.New(clientListener, listener.LimitsOf(listener.Resources{Descriptors: descriptors(s.Descriptors), Memory: s.Memory << 20, Cores: s.Cores}), d.clock)
+	d.clients = listener.New(d.accepts.Listener(clientListener, callers), listener.LimitsOf(listener.Resources{Descriptors: descriptors(s.Descriptors), Memory: s.Memory << 20, Cores: s.Cores}), d.clock)
 	clients := d.server(d.clients.Handler(d.gate))
 	clients.ConnState = d.clients.Track
 	ready := d.server(d.readiness())
@@ -263,13 +274,13 @@
 			return err
 		})
 	}
-	start("peer door", func() error { return d.peers.Serve(peerListener) })
+	start("peer door", func() error { return d.peers.Serve(d.accepts.Listener(peerListener, peers)) })
 	start("caller door", func() error { return ignoreServerClosed(clients.Serve(d.clients)) })
-	start("ready door", func() error { return listenAndServe(ctx, ready, s.Ready) })
+	start("ready door", func() error { return d.listenAndServe(ctx, readyListener, ready, s.Ready) })
 	servers := []*http.Server{ready}
 	if s.Metrics != "" {
 		m := d.server(d.insight().Handler())
-		start("metrics door", func() error { return listenAndServe(ctx, m, s.Metrics) })
+		start("metrics door", func() error { return d.listenAndServe(ctx, metricsListener, m, s.Metrics) })
 		servers = append(servers, m)
 	}
 	start("registry", func() error { return d.registry.Run(work) })
@@ -287,7 +298,7 @@
 	for _, h := range servers {
 		_ = h.Close()
 	}
-	_ = peerListener.Close()
+	_ = peers.Close()
 	d.peers.Close()
 	d.dialer.Close()
 	d.log.Info().Str(logline.Key, logline.Stopped).Msg("stopped")
@@ -317,7 +328,7 @@
 }
 
 // readiness returns the handler of the balancer's readiness check. The VM is ready while it has a
-// current configuration document, a list of upstreams and room for connections and is not stopping.
+// current configuration document, a list of upstreams and room for connections, its listeners accept, and it is not stopping.
 func (d *relayDaemon) readiness() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path != platform.ReadyPath {
@@ -338,7 +349,7 @@
 	}
 	now := d.clock.Now()
 	v := d.registry.View()
-	return v.Table != nil && v.UpstreamsVerified > 0 && now-v.TableVerified < d.settings.Bounds.Revoke && !d.clients.Full()
+	return v.Table != nil && v.UpstreamsVerified > 0 && now-v.TableVerified < d.settings.Bounds.Revoke && !d.clients.Full() && !d.accepts.Failing()
 }
 
 // descriptors returns the number of descriptors that the process may open, the smaller one of the setting and of the
@@ -358,13 +369,27 @@
 	}
 }
 
-func listenAndServe(ctx context.Context, s *http.Server, address string) error {
+func (d *relayDaemon) listenAndServe(ctx context.Context, name string, s *http.Server, address string) error {
 	var c net.ListenConfig
 	l, err := c.Listen(ctx, "tcp", address)
 	if err != nil {
 		return err
 	}
-	return ignoreServerClosed(s.Serve(l))
+	bounded := listener.New(d.accepts.Listener(name, l), listener.OperatorLimits, d.clock)
+	s.ConnState = bounded.Track
+	return ignoreServerClosed(s.Serve(bounded))
+}
+
+// reportAccept logs that a listener has begun to fail.
+func (d *relayDaemon) reportAccept(name string, err error) {
+	d.log.Error().Str(logline.Key, logline.Accept).Str("listener", name).Err(err).Msg("a listener cannot accept connections; it tries again")
+}
+
+// shed makes room for all listeners once the process is out of descriptors. The limit may have been lowered since its start.
+func (d *relayDaemon) shed() {
+	n := descriptors(d.settings.Descriptors)
+	d.clients.Shed(n)
+	d.peers.SetLimit(listener.SharesOf(n).Peers)
 }
 
 // insight returns the page that the metrics address serves.
@@ -372,6 +397,7 @@
 	return insight.New(insight.Sources{
 		VM: d.settings.Name, Clock: d.clock, Gate: d.gate, Registry: d.registry, Members: d.members, Holders: d.holders,
 		Placer: d.placer, Owner: d.owner, Store: d.store, LogWriter: d.logWriter, Tunnels: d.tunnels, Clients: d.clients,
+		Connections: connectionMetrics{d.accepts, d.peers, d.upstreams},
 	})
 }
 
--- a/daemon/tunnel/dialer.go
+++ b/daemon/tunnel/dialer.go
@@ -23,7 +23,8 @@
 	Log       *log.Logger
 	Members   Members
 	Upstreams Upstreams
-	// Direct opens a connection from this VM to an upstream.
+	// Direct opens a connection from this VM to an upstream. An error of class dial.ErrNoPath says neither anything of the
+	// upstream nor of the path: this VM has no room for a connection.
 	Direct dial.Dial
 	// Peer opens a connection to the port for peers of another VM.
 	Peer Dial
@@ -107,6 +108,9 @@
 		if a.err == nil {
 			return a.conn, nil
 		}
+		if dial.ErrNoPath.Has(a.err) {
+			return nil, a.err
+		}
 		directErr = a.err
 	case <-t.C:
 	case <-ctx.Done():
@@ -188,6 +192,9 @@
 
 // recordBypass records that another VM reaches an upstream that this VM does not.
 func (d *Dialer) recordBypass(address string, err error) {
+	if dial.ErrNoPath.Has(err) {
+		return
+	}
 	d.mu.Lock()
 	lost := d.table.Bypassed(d.Clock.Now(), address, isRefusal(err))
 	d.mu.Unlock()
--- a/daemon/tunnel/server.go
+++ b/daemon/tunnel/server.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"snipeshift.example/lib/clock"
+	"snipeshift.example/lib/dial"
 )
 
 // Limits of a carrier.
@@ -39,6 +40,8 @@
 // Server carries connections of other VMs to upstreams. It is safe for concurrent use.
 type Server struct {
 	dialer *Dialer
+	// limit bounds the open tunnels.
+	limit int
 
 	mu       sync.Mutex
 	stopping bool
@@ -56,7 +59,14 @@
 
 // NewServer returns a server that connects to upstreams as d does directly.
 func NewServer(d *Dialer) *Server {
-	return &Server{dialer: d, tunnels: map[*carried]struct{}{}, failed: map[string]clock.Milli{}}
+	return &Server{dialer: d, limit: maxTunnels, tunnels: map[*carried]struct{}{}, failed: map[string]clock.Milli{}}
+}
+
+// SetLimit bounds the open tunnels further; zero for no other bound. It must be called before Serve.
+func (s *Server) SetLimit(limit int) {
+	if limit > 0 {
+		s.limit = min(s.limit, limit)
+	}
 }
 
 // Serve serves one connection that began with a CONNECT until it ends. r reads the connection.
@@ -108,7 +118,7 @@
 		return t, up, http.StatusOK
 	}
 	s.remove(t)
-	if !d.provesPaths(address, began, err) {
+	if dial.ErrNoPath.Has(err) || !d.provesPaths(address, began, err) {
 		return nil, nil, http.StatusServiceUnavailable
 	}
 	s.recordFailure(address)
@@ -149,11 +159,11 @@
 	_, _ = fmt.Fprintf(c, "HTTP/1.1 %d %s\r\nContent-Length: 0\r\n%s\r\n", status, http.StatusText(status), through) // an error means that the VM has disconnected
 }
 
-// add adds a tunnel unless the server stops or has maxTunnels.
+// add adds a tunnel unless the server stops or has as many as it may.
 func (s *Server) add() (*carried, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.stopping || len(s.tunnels) >= maxTunnels {
+	if s.stopping || len(s.tunnels) >= s.limit {
 		return nil, false
 	}
 	t := &carried{}
--- a/lib/door/door.go
+++ b/lib/door/door.go
@@ -67,6 +67,11 @@
 // Listen binds to address, an IP address and a port. The handshake runs with the
 // first read of a connection, so the read timeout of the server bounds it.
 func (d *Endpoint) Listen(ctx context.Context, address string) (net.Listener, error) {
+	return d.ListenWrapped(ctx, address, func(l net.Listener) net.Listener { return l })
+}
+
+// ListenWrapped is Listen with a function that is applied to the listener of TCP connections, below TLS.
+func (d *Endpoint) ListenWrapped(ctx context.Context, address string, wrap func(net.Listener) net.Listener) (net.Listener, error) {
 	if !d.Secure() && !loopback(address) {
 		return nil, Class.New("%s is not a loopback address and there are no certificates: "+
 			"name the tls files in the settings, or bind to 127.0.0.1", address)
@@ -76,6 +81,7 @@
 	if err != nil {
 		return nil, Class.Wrap(err)
 	}
+	l = wrap(l)
 	if !d.Secure() {
 		return l, nil
 	}
--- a/lib/logline/logline.go
+++ b/lib/logline/logline.go
@@ -16,6 +16,8 @@
 	Stopping = "stopping"
 	Stopped  = "stopped"
 	Failed   = "failed"
+	// Accept is a listener that cannot accept connections.
+	Accept = "accept"
 	// Applied and Rejected are the result of validating a new configuration document.
 	Applied  = "applied"
 	Rejected = "rejected"
@@ -77,6 +79,7 @@
 	Stopping:     "a planned stop has begun, or a response is cut off at the end of the stop",
 	Stopped:      "a planned stop is complete",
 	Failed:       "a component of the process has failed; the process stops",
+	Accept:       "a listener cannot accept connections, for want of descriptors or of the kernel's memory; it tries again, and the VM is not ready meanwhile",
 	Applied:      "a document has been applied, with the age and source of the information",
 	Rejected:     "a document has been rejected, with the reason",
 	Engine:       "the performance data of a service's engines, on which placement is based, are new or have changed",
--- a/scenarios/fleet/fleet.go
+++ b/scenarios/fleet/fleet.go
@@ -268,6 +268,9 @@
 	return fmt.Errorf("%s is not ready within %v: %s", v.Name, timeout, v.Process.Tail())
 }
 
+// PeerListener returns the address for peers on which the process itself listens.
+func (v *VM) PeerListener() string { return v.peerAddress }
+
 // Logs returns the status of each VM's process and the end of its log.
 func (f *Fleet) Logs() string {
 	text := ""
--- a/scenarios/platform_flood_test.go
+++ b/scenarios/platform_flood_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -9,6 +10,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 
 	"snipeshift.example/platform/standin"
 	"snipeshift.example/scenarios/fleet"
@@ -59,7 +61,45 @@
 // turned away at once, so that it is served by another VM.
 func TestPlatformVMFloodedWithConnectionsTurnsClientsAway(t *testing.T) {
 	f := newFleetWith(t, 3, func(f *fleet.Fleet) { f.Descriptors = floodDescriptors })
-	flooded, other := f.VMs[0], f.VMs[1]
+	requireServiceInFlood(t, f.VMs[0], f.VMs[1])
+}
+
+// The limit of descriptors is lowered while a VM runs, below what its listeners reckon with, and most new connections go to
+// it. Accept fails at every listener; the process must live through it, and say so.
+func TestPlatformVMOutOfDescriptorsServesOn(t *testing.T) {
+	f := newFleet(t, 3)
+	flooded := f.VMs[0]
+	require.NoError(t, unix.Prlimit(flooded.Process.Pid(), unix.RLIMIT_NOFILE, &unix.Rlimit{Cur: floodDescriptors, Max: floodDescriptors}, nil))
+	requireServiceInFlood(t, flooded, f.VMs[1])
+	lines := flooded.Process.Grep(`"event":"accept"`)
+	require.Len(t, lines, 1, "one line, however often Accept fails")
+	require.Contains(t, metricsOf(t, flooded), `snipeshift_accept_failures_total{listener="clients"}`)
+}
+
+// Silent connections to the port for peers take all that a VM keeps for other VMs. Heartbeats, owners' answers and clients
+// must go on, and the port must be free again as soon as the flood ends.
+func TestPlatformPeerPortFloodedWithConnectionsServesOn(t *testing.T) {
+	f := newFleetWith(t, 3, func(f *fleet.Fleet) { f.Descriptors = floodDescriptors })
+	stop := make(chan struct{})
+	silent := flood(f.VMs[0].PeerListener(), stop)
+	time.Sleep(time.Second)
+	for until := time.Now().Add(floodTime); time.Now().Before(until); time.Sleep(10 * floodInterval) {
+		for _, v := range f.VMs {
+			r := callOnce(v)
+			require.Equal(t, http.StatusOK, r.Status, r.Text)
+		}
+	}
+	for _, v := range f.VMs {
+		require.True(t, v.Ready(), v.Name)
+	}
+	close(stop)
+	silent.Wait()
+}
+
+// requireServiceInFlood opens hundreds of silent connections to a VM and requires that its clients are served there, or by
+// another VM after they were turned away at once.
+func requireServiceInFlood(t *testing.T, flooded, other *fleet.VM) {
+	t.Helper()
 	stop := make(chan struct{})
 	silent := flood(flooded.Caller, stop)
 	time.Sleep(time.Second)
@@ -105,3 +145,14 @@
 		require.Equal(t, http.StatusOK, r.Status, r.Text)
 	}
 }
+
+// metricsOf returns the metrics of a VM.
+func metricsOf(t *testing.T, v *fleet.VM) string {
+	t.Helper()
+	resp, err := http.Get("http://" + v.Metrics + "/metrics")
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	return string(b)
+}
--- a/scenarios/world/world.go
+++ b/scenarios/world/world.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"path/filepath"
 	"sort"
@@ -65,6 +66,8 @@
 	applies atomic.Uint64
 	// applying is set while a document is being applied.
 	applying atomic.Bool
+	// silent holds the connections of Occupy.
+	silent []net.Conn
 }
 
 // role is the kind of a process.
