placer: a new owner that is busy is not replaced at once

After all VMs of a large fleet lose power, the owner of a service changed up to 25 times in a second and a half: a new owner answers late while hundreds of gates connect to it and present their grants, the next VM takes the service over, and is as busy. Each change has all gates present again and the new owner poll all upstreams.

A VM now leaves a service that changed hands within the last 0.3 s to its owner if that accepts connections. One that was lost is replaced as before.

--- a/daemon/placer/hold.go
+++ b/daemon/placer/hold.go
@@ -35,6 +35,10 @@
 	// handOverCheckEvery is the interval of checks for services to hand over to a VM of higher
 	// capacity.
 	handOverCheckEvery = 500 * time.Millisecond
+	// settlingTime is how long a VM leaves a service to a new holder that does not answer although it runs. Hundreds of
+	// gates connect to a new holder and present their grants at once; its successor would be as busy, and each change
+	// makes them do so again.
+	settlingTime = 300 * clock.Milli(1)
 	// maxRoutings bounds how often a query is routed again because the holder changed in the
 	// meantime.
 	maxRoutings = 3
@@ -66,13 +70,17 @@
 			reply.Moved = true
 			return nil
 		case holder.Forward:
-			if o.forward(args, reply, to) == nil {
+			err := o.forward(args, reply, to)
+			if err == nil {
 				return nil
 			}
 			if args.Detour {
 				reply.Moved = true
 				return nil
 			}
+			if o.settling(args.Service, err) {
+				return nil
+			}
 			o.becomeHolder(args.Service, epoch, "silent")
 		}
 	}
@@ -80,6 +88,12 @@
 	return nil
 }
 
+// settling reports whether a holder that did not answer, with err, is a new one whose VM still accepts connections.
+func (o *Owner) settling(s route.ServiceID, err error) bool {
+	_, since, ok := o.Holders.HolderSince(s)
+	return ok && o.Clock.Now()-since < settlingTime && peer.ErrUnanswered.Has(err)
+}
+
 // attachHolder adds the current holder to the reply if the gate follows another epoch.
 func (o *Owner) attachHolder(args *AskArgs, reply *AskReply) {
 	if x, ok := o.Holders.Of(args.Service); ok && x.Epoch != args.Epoch {
--- a/daemon/placer/loss_test.go
+++ b/daemon/placer/loss_test.go
@@ -65,6 +65,11 @@
 	cuts map[peer.VM]peer.VM
 	// slow is added to the time of each call.
 	slow time.Duration
+	// settling is how long a VM that has become the holder answers nothing, tookAt when each VM last became the holder, and
+	// changes counts the changes of holder.
+	settling time.Duration
+	tookAt   map[peer.VM]time.Time
+	changes  int
 	// apart are two failure domains whose VMs cannot reach each other; all reach the third.
 	apart [2]peer.Domain
 	// sideB is true for the VMs on one of the two sides of a partition; sides has the member list
@@ -97,7 +102,7 @@
 
 func newLossFleet(t *testing.T) *lossFleet {
 	t.Helper()
-	f := &lossFleet{t: t, began: time.Now(), vms: map[peer.VM]*lossVM{}, cuts: map[peer.VM]peer.VM{}}
+	f := &lossFleet{t: t, began: time.Now(), vms: map[peer.VM]*lossVM{}, cuts: map[peer.VM]peer.VM{}, tookAt: map[peer.VM]time.Time{}}
 	for i := range fleetVMs {
 		m := peer.Member{VM: peer.VM(fmt.Sprintf("vm-%02d", i)), Address: fmt.Sprintf("vm-%02d", i), Incarnation: 1, Cores: 192, Link: 20, Domain: peer.Domain(fmt.Sprint("d", (i+i/12)%3))}
 		if i%12 == 0 {
@@ -213,7 +218,7 @@
 		s.fleet.unansweredQueries = append(s.fleet.unansweredQueries, time.Since(s.fleet.began))
 	}
 	s.fleet.mu.Unlock()
-	if off {
+	if off || !s.fleet.awaitSettled(ctx, peer.VM(address)) {
 		<-ctx.Done()
 		return ctx.Err()
 	}
@@ -245,16 +250,35 @@
 	v := s.fleet.vms[peer.VM(address)]
 	paused := v != nil && v.paused
 	s.fleet.mu.Unlock()
-	if !off {
+	settled := s.fleet.awaitSettled(ctx, peer.VM(address))
+	if !off && settled {
 		return nil
 	}
 	<-ctx.Done()
-	if paused {
+	if paused || !settled {
 		return peer.ErrUnanswered.Wrap(ctx.Err())
 	}
 	return ctx.Err()
 }
 
+// awaitSettled waits until a VM is no longer busy as a new holder. It returns false if ctx ends before.
+func (f *lossFleet) awaitSettled(ctx context.Context, vm peer.VM) bool {
+	f.mu.Lock()
+	wait := time.Until(f.tookAt[vm].Add(f.settling))
+	f.mu.Unlock()
+	if wait <= 0 {
+		return true
+	}
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // cutPower cuts the power of a VM; heartbeats detect the loss after detectionTime.
 func (f *lossFleet) cutPower(vm peer.VM) {
 	f.mu.Lock()
@@ -444,6 +468,26 @@
 	})
 }
 
+// A small VM that has become the owner answers nothing for a fifth of a second, since all gates connect to it and present
+// their grants. Its successor would be as busy: if each were passed over, no VM would place anything, and each would poll
+// all upstreams.
+func TestBusyNewOwnerIsNotReplaced(t *testing.T) {
+	inSimulatedTime(t, func(t *testing.T, f *lossFleet) {
+		const loss, end = time.Second, 4 * time.Second
+		f.settling = 200 * time.Millisecond
+		before := 0
+		f.run(end, map[time.Duration]func(){loss: func() {
+			f.mu.Lock()
+			before = f.changes
+			f.mu.Unlock()
+			f.cutPower(f.placing())
+		}})
+		require.Equal(t, 1, f.changes-before)
+		late, all := f.late(loss+2*recoveryTime, end, maxLatency)
+		require.LessOrEqual(t, len(late), all/100)
+	})
+}
+
 // The owner's VM is paused for four seconds, during which gates follow another owner. It resumes
 // with the outdated view that it is the owner.
 func TestResumedOwnerFollowsItsSuccessor(t *testing.T) {
@@ -652,6 +696,15 @@
 	}
 	s := vmView{f, m}
 	o := ownerAt(f.t, s, s, ids...)
+	o.Holders.OnChange(func(x peer.Holder) {
+		if x.VM != m.VM {
+			return
+		}
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.tookAt[m.VM] = time.Now()
+		f.changes++
+	})
 	c := NewClient(testClock{}, quietLog, s, s, o, decide.GateID(m.VM))
 	ctx, stop := context.WithCancel(context.Background())
 	go func() { _ = c.Run(ctx) }()
