--- a/scenarios/script/process.go
+++ b/scenarios/script/process.go
@@ -36,7 +36,7 @@
 	if err != nil {
 		return usageError(err.Error())
 	}
-	return s.world.Occupy(args[0], args[1], n)
+	return s.world.Occupy(s.ctx, args[0], args[1], n)
 }
 
 // vacate closes the connections of occupy: vacate
--- a/scenarios/world/descriptors.go
+++ b/scenarios/world/descriptors.go
@@ -1,6 +1,7 @@
 package world
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"time"
@@ -18,7 +19,7 @@
 }
 
 // Occupy opens connections to a daemon that carry nothing, without a relay. They stay open until Vacate.
-func (w *World) Occupy(name, where string, count int) error {
+func (w *World) Occupy(ctx context.Context, name, where string, count int) error {
 	n, err := w.node(name)
 	if err != nil {
 		return err
@@ -27,8 +28,9 @@
 	if !ok {
 		return fmt.Errorf("%s has no address %q", name, where)
 	}
+	d := net.Dialer{Timeout: time.Second}
 	for range count {
-		c, err := net.DialTimeout("tcp", address, time.Second)
+		c, err := d.DialContext(ctx, "tcp", address)
 		if err != nil {
 			return err
 		}
