placer: queries that are forwarded to a silent holder share one check

After all 295 VMs of the large deployment lost power, the owner of a service changed for up to fifteen seconds, and upstreams got up to 196,000 polls. A VM that forwards queries to an owner that is slow to answer checks it with a connection of its own and three of other VMs, for each query: hundreds of queries, thousands of connections, and the owner answers nobody.

The queries of a VM to one holder now share the check under way.

--- a/daemon/placer/detour.go
+++ b/daemon/placer/detour.go
@@ -51,9 +51,9 @@
 	delete(d.byVM, x)
 }
 
-// findDetour asks witnesses whether a holder answers them, and sends the first one that says so, nil if neededWitnesses say
+// findDetour asks witnesses whether a holder answers them, and returns the first one that says so, nil if neededWitnesses say
 // that it does not, or too few reply.
-func (o *Owner) findDetour(s route.ServiceID, to peer.Member, found chan<- *peer.Member) {
+func (o *Owner) findDetour(s route.ServiceID, to peer.Member) *peer.Member {
 	ctx, cancel := context.WithTimeout(context.Background(), witnessTimeout.Duration())
 	defer cancel()
 	witnesses := o.Holders.witnesses(s, maxWitnesses)
@@ -74,13 +74,12 @@
 		select {
 		case m := <-replies:
 			if m != nil {
-				found <- m
-				return
+				return m
 			}
 		case <-ctx.Done():
 		}
 	}
-	found <- nil
+	return nil
 }
 
 // queryThrough sends a query to the holder through another VM.
--- a/daemon/placer/forward.go
+++ b/daemon/placer/forward.go
@@ -71,15 +71,14 @@
 		}
 		o.detours.remove(to.VM)
 	}
-	detour := make(chan *peer.Member, 1)
-	r, err := o.queryDirectly(to, args, detour)
+	r, check, err := o.queryDirectly(to, args)
 	if err == nil || args.Detour {
 		return r, err
 	}
 	// A refused connection means that the holder's process has ended, which no detour changes.
 	if !errors.Is(err, syscall.ECONNREFUSED) {
-		if m := <-detour; m != nil {
-			if r, err := o.startDetour(to, *m, args); err == nil {
+		if <-check.searched; check.detour != nil {
+			if r, err := o.startDetour(to, *check.detour, args); err == nil {
 				return r, nil
 			}
 		}
@@ -89,31 +88,28 @@
 }
 
 // queryDirectly sends one query to the holder over this VM's own connections. If the holder does not answer soon, it is
-// probed, and a detour is looked for at the same time, unless the query is on one already.
-func (o *Owner) queryDirectly(to peer.Member, args *AskArgs, detour chan<- *peer.Member) (AskReply, error) {
+// checked; the check is returned if the holder does not answer that either.
+func (o *Owner) queryDirectly(to peer.Member, args *AskArgs) (AskReply, *holderCheck, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), forwardTimeout.Duration())
 	defer cancel()
-	probed := make(chan error, 1)
-	probe := func() {
-		if !args.Detour {
-			go o.findDetour(args.Service, to, detour)
-		}
-		probed <- o.Peers.Probe(ctx, to.Address)
-	}
-	t := time.AfterFunc(probeAfter.Duration(), probe)
+	checks := make(chan *holderCheck, 1)
+	check := func() { checks <- o.checks.join(o, args.Service, to, !args.Detour) }
+	t := time.AfterFunc(probeAfter.Duration(), check)
 	var reply AskReply
 	err := o.Peers.Call(ctx, to.Address, Name+".Ask", args, &reply)
 	if t.Stop() && err != nil {
-		probe()
+		check()
 	}
 	if err == nil {
-		return reply, nil
+		return reply, nil, nil
 	}
 	// A late answer may still be decoded into reply, so reply must not be used here.
-	if e := <-probed; e != nil {
-		return AskReply{}, errors.Join(err, e)
+	c := <-checks
+	<-c.probed
+	if c.err != nil {
+		return AskReply{}, c, errors.Join(err, c.err)
 	}
-	return AskReply{}, nil
+	return AskReply{}, c, nil
 }
 
 // forwardNote forwards a message about a grant to the holder without waiting for an answer. The
--- a/daemon/placer/owner.go
+++ b/daemon/placer/owner.go
@@ -95,6 +95,7 @@
 	holderMu sync.Mutex
 	watches  watches
 	detours  detours
+	checks   checks
 }
 
 // ownedPool is the pool of one service with the queries that wait for its decisions.
@@ -135,6 +136,7 @@
 	o := &Owner{OwnerNeeds: n, budget: b, statements: statements.New(n.Clock, n.Log), pools: map[route.ServiceID]*ownedPool{}, noteSlots: make(chan struct{}, maxForwardedNotes)}
 	o.watches.byService = map[route.ServiceID]*watch{}
 	o.detours.byVM = map[peer.VM]peer.Member{}
+	o.checks.open = map[checkKey]*holderCheck{}
 	n.Holders.OnChange(o.onHolderChange)
 	return o
 }
