path, tunnel: paths to the upstreams of one failure domain are lost by themselves

Two failure domains that are cut from each other, while both reach a third: each request that was placed across the cut waited 0.3 s, after which its upstream was taken for unreachable, although the third domain reached it. The VMs that were asked were mostly of the same domain and confirmed each other; a connect that hangs was recorded only when it had failed, after 0.3 s; and connects to the other domains proved all paths good.

VMs of different domains are asked in turn, a verdict on an upstream needs VMs of two domains, and two upstreams of one domain that others reach and this VM does not make the paths to that domain lost: its connects go through another VM at once, until direct connects work again.

TestCutBetweenTwoDomainsIsBypassedThroughThird and TestPathsToOneDomainAreLostAlone are new.

--- a/daemon/config.go
+++ b/daemon/config.go
@@ -7,6 +7,7 @@
 
 	"snipeshift.example/lib/decide"
 	"snipeshift.example/lib/document"
+	"snipeshift.example/lib/peer"
 )
 
 // config holds the index of the configuration document in force and the upstreams that the
@@ -37,6 +38,28 @@
 	return addresses
 }
 
+// Domain implements tunnel.Upstreams.
+func (c *config) Domain(address string) peer.Domain {
+	x, ok := c.Index()
+	if !ok {
+		return ""
+	}
+	var found peer.Domain
+	several := false
+	us := x.Document().Upstreams
+	for i := range us {
+		d := peer.Domain(us[i].Domain)
+		several = several || d != peer.Domain(us[0].Domain)
+		if us[i].Address == address {
+			found = d
+		}
+	}
+	if !several {
+		return ""
+	}
+	return found
+}
+
 // Usable implements tunnel.Upstreams.
 func (c *config) Usable(address string) bool { return slices.Contains(c.Addresses(), address) }
 
--- a/daemon/relay.go
+++ b/daemon/relay.go
@@ -210,6 +210,27 @@
 	return addresses
 }
 
+// Domain implements tunnel.Upstreams.
+func (l listedUpstreams) Domain(address string) peer.Domain {
+	var first, found route.Domain
+	several := false
+	for _, us := range l.registry.View().Upstreams {
+		for i := range us {
+			if first == "" {
+				first = us[i].Domain
+			}
+			several = several || us[i].Domain != first
+			if us[i].Address == address {
+				found = us[i].Domain
+			}
+		}
+	}
+	if !several {
+		return ""
+	}
+	return peer.Domain(found)
+}
+
 // Usable implements tunnel.Upstreams.
 func (l listedUpstreams) Usable(address string) bool {
 	for s, us := range l.registry.View().Upstreams {
--- a/daemon/tunnel/dialer.go
+++ b/daemon/tunnel/dialer.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -15,6 +16,7 @@
 	"snipeshift.example/lib/decide/path"
 	"snipeshift.example/lib/dial"
 	"snipeshift.example/lib/logline"
+	"snipeshift.example/lib/peer"
 )
 
 // Needs are the dependencies of a Dialer.
@@ -43,7 +45,9 @@
 
 // NewDialer returns a dialer that connects directly until connects fail.
 func NewDialer(n Needs) *Dialer {
-	return &Dialer{Needs: n, table: path.New(n.Members.Self()), onHang: func() {}, metrics: newMetrics()}
+	d := &Dialer{Needs: n, table: path.New(n.Members.Self()), onHang: func() {}, metrics: newMetrics()}
+	d.table.SetDomains(n.Upstreams.Domain)
+	return d
 }
 
 // OnHang sets a function to be called when the paths are lost and connects get no answer, so that open
@@ -53,6 +57,13 @@
 // Lost reports whether the direct paths of this VM to upstreams count as lost.
 func (d *Dialer) Lost() bool { d.mu.Lock(); defer d.mu.Unlock(); return d.table.Lost() }
 
+// lostTo reports whether the direct path of this VM to an upstream counts as lost, with those to all or to its domain.
+func (d *Dialer) lostTo(address string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.table.Lost() || d.table.DomainLost(address)
+}
+
 // Dial implements dial.Dial for addresses of upstreams. An error of class dial.ErrNoPath says nothing about the upstream;
 // any other error but that of ctx means that the upstream takes no connection.
 func (d *Dialer) Dial(ctx context.Context, network, address string) (net.Conn, error) {
@@ -142,13 +153,16 @@
 // directLate chooses between a direct connect that takes long and the result of asking other VMs.
 func (d *Dialer) directLate(ctx context.Context, address string, direct chan attempt, other attempt) (net.Conn, error) {
 	if other.err == nil {
+		// A connect that hangs fails a quarter of a second later; until then each further one would wait as well. If it
+		// succeeds after all, that is recorded as any success.
+		d.recordBypass(address, errNoAnswer)
 		go func() {
 			a := <-direct
-			if a.err != nil {
+			if a.err == nil {
+				_ = a.conn.Close()
+			} else if isRefusal(a.err) {
 				d.recordBypass(address, a.err)
-				return
 			}
-			_ = a.conn.Close()
 		}()
 		return other.conn, nil
 	}
@@ -212,7 +226,12 @@
 
 // noteLoss logs that the paths of this VM are lost.
 func (d *Dialer) noteLoss(err error) {
-	d.Log.Warn().Str(logline.Key, logline.Paths).Bool("lost", true).Err(err).Msg("this VM has lost its paths to upstreams; it connects through other VMs")
+	d.mu.Lock()
+	domains := d.table.LostDomains()
+	all := d.table.Lost()
+	d.mu.Unlock()
+	d.Log.Warn().Str(logline.Key, logline.Paths).Bool("lost", true).Bool("all", all).Strs("domains", domainNames(domains)).Err(err).
+		Msg("this VM has lost its paths to upstreams; it connects through other VMs")
 	if !isRefusal(err) {
 		d.onHang()
 	}
@@ -226,10 +245,14 @@
 	guard.Every(ctx, testPeriod, func() {
 		d.mu.Lock()
 		due := d.table.TestDue(d.Clock.Now())
+		domain, domainDue := d.table.DomainTestDue(d.Clock.Now())
 		d.mu.Unlock()
 		if due {
 			d.test(ctx)
 		}
+		if domainDue {
+			d.testDomain(ctx, domain)
+		}
 	})
 	return nil
 }
@@ -251,3 +274,31 @@
 	defer d.mu.Unlock()
 	d.table.TestFailed(isRefusal(err))
 }
+
+// testDomain connects directly to a random upstream of a domain.
+func (d *Dialer) testDomain(ctx context.Context, domain peer.Domain) {
+	addresses := slices.DeleteFunc(d.Upstreams.Addresses(), func(a string) bool { return d.Upstreams.Domain(a) != domain })
+	if len(addresses) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
+	defer cancel()
+	c, err := d.connect(ctx, "tcp", addresses[rand.IntN(len(addresses))])
+	if err == nil {
+		_ = c.Close()
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.table.DomainTestFailed(domain)
+}
+
+// domainNames returns the names of domains in order.
+func domainNames(ds []peer.Domain) []string {
+	names := make([]string, len(ds))
+	for i, d := range ds {
+		names[i] = string(d)
+	}
+	slices.Sort(names)
+	return names
+}
--- a/daemon/tunnel/search.go
+++ b/daemon/tunnel/search.go
@@ -20,8 +20,8 @@
 // errDeclined means that a VM can't tell whether the upstream takes connections.
 var errDeclined = errors.New("the VM asked can't connect")
 
-// errNoAnswer means that a VM has not answered in time. It may be busy.
-var errNoAnswer = errors.New("the VM asked does not answer")
+// errNoAnswer means that a VM or an upstream has not answered in time. It may be busy.
+var errNoAnswer = errors.New("no answer in time")
 
 // errUnreachable means that a VM that reaches other upstreams can't connect to this one.
 var errUnreachable error = &net.OpError{Op: "dial", Net: "tcp", Err: errors.New("other VMs can't connect to the upstream either")}
@@ -31,7 +31,7 @@
 func (d *Dialer) through(ctx context.Context, address string, atOnce int) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, searchTimeout)
 	defer cancel()
-	s := &search{dialer: d, address: address, asked: map[peer.VM]bool{}, answers: make(chan attempt)}
+	s := &search{dialer: d, address: address, asked: map[peer.VM]bool{}, answers: make(chan answer), failedDomains: map[peer.Domain]bool{}}
 	c, err := s.run(ctx, atOnce)
 	d.recordSearch(s, err)
 	return c, err
@@ -54,6 +54,10 @@
 // lost its path to that one as well. In smaller fleets it is at fault if more fail than can't tell.
 const verdicts = 5
 
+// verdictDomains is how many failure domains these VMs must be of, if there are as many: all VMs of one may lack the same
+// path.
+const verdictDomains = 2
+
 // maxAsked bounds the VMs that are asked for one connect. With nine in ten VMs cut, one of so many probably is not.
 const maxAsked = 24
 
@@ -63,10 +67,12 @@
 	dialer  *Dialer
 	address string
 	asked   map[peer.VM]bool
-	answers chan attempt
+	answers chan answer
 	// pending counts the VMs that have not answered, failed those that reach other upstreams only, and declined
 	// those that can't tell.
 	pending, failed, declined int
+	// failedDomains are the domains of the VMs counted in failed.
+	failedDomains map[peer.Domain]bool
 }
 
 func (s *search) run(ctx context.Context, atOnce int) (net.Conn, error) {
@@ -77,7 +83,7 @@
 	for range atOnce {
 		more = more && s.askNext(ctx)
 	}
-	for s.pending > 0 && s.failed < verdicts {
+	for s.pending > 0 && !(s.failed >= verdicts && s.enoughDomains()) {
 		select {
 		case a := <-s.answers:
 			s.pending--
@@ -86,6 +92,7 @@
 			}
 			if errors.Is(a.err, errUnreachable) {
 				s.failed++
+				s.failedDomains[a.domain] = true
 			} else {
 				s.declined++
 			}
@@ -101,15 +108,31 @@
 
 // failure returns the error of a search that found no VM.
 func (s *search) failure() error {
-	if s.failed >= verdicts || s.failed > s.declined && s.pending == 0 {
+	enough := s.failed >= verdicts || s.failed > s.declined && s.pending == 0
+	if enough && s.enoughDomains() {
 		return errUnreachable
 	}
 	return dial.ErrNoPath.New("%d other VMs were asked", len(s.asked))
 }
 
+// enoughDomains reports whether the VMs that failed are of enough domains for a verdict.
+func (s *search) enoughDomains() bool {
+	domains := map[peer.Domain]bool{}
+	for _, m := range s.dialer.Members.Live() {
+		domains[m.Domain] = true
+	}
+	return len(s.failedDomains) >= min(verdictDomains, len(domains))
+}
+
+// answer is the answer of one VM.
+type answer struct {
+	attempt
+	domain peer.Domain
+}
+
 // askNext asks one more VM, if there is one.
 func (s *search) askNext(ctx context.Context) bool {
-	m, ok := s.dialer.nextCandidate(s.asked, s.declined)
+	m, ok := s.dialer.nextCandidate(s.address, s.asked, s.declined)
 	if !ok || ctx.Err() != nil || len(s.asked) >= maxAsked {
 		return false
 	}
@@ -118,7 +141,7 @@
 	go func() {
 		c, err := s.dialer.ask(ctx, m, s.address)
 		s.dialer.metrics.countAsk(err)
-		s.answers <- attempt{c, err}
+		s.answers <- answer{attempt{c, err}, m.Domain}
 	}()
 	return true
 }
@@ -135,11 +158,11 @@
 }
 
 // nextCandidate returns a VM that has not been asked for this connect. Each answer may name better ones.
-func (d *Dialer) nextCandidate(asked map[peer.VM]bool, declined int) (peer.Member, bool) {
+func (d *Dialer) nextCandidate(address string, asked map[peer.VM]bool, declined int) (peer.Member, bool) {
 	live := d.Members.Live()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for _, m := range d.table.Candidates(d.Clock.Now(), live, declined, rand.IntN) {
+	for _, m := range d.table.CandidatesFor(d.Clock.Now(), live, address, declined, rand.IntN) {
 		if !asked[m.VM] {
 			return m, true
 		}
--- a/daemon/tunnel/server.go
+++ b/daemon/tunnel/server.go
@@ -106,7 +106,7 @@
 		return nil, nil, http.StatusBadGateway
 	}
 	t, ok := s.add()
-	if !ok || d.Lost() {
+	if !ok || d.lostTo(address) {
 		s.remove(t)
 		return nil, nil, http.StatusServiceUnavailable
 	}
--- a/daemon/tunnel/tunnel.go
+++ b/daemon/tunnel/tunnel.go
@@ -59,6 +59,8 @@
 	// Usable reports whether connections to address may be opened for other VMs: the upstream is listed, and has not
 	// asked this VM to send nothing.
 	Usable(address string) bool
+	// Domain returns the failure domain of the upstream at address; empty if it is unknown, or if all upstreams are in one.
+	Domain(address string) peer.Domain
 }
 
 // Clock reads the time of this process.
--- a/daemon/tunnel/tunnel_test.go
+++ b/daemon/tunnel/tunnel_test.go
@@ -30,6 +30,9 @@
 	vms       []*testVM
 	mu        sync.Mutex
 	upstreams []string
+	// domains holds the domains of upstreams and VMs by address, cut two domains that do not reach each other.
+	domains map[string]peer.Domain
+	cut     [2]peer.Domain
 }
 
 // testVM is one VM.
@@ -53,6 +56,20 @@
 
 func (f *testFleet) Usable(a string) bool { return slices.Contains(f.Addresses(), a) }
 
+func (f *testFleet) Domain(a string) peer.Domain {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.domains[a]
+}
+
+// apart reports whether a VM does not reach an address because of the cut between two domains.
+func (f *testFleet) apart(v *testVM, address string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	from, to := v.member.Domain, f.domains[address]
+	return from != to && slices.Contains(f.cut[:], from) && slices.Contains(f.cut[:], to)
+}
+
 func (v *testVM) Self() peer.Member { return v.member }
 
 func (v *testVM) Live() (ms []peer.Member) {
@@ -64,18 +81,26 @@
 
 func (v *testVM) dialDirect(ctx context.Context, network, address string) (net.Conn, error) {
 	v.direct.Add(1)
+	if v.fleet.apart(v, address) {
+		return hang(ctx)
+	}
 	switch v.fault.Load() {
 	case "refuse":
 		return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
 	case "hang":
-		ctx, cancel := context.WithTimeout(ctx, 300*time.Millisecond)
-		defer cancel()
-		<-ctx.Done()
-		return nil, &net.OpError{Op: "dial", Err: ctx.Err()}
+		return hang(ctx)
 	}
 	return (&net.Dialer{}).DialContext(ctx, network, address)
 }
 
+// hang is a connect without an answer.
+func hang(ctx context.Context) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, 300*time.Millisecond)
+	defer cancel()
+	<-ctx.Done()
+	return nil, &net.OpError{Op: "dial", Err: ctx.Err()}
+}
+
 // newTestFleet starts VMs and a number of upstreams that answer with their index.
 func newTestFleet(t *testing.T, vms, upstreams int) *testFleet {
 	t.Helper()
@@ -92,6 +117,9 @@
 		v.dialer = NewDialer(Needs{
 			Clock: clock.Boot{}, Log: &log.Logger{Level: log.FatalLevel}, Members: v, Upstreams: f, Direct: v.dialDirect,
 			Peer: func(ctx context.Context, address string) (net.Conn, error) {
+				if f.apart(v, address) {
+					return hang(ctx)
+				}
 				return (&net.Dialer{}).DialContext(ctx, "tcp", address)
 			},
 		})
@@ -147,6 +175,46 @@
 	}
 }
 
+// The network between two domains is cut, and both reach a third one. Connects of one to upstreams of the other must neither
+// wait for their own path each time nor be taken for the upstream's fault, which all VMs of the domain would confirm.
+func TestCutBetweenTwoDomainsIsBypassedThroughThird(t *testing.T) {
+	f := newTestFleet(t, 24, 9)
+	f.domains = map[string]peer.Domain{}
+	name := func(i int) peer.Domain { return peer.Domain(fmt.Sprint("d", i%3)) }
+	for i, v := range f.vms {
+		v.member.Domain = name(i)
+		v.dialer = NewDialer(v.dialer.Needs)
+		v.tunnel.dialer = v.dialer
+		f.domains[v.member.Address] = name(i)
+	}
+	for i, a := range f.upstreams {
+		f.domains[a] = name(i)
+	}
+	f.cut = [2]peer.Domain{"d0", "d1"}
+	v := f.vms[0]
+	for i := range 12 {
+		u := 1 + 3*(i%3)
+		began := time.Now()
+		body, err := v.get(f.upstreams[u])
+		require.NoError(t, err)
+		require.Equal(t, fmt.Sprint("upstream ", u), body)
+		if i >= 3 {
+			require.Less(t, time.Since(began), directWait, "the path to the domain is known to be lost")
+		}
+		require.False(t, v.dialer.knownDown(f.upstreams[u]))
+		_, err = v.get(f.upstreams[u+1])
+		require.NoError(t, err)
+	}
+	require.False(t, v.dialer.Lost(), "the paths to the other domains work")
+	f.mu.Lock()
+	f.cut = [2]peer.Domain{}
+	f.mu.Unlock()
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	go func() { _ = v.dialer.Run(ctx) }()
+	require.Eventually(t, func() bool { return !v.dialer.lostTo(f.upstreams[1]) }, 3*time.Second, 10*time.Millisecond)
+}
+
 // Most VMs are cut a moment after they connected, none of them knows it yet, and none must blame an upstream.
 func TestVMsThatAreCutBlameNoUpstream(t *testing.T) {
 	f := newTestFleet(t, 9, 4)
--- a/lib/decide/path/carriers.go
+++ b/lib/decide/path/carriers.go
@@ -52,6 +52,11 @@
 // Candidates returns the VMs to ask for a connect, in order. declined counts those that have been asked for it in vain;
 // random returns a number below its argument.
 func (t *Table) Candidates(now clock.Milli, live []peer.Member, declined int, random func(n int) int) []peer.Member {
+	return t.inOrder(now, live, declined, maxCandidates, random)
+}
+
+// inOrder returns up to limit VMs in the order of their ranks.
+func (t *Table) inOrder(now clock.Milli, live []peer.Member, declined, limit int, random func(n int) int) []peer.Member {
 	var groups [ranks][]int
 	for i := range live {
 		if live[i].VM == t.self.VM {
@@ -68,10 +73,10 @@
 	case n > 0 && n < maxCarriers && random(exploreOdds) == 0:
 		order = [ranks]rank{sameDomain, otherDomain, carrier, named, paused}
 	}
-	out := make([]peer.Member, 0, maxCandidates)
+	out := make([]peer.Member, 0, min(limit, len(live)))
 	for _, r := range order {
 		g := groups[r]
-		for len(g) > 0 && len(out) < maxCandidates {
+		for len(g) > 0 && len(out) < limit {
 			i := random(len(g))
 			out = append(out, live[g[i]])
 			g[i] = g[len(g)-1]
--- a/lib/decide/path/path.go
+++ b/lib/decide/path/path.go
@@ -64,11 +64,14 @@
 	// testAt is when the next direct connect tests whether lost paths are back, testInterval the wait before it.
 	testAt, testInterval clock.Milli
 	candidates           map[peer.VM]*candidate
+	// domainOf returns the domain of an upstream; domains holds the direct paths to each.
+	domainOf func(address string) peer.Domain
+	domains  map[peer.Domain]*domainPath
 }
 
 // New returns the table of a VM whose paths work.
 func New(self peer.Member) *Table {
-	return &Table{self: self, bypassed: map[string]*bypass{}, inRow: map[string]bool{}, down: map[string]clock.Milli{}, candidates: map[peer.VM]*candidate{}}
+	return &Table{self: self, bypassed: map[string]*bypass{}, inRow: map[string]bool{}, down: map[string]clock.Milli{}, candidates: map[peer.VM]*candidate{}, domains: map[peer.Domain]*domainPath{}}
 }
 
 // Lost reports whether the direct paths to all upstreams count as lost.
@@ -80,7 +83,7 @@
 // Direct reports whether the next connect to address tries the direct path first. Of several connects to a
 // bypassed upstream one does so at a time.
 func (t *Table) Direct(now clock.Milli, address string) bool {
-	if t.lost {
+	if t.lost || t.DomainLost(address) {
 		return false
 	}
 	b := t.bypassed[address]
@@ -94,13 +97,15 @@
 	return true
 }
 
-// Connected records a direct connect. It returns true if the lost paths count as working again.
+// Connected records a direct connect. It returns true if lost paths, to all upstreams or to those of one domain, count as
+// working again.
 func (t *Table) Connected(now clock.Milli, address string) (regained bool) {
 	t.connectedAt, t.unprovenAt = now, 0
 	delete(t.bypassed, address)
 	clear(t.inRow)
+	domainRegained := t.connectedDomain(now, t.domain(address))
 	if !t.lost {
-		return false
+		return domainRegained
 	}
 	if t.regained++; t.regained < regainAfter {
 		t.testAt = now
@@ -112,7 +117,7 @@
 }
 
 // Bypassed records that the direct connect to address failed while another VM connected. It returns true if all
-// direct paths count as lost from now on.
+// direct paths, or those to the upstream's domain, count as lost from now on.
 func (t *Table) Bypassed(now clock.Milli, address string, refused bool) (lost bool) {
 	t.refused, t.regained = refused, 0
 	b := t.bypassed[address]
@@ -127,7 +132,11 @@
 	}
 	b.retryAt = now + b.interval
 	t.inRow[address] = true
-	return len(t.inRow) >= lostAfter && t.lose(now)
+	domainLost := t.bypassedDomain(now, t.domain(address), address)
+	if len(t.inRow) >= lostAfter && t.severalDomains() {
+		return t.lose(now)
+	}
+	return domainLost
 }
 
 // RecordDown records that VMs that reach other upstreams could not connect to this one.
--- a/lib/decide/path/path_test.go
+++ b/lib/decide/path/path_test.go
@@ -110,3 +110,48 @@
 	require.Contains(t, p.Carriers(20), peer.VM(rune('a'+19)))
 	require.Empty(t, p.Carriers(20+carrierTTL))
 }
+
+// domainsOf returns a table of a VM in domain "a" whose upstreams are named by their domains, such as "b1".
+func domainsOf() *Table {
+	p := New(self)
+	p.SetDomains(func(address string) peer.Domain { return peer.Domain(address[:1]) })
+	return p
+}
+
+// The network between two domains is cut: connects to the other domains must go on directly.
+func TestPathsToOneDomainAreLostAlone(t *testing.T) {
+	p := domainsOf()
+	require.False(t, p.Bypassed(1000, "b1", false))
+	p.Connected(1010, "c1")
+	require.True(t, p.Bypassed(1020, "b2", false), "connects to another domain prove nothing")
+	require.False(t, p.Lost())
+	require.False(t, p.Direct(1030, "b3"))
+	require.True(t, p.Direct(1030, "c2"))
+	d, due := p.DomainTestDue(1520)
+	require.True(t, due)
+	require.EqualValues(t, "b", d)
+	require.False(t, p.Connected(1530, "b3"))
+	require.True(t, p.Connected(1540, "b3"))
+	require.True(t, p.Direct(1550, "b1"))
+}
+
+// A VM loses the paths to all domains; the upstreams that it tries first are of one of them.
+func TestUpstreamsOfTwoDomainsAreLossOfAllPaths(t *testing.T) {
+	p := domainsOf()
+	p.Bypassed(1000, "b1", false)
+	p.Bypassed(1000, "b2", false)
+	require.False(t, p.Lost())
+	require.True(t, p.Bypassed(1000, "c1", false))
+	require.True(t, p.Lost())
+}
+
+// All VMs of a domain lack the same path; asked one after the other, they would only confirm each other.
+func TestCandidatesOfDifferentDomainsTakeTurns(t *testing.T) {
+	p := domainsOf()
+	live := []peer.Member{self, {VM: "a2", Domain: "a"}, {VM: "a3", Domain: "a"}, {VM: "b1", Domain: "b"}, {VM: "c1", Domain: "c"}, {VM: "c2", Domain: "c"}}
+	require.Equal(t, []peer.VM{"a2", "b1", "c2", "a3", "c1"}, names(p.CandidatesFor(0, live, "b1", 0, first)))
+	p.Bypassed(10, "b1", false)
+	p.Bypassed(10, "b2", false)
+	require.Equal(t, peer.VM("a3"), names(p.CandidatesFor(20, live, "b1", 0, first))[4], "those of the own domain come last")
+	require.Equal(t, peer.VM("a2"), names(p.CandidatesFor(20, live, "c1", 0, first))[0])
+}
