relay: responses that are not read end, and count against the memory for bodies

A client that asked for a large response and did not read it kept its grant for as long as it liked, since a write to it had no deadline: the owner's books had an upstream's slot taken that was free, and a planned stop waited for the client. Responses that were buffered for such clients, 1 MB each, counted against nothing.

Writes end 2 s after the request's deadline. Buffers of responses share the bound of those of requests, a quarter of the VM's memory; a response for which there is no room is passed on as it arrives.

TestClientThatDoesNotReadLosesItsGrant fails without the deadline. The tests of daemon/relay pass.

--- a/daemon/relay/body.go
+++ b/daemon/relay/body.go
@@ -29,12 +29,58 @@
 	if size < 0 || size > x.maxBody() {
 		size = x.maxBody()
 	}
+	if !x.hold(size) {
+		return nil, fault.New(fault.Overloaded, "%d bytes of requests and responses are held here", x.gate.bodies.Load()).WithRetry(notReadyRetry)
+	}
+	return func() { x.gate.bodies.Add(-x.held) }, nil
+}
+
+// hold counts bytes that are buffered until the request ends. It returns false if there is no room for them.
+func (x *request) hold(size int64) bool {
 	g := x.gate
-	if held := g.bodies.Add(size); held > g.bounds.BodyBytes {
+	if g.bodies.Add(size) > g.bounds.BodyBytes {
 		g.bodies.Add(-size)
-		return nil, fault.New(fault.Overloaded, "%d bytes of requests are held here", held-size).WithRetry(notReadyRetry)
+		return false
+	}
+	x.held += size
+	return true
+}
+
+// firstBuffer and bufferStep are the first size of the buffer of a response and the most by which it grows, in bytes.
+const (
+	firstBuffer = 4 << 10
+	bufferStep  = 32 << 10
+)
+
+// buffer reads a response up to bufferLimit, as far as there is room for it beside all other bodies: clients that read slowly
+// keep theirs for long. whole is false if there may be more to read.
+func (x *request) buffer(r io.Reader) (body []byte, whole bool, err error) {
+	for {
+		if len(body) == cap(body) {
+			step := min(max(len(body), firstBuffer), bufferStep)
+			if len(body) >= bufferLimit || !x.hold(int64(step)) {
+				return body, false, nil
+			}
+			body = append(make([]byte, 0, len(body)+step), body...)
+		}
+		n, err := r.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if errors.Is(err, io.EOF) {
+			return body, true, nil
+		}
+		if err != nil {
+			return nil, false, err
+		}
 	}
-	return func() { g.bodies.Add(-size) }, nil
+}
+
+// writeGrace is the time after the deadline in which the rest of a response is still written.
+const writeGrace = 2 * time.Second
+
+// boundWrites sets a deadline for writing the response. A client that does not read it would keep its grant, and a stop of
+// the VM would wait for it.
+func (x *request) boundWrites() {
+	_ = http.NewResponseController(x.w).SetWriteDeadline(x.runtimeDeadline().Add(writeGrace)) // only connections in tests do not support deadlines
 }
 
 // readBody buffers the whole request body. The request can then be sent again, and net/http can
@@ -59,3 +105,10 @@
 	x.body = body
 	return nil
 }
+
+// endWrites ends the deadline of boundWrites, which would hold for later responses on the connection too.
+func (x *request) endWrites() {
+	if x.started {
+		_ = http.NewResponseController(x.w).SetWriteDeadline(time.Time{})
+	}
+}
--- a/daemon/relay/gate.go
+++ b/daemon/relay/gate.go
@@ -117,7 +117,7 @@
 	Revoke clock.Milli
 	// Config is the time within which a new document must be in force.
 	Config clock.Milli
-	// BodyBytes is the total size of the request bodies that are buffered at a time, in bytes.
+	// BodyBytes is the total size of the bodies of requests and responses that are buffered at a time, in bytes.
 	BodyBytes int64
 }
 
@@ -130,7 +130,7 @@
 	started clock.Milli
 	// serial counts the placement queries; it makes their ids unique within this process.
 	serial atomic.Uint64
-	// bodies is the total size of the request bodies that are buffered, in bytes.
+	// bodies is the total size of the bodies of requests and responses that are buffered, in bytes.
 	bodies atomic.Int64
 	// stopping makes each response close its connection, so that clients reconnect to another VM.
 	stopping atomic.Bool
@@ -162,6 +162,8 @@
 	workspace *route.Workspace
 	service   route.ServiceID
 	body      []byte
+	// held is the number of bytes of bodies that this request counts for.
+	held int64
 	// keyRequired is set if clients authenticate by a key.
 	keyRequired bool
 	arrived     clock.Milli
@@ -182,6 +184,7 @@
 // ServeHTTP serves one request.
 func (g *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := &request{gate: g, w: w, r: r, arrived: g.Clock.Now()}
+	defer x.endWrites()
 	if g.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
--- a/daemon/relay/send.go
+++ b/daemon/relay/send.go
@@ -164,16 +164,16 @@
 	return x.passBuffered(ctx, resp, grant, w)
 }
 
-// passBuffered reads a response to its end, up to bufferLimit, before any of it is passed on.
+// passBuffered reads a response to its end, as far as it can be buffered, before any of it is passed on.
 func (x *request) passBuffered(ctx context.Context, resp *http.Response, grant span.Grant, w *watchdog) result {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, bufferLimit+1))
+	body, whole, err := x.buffer(resp.Body)
 	if err != nil {
 		return x.classifyError(ctx, err, true)
 	}
 	a := &answer{status: resp.StatusCode, header: resp.Header, body: body}
 	if resp.StatusCode >= http.StatusInternalServerError {
 		res := result{verdict: mayHaveRun, outcome: span.Failed, err: errs.New("the upstream answered %d", resp.StatusCode)}
-		if !x.started {
+		if !x.started && whole {
 			res.failure = a
 		}
 		return res
@@ -182,14 +182,14 @@
 	if x.started {
 		return result{verdict: mayHaveRun, outcome: span.Broken, err: errs.New("a stream was continued with status %d", resp.StatusCode)}
 	}
-	if len(body) <= bufferLimit {
+	if whole {
 		x.deliver(a)
 		return result{verdict: answered, outcome: span.Done}
 	}
 	return x.passLarge(ctx, a, resp.Body, w)
 }
 
-// passLarge passes on a response that is too large to be buffered.
+// passLarge passes on a response that can't be buffered whole.
 func (x *request) passLarge(ctx context.Context, a *answer, rest io.Reader, w *watchdog) result {
 	x.startResponse(a.status, a.header)
 	_, _ = x.w.Write(a.body)
@@ -220,6 +220,7 @@
 	x.started = true
 	x.record.beginResponse(x.gate.Clock.Now()-x.arrived, status)
 	x.gate.Codec.Answer(x.w.Header(), from)
+	x.boundWrites()
 	x.w.WriteHeader(status)
 }
 
