soak: VMs whose limit of descriptors falls under a flood of their port for peers

The soak learns the failure that answers: TestSoakParts draws it from a random source of its own, so that the other faults of a seed stay as they are.

--- a/scenarios/soak/check.go
+++ b/scenarios/soak/check.go
@@ -196,7 +196,7 @@
 			continue
 		}
 		switch inj.fault.Kind {
-		case Kill, Freeze, Flood:
+		case Kill, Freeze, Flood, Exhaust:
 			return true
 		case Stop:
 			if c.at.After(inj.from) {
--- a/scenarios/soak/part.go
+++ b/scenarios/soak/part.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"snipeshift.example/platform/standin"
 	"snipeshift.example/scenarios/fleet"
 )
@@ -105,14 +107,35 @@
 	return false
 }
 
-// flood keeps connections to a VM open that carry nothing, and opens those again that are closed.
-func flood(f Fault, v *fleet.VM) {
+// exhaustedDescriptors is a limit below what a VM has open in a flood.
+const exhaustedDescriptors = 150
+
+// exhaust lowers the limit of descriptors of a VM while its port for peers is flooded.
+func (r *Run) exhaust(f Fault, v *fleet.VM) error {
+	if !r.acquire(v) {
+		return nil
+	}
+	defer r.release(v)
+	normal := unix.Rlimit{}
+	if err := unix.Prlimit(v.Process.Pid(), unix.RLIMIT_NOFILE, nil, &normal); err != nil {
+		return err
+	}
+	low := unix.Rlimit{Cur: exhaustedDescriptors, Max: normal.Max}
+	if err := unix.Prlimit(v.Process.Pid(), unix.RLIMIT_NOFILE, &low, nil); err != nil {
+		return err
+	}
+	flood(f, v.PeerListener())
+	return unix.Prlimit(v.Process.Pid(), unix.RLIMIT_NOFILE, &normal, nil)
+}
+
+// flood keeps connections to an address open that carry nothing, and opens those again that are closed.
+func flood(f Fault, address string) {
 	stop := make(chan struct{})
 	var wg sync.WaitGroup
 	for range floodConnections {
 		wg.Go(func() {
 			for {
-				if c, err := net.DialTimeout("tcp", v.Caller, time.Second); err == nil { //nolint:noctx // the connection has a deadline
+				if c, err := net.DialTimeout("tcp", address, time.Second); err == nil { //nolint:noctx // the connection has a deadline
 					_ = c.SetDeadline(time.Now().Add(f.Duration))
 					_, _ = c.Read(make([]byte, 1))
 					_ = c.Close()
--- a/scenarios/soak/plan.go
+++ b/scenarios/soak/plan.go
@@ -41,6 +41,7 @@
 	Shed             Kind = "shed"      // an upstream rejects all requests and asks for back-off
 	SendBadPart      Kind = "part"      // clients send requests with a part that crashes each upstream
 	Flood            Kind = "flood"     // many connections to a VM open that carry nothing
+	Exhaust          Kind = "exhaust"   // the limit of descriptors of a VM falls below what it has open, and its port for peers is flooded
 )
 
 // weights are the relative frequencies of the kinds that planner.fault draws. The other kinds are
@@ -254,10 +255,10 @@
 	partPause   = 6 * time.Second
 )
 
-// PartFaults draws faults of kinds SendBadPart and Flood, each from a random source of its own.
+// PartFaults draws faults of kinds SendBadPart, Flood and Exhaust, each from a random source of its own.
 func PartFaults(seed uint64, length time.Duration) []Fault {
 	var out []Fault
-	for i, kind := range []Kind{SendBadPart, Flood} {
+	for i, kind := range []Kind{SendBadPart, Flood, Exhaust} {
 		p := planner{rand.New(rand.NewPCG(seed, uint64(6+i)))}
 		for at := p.duration(0, partPause); at < length; at += p.duration(maxPartTime, maxPartTime+partPause) {
 			out = append(out, Fault{Kind: kind, VM: p.IntN(indexRange), At: at, Duration: p.duration(minPartTime, maxPartTime)})
--- a/scenarios/soak/run.go
+++ b/scenarios/soak/run.go
@@ -156,7 +156,9 @@
 	case SendBadPart:
 		r.sendBadPart(f)
 	case Flood:
-		flood(f, v)
+		flood(f, v.Caller)
+	case Exhaust:
+		return r.exhaust(f, v)
 	case DeclareLimit:
 		us := r.fleet.Platform.Runners()
 		u := us[f.Other%len(us)]
