listener, dial: connections to upstreams use what clients leave of the descriptors

The bound is now a quarter and the unused part of the clients' half; idle connections to upstreams are closed when clients need theirs.

--- a/daemon/connections.go
+++ b/daemon/connections.go
@@ -8,6 +8,7 @@
 
 	vm "github.com/VictoriaMetrics/metrics"
 
+	"snipeshift.example/daemon/listener"
 	"snipeshift.example/lib/accept"
 	"snipeshift.example/lib/dial"
 	"snipeshift.example/lib/peer"
@@ -33,6 +34,16 @@
 	vm.WriteGaugeUint64(w, "snipeshift_upstream_connections_open", uint64(m.upstreams.Open()))
 }
 
+// upstreamLimit returns how many connections to upstreams may be open; zero for no bound. An owner polls thousands of
+// upstreams, while a VM with many clients needs few connections for each. clients is nil before the daemon has opened its
+// listener.
+func upstreamLimit(s listener.Shares, clients *listener.Listener) int {
+	if s.Upstreams == 0 || clients == nil {
+		return s.Upstreams
+	}
+	return s.Upstreams + clients.Unused()
+}
+
 // Names of listeners in logs and metrics.
 const (
 	clientListener   = "clients"
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -134,7 +134,7 @@
 	d.directory = newDirectory(d.members, k, d.ring)
 	shares := listener.SharesOf(descriptors(s.Descriptors))
 	d.accepts = accept.NewMonitor(k, d.reportAccept, d.shed)
-	d.upstreams = dial.NewBound(shares.Upstreams, func() { d.engines.CloseIdle() })
+	d.upstreams = dial.NewBound(func() int { return upstreamLimit(shares, d.clients) }, func() { d.engines.CloseIdle() })
 	direct := (&net.Dialer{Timeout: dialTimeout, KeepAlive: upstreamKeepAlive}).DialContext
 	d.paths = tunnel.NewDialer(tunnel.Needs{
 		Clock: k, Log: l, Members: d.members, Upstreams: d.config, Direct: d.upstreams.Dial(direct), Peer: endpoint.Dial,
@@ -203,6 +203,7 @@
 	if err != nil {
 		return err
 	}
+	d.clients.OnAccept(d.upstreams.Trim)
 	clients := d.clientServer(d.gate.Handler())
 	operators := d.server(d.operatorHandler())
 	operators.ConnState = ls.trackOperators
--- a/daemon/listener/listener.go
+++ b/daemon/listener/listener.go
@@ -81,6 +81,8 @@
 	net.Listener
 	limits Limits
 	clock  Clock
+	// onAccept is called after each connection that was accepted.
+	onAccept func()
 
 	mu    sync.Mutex
 	conns map[*conn]bool
@@ -95,7 +97,17 @@
 
 // New returns a Listener that accepts from l.
 func New(l net.Listener, x Limits, k Clock) *Listener {
-	return &Listener{Listener: l, limits: x, clock: k, conns: map[*conn]bool{}}
+	return &Listener{Listener: l, limits: x, clock: k, onAccept: func() {}, conns: map[*conn]bool{}}
+}
+
+// OnAccept sets a function to be called after each connection that was accepted. It must be called before Accept.
+func (l *Listener) OnAccept(f func()) { l.onAccept = f }
+
+// Unused returns how many more connections the listener may have open.
+func (l *Listener) Unused() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return max(0, l.limits.Connections-len(l.conns))
 }
 
 // conn is an accepted connection. Its fields are guarded by the listener's lock.
@@ -117,6 +129,7 @@
 			return nil, err
 		}
 		if x := l.admit(c); x != nil {
+			l.onAccept()
 			return x, nil
 		}
 		_ = c.Close()
--- a/daemon/listener/listener_test.go
+++ b/daemon/listener/listener_test.go
@@ -204,3 +204,21 @@
 		require.Less(t, LimitsOf(Resources{Descriptors: n}).Connections+s.Peers+s.Upstreams, n)
 	}
 }
+
+// Connections to upstreams use the room that clients leave; they must learn when clients need it.
+func TestAcceptedConnectionsAreReported(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer inner.Close()
+	l := New(inner, Limits{Connections: 2, Requests: 2}, &manualClock{})
+	accepted := 0
+	l.OnAccept(func() { accepted++ })
+	require.Equal(t, 2, l.Unused())
+	c, err := net.Dial("tcp", inner.Addr().String())
+	require.NoError(t, err)
+	defer c.Close()
+	_, err = l.Accept()
+	require.NoError(t, err)
+	require.Equal(t, 1, accepted)
+	require.Equal(t, 1, l.Unused())
+}
--- a/daemon/listener/shares.go
+++ b/daemon/listener/shares.go
@@ -6,7 +6,7 @@
 )
 
 // Shares of a process's descriptors for connections other than those of clients, which get half. A tunnel takes one of the
-// share of peers and one of that of upstreams. The rest is for listeners, the store, connections to peers and files.
+// share of peers and one of that of upstreams. Connections to upstreams may also use what clients leave of theirs. The rest is for listeners, the store, connections to peers and files.
 const (
 	peerShare     = 3. / 16
 	upstreamShare = 1. / 4
@@ -17,8 +17,8 @@
 
 // Shares bounds the open connections of a process by kind; zero for no bound.
 type Shares struct {
-	// Peers are those that other VMs opened, tunnels included, Upstreams those to upstreams, and Tunnels those that this VM
-	// carries for others.
+	// Peers are those that other VMs opened, tunnels included, Upstreams those to upstreams beside what clients leave of
+	// their share, and Tunnels those that this VM carries for others.
 	Peers, Upstreams, Tunnels int
 }
 
--- a/daemon/relay.go
+++ b/daemon/relay.go
@@ -133,7 +133,7 @@
 	d.holders = placer.NewHolders(d.members, d.clock, d.log)
 	d.members.Add(d.registry, q, d.holders)
 	var pooled *http.Transport
-	d.upstreams = dial.NewBound(shares.Upstreams, func() { pooled.CloseIdleConnections() })
+	d.upstreams = dial.NewBound(func() int { return upstreamLimit(shares, d.clients) }, func() { pooled.CloseIdleConnections() })
 	d.paths = tunnel.NewDialer(tunnel.Needs{
 		Clock: d.clock, Log: d.log, Members: d.members, Upstreams: listedUpstreams{d.registry, d.binding},
 		Direct: d.upstreams.Dial(directDial(s)), Peer: dialPeer,
@@ -280,6 +280,7 @@
 		return err
 	}
 	d.clients = listener.New(d.accepts.Listener(clientListener, callers), listener.LimitsOf(listener.Resources{Descriptors: descriptors(s.Descriptors), Memory: s.Memory << 20, Cores: s.Cores}), d.clock)
+	d.clients.OnAccept(d.upstreams.Trim)
 	clients := d.server(d.clients.Handler(d.gate))
 	clients.ConnState = d.clients.Track
 	ready := d.server(d.readiness())
--- a/daemon/settings/fields.go
+++ b/daemon/settings/fields.go
@@ -15,7 +15,7 @@
 	"peers":          {Description: "addresses of peers to contact first"},
 	"grace":          {Unit: "milliseconds", Min: 0, Max: float64(maxGrace), Default: 3000, Description: "how long a stopping daemon still accepts requests"},
 	"level":          {Enum: []string{"trace", "debug", "info", "warn", "error"}, Default: "info", Description: "lowest level of log lines that are written"},
-	"descriptors":    {Min: 0, Max: 1 << 20, Description: "descriptors that the process may open, if fewer than the system allows; half of them are for connections of clients, three sixteenths for those of other VMs, a quarter for those to upstreams"},
+	"descriptors":    {Min: 0, Max: 1 << 20, Description: "descriptors that the process may open, if fewer than the system allows; half of them are for connections of clients, three sixteenths for those of other VMs, a quarter, and what clients leave, for those to upstreams"},
 	"tls":            {Description: "certificates and keys"},
 	"tls.ca":         {Description: "file with the certificates that sign peers and operators"},
 	"tls.cert":       {Description: "file with this daemon's certificate"},
--- a/daemon/settings/relay.go
+++ b/daemon/settings/relay.go
@@ -77,7 +77,7 @@
 	"peers":             {Description: "addresses of peers to contact first"},
 	"first":             {Description: "true at the first start of all VMs of the deployment, when there are no clients yet"},
 	"memory":            {Unit: "megabytes", Min: 64, Max: 1 << 20, Default: 256, Description: "memory that the process may use"},
-	"descriptors":       {Min: 0, Max: 1 << 20, Description: "descriptors that the process may open, if fewer than the system allows; half of them are for connections of clients, three sixteenths for those of other VMs, a quarter for those to upstreams"},
+	"descriptors":       {Min: 0, Max: 1 << 20, Description: "descriptors that the process may open, if fewer than the system allows; half of them are for connections of clients, three sixteenths for those of other VMs, a quarter, and what clients leave, for those to upstreams"},
 	"cores":             {Min: 0, Max: 1024, Description: "the VM's share of the processor, in cores; VMs with the most are preferred as owners, and all VMs rank alike if it is not set"},
 	"link":              {Unit: "megabits/s", Min: 0, Max: 1 << 20, Description: "bandwidth of the VM's network link; used together with cores"},
 	"level":             {Enum: []string{"trace", "debug", "info", "warn", "error"}, Default: "info", Description: "lowest level of log lines that are written"},
--- a/lib/dial/bound.go
+++ b/lib/dial/bound.go
@@ -11,14 +11,27 @@
 // Bound limits the connections that this process has open at a time through the Dials that it wraps. Without it upstreams
 // could take the descriptors that the listeners need. It is safe for concurrent use.
 type Bound struct {
-	mu          sync.Mutex
-	limit, open int
+	// limit returns the most connections that may be open now; zero for no bound.
+	limit func() int
 	// makeRoom closes idle connections.
 	makeRoom func()
+
+	mu   sync.Mutex
+	open int
+}
+
+// NewBound returns a Bound of the number of connections that limit returns, zero for no bound. makeRoom is called when they
+// are all open; it closes idle ones.
+func NewBound(limit func() int, makeRoom func()) *Bound {
+	return &Bound{limit: limit, makeRoom: makeRoom}
 }
 
-// NewBound returns a Bound of limit connections; zero for none. makeRoom is called when they are all open.
-func NewBound(limit int, makeRoom func()) *Bound { return &Bound{limit: limit, makeRoom: makeRoom} }
+// Trim closes idle connections if more are open than may be: the limit may have fallen.
+func (b *Bound) Trim() {
+	if limit := b.limit(); limit > 0 && b.Open() > limit {
+		b.makeRoom()
+	}
+}
 
 // Open returns the number of open connections.
 func (b *Bound) Open() int {
@@ -32,7 +45,7 @@
 func (b *Bound) Dial(d Dial) Dial {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		if !b.take() {
-			return nil, ErrNoPath.New("all %d connections of this VM are in use", b.limit)
+			return nil, ErrNoPath.New("all %d connections of this VM to upstreams are in use", b.Open())
 		}
 		c, err := d(ctx, network, address)
 		if err != nil {
@@ -53,9 +66,10 @@
 }
 
 func (b *Bound) tryTake() bool {
+	limit := b.limit()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.limit > 0 && b.open >= b.limit {
+	if limit > 0 && b.open >= limit {
 		return false
 	}
 	b.open++
--- a/lib/dial/bound_test.go
+++ b/lib/dial/bound_test.go
@@ -14,7 +14,8 @@
 // target, and use the room of idle connections first.
 func TestConnectsBeyondBoundSayNothingOfTarget(t *testing.T) {
 	idle := []net.Conn{}
-	b := NewBound(2, func() {
+	limit := 2
+	b := NewBound(func() int { return limit }, func() {
 		for _, c := range idle {
 			_ = c.Close()
 		}
@@ -22,7 +23,7 @@
 	d := b.Dial(func(context.Context, string, string) (net.Conn, error) { c, _ := net.Pipe(); return c, nil })
 	first, err := d(t.Context(), "tcp", "a")
 	require.NoError(t, err)
-	_, err = d(t.Context(), "tcp", "a")
+	second, err := d(t.Context(), "tcp", "a")
 	require.NoError(t, err)
 	_, err = d(t.Context(), "tcp", "a")
 	require.True(t, ErrNoPath.Has(err))
@@ -30,12 +31,18 @@
 	_, err = d(t.Context(), "tcp", "a")
 	require.NoError(t, err)
 	require.Equal(t, 2, b.Open(), "a connection that is closed twice counts once")
+	idle = append(idle, second)
+	b.Trim()
+	require.Equal(t, 2, b.Open())
+	limit = 1
+	b.Trim()
+	require.Equal(t, 1, b.Open())
 }
 
 // The process has no descriptor for a connect; the upstream must not be blamed.
 func TestConnectWithoutDescriptorSaysNothingOfTarget(t *testing.T) {
 	fail := syscall.EMFILE
-	b := NewBound(0, func() {})
+	b := NewBound(func() int { return 0 }, func() {})
 	d := b.Dial(func(context.Context, string, string) (net.Conn, error) {
 		return nil, &net.OpError{Op: "dial", Err: os.NewSyscallError("socket", fail)}
 	})
