--- a/daemon/tunnel/dialer.go
+++ b/daemon/tunnel/dialer.go
@@ -248,18 +248,18 @@
 		domain, domainDue := d.table.DomainTestDue(d.Clock.Now())
 		d.mu.Unlock()
 		if due {
-			d.test(ctx)
+			d.test(ctx, "")
 		}
 		if domainDue {
-			d.testDomain(ctx, domain)
+			d.test(ctx, domain)
 		}
 	})
 	return nil
 }
 
-// test connects directly to a random upstream.
-func (d *Dialer) test(ctx context.Context) {
-	addresses := d.Upstreams.Addresses()
+// test connects directly to a random upstream of a domain, of any if that is empty.
+func (d *Dialer) test(ctx context.Context, domain peer.Domain) {
+	addresses := slices.DeleteFunc(d.Upstreams.Addresses(), func(a string) bool { return domain != "" && d.Upstreams.Domain(a) != domain })
 	if len(addresses) == 0 {
 		return
 	}
@@ -272,25 +272,11 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.table.TestFailed(isRefusal(err))
-}
-
-// testDomain connects directly to a random upstream of a domain.
-func (d *Dialer) testDomain(ctx context.Context, domain peer.Domain) {
-	addresses := slices.DeleteFunc(d.Upstreams.Addresses(), func(a string) bool { return d.Upstreams.Domain(a) != domain })
-	if len(addresses) == 0 {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
-	defer cancel()
-	c, err := d.connect(ctx, "tcp", addresses[rand.IntN(len(addresses))])
-	if err == nil {
-		_ = c.Close()
+	if domain != "" {
+		d.table.DomainTestFailed(domain)
 		return
 	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.table.DomainTestFailed(domain)
+	d.table.TestFailed(isRefusal(err))
 }
 
 // domainNames returns the names of domains in order.
--- a/lib/decide/path/domain.go
+++ b/lib/decide/path/domain.go
@@ -14,12 +14,7 @@
 type domainPath struct {
 	// inRow holds the upstreams that were bypassed since the last direct connect to one of the domain.
 	inRow map[string]bool
-	// lost is set while connects to the domain go through other VMs.
-	lost bool
-	// regained counts direct connects in a row while lost is set.
-	regained int
-	// testAt is when the next direct connect tests whether the paths are back, testInterval the wait before it.
-	testAt, testInterval clock.Milli
+	state
 }
 
 // SetDomains sets the function that returns the failure domain of an upstream by its address, empty if it is unknown or
@@ -58,14 +53,9 @@
 		return false
 	}
 	clear(p.inRow)
-	if !p.lost {
+	if !p.connected(now) {
 		return false
 	}
-	if p.regained++; p.regained < regainAfter {
-		p.testAt = now
-		return false
-	}
-	p.lost = false
 	maps.DeleteFunc(t.bypassed, func(a string, _ *bypass) bool { return t.domain(a) == d })
 	return true
 }
@@ -83,24 +73,15 @@
 	}
 	p.regained = 0
 	p.inRow[address] = true
-	if p.lost || len(p.inRow) < lostAfter {
-		return false
-	}
-	p.lost = true
-	p.testInterval = firstRetry
-	p.testAt = now + p.testInterval
-	return true
+	return len(p.inRow) >= lostAfter && p.lose(now)
 }
 
 // DomainTestDue returns a domain whose lost paths a direct connect should test now, and schedules the next test.
 func (t *Table) DomainTestDue(now clock.Milli) (peer.Domain, bool) {
 	for d, p := range t.domains {
-		if !p.lost || now < p.testAt {
-			continue
+		if p.testDue(now) {
+			return d, true
 		}
-		p.testAt = now + p.testInterval
-		p.testInterval = min(2*p.testInterval, longestRetry)
-		return d, true
 	}
 	return "", false
 }
--- a/lib/decide/path/path.go
+++ b/lib/decide/path/path.go
@@ -56,14 +56,11 @@
 	unprovenAt clock.Milli
 	// isolatedUntil is the end of the time in which no other VM is asked.
 	isolatedUntil clock.Milli
-	lost          bool
+	// all is whether all paths count as lost.
+	all state
 	// refused is set if the last failed direct connect was refused, not left without an answer.
-	refused bool
-	// regained counts direct connects in a row while the paths are lost.
-	regained int
-	// testAt is when the next direct connect tests whether lost paths are back, testInterval the wait before it.
-	testAt, testInterval clock.Milli
-	candidates           map[peer.VM]*candidate
+	refused    bool
+	candidates map[peer.VM]*candidate
 	// domainOf returns the domain of an upstream; domains holds the direct paths to each.
 	domainOf func(address string) peer.Domain
 	domains  map[peer.Domain]*domainPath
@@ -75,7 +72,7 @@
 }
 
 // Lost reports whether the direct paths to all upstreams count as lost.
-func (t *Table) Lost() bool { return t.lost }
+func (t *Table) Lost() bool { return t.all.lost }
 
 // Refused reports whether the last direct connect that failed was refused. Open connections may still work then.
 func (t *Table) Refused() bool { return t.refused }
@@ -83,7 +80,7 @@
 // Direct reports whether the next connect to address tries the direct path first. Of several connects to a
 // bypassed upstream one does so at a time.
 func (t *Table) Direct(now clock.Milli, address string) bool {
-	if t.lost || t.DomainLost(address) {
+	if t.all.lost || t.DomainLost(address) {
 		return false
 	}
 	b := t.bypassed[address]
@@ -104,14 +101,9 @@
 	delete(t.bypassed, address)
 	clear(t.inRow)
 	domainRegained := t.connectedDomain(now, t.domain(address))
-	if !t.lost {
+	if !t.all.connected(now) {
 		return domainRegained
 	}
-	if t.regained++; t.regained < regainAfter {
-		t.testAt = now
-		return false
-	}
-	t.lost = false
 	clear(t.bypassed)
 	return true
 }
@@ -119,7 +111,7 @@
 // Bypassed records that the direct connect to address failed while another VM connected. It returns true if all
 // direct paths, or those to the upstream's domain, count as lost from now on.
 func (t *Table) Bypassed(now clock.Milli, address string, refused bool) (lost bool) {
-	t.refused, t.regained = refused, 0
+	t.refused, t.all.regained = refused, 0
 	b := t.bypassed[address]
 	if b == nil {
 		if len(t.bypassed) >= maxKnown {
@@ -134,7 +126,7 @@
 	t.inRow[address] = true
 	domainLost := t.bypassedDomain(now, t.domain(address), address)
 	if len(t.inRow) >= lostAfter && t.severalDomains() {
-		return t.lose(now)
+		return t.all.lose(now)
 	}
 	return domainLost
 }
@@ -163,31 +155,14 @@
 	if t.unprovenAt == 0 || now-t.unprovenAt > unprovenTTL {
 		t.unprovenAt = now
 	}
-	return now-t.unprovenAt >= unprovenFor && t.lose(now)
-}
-
-func (t *Table) lose(now clock.Milli) bool {
-	if t.lost {
-		return false
-	}
-	t.lost, t.regained = true, 0
-	t.testInterval = firstRetry
-	t.testAt = now + t.testInterval
-	return true
+	return now-t.unprovenAt >= unprovenFor && t.all.lose(now)
 }
 
 // ConnectedSince reports whether this VM has connected directly to an upstream since an instant.
 func (t *Table) ConnectedSince(since clock.Milli) bool { return t.connectedAt > since }
 
 // TestDue reports whether a direct connect should test now whether lost paths are back, and schedules the next one.
-func (t *Table) TestDue(now clock.Milli) bool {
-	if !t.lost || now < t.testAt {
-		return false
-	}
-	t.testAt = now + t.testInterval
-	t.testInterval = min(2*t.testInterval, longestRetry)
-	return true
-}
+func (t *Table) TestDue(now clock.Milli) bool { return t.all.testDue(now) }
 
 // TestFailed records that a direct connect that tested lost paths failed.
-func (t *Table) TestFailed(refused bool) { t.regained, t.refused = 0, refused }
+func (t *Table) TestFailed(refused bool) { t.all.regained, t.refused = 0, refused }
