--- a/lib/decide/gate/budget.go
+++ b/lib/decide/gate/budget.go
@@ -116,6 +116,13 @@
 // Add counts sends that were granted by an earlier owner of the pool.
 func (b *Budget) Add(now clock.Milli, s Sends) { b.tally.Add(now, s) }
 
+// Clone returns an independent copy of the budget.
+func (b *Budget) Clone() *Budget {
+	c, tally := *b, *b.tally
+	c.tally = &tally
+	return &c
+}
+
 // BudgetSnapshot is the state of a budget that the next owner of its pool continues.
 type BudgetSnapshot struct {
 	Sends Sends
--- a/lib/decide/span/engine.go
+++ b/lib/decide/span/engine.go
@@ -174,20 +174,7 @@
 
 // accepts reports whether new requests may be placed on the upstream at all, whatever its free
 // capacity.
-func (r *upstreamState) accepts(now clock.Milli, a *Ask) bool {
-	if r.draining() || !r.health.available(now) || r.unverified && r.engine != nil || !r.declared.limit.Allows(now) {
-		return false
-	}
-	if !r.warmUp.allows(now) || now < r.declared.backOffUntil(a.Gate) || r.probing() {
-		return false
-	}
-	for _, id := range a.Avoid {
-		if id == r.ID {
-			return false
-		}
-	}
-	return !a.Suspect || r.suspects == 0
-}
+func (r *upstreamState) accepts(now clock.Milli, a *Ask) bool { return r.obstacle(now, a) == none }
 
 // addGrant records a grant that adds a prefill of this many milliseconds.
 func (r *upstreamState) addGrant(now clock.Milli, g *grantState, prefill float64) {
--- a/lib/decide/span/place.go
+++ b/lib/decide/span/place.go
@@ -61,7 +61,7 @@
 // each other would all choose the first of several equal ones.
 func (p *Pool) placePlain(now clock.Milli, a *Ask) (plan, bool) {
 	for _, r := range p.packOrder {
-		if r.declared.limit.ProbeDue(now) && r.accepts(now, a) && len(r.grants)+r.external < max(r.Slots, 1) {
+		if r.declared.limit.ProbeDue(now) && r.plainObstacle(now, a) == none {
 			return plan{leader: r, reason: "renewal"}, true
 		}
 	}
@@ -70,11 +70,10 @@
 	start := int(xxhash.Sum64String(string(a.ID)) % uint64(max(len(p.packOrder), 1)))
 	for i := range p.packOrder {
 		r := p.packOrder[(start+i)%len(p.packOrder)]
-		n := len(r.grants) + r.external
-		if !r.accepts(now, a) || n >= max(r.Slots, 1) {
+		if r.plainObstacle(now, a) != none {
 			continue
 		}
-		if load := float64(n) / float64(max(r.Slots, 1)); load < lowest {
+		if load := r.plainLoad(); load < lowest {
 			best, lowest = r, load
 		}
 	}
@@ -115,24 +114,33 @@
 // fitsShort reports whether a short request fits on r, and the expected time in milliseconds to its
 // first byte.
 func (p *Pool) fitsShort(now clock.Milli, a *Ask, r *upstreamState, prefillTime float64, maxStreams int) (float64, bool) {
-	if !r.accepts(now, a) {
-		return 0, false
+	first, o := p.tryShort(now, a, r, prefillTime, maxStreams)
+	return first, o == none
+}
+
+// tryShort is fitsShort with the reason why the request does not fit.
+func (p *Pool) tryShort(now clock.Milli, a *Ask, r *upstreamState, prefillTime float64, maxStreams int) (float64, Obstacle) {
+	if o := r.obstacle(now, a); o != none {
+		return 0, o
 	}
 	n := r.streams + r.external
-	if n >= min(maxStreams, r.engine.Slots) || r.freeMemory() < a.Prompt+a.Output {
-		return 0, false
+	if n >= min(maxStreams, r.engine.Slots) {
+		return 0, ObstacleFull
+	}
+	if r.freeMemory() < a.Prompt+a.Output {
+		return 0, ObstacleMemory
 	}
 	pass := r.pass(n+1, r.context+a.Prompt)
 	prefill := r.backlog(now) + prefillTime*max(r.pace, 1)
 	if !p.sustains(r, a, prefill+pass) {
-		return 0, false
+		return 0, ObstacleFull
 	}
 	first := startDelay + prefill + 1.5*pass
 	// A request that is late already accepts any engine: only its answer counts.
 	if late := float64(a.Aim-now) < startDelay+prefillTime+pass; !late && first > float64(a.Aim-now) {
-		return 0, false
+		return 0, ObstacleFull
 	}
-	return first, true
+	return first, none
 }
 
 // sustains reports whether a pass of this many milliseconds stays within the pauses that the
@@ -232,7 +240,7 @@
 	avoidSlow := p.avoidsSlow(now)
 	for i := len(p.packOrder) - 1; i >= 0; i-- {
 		r := p.packOrder[i]
-		if r.accepts(now, a) && now >= r.health.helpsFrom && r.prefills == 0 && !r.hasShortStreams() && !(avoidSlow && r.avoided(now)) {
+		if r.prefillObstacle(now, a, avoidSlow) == none {
 			free = append(free, r)
 		}
 	}
--- a/lib/decide/span/queue.go
+++ b/lib/decide/span/queue.go
@@ -96,20 +96,34 @@
 		return nil
 	}
 	var ds []Decision
-	p.largeReserve.choose(now, p.queue, p.maxGroup())
-	o := round{pool: p, now: now, backlogInTime: p.totalBacklog(now), unverified: p.allUnverified(), supply: p.totalSupply(now)}
+	o := p.newRound(now)
 	for _, w := range p.orderedQueue(now) {
-		if d, decided := o.judge(w); decided {
-			delete(p.queue, w.ID)
-			if w.long {
-				p.largeReserve.noteDecided(w, d.Action == Refused)
-			}
+		if d, decided := o.next(w); decided {
 			ds = append(ds, d)
 		}
 	}
 	return ds
 }
 
+// newRound starts a scan of the queue.
+func (p *Pool) newRound(now clock.Milli) round {
+	p.largeReserve.choose(now, p.queue, p.maxGroup())
+	return round{pool: p, now: now, backlogInTime: p.totalBacklog(now), unverified: p.allUnverified(), supply: p.totalSupply(now)}
+}
+
+// next decides on the next request in the order of placing, and takes it from the queue if it is granted or refused.
+func (o *round) next(w *queuedRequest) (Decision, bool) {
+	d, decided := o.judge(w)
+	if !decided {
+		return Decision{}, false
+	}
+	delete(o.pool.queue, w.ID)
+	if w.long {
+		o.pool.largeReserve.noteDecided(w, d.Action == Refused)
+	}
+	return d, true
+}
+
 // allUnverified reports whether the loads of all engines are unverified. That is so for a new owner
 // until engines have reported, and for an isolated owner, which uses few of them. Meanwhile the
 // rate at which late requests are placed is no measure of the capacity.
