placer: the method Where explains a placement

An operator's question has to reach the owner of a service without becoming a query: no pool is created, no holder is taken or learned, no VM is marked as silent. The owner answers from a copy of its pool, updated to its view and to the statements that the asking VM sends along.

--- a/daemon/placer/messages.go
+++ b/daemon/placer/messages.go
@@ -52,6 +52,17 @@
 	Crashes []blame.Crash
 }
 
+// at returns the request with the instants that follow from the times left now.
+func (q *AskArgs) at(now clock.Milli) span.Ask {
+	a := q.Ask
+	a.Aim += now
+	a.Deadline += now
+	if a.Patience != 0 { // gates of an earlier version do not send Patience
+		a.Patience += now
+	}
+	return a
+}
+
 // AskReply is the answer to a placement query.
 type AskReply struct {
 	// Decided is false while the request is queued.
--- a/daemon/placer/owner.go
+++ b/daemon/placer/owner.go
@@ -147,12 +147,7 @@
 	o.mu.Lock()
 	p := o.pools[s]
 	if p == nil {
-		budget := gate.NewBudget(o.budget.Share, o.budget.Floor, o.budget.Window)
-		p = &ownedPool{
-			createdAt: o.Clock.Now(), budget: budget, alone: o.Alone(), pool: span.New(span.DefaultRules, budget), countedGates: map[decide.GateID]bool{},
-			waiters: map[decide.RequestID][]chan span.Decision{}, undelivered: map[decide.RequestID]span.Decision{},
-		}
-		budget.GrowFrom(o.floorStart(p.alone))
+		p = o.newPool()
 		o.pools[s] = p
 	}
 	o.mu.Unlock()
@@ -162,18 +157,36 @@
 		p.alone = false
 		p.budget.GrowFrom(o.floorStart(false))
 	}
-	p.pool.SetIsolated(alone && o.Clock.Now()-p.createdAt < AloneWait, o.Name)
-	if v := o.Knowledge.View(); v.Generation != p.generation && v.Table != nil {
-		first := p.generation == 0
-		p.generation = v.Generation
-		p.pool.SetUpstreams(o.Clock.Now(), v.Table.Service(s), v.Upstreams[s])
-		if first {
-			p.pool.MarkUnverified()
-		}
+	p.generation = o.follow(s, p, p.pool, alone)
+	return p
+}
+
+// newPool returns an empty pool.
+func (o *Owner) newPool() *ownedPool {
+	budget := gate.NewBudget(o.budget.Share, o.budget.Floor, o.budget.Window)
+	p := &ownedPool{
+		createdAt: o.Clock.Now(), budget: budget, alone: o.Alone(), pool: span.New(span.DefaultRules, budget), countedGates: map[decide.GateID]bool{},
+		waiters: map[decide.RequestID][]chan span.Decision{}, undelivered: map[decide.RequestID]span.Decision{},
 	}
+	budget.GrowFrom(o.floorStart(p.alone))
 	return p
 }
 
+// follow updates the pool of p, or a copy of it, to the current view and returns the generation of the view.
+func (o *Owner) follow(s route.ServiceID, p *ownedPool, pool *span.Pool, alone bool) uint64 {
+	now := o.Clock.Now()
+	pool.SetIsolated(alone && now-p.createdAt < AloneWait, o.Name)
+	v := o.Knowledge.View()
+	if v.Generation == p.generation || v.Table == nil {
+		return p.generation
+	}
+	pool.SetUpstreams(now, v.Table.Service(s), v.Upstreams[s])
+	if p.generation == 0 {
+		pool.MarkUnverified()
+	}
+	return v.Generation
+}
+
 // floorStart returns the time from which the floor of the retry budget grows in a pool that begins now,
 // or whose owner has just met another member.
 func (o *Owner) floorStart(alone bool) clock.Milli {
@@ -187,12 +200,7 @@
 // moved never does.
 func (o *Owner) decide(args *AskArgs, reply *AskReply, moved <-chan struct{}) {
 	now := o.Clock.Now()
-	a := args.Ask
-	a.Aim += now
-	a.Deadline += now
-	if a.Patience != 0 { // gates of an earlier version do not send Patience
-		a.Patience += now
-	}
+	a := args.at(now)
 	p := o.lockedPool(args.Service)
 	p.pool.SetLimitShare(now, o.limitShare(args))
 	o.learnStatements(args.Service, p, now, args.Statements)
--- a/daemon/placer/placer_test.go
+++ b/daemon/placer/placer_test.go
@@ -80,6 +80,8 @@
 		return o.Keepalive(args.(*KeepaliveArgs), reply.(*peer.Holder))
 	case Name + ".Reach":
 		return o.Reach(args.(*ReachArgs), reply.(*ReachReply))
+	case Name + ".Where":
+		return o.Where(args.(*WhereArgs), reply.(*WhereReply))
 	case Name + ".Pardon":
 		return o.Pardon(args.(*PardonArgs), reply.(*PardonReply))
 	case Name + ".Take":
