insight: the page /where tells where a request would be placed

The page builds the query that the gate of this VM would send to the owner: the gate's newAsk is split off, so that aims, patience, likely output and urgency are those of real requests. What the operator names replaces them.

--- a/daemon/insight/insight.go
+++ b/daemon/insight/insight.go
@@ -71,6 +71,7 @@
 	m.HandleFunc("GET "+answers.PathServices, p.servicesPage)
 	m.HandleFunc("GET "+answers.PathParts, p.partsPage)
 	m.HandleFunc("PUT "+answers.PathParts, p.clearPart)
+	m.HandleFunc("GET "+answers.PathWhere, p.wherePage)
 	m.HandleFunc("/", p.metrics)
 	return m
 }
--- a/daemon/relay/run.go
+++ b/daemon/relay/run.go
@@ -194,13 +194,9 @@
 		return span.Grant{}, fault.New(fault.Quarantined, "upstreams died running this request; it is not run again")
 	}
 	now := g.Clock.Now()
-	a := span.Ask{
-		ID:   decide.RequestID(string(g.id) + "#" + strconv.FormatUint(g.serial.Add(1), 36)),
-		Gate: g.id, Workspace: x.workspaceID(), Urgency: route.Urgency(x.route, x.workspace),
-		Prompt: x.head.Prompt, Output: x.head.Output, Likely: x.likelyOutput(), Aim: x.firstByteTarget(now), Patience: x.patienceEnd(now), Deadline: x.deadline, Gap: x.route.Gap,
-		Stream: x.route.Stream, Avoid: x.avoid, Suspect: check == gate.Suspected, Parts: x.sharedParts(),
-		Again: before.again, Begun: before.mayHaveRun, Counted: before.counted,
-	}
+	a := x.newAsk(now, strconv.FormatUint(g.serial.Add(1), 36))
+	a.Suspect, a.Parts = check == gate.Suspected, x.sharedParts()
+	a.Again, a.Begun, a.Counted = before.again, before.mayHaveRun, before.counted
 	reply, err := g.Placer.Ask(ctx, x.service, a)
 	x.record.queued += g.Clock.Now() - now
 	if err != nil {
@@ -209,11 +205,21 @@
 	}
 	x.record.reason, x.record.waiting, x.record.running = reply.Reason, reply.Queued, reply.Granted
 	if reply.Fault != "" {
-		return span.Grant{}, fault.New(reply.Fault, "no place: %s", reply.Reason).WithRetry(max(reply.Retry, busyRetry))
+		return span.Grant{}, fault.New(reply.Fault, "no place: %s", reply.Reason).WithRetry(RetryAfter(reply.Retry))
 	}
 	return reply.Grant, nil
 }
 
+// newAsk describes the next send of the request to the owner. The name is unique among those of this gate.
+func (x *request) newAsk(now clock.Milli, name string) span.Ask {
+	return span.Ask{
+		ID:   decide.RequestID(string(x.gate.id) + "#" + name),
+		Gate: x.gate.id, Workspace: x.workspaceID(), Urgency: route.Urgency(x.route, x.workspace),
+		Prompt: x.head.Prompt, Output: x.head.Output, Likely: x.likelyOutput(), Aim: x.firstByteTarget(now), Patience: x.patienceEnd(now), Deadline: x.deadline, Gap: x.route.Gap,
+		Stream: x.route.Stream, Avoid: x.avoid,
+	}
+}
+
 // patienceEnd returns the time at which the client is expected to leave if it has not received the
 // next byte.
 func (x *request) patienceEnd(now clock.Milli) clock.Milli {
