--- a/lib/decide/span/explain.go
+++ b/lib/decide/span/explain.go
@@ -44,7 +44,7 @@
 	// Held is the reason if the request has to wait for the answer to another one with the same suspect part.
 	Held = "held"
 	// NoRoom is the reason if upstreams have no room for the request in the order of placing.
-	NoRoom = "no room"
+	NoRoom = "no-room"
 	// Running is the reason for a request that has a grant already.
 	Running = "running"
 )
--- a/operator/commands/exit.go
+++ b/operator/commands/exit.go
@@ -23,6 +23,8 @@
 	exitUnknown
 	exitPartial
 	exitFailed
+	exitQueued
+	exitRefused
 )
 
 // Errors of the command itself.
@@ -31,6 +33,8 @@
 	errUsage     = errs.New("usage")
 	errInvalid   = errs.New("invalid")
 	errPartial   = errs.New("partial")
+	errQueued    = errs.New("the request would be queued")
+	errRefused   = errs.New("the request would be refused")
 )
 
 // exitCodes maps errors to exit codes and to their description in the help text. The first match counts.
@@ -47,6 +51,8 @@
 	{platform.ErrUnavailable, exitUnreachable, "the store or every daemon gave no answer, nothing was changed"},
 	{daemon.ErrUnreachable, exitUnreachable, ""},
 	{errPartial, exitPartial, "some daemons gave no answer or are not there yet, the rest is shown"},
+	{errQueued, exitQueued, "where: the request would be queued"},
+	{errRefused, exitRefused, "where: the request would be refused"},
 }
 
 // codeOf returns the exit code for an error.
@@ -91,10 +97,10 @@
 
 func usageError(format string, args ...any) error { return withAdvice(errUsage, format, args...) }
 
-// oneLine returns the message of an error on one line. It is empty for errDifferent, since the
-// differences have been printed already.
+// oneLine returns the message of an error on one line. It is empty for errors that only set the exit code, since what they
+// say has been printed already.
 func oneLine(err error) string {
-	if errors.Is(err, errDifferent) {
+	if errors.Is(err, errDifferent) || errors.Is(err, errQueued) || errors.Is(err, errRefused) {
 		return ""
 	}
 	return strings.Join(strings.FieldsFunc(err.Error(), func(r rune) bool { return r == '\n' }), "; ")
--- a/operator/daemon/client.go
+++ b/operator/daemon/client.go
@@ -145,5 +145,21 @@
 		first, _, _ := strings.Cut(string(text), "\n")
 		f.Error = fmt.Sprintf("%q; if the daemon requires certificates, set --authority, --certificate and --key", first[:min(len(first), maxQuote)])
 	}
+	if status == http.StatusNotFound || status == http.StatusBadRequest {
+		return Class.Wrap(&RejectedError{address, status, f.Error})
+	}
 	return Class.New("%s responded with status %d: %s", address, status, f.Error)
 }
+
+// RejectedError is the response of a daemon to a request that names something that it does not know.
+type RejectedError struct {
+	address string
+	status  int
+	// Text describes the error and how to correct it.
+	Text string
+}
+
+// Error implements error.
+func (e *RejectedError) Error() string {
+	return fmt.Sprintf("%s responded with status %d: %s", e.address, e.status, e.Text)
+}
--- a/operator/fleet_test.go
+++ b/operator/fleet_test.go
@@ -179,6 +179,7 @@
 			Services:   []answers.Service{{Service: "notice-writer", Holder: "vm-2", Epoch: 4, Since: 1500, Successor: "vm-1", Upstreams: 18}},
 			Statements: []answers.Statement{},
 		})
+	m.HandleFunc("GET "+answers.PathWhere, func(w http.ResponseWriter, r *http.Request) { f.where(i, w, r) })
 	page(answers.PathDocument, answers.Document{Revision: 1}, answers.Document{Revision: 1})
 	m.HandleFunc("PUT "+answers.PathDrain, func(w http.ResponseWriter, _ *http.Request) {
 		_ = json.NewEncoder(w).Encode(answers.Drain{Draining: true, Requests: 17})
