--- /dev/null
+++ b/lib/decide/balance/balance.go
@@ -0,0 +1,213 @@
+// Package balance chooses an upstream for a request where several deciders that do not know of each
+// other's grants use the same upstreams.
+//
+// Load addressed: requests in progress at an upstream, which a decider knows from reports that are
+// older than the time between two choices of all deciders together. If each decider chose the
+// upstream of the least known load, all would choose the same one until its next report.
+//
+// A decider knows its own requests exactly. Those of the others are taken from the last report and
+// end with time. As many as have probably ended have probably been replaced, and the deciders that
+// replaced them had reports as old as this one's. The replacements are therefore spread over the
+// upstreams so that the loads become level. Of the upstreams that get a share, a request goes to one
+// with the fewest own requests, at random in proportion to the shares. A decider without others thus chooses the least loaded upstream, and one whose
+// reports have stopped spreads its requests evenly. The rule is known as load interpretation (Dahlin,
+// "Interpreting Stale Load Information").
+//
+// The package uses no sockets, goroutines, clock or source of randomness.
+package balance
+
+import (
+	"math"
+
+	"snipeshift.example/lib/clock"
+)
+
+// Record is what the reports of one upstream tell a decider about the requests of others. The zero
+// Record has no report. A restarted upstream needs a new Record.
+type Record struct {
+	// others is the number of requests of other deciders at the time at.
+	others float64
+	at     clock.Milli
+	// known is set once there was a report. doubted is set while reports contradict what the decider
+	// knows of its own requests; others is not used then.
+	known, doubted bool
+}
+
+// Note records a report of this many requests at the upstream at the instant at, when own requests
+// of this decider ran there. A report that is not newer than the last one is ignored.
+func (r *Record) Note(at clock.Milli, requests, own int) {
+	if r.known && at <= r.at {
+		return
+	}
+	r.at, r.known = at, true
+	// A report of no requests does not show that the upstream counts its requests again.
+	r.doubted = requests < own || r.doubted && requests == 0
+	r.others = float64(max(0, requests-own))
+}
+
+// Doubt records that an upstream is slower than its reports explain. The reports are not used until
+// one of them shows requests.
+func (r *Record) Doubt() { r.doubted = r.known }
+
+// usable reports whether the record says anything about the requests of others.
+func (r *Record) usable() bool { return r.known && !r.doubted }
+
+// Candidate is an upstream that accepts the request.
+type Candidate struct {
+	Record Record
+	// Slots is the number of requests that the upstream runs at a time. Pace is the factor by which
+	// its work takes longer than usual; values under 1 count as 1.
+	Slots int
+	Pace  float64
+	// Own is the number of requests of this decider at the upstream now.
+	Own int
+}
+
+// slots returns the number of slots, at least one.
+func (c *Candidate) slots() float64 { return float64(max(c.Slots, 1)) }
+
+// ownPerSlot returns the own requests per slot.
+func (c *Candidate) ownPerSlot() float64 { return float64(c.Own) / c.slots() }
+
+// level returns the load relative to the slots. Above 1 the excess counts by the pace: requests
+// queue there, and a slow upstream works off its queue more slowly.
+func (c *Candidate) level(load float64) float64 {
+	l := load / c.slots()
+	if l <= 1 {
+		return l
+	}
+	return 1 + (l-1)*max(c.Pace, 1)
+}
+
+// load is the inverse of level.
+func (c *Candidate) load(level float64) float64 {
+	if level > 1 {
+		level = 1 + (level-1)/max(c.Pace, 1)
+	}
+	return level * c.slots()
+}
+
+// Choose returns the index of the candidate that gets the next request, or -1 if there is none. Hold
+// is the usual time that a request occupies a slot at pace 1, and random a random number in [0, 1).
+// Of the candidates that get a share, those with the fewest own requests per slot come first: a
+// decider can spread its own requests evenly without any report, and the sum of evenly spread
+// requests of many deciders varies less than that of random choices.
+func Choose(now, hold clock.Milli, cs []Candidate, random float64) int {
+	shares := Shares(now, hold, cs)
+	fewest := math.Inf(1)
+	for i, s := range shares {
+		if s > 0 {
+			fewest = min(fewest, cs[i].ownPerSlot())
+		}
+	}
+	for i := range shares {
+		if cs[i].ownPerSlot() > fewest {
+			shares[i] = 0
+		}
+	}
+	return Draw(shares, random)
+}
+
+// Draw returns an index with a probability in proportion to its share, or -1 if all shares are zero.
+func Draw(shares []float64, random float64) int {
+	sum := 0.0
+	for _, s := range shares {
+		sum += s
+	}
+	drawn := -1
+	for i, s := range shares {
+		if s <= 0 {
+			continue
+		}
+		drawn = i
+		if random -= s / sum; random < 0 {
+			break
+		}
+	}
+	return drawn
+}
+
+// Shares returns how much of the work that has arrived since the reports, and of the next request,
+// each candidate gets.
+func Shares(now, hold clock.Milli, cs []Candidate) []float64 {
+	remaining, arrived := Remaining(now, hold, cs)
+	return fill(cs, remaining, arrived+1)
+}
+
+// Remaining returns the load of each candidate without the requests of others that have arrived since
+// the reports, and the number of those. Reports of different ages are brought to the mean age: what an
+// older one says moves toward the usual load.
+func Remaining(now, hold clock.Milli, cs []Candidate) (remaining []float64, arrived float64) {
+	usual, age := averages(now, cs)
+	remaining = make([]float64, len(cs))
+	for i := range cs {
+		c := &cs[i]
+		others := usual * c.slots()
+		if c.Record.usable() {
+			older := float64(now-c.Record.at) - age
+			others += (c.Record.others - others) * c.kept(older, hold, c.Record.others)
+		}
+		kept := others * c.kept(age, hold, others)
+		remaining[i] = float64(c.Own) + kept
+		arrived += others - kept
+	}
+	return remaining, arrived
+}
+
+// kept returns the share of the requests of others that have not ended after this many milliseconds.
+// Only requests in a slot end.
+func (c *Candidate) kept(age float64, hold clock.Milli, others float64) float64 {
+	running := min(1, c.slots()/max(others+float64(c.Own), 1))
+	return math.Exp(-running * max(age, 0) / (float64(max(hold, 1)) * max(c.Pace, 1)))
+}
+
+// averages returns the mean number of requests of others per slot and the mean age of the reports in
+// milliseconds, over the usable records.
+func averages(now clock.Milli, cs []Candidate) (usual, age float64) {
+	others, slots, usable := 0.0, 0.0, 0.0
+	for i := range cs {
+		if r := &cs[i].Record; r.usable() {
+			others += r.others
+			slots += cs[i].slots()
+			age += float64(now - r.at)
+			usable++
+		}
+	}
+	return others / max(slots, 1), age / max(usable, 1)
+}
+
+// fillSteps is how often the interval that contains the level is halved: the error is far below one
+// request.
+const fillSteps = 32
+
+// fill returns how much each candidate gets of an amount of work if it is spread so that the lowest
+// loads become level.
+func fill(cs []Candidate, loads []float64, amount float64) []float64 {
+	low, high := math.Inf(1), 0.0
+	for i := range cs {
+		low = min(low, cs[i].level(loads[i]))
+		high = max(high, cs[i].level(loads[i]+amount))
+	}
+	for range fillSteps {
+		middle := (low + high) / 2
+		if total(cs, loads, middle) < amount {
+			low = middle
+		} else {
+			high = middle
+		}
+	}
+	shares := make([]float64, len(cs))
+	for i := range cs {
+		shares[i] = max(0, cs[i].load(high)-loads[i])
+	}
+	return shares
+}
+
+// total returns how much work raises all lower loads to this level.
+func total(cs []Candidate, loads []float64, level float64) float64 {
+	sum := 0.0
+	for i := range cs {
+		sum += max(0, cs[i].load(level)-loads[i])
+	}
+	return sum
+}
