span, placer: setting spread, for owners that do not know all grants

Isolated owners, gates that decide by themselves and owners that have lost members packed their short requests on the same first engines as the owners that they do not know of. With the setting spread (default false) they choose by lib/decide/balance. The number of engines used follows from the own requests and the share of the VMs that the owner reaches, so that long prompts find free engines. Long prompts and plain services are placed as before. Log line spread, metric snipeshift_overrun_idle_ratio.

A request also prefers upstreams with few own requests only among those with a considerable share, so that a loaded upstream is not chosen because the decider has no request there.

Not run: scenarios and fleets of processes with the setting on.

--- a/daemon/insight/metrics.go
+++ b/daemon/insight/metrics.go
@@ -37,6 +37,9 @@
 		gauge(fmt.Sprintf("snipeshift_service_epoch{service=%q}", x.Service), float64(x.Epoch))
 		gauge(fmt.Sprintf("snipeshift_service_held{service=%q}", x.Service), holds)
 	}
+	for s, ratio := range p.Owner.OverrunIdle() {
+		gauge(fmt.Sprintf("snipeshift_overrun_idle_ratio{service=%q}", s), ratio)
+	}
 	p.Placer.Statements(func(s route.ServiceID, u decide.UpstreamID, st statement.Statement) {
 		labels := fmt.Sprintf("{service=%q,upstream=%q}", s, u)
 		switch st.Kind {
--- a/daemon/placer/owner.go
+++ b/daemon/placer/owner.go
@@ -75,6 +75,8 @@
 	Members Members
 	Peers   Peers
 	Log     *log.Logger
+	// Spread is set if pools that don't know all grants spread short requests, see span.Pool.SetSpread.
+	Spread bool
 }
 
 // Owner has the pools of all services for which gates query this VM. Any VM may become the owner of
@@ -195,6 +197,7 @@
 	}
 	p := o.lockedPool(args.Service)
 	p.pool.SetLimitShare(now, o.limitShare(args))
+	o.setSpread(args, p)
 	o.learnStatements(args.Service, p, now, args.Statements)
 	p.pool.Parts().Merge(now, args.Crashes)
 	p.lastAsk = now
--- /dev/null
+++ b/daemon/placer/spread.go
@@ -0,0 +1,41 @@
+package placer
+
+import (
+	"maps"
+	"math/rand/v2"
+
+	"snipeshift.example/lib/logline"
+	"snipeshift.example/lib/route"
+)
+
+// setSpread makes a pool spread short requests while other deciders may use the same upstreams. The
+// pool's lock is held.
+func (o *Owner) setSpread(args *AskArgs, p *ownedPool) {
+	on := o.Spread && o.limitedKnowledge(args)
+	if !p.pool.SetSpread(on, rand.Float64) {
+		return
+	}
+	o.Log.Info().Str(logline.Key, logline.Spread).Str("service", string(args.Service)).Bool("on", on).
+		Int("members", len(o.Members.Live())).Int("lost", o.Members.Lost()).Msg("short requests are spread while other owners may use the same upstreams")
+}
+
+// limitedKnowledge reports whether VMs that this one does not reach may grant requests at the same
+// upstreams.
+func (o *Owner) limitedKnowledge(args *AskArgs) bool {
+	return o.Alone() || o.Members.Lost() > 0 || args.Local && !o.Holders.Holds(args.Service)
+}
+
+// OverrunIdle returns, for each service that this VM owns, the share of intervals in which an upstream
+// queued while another one was idle.
+func (o *Owner) OverrunIdle() map[route.ServiceID]float64 {
+	o.mu.Lock()
+	pools := maps.Clone(o.pools)
+	o.mu.Unlock()
+	ratios := make(map[route.ServiceID]float64, len(pools))
+	for s, p := range pools {
+		p.mu.Lock()
+		ratios[s] = p.pool.OverrunIdle()
+		p.mu.Unlock()
+	}
+	return ratios
+}
--- /dev/null
+++ b/daemon/placer/spread_test.go
@@ -0,0 +1,30 @@
+package placer
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// An owner that spreads although it knows all grants would take engines from long prompts; one that is
+// not told to must never.
+func TestSpreadOnlyWithLimitedKnowledge(t *testing.T) {
+	d := newDeployment(t)
+	o := d.localOwner
+	alone := false
+	o.Alone = func() bool { return alone }
+	args := &AskArgs{Service: "s"}
+	require.False(t, o.limitedKnowledge(args))
+	args.Local = true
+	require.True(t, o.limitedKnowledge(args), "a gate that reaches no owner")
+	args.Local, alone = false, true
+	require.True(t, o.limitedKnowledge(args), "a VM that knows no other")
+	o.Members = lossy{o.Members}
+	alone = false
+	require.True(t, o.limitedKnowledge(args), "an owner that has lost members")
+}
+
+// lossy reports one lost member.
+type lossy struct{ Members }
+
+func (lossy) Lost() int { return 1 }
--- a/daemon/settings/relay.go
+++ b/daemon/settings/relay.go
@@ -27,6 +27,8 @@
 	Peers     []string `json:"peers"`
 	// First is true at the first start of all VMs of the deployment.
 	First bool `json:"first"`
+	// Spread makes owners that don't know all grants spread short requests over the upstreams.
+	Spread bool `json:"spread"`
 	// Memory is in megabytes.
 	Memory int `json:"memory"`
 	// Descriptors is the number of descriptors that the process may open, if that is less than the system's limit; zero
@@ -76,6 +78,7 @@
 	"store":             {Required: true, Description: "address of the platform's store, IP address and port"},
 	"peers":             {Description: "addresses of peers to contact first"},
 	"first":             {Description: "true at the first start of all VMs of the deployment, when there are no clients yet"},
+	"spread":            {Description: "true if owners that do not know all grants, as during a partition, spread short requests over the upstreams by the age of load reports"},
 	"memory":            {Unit: "megabytes", Min: 64, Max: 1 << 20, Default: 256, Description: "memory that the process may use"},
 	"descriptors":       {Min: 0, Max: 1 << 20, Description: "descriptors that the process may open, if fewer than the system allows; half of them are for connections of clients, three sixteenths for those of other VMs, a quarter for those to upstreams"},
 	"cores":             {Min: 0, Max: 1024, Description: "the VM's share of the processor, in cores; VMs with the most are preferred as owners, and all VMs rank alike if it is not set"},
--- a/daemon/settings/relay_test.go
+++ b/daemon/settings/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"regexp"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -62,3 +63,11 @@
 	f.Add([]byte(validRelaySettings))
 	f.Fuzz(func(_ *testing.T, b []byte) { _, _ = ParseRelay(b, "fuzz") })
 }
+
+func TestRelaySpread(t *testing.T) {
+	s, err := ParseRelay([]byte(validRelaySettings), "relay.json")
+	require.NoError(t, err)
+	require.False(t, s.Spread)
+	_, err = ParseRelay([]byte(strings.Replace(validRelaySettings, "{", `{"spread": "yes",`, 1)), "relay.json")
+	require.ErrorContains(t, err, "spread")
+}
--- a/lib/decide/balance/balance.go
+++ b/lib/decide/balance/balance.go
@@ -89,38 +89,49 @@
 
 // Choose returns the index of the candidate that gets the next request, or -1 if there is none. Hold
 // is the usual time that a request occupies a slot at pace 1, and random a random number in [0, 1).
-// Of the candidates that get a share, those with the fewest own requests per slot come first: a
-// decider can spread its own requests evenly without any report, and the sum of evenly spread
+// Of the candidates that get a considerable share, those with the fewest own requests per slot come
+// first: a decider can spread its own requests evenly without any report, and the sum of evenly spread
 // requests of many deciders varies less than that of random choices.
 func Choose(now, hold clock.Milli, cs []Candidate, random float64) int {
 	shares := Shares(now, hold, cs)
+	least := minShare * sum(shares) / float64(max(len(shares), 1))
 	fewest := math.Inf(1)
 	for i, s := range shares {
-		if s > 0 {
+		if s >= least {
 			fewest = min(fewest, cs[i].ownPerSlot())
 		}
 	}
-	for i := range shares {
-		if cs[i].ownPerSlot() > fewest {
+	for i, s := range shares {
+		if s < least || cs[i].ownPerSlot() > fewest {
 			shares[i] = 0
 		}
 	}
 	return Draw(shares, random)
 }
 
-// Draw returns an index with a probability in proportion to its share, or -1 if all shares are zero.
-func Draw(shares []float64, random float64) int {
-	sum := 0.0
+// minShare is the fraction of the mean share from which on a share is considerable. A decider without
+// own requests at a loaded upstream would choose it for that reason alone.
+const minShare = 0.5
+
+// sum returns the sum of shares.
+func sum(shares []float64) float64 {
+	total := 0.0
 	for _, s := range shares {
-		sum += s
+		total += s
 	}
+	return total
+}
+
+// Draw returns an index with a probability in proportion to its share, or -1 if all shares are zero.
+func Draw(shares []float64, random float64) int {
+	all := sum(shares)
 	drawn := -1
 	for i, s := range shares {
 		if s <= 0 {
 			continue
 		}
 		drawn = i
-		if random -= s / sum; random < 0 {
+		if random -= s / all; random < 0 {
 			break
 		}
 	}
@@ -190,7 +201,7 @@
 	}
 	for range fillSteps {
 		middle := (low + high) / 2
-		if total(cs, loads, middle) < amount {
+		if amountTo(cs, loads, middle) < amount {
 			low = middle
 		} else {
 			high = middle
@@ -203,11 +214,11 @@
 	return shares
 }
 
-// total returns how much work raises all lower loads to this level.
-func total(cs []Candidate, loads []float64, level float64) float64 {
-	sum := 0.0
+// amountTo returns how much work raises all lower loads to this level.
+func amountTo(cs []Candidate, loads []float64, level float64) float64 {
+	amount := 0.0
 	for i := range cs {
-		sum += max(0, cs[i].load(level)-loads[i])
+		amount += max(0, cs[i].load(level)-loads[i])
 	}
-	return sum
+	return amount
 }
--- a/lib/decide/balance/balance_test.go
+++ b/lib/decide/balance/balance_test.go
@@ -113,3 +113,10 @@
 		Choose(now, hold, cs, 0.5)
 	}
 }
+
+// Short requests may end before the next report, which then does not show that the last one was false.
+func TestSlowUpstreamIsDoubtedWithoutAReport(t *testing.T) {
+	cs := reported(500, 10, 10, 10, 0)
+	cs[3].Record.Doubt()
+	require.Less(t, chosen(cs)[3], 400)
+}
--- a/lib/decide/span/engine.go
+++ b/lib/decide/span/engine.go
@@ -3,6 +3,7 @@
 import (
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
+	"snipeshift.example/lib/decide/balance"
 	"snipeshift.example/lib/route"
 )
 
@@ -36,6 +37,8 @@
 	declared *declared
 	// warmUp limits the requests while the upstream is cold.
 	warmUp warmUp
+	// record is what the reports tell of the requests of other owners.
+	record balance.Record
 	// polledAt is when the upstream was last polled for its load.
 	polledAt clock.Milli
 }
--- a/lib/decide/span/external.go
+++ b/lib/decide/span/external.go
@@ -120,6 +120,7 @@
 		r.restart(l.Born)
 		p.beginWarmUp(now, r, now+p.warmUpTime)
 	}
+	r.noteReport(now, l.Requests)
 	inQuestion := r.unverified || r.external > 0 || r.reportWanted
 	r.unverified, r.reportWanted, r.pace = false, false, max(1, l.Pace)
 	if !inQuestion {
--- a/lib/decide/span/place.go
+++ b/lib/decide/span/place.go
@@ -46,6 +46,8 @@
 	switch {
 	case w.prefillTime == 0:
 		return p.placePlain(now, &w.Ask)
+	case p.spread.on && !w.long && !w.Suspect:
+		return p.placeBalanced(now, w)
 	case p.isolation.on:
 		return p.placeIsolated(now, w)
 	case w.long:
@@ -88,13 +90,8 @@
 	if a.Suspect {
 		return p.placeSuspect(now, a, prefillTime)
 	}
-	for _, r := range p.packOrder {
-		if !r.declared.limit.ProbeDue(now) {
-			continue
-		}
-		if first, ok := p.fitsShort(now, a, r, prefillTime, math.MaxInt); ok {
-			return plan{leader: r, partPrefill: prefillTime, first: first, reason: "renewal"}, true
-		}
+	if pl, ok := p.placeRenewal(now, a, prefillTime); ok {
+		return pl, true
 	}
 	for _, attempt := range []struct {
 		maxStreams int
@@ -112,6 +109,19 @@
 	return plan{}, false
 }
 
+// placeRenewal places a short request on an upstream whose limit has to be asked after.
+func (p *Pool) placeRenewal(now clock.Milli, a *Ask, prefillTime float64) (plan, bool) {
+	for _, r := range p.packOrder {
+		if !r.declared.limit.ProbeDue(now) {
+			continue
+		}
+		if first, ok := p.fitsShort(now, a, r, prefillTime, math.MaxInt); ok {
+			return plan{leader: r, partPrefill: prefillTime, first: first, reason: "renewal"}, true
+		}
+	}
+	return plan{}, false
+}
+
 // fitsShort reports whether a short request fits on r, and the expected time in milliseconds to its
 // first byte.
 func (p *Pool) fitsShort(now clock.Milli, a *Ask, r *upstreamState, prefillTime float64, maxStreams int) (float64, bool) {
--- a/lib/decide/span/pool.go
+++ b/lib/decide/span/pool.go
@@ -49,6 +49,8 @@
 	headroom     headroom
 	largeReserve largeReserve
 	isolation    isolation
+	spread       spread
+	overrun      overrun
 	declared     declarations
 	// budget limits the repeated sends of requests.
 	budget *gate.Budget
--- a/lib/decide/span/queue.go
+++ b/lib/decide/span/queue.go
@@ -92,6 +92,7 @@
 func (p *Pool) Tick(now clock.Milli) []Decision {
 	p.expire(now)
 	p.observeLoad(now)
+	p.observeOverrun(now)
 	if len(p.queue) == 0 {
 		return nil
 	}
--- /dev/null
+++ b/lib/decide/span/spread.go
@@ -0,0 +1,115 @@
+package span
+
+import (
+	"math"
+
+	"snipeshift.example/lib/clock"
+	"snipeshift.example/lib/decide/balance"
+)
+
+// This file handles owners that don't know all grants: isolated owners, gates that decide by
+// themselves, and owners that have lost members, which may run on the other side of a partition. If
+// each packed its short requests as a sole owner does, all would pack the same first engines. The
+// load addressed is that of short requests. Plain services are spread already, see placePlain, and
+// long prompts need whole engines.
+
+// spread is set while the owner does not know all grants and is to spread short requests.
+type spread struct {
+	on     bool
+	random func() float64
+}
+
+// SetSpread sets whether the owner spreads short requests because it does not know all grants, and
+// reports whether that is a change. random returns random numbers in [0, 1).
+func (p *Pool) SetSpread(on bool, random func() float64) (changed bool) {
+	changed = p.spread.on != on
+	p.spread = spread{on: on, random: random}
+	return changed
+}
+
+// noteReport records the load that an upstream reports.
+func (r *upstreamState) noteReport(now clock.Milli, requests int) {
+	at := now
+	if r.engine != nil {
+		at -= r.engine.Lag
+	}
+	own, _ := r.accountedFor(now)
+	r.record.Note(at, requests, own)
+}
+
+// placeBalanced places a short request on one of the engines that fit.
+func (p *Pool) placeBalanced(now clock.Milli, w *queuedRequest) (plan, bool) {
+	if pl, ok := p.placeRenewal(now, &w.Ask, w.prefillTime); ok {
+		return pl, true
+	}
+	plans, cs := p.spreadCandidates(now, w)
+	if len(plans) == 0 {
+		return plan{}, false
+	}
+	return plans[balance.Choose(now, p.holdTime(w), cs, p.spread.random())], true
+}
+
+// spreadCandidates lists engines that fit a short request, in the order of packing. Slow and cold
+// ones are listed only if there are no others. The list ends once it has as many engines as the
+// requests of all owners need, so that the remaining engines stay free for long prompts.
+func (p *Pool) spreadCandidates(now clock.Milli, w *queuedRequest) (plans []plan, cs []balance.Candidate) {
+	ups := p.packOrder
+	if p.isolation.on {
+		ups = p.isolatedUpstreams()
+	}
+	limit := p.spreadEngines()
+	for _, avoided := range []bool{false, true} {
+		for _, r := range ups {
+			if len(plans) >= limit {
+				return plans, cs
+			}
+			if r.avoided(now) != avoided {
+				continue
+			}
+			first, ok := p.fitsShort(now, &w.Ask, r, w.prefillTime, math.MaxInt)
+			if !ok {
+				continue
+			}
+			if r.firstByteOverdue(now) {
+				r.record.Doubt()
+			}
+			plans = append(plans, plan{leader: r, partPrefill: w.prefillTime, first: first, reason: "balanced"})
+			cs = append(cs, balance.Candidate{Record: r.record, Slots: r.engine.Slots, Pace: r.pace, Own: len(r.grants)})
+		}
+		if len(plans) > 0 {
+			break
+		}
+	}
+	return plans, cs
+}
+
+// spreadMargin is how many times as many engines are used as the requests of all owners need if they
+// are packed: an engine gets requests of others that this owner learns of from the next report only.
+const spreadMargin = 2
+
+// spreadEngines returns over how many engines short requests are spread. All owners together are
+// assumed to have as many requests for each of their VMs as this one.
+func (p *Pool) spreadEngines() int {
+	if p.isolation.on {
+		return isolatedEngines
+	}
+	streams := 1
+	for _, r := range p.packOrder {
+		streams += r.streams
+	}
+	all := float64(streams)
+	if p.declared.share > 0 {
+		all /= p.declared.share
+	}
+	return 1 + int(math.Ceil(spreadMargin*all/float64(max(p.rules.PackedStreams, 1))))
+}
+
+// holdTime returns the time that a short request usually occupies a slot. Half of the longest answer
+// is assumed if the likely length is unknown.
+func (p *Pool) holdTime(w *queuedRequest) clock.Milli {
+	likely := w.Likely
+	if likely == 0 {
+		likely = w.Output / 2
+	}
+	return clock.Milli(w.prefillTime + p.engine.DecodeTime(likely, w.Prompt))
+}
--- a/lib/logline/logline.go
+++ b/lib/logline/logline.go
@@ -41,6 +41,9 @@
 	// Gathered is logged when a VM that has taken a service over starts to decide: it has waited for
 	// gates to present their live grants.
 	Gathered = "gathered"
+	// Spread is the time from which an owner spreads short requests because it does not know all
+	// grants, or from which it knows them again.
+	Spread = "spread"
 	// Report is an upstream's report of work that no grant accounts for, or the lack of a report.
 	Report = "report"
 	// Unresponsive is an upstream that neither responds nor accepts connections.
@@ -91,6 +94,7 @@
 	Reached:      "a dependency that was unreachable responds again",
 	Reader:       "the role of a VM in reading the store has changed: its rank, how many VMs that rank before it can reach the store, the age of its document",
 	Holder:       "another VM now owns a service: its epoch and the source of the information",
+	Spread:       "an owner begins (`on`) to spread short requests because VMs that it does not reach may use the same upstreams, or ends to; with the live and the lost members",
 	Gathered:     "a VM that took a service over begins to decide: how many of its members have presented their grants, and the requests and retries that its budget of retries counts",
 	Report:       "an upstream reports work that no grant accounts for, or does not report",
 	Unresponsive: "an upstream neither responds nor accepts connections; the send is abandoned",
