--- a/bench/deciders.go
+++ b/bench/deciders.go
@@ -27,6 +27,8 @@
 	{"unequal", fleet.DeciderLoad{Load: usualLoad, Unequal: true}},
 	{"burst", fleet.DeciderLoad{Load: usualLoad, Burst: true}},
 	{"false", fleet.DeciderLoad{Load: usualLoad, False: 1}},
+	{"stopped", fleet.DeciderLoad{Load: usualLoad, Stopped: deciderUpstreams / 3}},
+	{"changing", fleet.DeciderLoad{Load: usualLoad, Changing: true}},
 	{"low", fleet.DeciderLoad{Load: lowLoad}},
 }
 
--- a/bench/fleet/deciders.go
+++ b/bench/fleet/deciders.go
@@ -28,8 +28,15 @@
 	Burst bool
 	// False is the number of upstreams whose reports say that they are empty.
 	False int
+	// Stopped is the number of upstreams whose reports stop at half time.
+	Stopped int
+	// Changing is set if only half of the deciders get requests, and others every changeEvery.
+	Changing bool
 }
 
+// changeEvery is how long the same half of the deciders gets requests.
+const changeEvery = 5 * clock.Second
+
 // Times of a burst, and its load per slot.
 const (
 	burstEvery = 20 * clock.Second
@@ -261,7 +268,7 @@
 
 // arrive places a new request.
 func (s *deciderSimulation) arrive() {
-	d := s.random.IntN(s.load.Deciders)
+	d := s.decider()
 	s.readReports(d)
 	i := s.choose(d)
 	r := &simRequest{decider: d, upstream: i, sent: s.now, work: s.random.ExpFloat64() * float64(holdTime)}
@@ -280,6 +287,16 @@
 	})
 }
 
+// decider returns the decider of a new request.
+func (s *deciderSimulation) decider() int {
+	n := s.load.Deciders
+	if !s.load.Changing {
+		return s.random.IntN(n)
+	}
+	half := (n + 1) / 2
+	return (s.random.IntN(half) + half*int(clock.Milli(s.now)/changeEvery)) % n
+}
+
 // start runs a request.
 func (s *deciderSimulation) start(u *simUpstream, r *simRequest) {
 	u.running++
@@ -331,7 +348,7 @@
 			continue
 		}
 		at := v.phase + float64(int(since/age))*age
-		if v.reportedAt == at {
+		if v.reportedAt == at || i < s.load.Stopped && at > float64(s.load.For)/2 {
 			continue
 		}
 		u := s.upstreams[i]
