--- a/lib/decide/span/pool.go
+++ b/lib/decide/span/pool.go
@@ -301,6 +301,7 @@
 	}
 	delete(p.grants, id)
 	p.parts.Ended(now, run(id))
+	p.noteHeld(now, g)
 	for _, r := range g.upstreams {
 		delete(r.grants, id)
 		r.noteEnded(now)
--- a/lib/decide/span/property_test.go
+++ b/lib/decide/span/property_test.go
@@ -23,6 +23,7 @@
 			us[i] = route.Upstream{ID: decide.UpstreamID(fmt.Sprint("e", i)), Slots: engine.Slots}
 		}
 		p.SetUpstreams(now, &route.Service{ID: "s", Engine: &engine}, us)
+		p.SetSpread(rapid.Bool().Draw(t, "spread"), func() float64 { return rapid.Float64Range(0, 0.999).Draw(t, "random") })
 		at := now
 		var live []decide.RequestID
 		for i := range rapid.IntRange(1, 120).Draw(t, "steps") {
--- a/lib/decide/span/spread.go
+++ b/lib/decide/span/spread.go
@@ -13,17 +13,24 @@
 // load addressed is that of short requests. Plain services are spread already, see placePlain, and
 // long prompts need whole engines.
 
-// spread is set while the owner does not know all grants and is to spread short requests.
+// spread is the state of spreading.
 type spread struct {
+	// on is set while the owner does not know all grants and is to spread short requests.
 	on     bool
 	random func() float64
+	// held is the mean time in milliseconds from grant to end of the last short requests, at pace 1;
+	// zero if none has ended.
+	held float64
 }
 
+// heldWeight is the weight of one request in the mean of the time that requests are held.
+const heldWeight = 1.0 / 16
+
 // SetSpread sets whether the owner spreads short requests because it does not know all grants, and
 // reports whether that is a change. random returns random numbers in [0, 1).
 func (p *Pool) SetSpread(on bool, random func() float64) (changed bool) {
 	changed = p.spread.on != on
-	p.spread = spread{on: on, random: random}
+	p.spread.on, p.spread.random = on, random
 	return changed
 }
 
@@ -104,9 +111,25 @@
 	return 1 + int(math.Ceil(spreadMargin*all/float64(max(p.rules.PackedStreams, 1))))
 }
 
-// holdTime returns the time that a short request usually occupies a slot. Half of the longest answer
-// is assumed if the likely length is unknown.
+// noteHeld includes a grant that ends in the mean of the time that short requests are held.
+func (p *Pool) noteHeld(now clock.Milli, g *grantState) {
+	long := len(g.Grant.Helpers) > 0 || g.Grant.Leader.Read > p.rules.MaxShortRead
+	if long || !g.Writing || g.presented || len(g.upstreams) == 0 {
+		return
+	}
+	held := float64(now-g.grantedAt) / max(g.upstreams[0].pace, 1)
+	if p.spread.held == 0 {
+		p.spread.held = held
+	}
+	p.spread.held += heldWeight * (held - p.spread.held)
+}
+
+// holdTime returns the time that a short request usually occupies a slot. Until one has ended it is
+// estimated from the length of the answer; half of the longest is assumed if no length is likely.
 func (p *Pool) holdTime(w *queuedRequest) clock.Milli {
+	if p.spread.held > 0 {
+		return clock.Milli(p.spread.held)
+	}
 	likely := w.Likely
 	if likely == 0 {
 		likely = w.Output / 2
--- a/lib/decide/span/spread_test.go
+++ b/lib/decide/span/spread_test.go
@@ -102,6 +102,19 @@
 	}
 }
 
+// With a time that is three times too long, the upstream of the least reported load gets too much.
+func TestHoldTimeFollowsRequestsThatEnded(t *testing.T) {
+	b := newSpreadPool(t, 4, 0.5, 1)
+	for i := range 100 {
+		at := now + clock.Milli(i)*400
+		a := b.shortAsk(at)
+		b.mustGrant(at, a)
+		b.First(at+50, a.ID)
+		b.End(at+300, a.ID, Done, "")
+	}
+	require.EqualValues(t, 300, b.holdTime(&queuedRequest{Ask: b.shortAsk(now)}))
+}
+
 func TestOverrunIdleRatio(t *testing.T) {
 	b := newTestPool(t, 2)
 	b.Tick(now)
