--- a/daemon/placer/spread_test.go
+++ b/daemon/placer/spread_test.go
@@ -28,3 +28,15 @@
 type lossy struct{ Members }
 
 func (lossy) Lost() int { return 1 }
+
+// A setting that is read but does not reach the pools would change nothing without notice.
+func TestSpreadReachesThePool(t *testing.T) {
+	for _, on := range []bool{false, true} {
+		o := ownerAt(t, lossy{members{{VM: "self", Address: "self"}}}, &network{}, "e0", "e1")
+		o.Spread = on
+		var reply AskReply
+		require.NoError(t, o.Ask(&AskArgs{Service: "s", Ask: wireAsk("r1"), Wait: 200}, &reply))
+		require.Equal(t, on, reply.Reason == "balanced", reply.Reason)
+		require.Zero(t, o.OverrunIdle()["s"])
+	}
+}
