span: shares of workspaces order the queue and bound refusals, if enabled

One workspace that sends five times its share makes the requests of all others late. With Pool.UseShares, requests of the same urgency and class are ordered by the account of their workspaces while some request was left waiting; begun requests, classes and urgencies keep their order. A request of a workspace within its share is refused for overload only if it would be served too late at the rate of that share, behind what its own workspace has waiting.

--- a/lib/decide/span/declared.go
+++ b/lib/decide/span/declared.go
@@ -264,7 +264,7 @@
 	}
 	o.behind++
 	wait := 1000 * max(0, float64(o.behind)-o.supply.burst) / float64(o.supply.rate)
-	if float64(w.latestFirst-o.now) >= wait+w.groupPrefillTime {
+	if float64(w.latestFirst-o.now) >= wait+w.groupPrefillTime || o.servedByShare(w) {
 		return Decision{}, false
 	}
 	o.behind--
--- a/lib/decide/span/order.go
+++ b/lib/decide/span/order.go
@@ -36,6 +36,7 @@
 		}
 		from = to
 	}
+	p.orderByShares(now, ws)
 	return ws
 }
 
--- a/lib/decide/span/place.go
+++ b/lib/decide/span/place.go
@@ -284,6 +284,7 @@
 func (p *Pool) grant(now clock.Milli, a *Ask, pl plan) Grant {
 	g := Grant{
 		Request: a.ID, Gate: a.Gate, Prompt: a.Prompt, Output: a.Output, Gap: a.Gap, Stream: a.Stream,
+		Workspace: a.Workspace, Likely: a.Likely,
 		Leader: Placement{Upstream: pl.leader.ID, Born: pl.leader.Born, Address: pl.leader.Address, Read: pl.partPrefill},
 		First:  clock.Milli(pl.first),
 	}
--- a/lib/decide/span/pool.go
+++ b/lib/decide/span/pool.go
@@ -9,6 +9,7 @@
 	"snipeshift.example/lib/decide"
 	"snipeshift.example/lib/decide/blame"
 	"snipeshift.example/lib/decide/gate"
+	"snipeshift.example/lib/decide/share"
 	"snipeshift.example/lib/decide/statement"
 	"snipeshift.example/lib/route"
 )
@@ -54,6 +55,8 @@
 	budget *gate.Budget
 	// parts knows the parts of prompts that crash upstreams.
 	parts *blame.Table
+	// shares is nil unless capacity is divided among workspaces.
+	shares *share.Account
 }
 
 // New returns an empty pool that limits repeated sends by b.
@@ -255,8 +258,9 @@
 			continue // the list was made before the send ended, and arrived after
 		}
 		if g == nil {
-			g = p.addGrant(now, l, Ask{ID: l.Grant.Request, Gate: gate})
+			g = p.addGrant(now, l, Ask{ID: l.Grant.Request, Gate: gate, Workspace: l.Grant.Workspace})
 			g.presented = true
+			p.chargePresented(now, &l.Grant)
 		}
 		g.namedAt = now
 		if l.Writing {
--- a/lib/decide/span/queue.go
+++ b/lib/decide/span/queue.go
@@ -23,6 +23,8 @@
 	// writing the answer. Short requests are tried even if it may not suffice, since a try costs
 	// little and the answer may be short.
 	latestFirst clock.Milli
+	// passedOver is set once a scan has left the request waiting.
+	passedOver bool
 }
 
 // estimate computes the fields that depend on the length of the prompt.
@@ -85,6 +87,9 @@
 	// behind counts the requests that wait for that supply.
 	supply supply
 	behind int
+	// waiting are the predicted tokens of the requests that stayed queued, by workspace; nil if shares
+	// are not enabled.
+	waiting map[decide.WorkspaceID]decide.Tokens
 }
 
 // Tick places queued requests as far as there is room, refuses those that can no longer be served,
@@ -99,7 +104,10 @@
 	p.largeReserve.choose(now, p.queue, p.maxGroup())
 	o := round{pool: p, now: now, backlogInTime: p.totalBacklog(now), unverified: p.allUnverified(), supply: p.totalSupply(now)}
 	for _, w := range p.orderedQueue(now) {
-		if d, decided := o.judge(w); decided {
+		d, decided := o.judge(w)
+		if !decided {
+			o.noteWaiting(w)
+		} else {
 			delete(p.queue, w.ID)
 			if w.long {
 				p.largeReserve.noteDecided(w, d.Action == Refused)
@@ -150,7 +158,7 @@
 			return d, true
 		}
 	}
-	mayRefuse := !o.unverified && !w.Begun
+	mayRefuse := !o.unverified && !w.Begun && !o.servedByShare(w)
 	if w.long {
 		if d, refused := o.refuseLong(w, late); refused && mayRefuse {
 			return d, true
@@ -272,6 +280,7 @@
 		return d
 	}
 	d.Grant = p.grant(now, a, pl)
+	p.chargeShare(now, a)
 	if s, known := pl.leader.declared.limit.Statement(); known {
 		limit := s.Message(now, pl.leader.ID)
 		d.Limit = &limit
--- /dev/null
+++ b/lib/decide/span/shares_test.go
@@ -0,0 +1,279 @@
+package span
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"snipeshift.example/lib/clock"
+	"snipeshift.example/lib/decide"
+	"snipeshift.example/lib/decide/share"
+)
+
+// load is the requests that one workspace sends: one each interval on average, with random gaps.
+type load struct {
+	workspace decide.WorkspaceID
+	interval  clock.Milli
+	// start is when the load starts, after the start of the play.
+	start clock.Milli
+	// retries is set if a refused client sends a new request after 10 ms.
+	retries bool
+}
+
+// service is what the clients of one workspace got.
+type service struct{ asked, inTime, granted, refused int }
+
+// inTimeRatio returns the share of requests whose first byte arrived in time.
+func (s *service) inTimeRatio() float64 { return float64(s.inTime) / float64(max(s.asked, 1)) }
+
+// loadPlay plays loads of short requests against a pool. Each answer takes 1 to 3 s after its
+// first byte, so 16 engines with 16 slots serve about 118 requests a second.
+type loadPlay struct {
+	*testPool
+	random  *rand.Rand
+	results map[decide.WorkspaceID]*service
+	sent    map[decide.RequestID]sentAsk
+	// events are what happens later, by time.
+	events map[clock.Milli][]func(at clock.Milli)
+}
+
+type sentAsk struct {
+	Ask
+	retries bool
+}
+
+func newLoadPlay(t *testing.T, enabled bool) *loadPlay {
+	t.Helper()
+	f := &loadPlay{
+		testPool: newTestPool(t, 16), random: rand.New(rand.NewPCG(1, 2)), results: map[decide.WorkspaceID]*service{},
+		sent: map[decide.RequestID]sentAsk{}, events: map[clock.Milli][]func(clock.Milli){},
+	}
+	f.UseShares(share.Settings{Enabled: enabled})
+	return f
+}
+
+// play runs the loads for this long.
+func (f *loadPlay) play(length clock.Milli, loads ...load) {
+	for _, l := range loads {
+		f.results[l.workspace] = &service{}
+		for at := now + l.start; at < now+length; {
+			at += 1 + clock.Milli(f.random.Float64()*2*float64(l.interval))
+			f.later(at, func(at clock.Milli) { f.send(at, l) })
+		}
+	}
+	for at := now; at < now+length; at++ {
+		for _, e := range f.events[at] {
+			e(at)
+		}
+		delete(f.events, at)
+		if at%10 == 0 {
+			f.scan(at)
+		}
+	}
+}
+
+func (f *loadPlay) later(at clock.Milli, e func(clock.Milli)) {
+	f.events[at] = append(f.events[at], e)
+}
+
+func (f *loadPlay) send(at clock.Milli, l load) {
+	a := f.shortAsk(at)
+	a.Workspace, a.Likely = l.workspace, 400
+	f.sent[a.ID] = sentAsk{a, l.retries}
+	f.results[l.workspace].asked++
+	f.Ask(at, a)
+}
+
+// scan makes the decisions that are possible, and has all gates ask again for what waits.
+func (f *loadPlay) scan(at clock.Milli) {
+	for _, w := range f.queue {
+		w.askedAt = at
+	}
+	for _, g := range f.grants {
+		g.namedAt = at
+	}
+	for _, d := range f.Tick(at) {
+		a := f.sent[d.Request]
+		s := f.results[a.Workspace]
+		if d.Action == Refused {
+			s.refused++
+			if a.retries {
+				f.later(at+10, func(at clock.Milli) { f.send(at, load{workspace: a.Workspace, retries: true}) })
+			}
+			continue
+		}
+		s.granted++
+		first := at + max(d.Grant.First, 1)
+		if first <= a.Aim {
+			s.inTime++
+		}
+		f.later(first, func(at clock.Milli) { f.First(at, d.Request) })
+		f.later(first+clock.Milli(1000+f.random.IntN(2000)), func(at clock.Milli) { f.End(at, d.Request, Done, "") })
+	}
+}
+
+// granted returns the number of all grants.
+func (f *loadPlay) granted() float64 {
+	sum := 0
+	for _, s := range f.results {
+		sum += s.granted
+	}
+	return float64(sum)
+}
+
+// nineInShare returns the loads of nine workspaces that each send 0.8 of a tenth of the capacity.
+func nineInShare() []load {
+	var ls []load
+	for i := range 9 {
+		ls = append(ls, load{workspace: decide.WorkspaceID(fmt.Sprint("w", i)), interval: 106})
+	}
+	return ls
+}
+
+// One workspace of ten sends five times its share, or sends a new request whenever one is refused.
+// Without shares the others are late with it. With shares they are served as without it, and it
+// gets what they leave.
+func TestWorkspaceBeyondItsShareDelaysNoOther(t *testing.T) {
+	for name, heavy := range map[string]load{
+		"five times its share": {workspace: "heavy", interval: 17},
+		"retries at once":      {workspace: "heavy", interval: 17, retries: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			alone, unshared, shared := newLoadPlay(t, true), newLoadPlay(t, false), newLoadPlay(t, true)
+			alone.play(60*clock.Second, nineInShare()...)
+			unshared.play(60*clock.Second, append(nineInShare(), heavy)...)
+			shared.play(60*clock.Second, append(nineInShare(), heavy)...)
+			for _, l := range nineInShare() {
+				got, before := shared.results[l.workspace], alone.results[l.workspace]
+				t.Logf("%s: in time %.3f alone, %.3f without and %.3f with shares, %+v", l.workspace, before.inTimeRatio(), unshared.results[l.workspace].inTimeRatio(), got.inTimeRatio(), *got)
+				require.GreaterOrEqual(t, got.inTimeRatio(), 0.95*before.inTimeRatio(), l.workspace)
+				// A request that became late waits behind those in time of all workspaces, perhaps until its
+				// deadline.
+				require.LessOrEqual(t, 100*got.refused, got.asked, l.workspace)
+			}
+			t.Logf("heavy: %+v with shares, %+v without", *shared.results["heavy"], *unshared.results["heavy"])
+			require.Greater(t, shared.granted(), 0.98*unshared.granted(), "the capacity that the others leave is used")
+		})
+	}
+}
+
+// One workspace has used the capacity of all for ten seconds when the others return. They must get
+// their shares back within a second, although it has hundreds of requests running and waiting.
+func TestLentSharesAreReturned(t *testing.T) {
+	f := newLoadPlay(t, true)
+	loads := nineInShare()
+	for i := range loads {
+		loads[i].start = 10 * clock.Second
+	}
+	f.later(now+11*clock.Second, func(clock.Milli) {
+		require.Greater(t, f.results["heavy"].granted, 1000)
+		for _, s := range f.results {
+			*s = service{}
+		}
+	})
+	f.play(20*clock.Second, append(loads, load{workspace: "heavy", interval: 8})...)
+	var others service
+	for _, l := range loads {
+		s := f.results[l.workspace]
+		others.asked, others.inTime, others.granted = others.asked+s.asked, others.inTime+s.inTime, others.granted+s.granted
+	}
+	t.Logf("others: %+v, heavy: %+v", others, *f.results["heavy"])
+	require.Greater(t, others.inTimeRatio(), 0.95)
+}
+
+// If fairness changed decisions while there is capacity for all, requests would wait for no reason.
+// A pool whose shares are not enabled must decide as one that never had them in any case.
+func TestSharesChangeNoDecisionWithoutNeed(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		plain, disabled, enabled := newTestPool(t, 3), newTestPool(t, 3), newTestPool(t, 3)
+		disabled.UseShares(share.Settings{Weights: map[decide.WorkspaceID]float64{"a": 9}})
+		enabled.UseShares(share.Settings{Enabled: true, Weights: map[decide.WorkspaceID]float64{"a": 9}})
+		waited := false
+		at := now
+		for i := range rapid.IntRange(1, 150).Draw(rt, "steps") {
+			at += clock.Milli(rapid.IntRange(0, 100).Draw(rt, "pause"))
+			a := plain.shortAsk(at)
+			a.Workspace = rapid.SampledFrom([]decide.WorkspaceID{"a", "b", "c"}).Draw(rt, "workspace")
+			a.Urgency = decide.Urgency(rapid.IntRange(0, 1).Draw(rt, "urgency"))
+			a.Prompt = decide.Tokens(rapid.IntRange(1, 60_000).Draw(rt, "prompt"))
+			ended := decide.RequestID(fmt.Sprint("note", i-rapid.IntRange(10, 60).Draw(rt, "running")))
+			for _, p := range []*testPool{plain, disabled, enabled} {
+				p.First(at, ended)
+				p.End(at, ended, Done, "")
+				p.Ask(at, a)
+			}
+			if i%2 == 0 {
+				continue
+			}
+			want := plain.Tick(at)
+			require.Equal(rt, want, disabled.Tick(at))
+			got := enabled.Tick(at)
+			if waited = waited || len(plain.queue) > 0; !waited {
+				require.Equal(rt, want, got)
+			}
+		}
+	})
+}
+
+// The engines are full, one workspace has twenty late requests waiting, and another one, within its
+// share, has one of lower urgency that is late as well. It must not be refused for what the first
+// one has waiting.
+func TestWorkspaceWithinItsShareIsNotRefusedForOthers(t *testing.T) {
+	for _, enabled := range []bool{false, true} {
+		b := newTestPool(t, 1)
+		b.UseShares(share.Settings{Enabled: enabled})
+		ask := func(workspace decide.WorkspaceID, urgency decide.Urgency) Ask {
+			a := b.shortAsk(now)
+			a.Workspace, a.Urgency = workspace, urgency
+			b.Ask(now, a)
+			return a
+		}
+		for b.Counts().Queued == 0 {
+			a := ask("heavy", 0)
+			b.Tick(now)
+			b.First(now, a.ID)
+		}
+		for range 20 {
+			ask("heavy", 0)
+		}
+		light := ask("light", 1)
+		b.Tick(now)
+		at := now + 600
+		b.headroom.placeRate = 10.0 / 9000 // ten late requests in the time that is left
+		refused := map[decide.WorkspaceID]int{}
+		for _, d := range b.Tick(at) {
+			require.Equal(t, Refused, d.Action)
+			refused["all"]++
+			if d.Request == light.ID {
+				refused["light"]++
+			}
+		}
+		require.Positive(t, refused["all"])
+		require.Equal(t, !enabled, refused["light"] > 0)
+	}
+}
+
+// The owner is lost. Its successor learns from the gates what each workspace has running; without
+// that the workspace that uses most would be served first.
+func TestAccountStartsFromPresentedGrants(t *testing.T) {
+	before, after := newTestPool(t, 2), newTestPool(t, 2)
+	after.UseShares(share.Settings{Enabled: true})
+	var live []LiveGrant
+	for range 8 {
+		a := before.shortAsk(now)
+		a.Workspace = "heavy"
+		live = append(live, LiveGrant{Grant: before.mustStream(a), Writing: true})
+	}
+	after.Present(now, "g", live)
+	after.Present(now+1000, "g", live)
+	require.Equal(t, []share.Usage{{Workspace: "heavy", Tokens: 8 * 6600}}, after.Shares())
+	successor := newTestPool(t, 2)
+	successor.UseShares(share.Settings{Enabled: true})
+	successor.Restore(now+1000, after.Snapshot(now+1000))
+	successor.shares.Update(now+1000, []decide.WorkspaceID{"heavy", "light"})
+	require.True(t, successor.shares.Exceeds("heavy"))
+	require.False(t, successor.shares.Exceeds("light"))
+}
--- a/lib/decide/span/snapshot.go
+++ b/lib/decide/span/snapshot.go
@@ -5,6 +5,7 @@
 	"snipeshift.example/lib/decide"
 	"snipeshift.example/lib/decide/blame"
 	"snipeshift.example/lib/decide/gate"
+	"snipeshift.example/lib/decide/share"
 	"snipeshift.example/lib/decide/statement"
 )
 
@@ -27,6 +28,8 @@
 	Budget gate.BudgetSnapshot
 	// Crashes are those that speak against parts of prompts.
 	Crashes []blame.Crash
+	// Shares is the account of workspaces; nil if shares are not enabled.
+	Shares *share.Snapshot
 }
 
 // GrantSnapshot is one live grant in a snapshot.
@@ -74,7 +77,7 @@
 	b := Snapshot{
 		Busy: p.headroom.busy, Served: p.headroom.placeRate,
 		Saved: p.largeReserve.savedPrefill, Mean: p.largeReserve.meanPrefill, LargeRefused: p.largeReserve.large.refused, OthersRefused: p.largeReserve.others.refused,
-		Budget: p.budget.Snapshot(now), Crashes: p.parts.Whole(now),
+		Budget: p.budget.Snapshot(now), Crashes: p.parts.Whole(now), Shares: p.snapshotShares(now),
 	}
 	for _, g := range p.grants {
 		b.Grants = append(b.Grants, GrantSnapshot{
@@ -131,6 +134,7 @@
 	}
 	p.budget.Restore(now, b.Budget)
 	p.parts.Merge(now, b.Crashes)
+	p.restoreShares(now, b.Shares)
 	p.headroom = headroom{busy: b.Busy, at: now, engines: p.headroom.engines, placeRate: b.Served}
 	p.largeReserve.savedPrefill, p.largeReserve.meanPrefill = b.Saved, b.Mean
 	p.largeReserve.large.refused, p.largeReserve.others.refused = b.LargeRefused, b.OthersRefused
--- a/lib/decide/span/span.go
+++ b/lib/decide/span/span.go
@@ -75,11 +75,13 @@
 	Helpers []Placement
 	// First is the time from the grant within which the first byte is expected.
 	First clock.Milli
-	// Prompt, Output, Gap and Stream are copied from the Ask, so that the grant can be presented to
-	// another owner.
+	// The fields below are copied from the Ask, so that the grant can be presented to another owner.
+	// VMs of earlier versions present neither Workspace nor Likely.
 	Prompt, Output decide.Tokens
 	Gap            clock.Milli
 	Stream         bool
+	Workspace      decide.WorkspaceID
+	Likely         decide.Tokens
 }
 
 // Placement is an upstream with the load that a grant puts on it.
