strict: objects with names that are not fixed

Read knew structs and lists only, and the weights of workspaces are a map from name to number. Values of a map share one entry of the table.

--- a/lib/strict/read.go
+++ b/lib/strict/read.go
@@ -124,6 +124,8 @@
 		s.readObject(v, into, path, tablePath)
 	case reflect.Slice:
 		s.readList(v, into, path, tablePath)
+	case reflect.Map:
+		s.readMap(v, into, path, tablePath)
 	default:
 		s.readLiteral(v, into, path, tablePath)
 	}
@@ -139,14 +141,10 @@
 	seen := map[string]int{}
 	for i := range o.Members {
 		m := &o.Members[i]
-		name := toLiteral(&m.Name).String()
-		fieldPath := joinPath(path, name)
-		if first, ok := seen[name]; ok {
-			s.reportAt(m.Name.StartOffset, fieldPath, "appears twice in this object, first at line %d: remove one", s.lineOf(first))
+		name, fieldPath, ok := s.readName(m, path, seen)
+		if !ok {
 			continue
 		}
-		seen[name] = m.Name.StartOffset
-		s.offsets[fieldPath] = m.Name.StartOffset
 		f, ok := fields[name]
 		if !ok {
 			s.reportAt(m.Name.StartOffset, fieldPath, "unknown field: use one of %s", nameList(fields))
--- a/lib/strict/strict_test.go
+++ b/lib/strict/strict_test.go
@@ -13,6 +13,7 @@
 	Inner struct {
 		Count int `json:"count"`
 	} `json:"inner"`
+	Weights map[string]float64 `json:"weights"`
 }
 
 var table = Table{
@@ -37,9 +38,12 @@
 		`{"inner": {"count": 1.5}}`:         `f:1: inner.count: is 1.5: must be a whole number of things`,
 		`{"inner": {"count": 1e17}}`:        `f:1: inner.count: is 1e17: use a smaller number`,
 		`{"inner": {"count": {}}}`:          `f:1: inner.count: must be a whole number of things, not an object`,
-		"{/* [[ */ \"a\\nb\": true}":        `f:1: "a\nb": unknown field: use one of inner, level, ratio, small`,
+		"{/* [[ */ \"a\\nb\": true}":        `f:1: "a\nb": unknown field: use one of inner, level, ratio, small, weights`,
 		`{"inner": 1, "inner": 2}`:          "f:1: inner: must be an object {...}, not a number\nf:1: inner: appears twice in this object, first at line 1: remove one",
 		`{"level": "high", "ratio": "0.5"}`: `f:1: ratio: must be a number, not a string`,
+		`{"weights": 1}`:                    `f:1: weights: must be an object {...}, not a number`,
+		`{"weights": {"a.b": "x"}}`:         `f:1: weights."a.b": must be a number, not a string`,
+		`{"weights": {"a": 1, "a": 2}}`:     `f:1: weights.a: appears twice in this object, first at line 1: remove one`,
 	} {
 		var f file
 		require.EqualError(t, Read([]byte(text), "f", &f, table).Problems().Err(), want)
