placer, settings, insight: setting shares, its metrics and its log line

Shares of workspaces could not be enabled in a deployment. The setting shares of a relaying VM (enabled, default false, and weights) is passed to the pools of the owner. A weight out of bounds is an error that names the workspace; a weight of a workspace that the document in force does not contain is logged once by an owner, as the line shares.

--- a/daemon/insight/metrics.go
+++ b/daemon/insight/metrics.go
@@ -66,5 +66,6 @@
 	vm.WriteCounterUint64(w, "snipeshift_store_eras_total", p.Registry.EraChanges())
 	vm.WriteCounterUint64(w, "snipeshift_entries_unusable_total", p.Registry.UnusableCount())
 	vm.WriteCounterUint64(w, "snipeshift_log_dropped_total", p.LogWriter.Dropped())
+	p.writeShares(w)
 	vm.WriteProcessMetrics(w)
 }
--- a/daemon/placer/owner.go
+++ b/daemon/placer/owner.go
@@ -13,6 +13,7 @@
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
 	"snipeshift.example/lib/decide/gate"
+	"snipeshift.example/lib/decide/share"
 	"snipeshift.example/lib/decide/span"
 	"snipeshift.example/lib/decide/statement"
 	"snipeshift.example/lib/logline"
@@ -75,6 +76,8 @@
 	Members Members
 	Peers   Peers
 	Log     *log.Logger
+	// Shares divide scarce capacity among workspaces, if they are enabled.
+	Shares share.Settings
 }
 
 // Owner has the pools of all services for which gates query this VM. Any VM may become the owner of
@@ -96,6 +99,7 @@
 	watches  watches
 	detours  detours
 	checks   checks
+	unknown  unknownWorkspaces
 }
 
 // ownedPool is the pool of one service with the queries that wait for its decisions.
@@ -152,6 +156,7 @@
 			createdAt: o.Clock.Now(), budget: budget, alone: o.Alone(), pool: span.New(span.DefaultRules, budget), countedGates: map[decide.GateID]bool{},
 			waiters: map[decide.RequestID][]chan span.Decision{}, undelivered: map[decide.RequestID]span.Decision{},
 		}
+		p.pool.UseShares(o.Shares)
 		budget.GrowFrom(o.floorStart(p.alone))
 		o.pools[s] = p
 	}
@@ -165,6 +170,7 @@
 	p.pool.SetIsolated(alone && o.Clock.Now()-p.createdAt < AloneWait, o.Name)
 	if v := o.Knowledge.View(); v.Generation != p.generation && v.Table != nil {
 		first := p.generation == 0
+		o.warnUnknownWorkspaces(v.Table)
 		p.generation = v.Generation
 		p.pool.SetUpstreams(o.Clock.Now(), v.Table.Service(s), v.Upstreams[s])
 		if first {
--- a/daemon/settings/relay.go
+++ b/daemon/settings/relay.go
@@ -40,6 +40,7 @@
 	Level  string  `json:"level"`
 	Bounds Bounds  `json:"bounds"`
 	Budget Budget  `json:"budget"`
+	Shares Shares  `json:"shares"`
 }
 
 // Bounds are times that the platform's operators promise to their users.
@@ -90,6 +91,9 @@
 	"budget.share":      {Min: 0, Max: 1, Default: 0.2, Description: "retries per request"},
 	"budget.floor":      {Min: 0, Max: 1 << 20, Default: 100, Description: "number of retries allowed in addition"},
 	"budget.window":     {Unit: "milliseconds", Min: 1, Max: float64(maxGrace), Default: 10000, Description: "time over which requests and retries are counted"},
+	"shares":            {Description: "division of scarce capacity among workspaces"},
+	"shares.enabled":    {Description: "true to serve workspaces by their shares while capacity is scarce"},
+	"shares.weights":    {Description: "weights of workspaces by name, above 0 and at most 1,000; 1 for those not listed"},
 }
 
 // ReadRelay reads a file and checks it.
@@ -134,4 +138,5 @@
 	for i, a := range s.Peers {
 		checkAddress(src, fmt.Sprintf("peers[%d]", i), a)
 	}
+	s.Shares.check(src)
 }
--- a/daemon/settings/relay_test.go
+++ b/daemon/settings/relay_test.go
@@ -6,6 +6,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"snipeshift.example/lib/decide"
 )
 
 const validRelaySettings = `{"name":"vm-1","domain":"hall","caller":"127.0.0.1:1","ready":"127.0.0.1:2","peer":"127.0.0.1:3","store":"127.0.0.1:4"}`
@@ -58,6 +60,21 @@
 	require.Equal(t, 5000, s.Descriptors)
 }
 
+// A weight that is out of bounds would starve a workspace or all others. The error must name it.
+func TestWeightsOfWorkspacesAreChecked(t *testing.T) {
+	with := func(weights string) []byte {
+		return []byte(validRelaySettings[:len(validRelaySettings)-1] + `,"shares":{"enabled":true,"weights":` + weights + `}}`)
+	}
+	s, err := ParseRelay(with(`{"a":0.5,"b":1000}`), "vm.hujson")
+	require.NoError(t, err)
+	require.Equal(t, Shares{Enabled: true, Weights: map[decide.WorkspaceID]float64{"a": 0.5, "b": 1000}}, s.Shares)
+	_, err = ParseRelay(with(`{"a":0,"b":-1,"c":1000.5,"d":"x","e":1}`), "vm.hujson")
+	for _, f := range []string{"shares.weights.a: is 0", "shares.weights.b: is -1", "shares.weights.c: is 1000.5", "shares.weights.d: must be a number"} {
+		require.ErrorContains(t, err, f)
+	}
+	require.NotContains(t, err.Error(), "weights.e")
+}
+
 func FuzzParseRelay(f *testing.F) {
 	f.Add([]byte(validRelaySettings))
 	f.Fuzz(func(_ *testing.T, b []byte) { _, _ = ParseRelay(b, "fuzz") })
--- a/lib/logline/logline.go
+++ b/lib/logline/logline.go
@@ -70,6 +70,8 @@
 	Unknown    = "unknown"
 	// Era is a restart of the store from an older copy.
 	Era = "era"
+	// Shares is a weight of a workspace that the document in force does not contain.
+	Shares = "shares"
 )
 
 // Descriptions describes each event in one line. The operations manual repeats these lines.
@@ -107,4 +109,5 @@
 	Unreadable:   "a statement of an upstream is malformed and is ignored",
 	Unknown:      "responses have a header field that no adapter interprets; logged once for each name",
 	Era:          "the store was restored from an older copy: its new and previous era, the position and age of the data known before, and the source of the information",
+	Shares:       "a workspace with a weight in the setting `shares` is not in the document in force; logged once for each",
 }
