span: a workspace that waits alone is refused as without shares

What a lone workspace was granted is all that was granted, so rounding decided whether it exceeded its share, and with that which of its requests were refused for overload. Refusals differ from those without shares only while several workspaces wait.

--- a/lib/decide/share/share.go
+++ b/lib/decide/share/share.go
@@ -48,8 +48,10 @@
 	// is to be served next. It never falls. A workspace that starts at it goes before those that were
 	// served since.
 	current float64
-	// round counts the calls of Update, from 1.
-	round uint64
+	// round counts the calls of Update, from 1. waiting is the number of workspaces that waited in the
+	// last one.
+	round   uint64
+	waiting int
 	// recent and used are the tokens granted within leadWindow and useWindow, as decaying sums at at.
 	recent, used float64
 	at           clock.Milli
@@ -132,6 +134,7 @@
 		r.round, r.usedAt = a.round, now
 		rows = append(rows, r)
 	}
+	a.waiting = len(rows)
 	if len(rows) > 0 {
 		a.settle(rows)
 	}
@@ -181,6 +184,9 @@
 	a.used += float64(tokens)
 }
 
+// Contended reports whether several workspaces waited at the last Update.
+func (a *Account) Contended() bool { return a.waiting > 1 }
+
 // Exceeds reports whether a workspace was granted more than its share of what all active workspaces
 // were granted within useWindow. Virtual times are no measure of that: in each of them the workspace
 // that was served last is ahead.
--- a/lib/decide/span/shares.go
+++ b/lib/decide/span/shares.go
@@ -112,12 +112,14 @@
 
 // servedByShare reports whether a request must not be refused for overload: its workspace is within
 // its share, and at the rate of that share the request is served in time to be of use, after what
-// its own workspace has waiting ahead of it. What other workspaces have waiting does not count.
+// its own workspace has waiting ahead of it. What other workspaces have waiting does not count. While
+// only one workspace waits, all refusals are as without shares.
 func (o *round) servedByShare(w *queuedRequest) bool {
-	if o.pool.shares == nil || o.pool.shares.Exceeds(w.Workspace) {
+	a := o.pool.shares
+	if a == nil || !a.Contended() || a.Exceeds(w.Workspace) {
 		return false
 	}
 	id, tokens := w.predicted()
-	wait := o.pool.shares.Wait(id, o.waiting[id]+tokens)
+	wait := a.Wait(id, o.waiting[id]+tokens)
 	return float64(w.latestFirst-o.now) > wait+w.groupPrefillTime
 }
--- a/lib/decide/span/shares_test.go
+++ b/lib/decide/span/shares_test.go
@@ -148,19 +148,23 @@
 	}
 }
 
-// If fairness changed decisions while there is capacity for all, requests would wait for no reason.
+// If fairness changed decisions while there is capacity for all, or only one workspace sends
+// requests, requests would wait or be refused for no reason.
 // A pool whose shares are not enabled must decide as one that never had them in any case.
 func TestSharesChangeNoDecisionWithoutNeed(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		plain, disabled, enabled := newTestPool(t, 3), newTestPool(t, 3), newTestPool(t, 3)
 		disabled.UseShares(share.Settings{Weights: map[decide.WorkspaceID]float64{"a": 9}})
 		enabled.UseShares(share.Settings{Enabled: true, Weights: map[decide.WorkspaceID]float64{"a": 9}})
+		only := rapid.Bool().Draw(rt, "only one workspace")
 		waited := false
 		at := now
 		for i := range rapid.IntRange(1, 150).Draw(rt, "steps") {
 			at += clock.Milli(rapid.IntRange(0, 100).Draw(rt, "pause"))
 			a := plain.shortAsk(at)
-			a.Workspace = rapid.SampledFrom([]decide.WorkspaceID{"a", "b", "c"}).Draw(rt, "workspace")
+			if a.Workspace = "a"; !only {
+				a.Workspace = rapid.SampledFrom([]decide.WorkspaceID{"a", "b", "c"}).Draw(rt, "workspace")
+			}
 			a.Urgency = decide.Urgency(rapid.IntRange(0, 1).Draw(rt, "urgency"))
 			a.Prompt = decide.Tokens(rapid.IntRange(1, 60_000).Draw(rt, "prompt"))
 			ended := decide.RequestID(fmt.Sprint("note", i-rapid.IntRange(10, 60).Draw(rt, "running")))
@@ -175,7 +179,7 @@
 			want := plain.Tick(at)
 			require.Equal(rt, want, disabled.Tick(at))
 			got := enabled.Tick(at)
-			if waited = waited || len(plain.queue) > 0; !waited {
+			if waited = waited || len(plain.queue) > 0; only || !waited {
 				require.Equal(rt, want, got)
 			}
 		}
