--- a/daemon/placer/owner.go
+++ b/daemon/placer/owner.go
@@ -13,6 +13,7 @@
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
 	"snipeshift.example/lib/decide/gate"
+	"snipeshift.example/lib/decide/share"
 	"snipeshift.example/lib/decide/span"
 	"snipeshift.example/lib/decide/statement"
 	"snipeshift.example/lib/logline"
@@ -77,6 +78,8 @@
 	Log     *log.Logger
 	// Spread is set if pools that don't know all grants spread short requests, see span.Pool.SetSpread.
 	Spread bool
+	// Shares divide scarce capacity among workspaces, if they are enabled.
+	Shares share.Settings
 }
 
 // Owner has the pools of all services for which gates query this VM. Any VM may become the owner of
@@ -98,6 +101,7 @@
 	watches  watches
 	detours  detours
 	checks   checks
+	unknown  unknownWorkspaces
 }
 
 // ownedPool is the pool of one service with the queries that wait for its decisions.
@@ -159,7 +163,10 @@
 		p.alone = false
 		p.budget.GrowFrom(o.floorStart(false))
 	}
-	p.generation = o.follow(s, p, p.pool, alone)
+	if g := o.follow(s, p, p.pool, alone); g != p.generation {
+		p.generation = g
+		o.warnUnknownWorkspaces(o.Knowledge.View().Table)
+	}
 	return p
 }
 
@@ -170,6 +177,7 @@
 		createdAt: o.Clock.Now(), budget: budget, alone: o.Alone(), pool: span.New(span.DefaultRules, budget), countedGates: map[decide.GateID]bool{},
 		waiters: map[decide.RequestID][]chan span.Decision{}, undelivered: map[decide.RequestID]span.Decision{},
 	}
+	p.pool.UseShares(o.Shares)
 	budget.GrowFrom(o.floorStart(p.alone))
 	return p
 }
--- a/daemon/relay.go
+++ b/daemon/relay.go
@@ -25,6 +25,7 @@
 	"snipeshift.example/daemon/tunnel"
 	"snipeshift.example/lib/accept"
 	"snipeshift.example/lib/clock"
+	"snipeshift.example/lib/decide/share"
 	"snipeshift.example/lib/decide/span"
 	"snipeshift.example/lib/decide/statement"
 	"snipeshift.example/lib/dial"
@@ -116,7 +117,7 @@
 	}
 	d.startedAt = d.clock.Now()
 	d.accepts = accept.NewMonitor(d.clock, d.reportAccept, d.shed)
-	shares := listener.SharesOf(descriptors(s.Descriptors))
+	connections := listener.SharesOf(descriptors(s.Descriptors))
 	incarnation := peer.Incarnation(time.Now().UnixMilli())
 	self := peer.Member{VM: s.Name, Incarnation: incarnation, Domain: s.Domain, Address: s.Advertise, Cores: int(s.Cores * milliCoresPerCore), Link: int(s.Link)}
 	d.members = member.New(self, member.RelayRules, d.dialer, staticSeeds(s.Peers), d.clock)
@@ -133,15 +134,15 @@
 	d.holders = placer.NewHolders(d.members, d.clock, d.log)
 	d.members.Add(d.registry, q, d.holders)
 	var pooled *http.Transport
-	d.upstreams = dial.NewBound(func() int { return upstreamLimit(shares, d.clients) }, func() { pooled.CloseIdleConnections() })
+	d.upstreams = dial.NewBound(func() int { return upstreamLimit(connections, d.clients) }, func() { pooled.CloseIdleConnections() })
 	d.paths = tunnel.NewDialer(tunnel.Needs{
 		Clock: d.clock, Log: d.log, Members: d.members, Upstreams: listedUpstreams{d.registry, d.binding},
 		Direct: d.upstreams.Dial(directDial(s)), Peer: dialPeer,
 	})
 	d.tunnels = tunnel.NewServer(d.paths)
-	d.tunnels.SetLimit(shares.Tunnels)
+	d.tunnels.SetLimit(connections.Tunnels)
 	d.peers.ServeTunnels(d.tunnels.Serve)
-	d.peers.SetLimit(shares.Peers)
+	d.peers.SetLimit(connections.Peers)
 	pooled = upstreamTransport(d.paths.Dial)
 	d.paths.OnHang(pooled.CloseIdleConnections)
 	engines := platform.NewEngineClient(pooled)
@@ -149,6 +150,7 @@
 	d.owner = placer.NewOwner(placer.OwnerNeeds{
 		Clock: d.clock, Knowledge: d.registry, Reports: engines, Gate: id, Name: string(s.Name), Alone: func() bool { return d.members.LastContact() == 0 },
 		Holders: d.holders, Members: d.members, Peers: d.dialer, Log: d.log, Spread: s.Spread,
+		Shares: share.Settings{Enabled: s.Shares.Enabled, Weights: s.Shares.Weights},
 	}, placer.Budget{
 		Share: ownerBudgetShare * s.Budget.Share, Floor: ownerBudgetShare * s.Budget.Floor, Window: s.Budget.Window,
 	})
--- a/lib/decide/span/copy.go
+++ b/lib/decide/span/copy.go
@@ -11,7 +11,7 @@
 func (p *Pool) Copy() *Pool {
 	c := copier{upstreams: map[*upstreamState]*upstreamState{}, grants: map[*grantState]*grantState{}, declared: map[*declared]*declared{}}
 	q := *p
-	q.budget, q.parts = p.budget.Clone(), p.parts.Clone()
+	q.budget, q.parts, q.shares = p.budget.Clone(), p.parts.Clone(), p.shares.Clone()
 	q.finished = maps.Clone(p.finished)
 	q.queue = make(map[decide.RequestID]*queuedRequest, len(p.queue))
 	for id, w := range p.queue {
