--- a/lib/decide/span/pool.go
+++ b/lib/decide/span/pool.go
@@ -226,6 +226,7 @@
 		return x, false
 	}
 	p.endRun(now, g, o)
+	p.noteHeld(now, g)
 	if culprit == "" {
 		culprit = g.Grant.Leader.Upstream
 	}
@@ -305,7 +306,6 @@
 	}
 	delete(p.grants, id)
 	p.parts.Ended(now, run(id))
-	p.noteHeld(now, g)
 	for _, r := range g.upstreams {
 		delete(r.grants, id)
 		r.noteEnded(now)
--- a/lib/decide/span/spread.go
+++ b/lib/decide/span/spread.go
@@ -115,7 +115,7 @@
 	return 1 + int(math.Ceil(spreadMargin*all/float64(max(p.rules.PackedStreams, 1))))
 }
 
-// noteHeld includes a grant that ends in the mean of the time that short requests are held.
+// noteHeld includes a send that has ended in the mean of the time that short requests are held.
 func (p *Pool) noteHeld(now clock.Milli, g *grantState) {
 	long := len(g.Grant.Helpers) > 0 || g.Grant.Leader.Read > p.rules.MaxShortRead
 	if long || !g.Writing || g.presented || len(g.upstreams) == 0 {
