span: refused clients are told a time for which capacity is booked

A pool for which SetBookings was called books capacity for the retry of a request that it refuses for pressure or deadline, at the earliest time at which its own estimates show room and which the client honors. A retry that takes its booking is not refused for pressure and goes before other late requests. Without the call every decision is as before (TestPoolWithoutBookingsDecidesAsBefore).

The spare rate of short requests is the rate at which late ones are placed. For long prompts it is the lesser of the idle time of engines and what is left of them after what clients ask for, where a prompt that was refused without a booking counts again: its client retries.

Most refusals of a large burst make no booking, since unbooked retries take the capacity.

Run: tests of span and booking, with -race before the last edits of tests.

--- a/lib/decide/span/headroom.go
+++ b/lib/decide/span/headroom.go
@@ -78,11 +78,17 @@
 	h.recentPlaceRate += 1 / lateWindow
 }
 
+// waitOfShort returns the time in milliseconds until a late short request behind this many others is
+// placed, at the average or the recent placing rate, whichever is higher.
+func (h headroom) waitOfShort(ahead int) float64 {
+	return float64(ahead+1) / max(h.placeRate, h.recentPlaceRate, 1/headroomWindow)
+}
+
 // refuseLateShort refuses a late short request whose answer will come too late to be of use if the
 // request is placed after this many others, at the average or the recent placing rate, whichever is
 // higher. It reports whether it refused the request.
 func (p *Pool) refuseLateShort(now clock.Milli, w *queuedRequest, ahead int) (Decision, bool) {
-	wait := float64(ahead+1) / max(p.headroom.placeRate, p.headroom.recentPlaceRate, 1/headroomWindow)
+	wait := p.headroom.waitOfShort(ahead)
 	if w.prefillTime == 0 || now-w.Aim < lateShortGrace || float64(w.latestFirst-now) > wait+w.groupPrefillTime {
 		return Decision{}, false
 	}
@@ -102,9 +108,12 @@
 
 // willBeLate reports whether a long prompt in time will miss its aim behind this backlog.
 func (p *Pool) willBeLate(now clock.Milli, w *queuedRequest, backlog float64) bool {
-	return float64(w.Aim-now) < startDelay+w.groupPrefillTime+backlog/float64(max(p.headroom.engines, 1))
+	return float64(w.Aim-now) < startDelay+w.groupPrefillTime+p.headroom.waitInTime(backlog)
 }
 
+// waitInTime returns the time in milliseconds in which all engines together prefill this much work.
+func (h headroom) waitInTime(backlog float64) float64 { return backlog / float64(max(h.engines, 1)) }
+
 // overloadRefusal refuses a request and asks its client to retry after half of the time that it
 // would have waited. Overload comes in phases, and a client that retries at once is only refused
 // again.
@@ -119,11 +128,15 @@
 	return max(minHeadroom, 1-h.busy) * float64(max(h.engines, 1))
 }
 
+// waitOfLong returns the time in milliseconds in which the spare capacity prefills this much work of
+// late prompts.
+func (h headroom) waitOfLong(ahead float64) float64 { return ahead / h.spareRate() }
+
 // refuseLateLong refuses a long prompt that will not be served by its deadline behind this much
 // prefill time of other late prompts. It reports whether it refused the prompt.
 func (p *Pool) refuseLateLong(now clock.Milli, w *queuedRequest, ahead float64) (Decision, bool) {
 	rate := p.headroom.spareRate()
-	wait := ahead / rate
+	wait := p.headroom.waitOfLong(ahead)
 	ownTime := w.prefillTime / rate
 	if float64(w.latestFirst-now) > wait+max(ownTime, w.groupPrefillTime) {
 		return Decision{}, false
--- a/lib/decide/span/pool.go
+++ b/lib/decide/span/pool.go
@@ -53,7 +53,8 @@
 	// budget limits the repeated sends of requests.
 	budget *gate.Budget
 	// parts knows the parts of prompts that crash upstreams.
-	parts *blame.Table
+	parts    *blame.Table
+	bookings bookings
 }
 
 // New returns an empty pool that limits repeated sends by b.
@@ -128,6 +129,7 @@
 	}
 	w := &queuedRequest{Ask: a, queuedAt: now, askedAt: now}
 	p.estimate(w)
+	p.takeBooking(now, w)
 	p.queue[a.ID] = w
 	if w.long {
 		p.largeReserve.noteAsked(w.prefillTime)
@@ -141,6 +143,7 @@
 // expire removes queued requests and grants that no gate has named within their time limits.
 func (p *Pool) expire(now clock.Milli) {
 	p.forgetAbsent(now)
+	p.expireBookings(now)
 	for id, w := range p.queue {
 		if now-w.askedAt > askTTL {
 			delete(p.queue, id)
--- a/lib/decide/span/queue.go
+++ b/lib/decide/span/queue.go
@@ -23,6 +23,8 @@
 	// writing the answer. Short requests are tried even if it may not suffice, since a try costs
 	// little and the answer may be short.
 	latestFirst clock.Milli
+	// booked is set for a retry that has taken its booking.
+	booked bool
 }
 
 // estimate computes the fields that depend on the length of the prompt.
@@ -100,6 +102,7 @@
 	o := round{pool: p, now: now, backlogInTime: p.totalBacklog(now), unverified: p.allUnverified(), supply: p.totalSupply(now)}
 	for _, w := range p.orderedQueue(now) {
 		if d, decided := o.judge(w); decided {
+			o.book(w, &d)
 			delete(p.queue, w.ID)
 			if w.long {
 				p.largeReserve.noteDecided(w, d.Action == Refused)
@@ -150,7 +153,7 @@
 			return d, true
 		}
 	}
-	mayRefuse := !o.unverified && !w.Begun
+	mayRefuse := !o.unverified && !w.Begun && !w.booked
 	if w.long {
 		if d, refused := o.refuseLong(w, late); refused && mayRefuse {
 			return d, true
--- a/lib/decide/span/snapshot.go
+++ b/lib/decide/span/snapshot.go
@@ -4,6 +4,7 @@
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
 	"snipeshift.example/lib/decide/blame"
+	"snipeshift.example/lib/decide/booking"
 	"snipeshift.example/lib/decide/gate"
 	"snipeshift.example/lib/decide/statement"
 )
@@ -27,6 +28,9 @@
 	Budget gate.BudgetSnapshot
 	// Crashes are those that speak against parts of prompts.
 	Crashes []blame.Crash
+	// Bookings are those of refused clients. Booked are queued requests that have taken theirs.
+	Bookings []booking.Saved
+	Booked   []decide.RequestID
 }
 
 // GrantSnapshot is one live grant in a snapshot.
@@ -76,6 +80,7 @@
 		Saved: p.largeReserve.savedPrefill, Mean: p.largeReserve.meanPrefill, LargeRefused: p.largeReserve.large.refused, OthersRefused: p.largeReserve.others.refused,
 		Budget: p.budget.Snapshot(now), Crashes: p.parts.Whole(now),
 	}
+	b.Bookings, b.Booked = p.savedBookings(now)
 	for _, g := range p.grants {
 		b.Grants = append(b.Grants, GrantSnapshot{
 			Live: g.LiveGrant, Age: now - g.grantedAt, Unheard: now - g.namedAt, Workspace: g.ask.Workspace, Suspect: g.ask.Suspect, Parts: g.ask.Parts,
@@ -131,6 +136,7 @@
 	}
 	p.budget.Restore(now, b.Budget)
 	p.parts.Merge(now, b.Crashes)
+	p.restoreBookings(now, b.Bookings, b.Booked)
 	p.headroom = headroom{busy: b.Busy, at: now, engines: p.headroom.engines, placeRate: b.Served}
 	p.largeReserve.savedPrefill, p.largeReserve.meanPrefill = b.Saved, b.Mean
 	p.largeReserve.large.refused, p.largeReserve.others.refused = b.LargeRefused, b.OthersRefused
--- a/lib/decide/span/span.go
+++ b/lib/decide/span/span.go
@@ -63,6 +63,8 @@
 	// Counted is set if nothing was sent under the previous grant of the request. The retry budget
 	// counted this send with that grant.
 	Counted bool
+	// Fingerprint identifies the request over the client's retries after refusals; zero if unknown.
+	Fingerprint uint64
 }
 
 // Grant is the permission for one send to run.
@@ -115,6 +117,9 @@
 	// again.
 	Fault fault.Kind
 	Retry clock.Milli
+	// BookedAt is the time of the pool's clock for which capacity is booked for the retry of a refused
+	// client; zero for none. Retry is the time until then.
+	BookedAt clock.Milli
 	// Reason names the rule that decided, for the log.
 	Reason string
 	// Limit is the last known rate limit of the leader; nil if it declared none.
