placer, relay: setting bookings, the fingerprint of queries, booked Retry-After

The owner's pools make bookings where the settings bookings.horizon and bookings.limit enable them. The gate sends the fingerprint of the request with each query and passes a booked time on unchanged; other refusals keep their minimum of 0.5 s, which moved a booking at 0.2 s by 0.3 s. A refusal that waits at the owner for its gate is delivered with the time that is left.

Metrics snipeshift_bookings_total and snipeshift_bookings_open, log line bookings, each on the owner.

Run: tests of placer, relay and settings with -race, of the daemon package without.

--- a/daemon/insight/metrics.go
+++ b/daemon/insight/metrics.go
@@ -48,6 +48,7 @@
 			gauge("snipeshift_upstream_leaving"+labels, 1)
 		}
 	})
+	p.bookingMetrics(w)
 	for _, d := range v.Evacuated {
 		gauge(fmt.Sprintf("snipeshift_domain_evacuated{domain=%q}", d), 1)
 	}
--- a/daemon/placer/messages.go
+++ b/daemon/placer/messages.go
@@ -61,6 +61,8 @@
 	Fault  fault.Kind
 	Retry  clock.Milli
 	Reason string
+	// Booked is set if capacity is booked for the retry, so that Retry must reach the client unchanged.
+	Booked bool
 	// Queued and Granted are the numbers of requests waiting and running in the pool.
 	Queued, Granted int
 	// Waited is how long the call waited for the decision. The gate subtracts it to obtain the
--- a/daemon/placer/owner.go
+++ b/daemon/placer/owner.go
@@ -12,6 +12,7 @@
 	"snipeshift.example/daemon/statements"
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
+	"snipeshift.example/lib/decide/booking"
 	"snipeshift.example/lib/decide/gate"
 	"snipeshift.example/lib/decide/span"
 	"snipeshift.example/lib/decide/statement"
@@ -75,6 +76,8 @@
 	Members Members
 	Peers   Peers
 	Log     *log.Logger
+	// Bookings bound the bookings for refused clients of each service; without a horizon none are made.
+	Bookings booking.Limits
 }
 
 // Owner has the pools of all services for which gates query this VM. Any VM may become the owner of
@@ -127,6 +130,8 @@
 	// gathering is set while gates present their live grants to a new holder, and while a holder hands
 	// over. Nothing is decided meanwhile.
 	gathering bool
+	// loggedBookings are the bookings as of the last log line on them.
+	loggedBookings booking.Counts
 	// hasStandbys is set while goroutines send keepalives to the standbys.
 	hasStandbys bool
 }
@@ -153,6 +158,7 @@
 			waiters: map[decide.RequestID][]chan span.Decision{}, undelivered: map[decide.RequestID]span.Decision{},
 		}
 		budget.GrowFrom(o.floorStart(p.alone))
+		p.pool.SetBookings(o.Bookings)
 		o.pools[s] = p
 	}
 	o.mu.Unlock()
@@ -203,7 +209,7 @@
 	if d, ok := p.undelivered[a.ID]; ok {
 		delete(p.undelivered, a.ID)
 		p.mu.Unlock()
-		reply.decided(d)
+		reply.decided(d.DeliveredAt(now))
 		return
 	}
 	queued := p.pool.Queued(a.ID)
@@ -263,6 +269,7 @@
 func (r *AskReply) decided(d span.Decision) {
 	r.Decided = true
 	r.Grant, r.Fault, r.Retry, r.Reason, r.Limit = d.Grant, d.Fault, d.Retry, d.Reason, d.Limit
+	r.Booked = d.BookedAt != 0
 }
 
 // tick makes the decisions that are possible now and delivers them. The pool's lock is held.
--- a/daemon/relay.go
+++ b/daemon/relay.go
@@ -25,6 +25,7 @@
 	"snipeshift.example/daemon/tunnel"
 	"snipeshift.example/lib/accept"
 	"snipeshift.example/lib/clock"
+	"snipeshift.example/lib/decide/booking"
 	"snipeshift.example/lib/decide/span"
 	"snipeshift.example/lib/decide/statement"
 	"snipeshift.example/lib/dial"
@@ -148,7 +149,7 @@
 	id := peer.Gate(s.Name, incarnation)
 	d.owner = placer.NewOwner(placer.OwnerNeeds{
 		Clock: d.clock, Knowledge: d.registry, Reports: engines, Gate: id, Name: string(s.Name), Alone: func() bool { return d.members.LastContact() == 0 },
-		Holders: d.holders, Members: d.members, Peers: d.dialer, Log: d.log,
+		Holders: d.holders, Members: d.members, Peers: d.dialer, Log: d.log, Bookings: booking.Limits{Horizon: s.Bookings.Horizon, Most: s.Bookings.Limit},
 	}, placer.Budget{
 		Share: ownerBudgetShare * s.Budget.Share, Floor: ownerBudgetShare * s.Budget.Floor, Window: s.Budget.Window,
 	})
--- a/daemon/relay/harness_test.go
+++ b/daemon/relay/harness_test.go
@@ -95,6 +95,10 @@
 	wait      time.Duration
 	beforeAsk func()
 	refuse    fault.Kind
+	// booked is the Retry-After time of refusals with a booking; zero for refusals without one.
+	booked clock.Milli
+	// fingerprints records the field Fingerprint of each Ask.
+	fingerprints []uint64
 	// passed are the statements passed on to carriers.
 	passed []string
 	// helpers are the helpers in each grant.
@@ -109,6 +113,7 @@
 	p.again = append(p.again, a.Again)
 	p.counted = append(p.counted, a.Counted)
 	p.parts = append(p.parts, a.Parts)
+	p.fingerprints = append(p.fingerprints, a.Fingerprint)
 	p.mu.Unlock()
 	select {
 	case <-time.After(p.wait):
@@ -116,7 +121,7 @@
 		return placer.AskReply{}, ctx.Err()
 	}
 	if p.refuse != "" {
-		return placer.AskReply{Decided: true, Fault: p.refuse, Reason: "test"}, nil
+		return placer.AskReply{Decided: true, Fault: p.refuse, Reason: "test", Retry: p.booked, Booked: p.booked > 0}, nil
 	}
 	for _, h := range p.helpers {
 		if slices.Contains(a.Avoid, h.Upstream) {
--- a/daemon/relay/run.go
+++ b/daemon/relay/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"strconv"
 
+	"snipeshift.example/daemon/placer"
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
 	"snipeshift.example/lib/decide/gate"
@@ -199,7 +200,7 @@
 		Gate: g.id, Workspace: x.workspaceID(), Urgency: route.Urgency(x.route, x.workspace),
 		Prompt: x.head.Prompt, Output: x.head.Output, Likely: x.likelyOutput(), Aim: x.firstByteTarget(now), Patience: x.patienceEnd(now), Deadline: x.deadline, Gap: x.route.Gap,
 		Stream: x.route.Stream, Avoid: x.avoid, Suspect: check == gate.Suspected, Parts: x.sharedParts(),
-		Again: before.again, Begun: before.mayHaveRun, Counted: before.counted,
+		Again: before.again, Begun: before.mayHaveRun, Counted: before.counted, Fingerprint: x.fingerprint,
 	}
 	reply, err := g.Placer.Ask(ctx, x.service, a)
 	x.record.queued += g.Clock.Now() - now
@@ -209,11 +210,20 @@
 	}
 	x.record.reason, x.record.waiting, x.record.running = reply.Reason, reply.Queued, reply.Granted
 	if reply.Fault != "" {
-		return span.Grant{}, fault.New(reply.Fault, "no place: %s", reply.Reason).WithRetry(max(reply.Retry, busyRetry))
+		return span.Grant{}, fault.New(reply.Fault, "no place: %s", reply.Reason).WithRetry(retryTime(&reply))
 	}
 	return reply.Grant, nil
 }
 
+// retryTime returns the Retry-After time of a refusal by the owner. The time of a booking must not be
+// changed, since capacity is booked for that time only.
+func retryTime(reply *placer.AskReply) clock.Milli {
+	if reply.Booked {
+		return reply.Retry
+	}
+	return max(reply.Retry, busyRetry)
+}
+
 // patienceEnd returns the time at which the client is expected to leave if it has not received the
 // next byte.
 func (x *request) patienceEnd(now clock.Milli) clock.Milli {
--- a/daemon/settings/relay.go
+++ b/daemon/settings/relay.go
@@ -40,6 +40,16 @@
 	Level  string  `json:"level"`
 	Bounds Bounds  `json:"bounds"`
 	Budget Budget  `json:"budget"`
+	// Bookings bounds the bookings of capacity for the retries of refused clients.
+	Bookings Bookings `json:"bookings"`
+}
+
+// Bookings bounds the bookings that the owner of a service makes.
+type Bookings struct {
+	// Horizon is how far ahead capacity is booked; zero for no bookings.
+	Horizon clock.Milli `json:"horizon"`
+	// Limit is the number of bookings that a service may have at a time.
+	Limit int `json:"limit"`
 }
 
 // Bounds are times that the platform's operators promise to their users.
@@ -90,6 +100,9 @@
 	"budget.share":      {Min: 0, Max: 1, Default: 0.2, Description: "retries per request"},
 	"budget.floor":      {Min: 0, Max: 1 << 20, Default: 100, Description: "number of retries allowed in addition"},
 	"budget.window":     {Unit: "milliseconds", Min: 1, Max: float64(maxGrace), Default: 10000, Description: "time over which requests and retries are counted"},
+	"bookings":          {Description: "bookings of capacity for the retries of refused clients"},
+	"bookings.horizon":  {Unit: "milliseconds", Min: 0, Max: 10_000, Default: 0, Description: "how far ahead capacity is booked; no bookings are made if it is 0"},
+	"bookings.limit":    {Min: 1, Max: 4096, Default: 256, Description: "bookings that a service may have at a time"},
 }
 
 // ReadRelay reads a file and checks it.
--- a/daemon/settings/relay_test.go
+++ b/daemon/settings/relay_test.go
@@ -15,13 +15,14 @@
 	require.NoError(t, err)
 	require.Equal(t, Bounds{Config: 2000, Revoke: 5000, Grace: 8000}, s.Bounds)
 	require.Equal(t, Budget{Share: 0.2, Floor: 100, Window: 10_000}, s.Budget)
+	require.Equal(t, Bookings{Horizon: 0, Limit: 256}, s.Bookings)
 	require.Equal(t, 256, s.Memory)
 }
 
 func TestAllRelayProblemsAreReportedTogether(t *testing.T) {
-	_, err := ParseRelay([]byte(`{"name":"VM 1","peers":["nowhere"],"peer":"0.0.0.0:3","metrics":"x","bounds":{"revoke":0},"budget":{"share":2}}`), "vm.hujson")
+	_, err := ParseRelay([]byte(`{"name":"VM 1","peers":["nowhere"],"peer":"0.0.0.0:3","metrics":"x","bounds":{"revoke":0},"budget":{"share":2},"bookings":{"horizon":10001,"limit":0}}`), "vm.hujson")
 	require.Error(t, err)
-	for _, f := range []string{"name", "domain", "caller", "ready", "store", "peers[0]", "advertise: is needed, since peer", "metrics", "bounds.revoke", "budget.share"} {
+	for _, f := range []string{"name", "domain", "caller", "ready", "store", "peers[0]", "advertise: is needed, since peer", "metrics", "bounds.revoke", "budget.share", "bookings.horizon", "bookings.limit"} {
 		require.ErrorContains(t, err, f)
 	}
 }
--- a/lib/logline/logline.go
+++ b/lib/logline/logline.go
@@ -53,6 +53,8 @@
 	Blame = "blame"
 	// Paths is the loss or the return of this VM's direct paths to upstreams.
 	Paths = "paths"
+	// Bookings summarizes the bookings of a service for the retries of refused clients.
+	Bookings = "bookings"
 	// Reserve and Release are failed orders to reserve or free memory of an engine.
 	Reserve = "reserve"
 	Release = "release"
@@ -98,6 +100,7 @@
 	Crashed:      "an upstream is taken to have crashed while it ran a request: the error of the send and that of the probe, whether the response had a header by then and how many events, and whether the request is suspected from then on",
 	Blame:        "a part of prompts is blamed for crashes of upstreams and its requests are refused, or that has ended: by an answer (acquitted), after a long time without such requests (lapsed), by the operator (pardoned); with the crashes, and whether the part had been answered shortly before (familiar)",
 	Paths:        "the direct paths of this VM to upstreams, all of them or those of the failure domains named, are lost, so that it connects through other VMs, or work again",
+	Bookings:     "bookings of capacity for the retries of refused clients within the last ten seconds, if there were any: made, kept by the retry, lapsed, kept but refused again, and refusals for which there was nothing to book (full)",
 	Reserve:      "memory for a part of a prompt could not be reserved",
 	Release:      "reserved memory could not be freed; the reservation expires by itself",
 	Limit:        "an upstream declares, changes or withdraws its rate limit, in requests per second from all VMs together; with the source of the information",
