span: tests that a booked retry is not refused for pressure, and that no horizon means off

Two changes of the code passed all tests: refusing booked retries for pressure, and enabling bookings without a horizon.

--- a/lib/decide/span/booking_test.go
+++ b/lib/decide/span/booking_test.go
@@ -163,6 +163,8 @@
 	booked.play(50, 360, 8)
 	after.SetBookings(booking.Limits{Most: 256})
 	after.Restore(now, Snapshot{Bookings: []booking.Saved{{Key: booking.Key{Fingerprint: 3}, In: 6000}}, Booked: []decide.RequestID{"note7"}})
+	_, _, enabled := after.BookingCounts(now)
+	require.False(t, enabled)
 	before.Restore(now, Snapshot{})
 	before.play(50, 360, 8)
 	after.play(50, 360, 8)
@@ -246,6 +248,24 @@
 	require.True(t, other.queue[retry.ID].booked, "the booking was handed over before the retry")
 }
 
+// Capacity that was promised to a retry must not be denied when the retry is late.
+func TestBookedRetryIsNotRefusedForPressure(t *testing.T) {
+	b := fullPool(t)
+	d, _ := b.ask(now, b.lateAsk(now))
+	retry, other := b.shortAsk(d.BookedAt), b.shortAsk(d.BookedAt)
+	retry.Workspace, retry.Fingerprint = "w", 7
+	b.Ask(d.BookedAt, retry)
+	b.Ask(d.BookedAt, other)
+	b.headroom.placeRate, b.headroom.recentPlaceRate = 0, 0
+	for _, w := range b.queue {
+		w.latestFirst = d.BookedAt + 1000
+	}
+	ds := b.Tick(d.BookedAt + 600)
+	require.Len(t, ds, 1)
+	require.Equal(t, other.ID, ds[0].Request)
+	require.Equal(t, "pressure", ds[0].Reason)
+}
+
 // The client of a request that may have run is not told that it may retry, and an unknown client, or
 // one that has no time to wait, does not come back: capacity booked for them is lost to others.
 func TestNoBookingForClientThatCannotRetry(t *testing.T) {
