--- a/daemon/insight/where.go
+++ b/daemon/insight/where.go
@@ -172,7 +172,7 @@
 	switch {
 	case !e.Decided:
 	case e.Decision.Action == span.Refused:
-		out.Verdict, out.Fault, out.RetryAfter = answers.Refused, e.Decision.Fault, relay.RetryAfter(e.Decision.Retry)
+		out.Verdict, out.Fault, out.RetryAfter = answers.Refused, e.Decision.Fault, relay.RetryAfter(e.Decision.Retry, e.Decision.BookedAt != 0)
 	default:
 		out.Verdict = answers.Placed
 		g := &e.Decision.Grant
--- a/daemon/relay.go
+++ b/daemon/relay.go
@@ -25,6 +25,7 @@
 	"snipeshift.example/daemon/tunnel"
 	"snipeshift.example/lib/accept"
 	"snipeshift.example/lib/clock"
+	"snipeshift.example/lib/decide/booking"
 	"snipeshift.example/lib/decide/share"
 	"snipeshift.example/lib/decide/span"
 	"snipeshift.example/lib/decide/statement"
@@ -150,7 +151,8 @@
 	d.owner = placer.NewOwner(placer.OwnerNeeds{
 		Clock: d.clock, Knowledge: d.registry, Reports: engines, Gate: id, Name: string(s.Name), Alone: func() bool { return d.members.LastContact() == 0 },
 		Holders: d.holders, Members: d.members, Peers: d.dialer, Log: d.log, Spread: s.Spread,
-		Shares: share.Settings{Enabled: s.Shares.Enabled, Weights: s.Shares.Weights},
+		Shares:   share.Settings{Enabled: s.Shares.Enabled, Weights: s.Shares.Weights},
+		Bookings: booking.Limits{Horizon: s.Bookings.Horizon, Most: s.Bookings.Limit},
 	}, placer.Budget{
 		Share: ownerBudgetShare * s.Budget.Share, Floor: ownerBudgetShare * s.Budget.Floor, Window: s.Budget.Window,
 	})
--- a/daemon/relay/run.go
+++ b/daemon/relay/run.go
@@ -197,6 +197,7 @@
 	a := x.newAsk(now, strconv.FormatUint(g.serial.Add(1), 36))
 	a.Suspect, a.Parts = check == gate.Suspected, x.sharedParts()
 	a.Again, a.Begun, a.Counted = before.again, before.mayHaveRun, before.counted
+	a.Fingerprint = x.fingerprint
 	reply, err := g.Placer.Ask(ctx, x.service, a)
 	x.record.queued += g.Clock.Now() - now
 	if err != nil {
@@ -205,7 +206,7 @@
 	}
 	x.record.reason, x.record.waiting, x.record.running = reply.Reason, reply.Queued, reply.Granted
 	if reply.Fault != "" {
-		return span.Grant{}, fault.New(reply.Fault, "no place: %s", reply.Reason).WithRetry(RetryAfter(reply.Retry))
+		return span.Grant{}, fault.New(reply.Fault, "no place: %s", reply.Reason).WithRetry(RetryAfter(reply.Retry, reply.Booked))
 	}
 	return reply.Grant, nil
 }
--- a/daemon/relay/where.go
+++ b/daemon/relay/where.go
@@ -19,5 +19,11 @@
 	return x.newAsk(now, "where")
 }
 
-// RetryAfter returns the Retry-After of a request that the owner refuses.
-func RetryAfter(fromOwner clock.Milli) clock.Milli { return max(fromOwner, busyRetry) }
+// RetryAfter returns the Retry-After of a request that the owner refuses. The time of a booking must not be changed, since
+// capacity is booked for that time only.
+func RetryAfter(fromOwner clock.Milli, booked bool) clock.Milli {
+	if booked {
+		return fromOwner
+	}
+	return max(fromOwner, busyRetry)
+}
--- a/daemon/settings/relay.go
+++ b/daemon/settings/relay.go
@@ -43,6 +43,16 @@
 	Bounds Bounds  `json:"bounds"`
 	Budget Budget  `json:"budget"`
 	Shares Shares  `json:"shares"`
+	// Bookings bounds the bookings of capacity for the retries of refused clients.
+	Bookings Bookings `json:"bookings"`
+}
+
+// Bookings bounds the bookings that the owner of a service makes.
+type Bookings struct {
+	// Horizon is how far ahead capacity is booked; zero for no bookings.
+	Horizon clock.Milli `json:"horizon"`
+	// Limit is the number of bookings that a service may have at a time.
+	Limit int `json:"limit"`
 }
 
 // Bounds are times that the platform's operators promise to their users.
@@ -97,6 +107,9 @@
 	"shares":            {Description: "division of scarce capacity among workspaces"},
 	"shares.enabled":    {Description: "true to serve workspaces by their shares while capacity is scarce"},
 	"shares.weights":    {Description: "weights of workspaces by name, above 0 and at most 1,000; 1 for those not listed"},
+	"bookings":          {Description: "bookings of capacity for the retries of refused clients"},
+	"bookings.horizon":  {Unit: "milliseconds", Min: 0, Max: 10_000, Default: 0, Description: "how far ahead capacity is booked; no bookings are made if it is 0"},
+	"bookings.limit":    {Min: 1, Max: 4096, Default: 256, Description: "bookings that a service may have at a time"},
 }
 
 // ReadRelay reads a file and checks it.
--- a/lib/decide/span/explain_test.go
+++ b/lib/decide/span/explain_test.go
@@ -12,6 +12,7 @@
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
 	"snipeshift.example/lib/decide/blame"
+	"snipeshift.example/lib/decide/booking"
 	"snipeshift.example/lib/decide/gate"
 	"snipeshift.example/lib/decide/share"
 	"snipeshift.example/lib/decide/statement"
@@ -69,9 +70,10 @@
 		if rapid.Bool().Draw(t, "plain") {
 			e = nil
 		}
-		shares := rapid.Bool().Draw(t, "shares")
+		shares, horizon := rapid.Bool().Draw(t, "shares"), clock.Milli(rapid.SampledFrom([]int{0, 4000}).Draw(t, "horizon"))
 		w := newTwins(rapid.IntRange(1, 5).Draw(t, "engines"), e)
 		w.both(func(p *Pool) { p.UseShares(share.Settings{Enabled: shares}) })
+		w.both(func(p *Pool) { p.SetBookings(booking.Limits{Horizon: horizon, Most: 16}) })
 		at := now
 		for i := range rapid.IntRange(1, 60).Draw(t, "steps") {
 			at += clock.Milli(rapid.IntRange(0, 300).Draw(t, "pause"))
@@ -106,8 +108,8 @@
 		ID: decide.RequestID(fmt.Sprint(i)), Gate: decide.GateID(rapid.SampledFrom([]string{"g", "h"}).Draw(t, "gate")),
 		Prompt: decide.Tokens(rapid.SampledFrom([]int{1000, 5000, 90_000, 400_000}).Draw(t, "prompt")), Output: 500,
 		Urgency: decide.Urgency(rapid.IntRange(0, 2).Draw(t, "urgency")), Again: rapid.Bool().Draw(t, "again"),
-		Workspace: decide.WorkspaceID(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "workspace")),
-		Aim:       at + clock.Milli(rapid.IntRange(50, 3000).Draw(t, "aim")), Gap: 200, Stream: true,
+		Fingerprint: uint64(rapid.IntRange(0, 4).Draw(t, "fingerprint")), Workspace: decide.WorkspaceID(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "workspace")),
+		Aim: at + clock.Milli(rapid.IntRange(50, 3000).Draw(t, "aim")), Gap: 200, Stream: true,
 	}
 	a.Deadline = a.Aim + clock.Milli(rapid.IntRange(100, 6000).Draw(t, "deadline"))
 	if rapid.Bool().Draw(t, "part") {
@@ -138,7 +140,7 @@
 		row    any
 		fields []string
 	}{
-		{Pool{}, []string{"engine", "upstreams", "packOrder", "queue", "grants", "finished", "declared.byUpstream", "budget", "parts", "shares", "spread.random"}},
+		{Pool{}, []string{"engine", "upstreams", "packOrder", "queue", "grants", "finished", "declared.byUpstream", "budget", "parts", "shares", "bookings.table", "bookings.continued", "spread.random"}},
 		{upstreamState{}, []string{"engine", "grants", "recentEnds", "declared"}},
 		{grantState{}, []string{"LiveGrant.Grant.Helpers", "ask.Avoid", "ask.Parts", "upstreams"}},
 		{queuedRequest{}, []string{"Ask.Avoid", "Ask.Parts"}},
--- a/lib/decide/span/queue.go
+++ b/lib/decide/span/queue.go
@@ -25,6 +25,8 @@
 	latestFirst clock.Milli
 	// passedOver is set once a scan has left the request waiting.
 	passedOver bool
+	// booked is set for a retry that has taken its booking.
+	booked bool
 }
 
 // estimate computes the fields that depend on the length of the prompt.
@@ -124,6 +126,7 @@
 		o.noteWaiting(w)
 		return Decision{}, false
 	}
+	o.book(w, &d)
 	delete(o.pool.queue, w.ID)
 	if w.long {
 		o.pool.largeReserve.noteDecided(w, d.Action == Refused)
@@ -171,7 +174,7 @@
 			return d, true
 		}
 	}
-	mayRefuse := !o.unverified && !w.Begun && !o.servedByShare(w)
+	mayRefuse := !o.unverified && !w.Begun && !w.booked && !o.servedByShare(w)
 	if w.long {
 		if d, refused := o.refuseLong(w, late); refused && mayRefuse {
 			return d, true
