--- /dev/null
+++ b/lib/decide/forecast/supply.go
@@ -0,0 +1,145 @@
+// Package forecast estimates when capacity that is in use now will be available to a waiting
+// request.
+//
+// Capacity is counted in units of the caller's choice: places for short requests, or engine time for
+// long ones. A Supply collects when units become available, a Curve answers how long a request waits
+// that needs some of them. Demand estimates how many units arriving requests take that go before the
+// waiting ones. The load is that of a queue that work in progress, and arrivals with precedence,
+// keep from being served: the wait is known from when that work ends, not from how fast the queue
+// was served before.
+package forecast
+
+import "sort"
+
+const (
+	// Interval is the length in milliseconds of the intervals into which a forecast is divided. It
+	// is about the length of a pass of an engine, before which no place becomes available.
+	Interval = 50.0
+	// intervals is the number of intervals. Together they are the horizon, 10 s: requests with a
+	// deadline after that are not refused because of their wait.
+	intervals = 200
+	// Horizon is the time in milliseconds up to which waits are estimated.
+	Horizon = Interval * intervals
+)
+
+// Supply is the capacity that becomes available in each interval from now on.
+type Supply struct {
+	// places are held by a request for some time, and are available again after that. units are used
+	// up.
+	places, units [intervals]float64
+}
+
+// Reset removes all capacity.
+func (s *Supply) Reset() { *s = Supply{} }
+
+// AddPlaces adds places that are available from an instant on, in milliseconds from now.
+func (s *Supply) AddPlaces(at, n float64) {
+	if i, ok := index(at); ok {
+		s.places[i] += n
+	}
+}
+
+// AddUnits adds units that are available from an instant on.
+func (s *Supply) AddUnits(at, n float64) {
+	if i, ok := index(at); ok {
+		s.units[i] += n
+	}
+}
+
+// AddRate adds units that become available at a rate per millisecond from an instant on.
+func (s *Supply) AddRate(from, rate float64) {
+	first, ok := index(from)
+	if !ok {
+		return
+	}
+	s.units[first] += rate * (Interval*float64(first+1) - max(from, 0))
+	for i := first + 1; i < intervals; i++ {
+		s.units[i] += rate * Interval
+	}
+}
+
+// Reserve takes units from the capacity of one interval, or from the next ones if it has too few.
+// Booked requests use up what others can't get.
+func (s *Supply) Reserve(at, n float64) {
+	i, ok := index(at)
+	for ; ok && n > 0 && i < intervals; i++ {
+		used := min(n, s.units[i])
+		s.units[i] -= used
+		n -= used
+		used = min(n, s.places[i])
+		s.places[i] -= used
+		n -= used
+	}
+}
+
+// index returns the interval of an instant; false if it is after the horizon.
+func index(at float64) (int, bool) {
+	if at >= Horizon {
+		return 0, false
+	}
+	return int(max(at, 0) / Interval), true
+}
+
+// Contention describes who else uses the capacity.
+type Contention struct {
+	// Hold is the time in milliseconds for which a request holds a place; zero if places are not
+	// available again within the horizon.
+	Hold float64
+	// Rate is the number of units per millisecond that arriving requests take before the waiting
+	// ones, and Precedence how long in milliseconds an arriving request goes before them.
+	Rate, Precedence float64
+	// LeastShare is the share of the capacity that the waiting requests get under any demand.
+	LeastShare float64
+}
+
+// Curve is the cumulative capacity over time.
+type Curve struct {
+	// first is the capacity for requests that go before all arriving ones, behind that for requests
+	// that go behind them. Element i is the capacity up to the end of interval i.
+	first, behind [intervals]float64
+}
+
+// Compute derives the curve from the supply. All places are assumed to be taken as soon as they are
+// available, since it is asked only for requests that wait.
+func (c *Curve) Compute(s *Supply, o Contention) {
+	places := s.places
+	again := max(1, int(o.Hold/Interval+0.5))
+	first, behind, waiting := 0.0, 0.0, 0.0
+	for i := range intervals {
+		n := places[i] + s.units[i]
+		if o.Hold > 0 && i+again < intervals {
+			places[i+again] += places[i]
+		}
+		waiting = min(waiting+o.Rate*Interval, o.Rate*max(o.Precedence, Interval))
+		taken := min(waiting, n*(1-o.LeastShare))
+		waiting -= taken
+		first += n
+		behind += n - taken
+		c.first[i], c.behind[i] = first, behind
+	}
+}
+
+// WaitFirst returns the time in milliseconds after which this many units have become available to
+// requests that go before all arriving ones; false if that is after the horizon.
+func (c *Curve) WaitFirst(n float64) (float64, bool) { return wait(&c.first, n) }
+
+// Wait returns the time in milliseconds after which this many units have become available to
+// requests that go behind arriving ones; false if that is after the horizon.
+func (c *Curve) Wait(n float64) (float64, bool) { return wait(&c.behind, n) }
+
+// wait interpolates within the interval in which the capacity reaches n.
+func wait(capacity *[intervals]float64, n float64) (float64, bool) {
+	i := sort.SearchFloat64s(capacity[:], n)
+	if i == intervals {
+		return Horizon, false
+	}
+	before := 0.0
+	if i > 0 {
+		before = capacity[i-1]
+	}
+	part := 1.0
+	if capacity[i] > before {
+		part = (n - before) / (capacity[i] - before)
+	}
+	return Interval * (float64(i) + part), true
+}
