span: refusals by a forecast of the wait, switched off

The averages by which late requests are refused lag behind the load by up to 4 s. With SetForecast the wait is derived from the grants in progress, net of arrivals that go first; requests in time that will be late and then useless are refused in their first scan. Without it decisions are unchanged. go test ./decide/span passes.

--- a/lib/decide/span/headroom.go
+++ b/lib/decide/span/headroom.go
@@ -82,6 +82,9 @@
 // request is placed after this many others, at the average or the recent placing rate, whichever is
 // higher. It reports whether it refused the request.
 func (p *Pool) refuseLateShort(now clock.Milli, w *queuedRequest, ahead int) (Decision, bool) {
+	if wait, ok := p.forecastWait(now, w, ahead); ok {
+		return p.refuseAfter(now, w, wait)
+	}
 	wait := float64(ahead+1) / max(p.headroom.placeRate, p.headroom.recentPlaceRate, 1/headroomWindow)
 	if w.prefillTime == 0 || now-w.Aim < lateShortGrace || float64(w.latestFirst-now) > wait+w.groupPrefillTime {
 		return Decision{}, false
@@ -122,6 +125,9 @@
 // refuseLateLong refuses a long prompt that will not be served by its deadline behind this much
 // prefill time of other late prompts. It reports whether it refused the prompt.
 func (p *Pool) refuseLateLong(now clock.Milli, w *queuedRequest, ahead float64) (Decision, bool) {
+	if wait, ok := p.forecastWait(now, w, int(ahead)); ok {
+		return p.refuseAfter(now, w, wait)
+	}
 	rate := p.headroom.spareRate()
 	wait := ahead / rate
 	ownTime := w.prefillTime / rate
--- a/lib/decide/span/pool.go
+++ b/lib/decide/span/pool.go
@@ -50,6 +50,7 @@
 	largeReserve largeReserve
 	isolation    isolation
 	declared     declarations
+	forecast     forecaster
 	// budget limits the repeated sends of requests.
 	budget *gate.Budget
 	// parts knows the parts of prompts that crash upstreams.
@@ -132,6 +133,7 @@
 	if w.long {
 		p.largeReserve.noteAsked(w.prefillTime)
 	}
+	p.noteDemand(now, w)
 	return Grant{}, false
 }
 
@@ -221,6 +223,7 @@
 		return x, false
 	}
 	p.endRun(now, g, o)
+	p.forecast.noteEnded(now, g, o)
 	if culprit == "" {
 		culprit = g.Grant.Leader.Upstream
 	}
--- a/lib/decide/span/queue.go
+++ b/lib/decide/span/queue.go
@@ -23,6 +23,8 @@
 	// writing the answer. Short requests are tried even if it may not suffice, since a try costs
 	// little and the answer may be short.
 	latestFirst clock.Milli
+	// expectedStart is when the forecast at arrival expects the grant; zero if there was none.
+	expectedStart clock.Milli
 }
 
 // estimate computes the fields that depend on the length of the prompt.
@@ -98,8 +100,11 @@
 	var ds []Decision
 	p.largeReserve.choose(now, p.queue, p.maxGroup())
 	o := round{pool: p, now: now, backlogInTime: p.totalBacklog(now), unverified: p.allUnverified(), supply: p.totalSupply(now)}
+	p.forecast.beginRound()
 	for _, w := range p.orderedQueue(now) {
-		if d, decided := o.judge(w); decided {
+		d, decided := o.judge(w)
+		p.noteForecast(now, w, d, decided)
+		if decided {
 			delete(p.queue, w.ID)
 			if w.long {
 				p.largeReserve.noteDecided(w, d.Action == Refused)
@@ -160,6 +165,11 @@
 	if yields {
 		return Decision{}, false
 	}
+	if !late && !w.long && mayRefuse {
+		if d, refused := o.pool.refuseShortInTime(o.now, w); refused {
+			return d, true
+		}
+	}
 	if late && !w.long && mayRefuse {
 		if d, refused := o.pool.refuseLateShort(o.now, w, o.lateShort); refused {
 			return d, true
