--- a/bench/passes.go
+++ b/bench/passes.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"sort"
 
 	"github.com/urfave/cli/v3"
@@ -20,19 +22,25 @@
 			&cli.IntFlag{Name: "seeds", Value: 10, Usage: "run each load with `N` seeds"},
 			&cli.StringFlag{Name: "load", Usage: "run only the load `NAME`"},
 			&cli.BoolFlag{Name: "alone", Usage: "prefill each prompt on a single engine, as a baseline"},
+			&cli.BoolFlag{Name: "forecast", Usage: "refuse requests by the forecast of their wait"},
+			&cli.IntFlag{Name: "audit", Usage: "compare the refusals with an oracle, in up to `N` repetitions of each simulation"},
 		},
 		Action: func(_ context.Context, c *cli.Command) error {
 			rules := span.DefaultRules
 			if c.Bool("alone") {
 				rules.MaxGroup = 1
 			}
-			printPasses(c.Int("seeds"), c.String("load"), rules)
+			if n := c.Int("audit"); n > 0 {
+				printAudits(c.Int("seeds"), c.String("load"), rules, c.Bool("forecast"), n)
+				return nil
+			}
+			printPasses(c.Int("seeds"), c.String("load"), rules, c.Bool("forecast"))
 			return nil
 		},
 	}
 }
 
-func printPasses(seeds int, only string, rules span.Rules) {
+func printPasses(seeds int, only string, rules span.Rules, forecast bool) {
 	loads := passes.Loads()
 	names := make([]string, 0, len(loads))
 	for n := range loads {
@@ -44,6 +52,7 @@
 		if only != "" && only != n {
 			continue
 		}
+		loads[n].Forecast = forecast
 		var worth, net, busy, prefill float64
 		kinds := map[string]*passes.KindResult{}
 		for s := range seeds {
@@ -71,3 +80,20 @@
 		fmt.Println()
 	}
 }
+
+// printAudits prints the shares of wrongly refused and of uselessly queued requests.
+func printAudits(seeds int, only string, rules span.Rules, forecast bool, repetitions int) {
+	loads := passes.Loads()
+	fmt.Printf("%-10s %9s %9s %9s %9s %9s\n", "load", "requests", "refused %", "sampled", "wrong %", "useless %")
+	for _, n := range slices.Sorted(maps.Keys(loads)) {
+		if only != "" && only != n {
+			continue
+		}
+		loads[n].Forecast = forecast
+		var a passes.Audit
+		for s := range seeds {
+			a.Add(passes.AuditLoad(loads[n], rules, uint64(s+1), repetitions))
+		}
+		fmt.Printf("%-10s %9d %9.2f %9d %9.2f %9.2f\n", n, a.Requests, 100*float64(a.Refused)/float64(max(a.Requests, 1)), a.Sampled, 100*a.WrongRate(), 100*a.UselessRate())
+	}
+}
--- a/bench/passes/engine.go
+++ b/bench/passes/engine.go
@@ -97,7 +97,9 @@
 	// output is the token limit of the response, timeLimit the time from arrival to the deadline.
 	output    decide.Tokens
 	timeLimit clock.Milli
-	urgency   decide.Urgency
+	// patience is the time for which the client waits for the first event.
+	patience clock.Milli
+	urgency  decide.Urgency
 	// refused is the reason of the refusal; empty if the request was not refused.
 	refused string
 	// prefillTime and decodeTime are the engine time that the job took, in milliseconds.
@@ -110,6 +112,9 @@
 	if j.first > 0 {
 		r.First = j.first - j.arrived
 	}
+	if j.refused != "" {
+		r.Queued = j.last - j.arrived
+	}
 	return r
 }
 
--- a/bench/passes/simulation.go
+++ b/bench/passes/simulation.go
@@ -50,6 +50,8 @@
 	Engine  route.Engine
 	// Length is how long requests arrive, in milliseconds.
 	Length float64
+	// Forecast is set if requests are refused by the forecast of their wait.
+	Forecast bool
 }
 
 // hopDelay is the one-way network delay between a gate (the VM that holds the client's connection)
@@ -99,6 +101,8 @@
 	// time that the client waits for the first event.
 	TimeLimit clock.Milli
 	Urgency   decide.Urgency
+	// Kept is set if the client waits for the first event without end.
+	Kept bool
 }
 
 // Response is the response to one arrival, as its client receives it.
@@ -110,6 +114,8 @@
 	Complete bool
 	// RefusalReason is the reason of the refusal; empty if the request was not refused.
 	RefusalReason string
+	// Queued is the time from arrival to the refusal, in milliseconds.
+	Queued float64
 }
 
 // Outcome classifies a response by its use to the client.
@@ -214,6 +220,7 @@
 		s.engines[id] = &engine{spec: &spec}
 		s.engineList = append(s.engineList, s.engines[id])
 	}
+	s.pool.SetForecast(l.Forecast)
 	s.pool.SetUpstreams(0, &route.Service{ID: "s", Engine: &spec}, us)
 	for i := range l.Kinds {
 		s.results[l.Kinds[i].Name] = &KindResult{}
@@ -295,7 +302,10 @@
 
 // scheduleArrival creates the job of an arrival and schedules it.
 func (s *simulation) scheduleArrival(a *Arrival) {
-	j := &job{kind: a.Kind, arrived: clockOffset + a.At, prompt: a.Prompt, eventsLeft: a.Events, output: a.Output, timeLimit: a.TimeLimit, urgency: a.Urgency}
+	j := &job{kind: a.Kind, arrived: clockOffset + a.At, prompt: a.Prompt, eventsLeft: a.Events, output: a.Output, timeLimit: a.TimeLimit, urgency: a.Urgency, patience: a.Kind.patience()}
+	if a.Kept {
+		j.patience = unlimited
+	}
 	if j.output == 0 {
 		j.output = decide.Tokens(a.Events * s.load.Engine.Stride)
 	}
@@ -314,7 +324,7 @@
 	s.waiting[j.id] = j
 	s.pool.Ask(now, span.Ask{
 		ID: j.id, Gate: "g", Prompt: j.prompt, Output: j.output, Urgency: j.urgency,
-		Aim: now + j.kind.Aim, Patience: now + j.kind.patience(), Deadline: now + j.timeLimit, Gap: j.kind.Gap, Stream: true,
+		Aim: now + j.kind.Aim, Patience: now + j.patience, Deadline: now + j.timeLimit, Gap: j.kind.Gap, Stream: true,
 	})
 	s.tick()
 }
