placer, settings: forecast.enabled and the errors of the forecast as a metric

Owners had no way to switch the forecast on, nor did operators see how wrong it is. Not run: the daemon's own tests, the emulator and a fleet with the setting on.

--- a/daemon/insight/metrics.go
+++ b/daemon/insight/metrics.go
@@ -16,6 +16,7 @@
 	p.Gate.WriteMetrics(w)
 	p.Tunnels.WriteMetrics(w)
 	p.Connections.WritePrometheus(w)
+	p.Owner.WriteMetrics(w)
 	v := p.Registry.View()
 	now := p.Clock.Now()
 	_, failed := p.Store.Calls()
--- a/daemon/placer/owner.go
+++ b/daemon/placer/owner.go
@@ -75,6 +75,8 @@
 	Members Members
 	Peers   Peers
 	Log     *log.Logger
+	// Forecast is set if requests are refused by the forecast of their wait.
+	Forecast bool
 }
 
 // Owner has the pools of all services for which gates query this VM. Any VM may become the owner of
@@ -113,6 +115,8 @@
 	handedOver   bool
 	// generation is the generation of the view that the pool uses.
 	generation uint64
+	// forecastErrors counts the errors of forecasts.
+	forecastErrors errorHistogram
 	// waiters are the channels of calls that wait for a decision, by request: one for the gate and
 	// one for each VM that forwards its query.
 	waiters map[decide.RequestID][]chan span.Decision
@@ -153,6 +157,7 @@
 			waiters: map[decide.RequestID][]chan span.Decision{}, undelivered: map[decide.RequestID]span.Decision{},
 		}
 		budget.GrowFrom(o.floorStart(p.alone))
+		p.pool.SetForecast(o.Forecast)
 		o.pools[s] = p
 	}
 	o.mu.Unlock()
@@ -270,7 +275,9 @@
 	if p.gathering {
 		return
 	}
-	for _, d := range p.pool.Tick(now) {
+	ds := p.pool.Tick(now)
+	p.forecastErrors.add(p.pool.TakeForecastErrors())
+	for _, d := range ds {
 		if cs := p.waiters[d.Request]; len(cs) > 0 {
 			delete(p.waiters, d.Request)
 			for _, c := range cs {
--- a/daemon/relay.go
+++ b/daemon/relay.go
@@ -148,7 +148,7 @@
 	id := peer.Gate(s.Name, incarnation)
 	d.owner = placer.NewOwner(placer.OwnerNeeds{
 		Clock: d.clock, Knowledge: d.registry, Reports: engines, Gate: id, Name: string(s.Name), Alone: func() bool { return d.members.LastContact() == 0 },
-		Holders: d.holders, Members: d.members, Peers: d.dialer, Log: d.log,
+		Holders: d.holders, Members: d.members, Peers: d.dialer, Log: d.log, Forecast: s.Forecast.Enabled,
 	}, placer.Budget{
 		Share: ownerBudgetShare * s.Budget.Share, Floor: ownerBudgetShare * s.Budget.Floor, Window: s.Budget.Window,
 	})
--- a/daemon/settings/relay.go
+++ b/daemon/settings/relay.go
@@ -40,6 +40,13 @@
 	Level  string  `json:"level"`
 	Bounds Bounds  `json:"bounds"`
 	Budget Budget  `json:"budget"`
+	// Forecast sets how owners estimate waits.
+	Forecast Forecast `json:"forecast"`
+}
+
+// Forecast sets whether owners refuse requests by a forecast of their wait.
+type Forecast struct {
+	Enabled bool `json:"enabled"`
 }
 
 // Bounds are times that the platform's operators promise to their users.
@@ -90,6 +97,8 @@
 	"budget.share":      {Min: 0, Max: 1, Default: 0.2, Description: "retries per request"},
 	"budget.floor":      {Min: 0, Max: 1 << 20, Default: 100, Description: "number of retries allowed in addition"},
 	"budget.window":     {Unit: "milliseconds", Min: 1, Max: float64(maxGrace), Default: 10000, Description: "time over which requests and retries are counted"},
+	"forecast":          {Description: "refusals by a forecast of the wait"},
+	"forecast.enabled":  {Description: "refuse requests by a forecast of their wait from the work in progress, instead of by averages of the last seconds"},
 }
 
 // ReadRelay reads a file and checks it.
--- a/daemon/settings/relay_test.go
+++ b/daemon/settings/relay_test.go
@@ -16,12 +16,13 @@
 	require.Equal(t, Bounds{Config: 2000, Revoke: 5000, Grace: 8000}, s.Bounds)
 	require.Equal(t, Budget{Share: 0.2, Floor: 100, Window: 10_000}, s.Budget)
 	require.Equal(t, 256, s.Memory)
+	require.False(t, s.Forecast.Enabled)
 }
 
 func TestAllRelayProblemsAreReportedTogether(t *testing.T) {
-	_, err := ParseRelay([]byte(`{"name":"VM 1","peers":["nowhere"],"peer":"0.0.0.0:3","metrics":"x","bounds":{"revoke":0},"budget":{"share":2}}`), "vm.hujson")
+	_, err := ParseRelay([]byte(`{"name":"VM 1","peers":["nowhere"],"peer":"0.0.0.0:3","metrics":"x","bounds":{"revoke":0},"budget":{"share":2},"forecast":{"enabled":1}}`), "vm.hujson")
 	require.Error(t, err)
-	for _, f := range []string{"name", "domain", "caller", "ready", "store", "peers[0]", "advertise: is needed, since peer", "metrics", "bounds.revoke", "budget.share"} {
+	for _, f := range []string{"name", "domain", "caller", "ready", "store", "peers[0]", "advertise: is needed, since peer", "metrics", "bounds.revoke", "budget.share", "forecast.enabled"} {
 		require.ErrorContains(t, err, f)
 	}
 }
