--- a/lib/decide/span/forecast_test.go
+++ b/lib/decide/span/forecast_test.go
@@ -14,9 +14,9 @@
 )
 
 // fillWith grants short requests of this likely length until every slot is in use.
-func (b *testPool) fillWith(engines int, likely decide.Tokens) {
+func (b *testPool) fillWith(likely decide.Tokens) {
 	b.t.Helper()
-	for range engines * engine.Slots {
+	for range len(b.upstreams) * engine.Slots {
 		a := b.shortAsk(now)
 		a.Likely = likely
 		b.mustStream(a)
@@ -35,7 +35,7 @@
 func TestHopelessRequestIsRefusedAtArrival(t *testing.T) {
 	b := newTestPool(t, 2)
 	b.SetForecast(true)
-	b.fillWith(2, 6000)
+	b.fillWith(6000)
 	d, decided := b.ask(now+100, b.impatientAsk(now+100))
 	require.True(t, decided)
 	require.Equal(t, Refused, d.Action)
@@ -48,7 +48,7 @@
 func TestServableLateRequestIsKept(t *testing.T) {
 	b := newTestPool(t, 2)
 	b.SetForecast(true)
-	b.fillWith(2, 600)
+	b.fillWith(600)
 	a := b.impatientAsk(now + 100)
 	_, decided := b.ask(now+100, a)
 	require.False(t, decided)
@@ -70,7 +70,7 @@
 func TestForecastKeepsBegunRequests(t *testing.T) {
 	b := newTestPool(t, 2)
 	b.SetForecast(true)
-	b.fillWith(2, 6000)
+	b.fillWith(6000)
 	a := b.impatientAsk(now + 100)
 	a.Begun = true
 	_, decided := b.ask(now+100, a)
@@ -81,7 +81,7 @@
 func TestForecastCountsNoLeavingUpstream(t *testing.T) {
 	b := newTestPool(t, 2)
 	b.SetForecast(true)
-	b.fillWith(2, 600)
+	b.fillWith(600)
 	w := &queuedRequest{Ask: b.impatientAsk(now)}
 	b.estimate(w)
 	_, ok := b.forecastWait(now, w, 16)
--- a/lib/decide/span/headroom.go
+++ b/lib/decide/span/headroom.go
@@ -80,7 +80,7 @@
 
 // refuseLateShort refuses a late short request whose answer will come too late to be of use if the
 // request is placed after this many others, at the average or the recent placing rate, whichever is
-// higher. It reports whether it refused the request.
+// higher, or after the forecast wait. It reports whether it refused the request.
 func (p *Pool) refuseLateShort(now clock.Milli, w *queuedRequest, ahead int) (Decision, bool) {
 	if wait, ok := p.forecastWait(now, w, ahead); ok {
 		return p.refuseAfter(now, w, wait)
@@ -123,7 +123,8 @@
 }
 
 // refuseLateLong refuses a long prompt that will not be served by its deadline behind this much
-// prefill time of other late prompts. It reports whether it refused the prompt.
+// prefill time of other late prompts, by the spare time of the engines or by the forecast. It reports
+// whether it refused the prompt.
 func (p *Pool) refuseLateLong(now clock.Milli, w *queuedRequest, ahead float64) (Decision, bool) {
 	if wait, ok := p.forecastWait(now, w, int(ahead)); ok {
 		return p.refuseAfter(now, w, wait)
