span: waits beyond the horizon of the forecast are not estimated

A wait beyond the horizon was returned as a little less than it, if the capacities had been computed some milliseconds before, and could refuse a request with a deadline after the horizon. It is the horizon now, and nothing is refused for what lies behind it.

--- a/lib/decide/span/forecast.go
+++ b/lib/decide/span/forecast.go
@@ -185,15 +185,26 @@
 		return 0, false
 	}
 	p.refreshForecast(now)
-	elapsed := float64(now - f.at)
 	if w.long {
 		before := f.longInTime + float64(ahead)
-		start, _ := f.long.Wait(before)
-		done, _ := f.long.Wait(before + w.prefillTime)
-		return max(0, start-elapsed, done-w.groupPrefillTime-elapsed), true
+		start := f.timeLeft(now, f.long.Wait, before)
+		done := f.timeLeft(now, f.long.Wait, before+w.prefillTime)
+		if done >= forecast.Horizon {
+			return forecast.Horizon, true
+		}
+		return max(start, done-w.groupPrefillTime), true
+	}
+	return f.timeLeft(now, f.short.Wait, float64(f.first+ahead+1)), true
+}
+
+// timeLeft returns the time in milliseconds until a curve reaches n units, or the horizon if it does
+// not within that. The curve may have been computed some milliseconds ago.
+func (f *forecaster) timeLeft(now clock.Milli, curve func(float64) (float64, bool), n float64) float64 {
+	wait, ok := curve(n)
+	if !ok {
+		return forecast.Horizon
 	}
-	wait, _ = f.short.Wait(float64(f.first + ahead + 1))
-	return max(0, wait-elapsed), true
+	return max(0, wait-float64(now-f.at))
 }
 
 // expectedWait returns the expected wait of a queued request in its present place. A request in time
@@ -212,8 +223,8 @@
 	if !ok {
 		return 0, false
 	}
-	first, _ := f.short.WaitFirst(float64(f.first + 1))
-	if first = max(0, first-float64(now-f.at)); first <= float64(w.Aim-now)-startDelay-w.groupPrefillTime {
+	first := f.timeLeft(now, f.short.WaitFirst, float64(f.first+1))
+	if first <= float64(w.Aim-now)-startDelay-w.groupPrefillTime {
 		return first, true
 	}
 	return max(first, late), true
@@ -230,9 +241,9 @@
 }
 
 // refuseAfter refuses a request that is of no use after a wait of this many milliseconds, and reports
-// whether it refused the request.
+// whether it refused the request. Nothing is known of the time after the horizon.
 func (p *Pool) refuseAfter(now clock.Milli, w *queuedRequest, wait float64) (Decision, bool) {
-	if float64(w.latestFirst-now) > wait+w.groupPrefillTime {
+	if float64(w.latestFirst-now) > min(wait+w.groupPrefillTime, forecast.Horizon) {
 		return Decision{}, false
 	}
 	return overloadRefusal(w, wait), true
