--- a/daemon/placer/owner.go
+++ b/daemon/placer/owner.go
@@ -83,6 +83,8 @@
 	Shares share.Settings
 	// Bookings bound the bookings for refused clients of each service; without a horizon none are made.
 	Bookings booking.Limits
+	// Forecast is set if requests are refused by the forecast of their wait.
+	Forecast bool
 }
 
 // Owner has the pools of all services for which gates query this VM. Any VM may become the owner of
@@ -122,6 +124,8 @@
 	handedOver   bool
 	// generation is the generation of the view that the pool uses.
 	generation uint64
+	// forecastErrors counts the errors of forecasts.
+	forecastErrors errorHistogram
 	// waiters are the channels of calls that wait for a decision, by request: one for the gate and
 	// one for each VM that forwards its query.
 	waiters map[decide.RequestID][]chan span.Decision
@@ -184,6 +188,7 @@
 	}
 	p.pool.UseShares(o.Shares)
 	p.pool.SetBookings(o.Bookings)
+	p.pool.SetForecast(o.Forecast)
 	budget.GrowFrom(o.floorStart(p.alone))
 	return p
 }
@@ -296,7 +301,9 @@
 	if p.gathering {
 		return
 	}
-	for _, d := range p.pool.Tick(now) {
+	ds := p.pool.Tick(now)
+	p.forecastErrors.add(p.pool.TakeForecastErrors())
+	for _, d := range ds {
 		if cs := p.waiters[d.Request]; len(cs) > 0 {
 			delete(p.waiters, d.Request)
 			for _, c := range cs {
--- a/daemon/relay.go
+++ b/daemon/relay.go
@@ -153,6 +153,7 @@
 		Holders: d.holders, Members: d.members, Peers: d.dialer, Log: d.log, Spread: s.Spread,
 		Shares:   share.Settings{Enabled: s.Shares.Enabled, Weights: s.Shares.Weights},
 		Bookings: booking.Limits{Horizon: s.Bookings.Horizon, Most: s.Bookings.Limit},
+		Forecast: s.Forecast.Enabled,
 	}, placer.Budget{
 		Share: ownerBudgetShare * s.Budget.Share, Floor: ownerBudgetShare * s.Budget.Floor, Window: s.Budget.Window,
 	})
--- a/daemon/settings/relay.go
+++ b/daemon/settings/relay.go
@@ -45,6 +45,8 @@
 	Shares Shares  `json:"shares"`
 	// Bookings bounds the bookings of capacity for the retries of refused clients.
 	Bookings Bookings `json:"bookings"`
+	// Forecast sets how owners estimate waits.
+	Forecast Forecast `json:"forecast"`
 }
 
 // Bookings bounds the bookings that the owner of a service makes.
@@ -55,6 +57,11 @@
 	Limit int `json:"limit"`
 }
 
+// Forecast sets whether owners refuse requests by a forecast of their wait.
+type Forecast struct {
+	Enabled bool `json:"enabled"`
+}
+
 // Bounds are times that the platform's operators promise to their users.
 type Bounds struct {
 	// Config is the time within which a new document is in force on all VMs.
@@ -110,6 +117,8 @@
 	"bookings":          {Description: "bookings of capacity for the retries of refused clients"},
 	"bookings.horizon":  {Unit: "milliseconds", Min: 0, Max: 10_000, Default: 0, Description: "how far ahead capacity is booked; no bookings are made if it is 0"},
 	"bookings.limit":    {Min: 1, Max: 4096, Default: 256, Description: "bookings that a service may have at a time"},
+	"forecast":          {Description: "refusals by a forecast of the wait"},
+	"forecast.enabled":  {Description: "refuse requests by a forecast of their wait from the work in progress, instead of by averages of the last seconds"},
 }
 
 // ReadRelay reads a file and checks it.
--- a/lib/decide/span/booking.go
+++ b/lib/decide/span/booking.go
@@ -169,7 +169,14 @@
 
 // roomAt returns the time in milliseconds from now until there is capacity for a request behind the
 // work ahead of it, by the estimates with which requests are refused.
-func (p *Pool) roomAt(_ clock.Milli, w *queuedRequest, ahead work) float64 {
+func (p *Pool) roomAt(now clock.Milli, w *queuedRequest, ahead work) float64 {
+	behind := ahead.lateShort
+	if w.long {
+		behind = int(ahead.lateLong)
+	}
+	if wait, ok := p.forecastWait(now, w, behind); ok {
+		return wait
+	}
 	if w.long {
 		return p.headroom.waitInTime(ahead.longInTime) + p.headroom.waitOfLong(ahead.lateLong)
 	}
--- a/lib/decide/span/explain_test.go
+++ b/lib/decide/span/explain_test.go
@@ -70,9 +70,11 @@
 		if rapid.Bool().Draw(t, "plain") {
 			e = nil
 		}
+		forecasts := rapid.Bool().Draw(t, "forecasts")
 		shares, horizon := rapid.Bool().Draw(t, "shares"), clock.Milli(rapid.SampledFrom([]int{0, 4000}).Draw(t, "horizon"))
 		w := newTwins(rapid.IntRange(1, 5).Draw(t, "engines"), e)
 		w.both(func(p *Pool) { p.UseShares(share.Settings{Enabled: shares}) })
+		w.both(func(p *Pool) { p.SetForecast(forecasts) })
 		w.both(func(p *Pool) { p.SetBookings(booking.Limits{Horizon: horizon, Most: 16}) })
 		at := now
 		for i := range rapid.IntRange(1, 60).Draw(t, "steps") {
@@ -140,7 +142,7 @@
 		row    any
 		fields []string
 	}{
-		{Pool{}, []string{"engine", "upstreams", "packOrder", "queue", "grants", "finished", "declared.byUpstream", "budget", "parts", "shares", "bookings.table", "bookings.continued", "spread.random"}},
+		{Pool{}, []string{"engine", "upstreams", "packOrder", "queue", "grants", "finished", "declared.byUpstream", "budget", "parts", "shares", "bookings.table", "bookings.continued", "forecast.late", "forecast.previousLate", "forecast.errors", "spread.random"}},
 		{upstreamState{}, []string{"engine", "grants", "recentEnds", "declared"}},
 		{grantState{}, []string{"LiveGrant.Grant.Helpers", "ask.Avoid", "ask.Parts", "upstreams"}},
 		{queuedRequest{}, []string{"Ask.Avoid", "Ask.Parts"}},
--- a/lib/decide/span/pool.go
+++ b/lib/decide/span/pool.go
@@ -53,6 +53,7 @@
 	spread       spread
 	overrun      overrun
 	declared     declarations
+	forecast     forecaster
 	// budget limits the repeated sends of requests.
 	budget *gate.Budget
 	// parts knows the parts of prompts that crash upstreams.
@@ -139,6 +140,7 @@
 	if w.long {
 		p.largeReserve.noteAsked(w.prefillTime)
 	}
+	p.noteDemand(now, w)
 	return Grant{}, false
 }
 
@@ -230,6 +232,7 @@
 	}
 	p.endRun(now, g, o)
 	p.noteHeld(now, g)
+	p.forecast.noteEnded(now, g, o)
 	if culprit == "" {
 		culprit = g.Grant.Leader.Upstream
 	}
--- a/lib/decide/span/queue.go
+++ b/lib/decide/span/queue.go
@@ -27,6 +27,8 @@
 	passedOver bool
 	// booked is set for a retry that has taken its booking.
 	booked bool
+	// expectedStart is when the forecast at arrival expects the grant; zero if there was none.
+	expectedStart clock.Milli
 }
 
 // estimate computes the fields that depend on the length of the prompt.
@@ -116,12 +118,14 @@
 // newRound starts a scan of the queue.
 func (p *Pool) newRound(now clock.Milli) round {
 	p.largeReserve.choose(now, p.queue, p.maxGroup())
+	p.forecast.beginRound()
 	return round{pool: p, now: now, backlogInTime: p.totalBacklog(now), unverified: p.allUnverified(), supply: p.totalSupply(now)}
 }
 
 // next decides on the next request in the order of placing, and takes it from the queue if it is granted or refused.
 func (o *round) next(w *queuedRequest) (Decision, bool) {
 	d, decided := o.judge(w)
+	o.pool.noteForecast(o.now, w, d, decided)
 	if !decided {
 		o.noteWaiting(w)
 		return Decision{}, false
@@ -184,6 +188,11 @@
 	if yields {
 		return Decision{}, false
 	}
+	if !late && !w.long && mayRefuse {
+		if d, refused := o.pool.refuseShortInTime(o.now, w); refused {
+			return d, true
+		}
+	}
 	if late && !w.long && mayRefuse {
 		if d, refused := o.pool.refuseLateShort(o.now, w, o.lateShort); refused {
 			return d, true
