--- a/scenarios/fleet/fleet.go
+++ b/scenarios/fleet/fleet.go
@@ -45,6 +45,8 @@
 	Respawn time.Duration
 	// Descriptors is the number of descriptors that each VM may open; zero for no limit of the test's own.
 	Descriptors int
+	// Settings are further fields of each VM's settings, as JSON with a comma behind each; empty for none.
+	Settings string
 
 	dir, program string
 	finder       *relay.Finder
@@ -130,8 +132,8 @@
 		return err
 	}
 	f.VMs = append(f.VMs, v)
-	text := fmt.Sprintf(`{"name": %q, "domain": "hall", "caller": %q, "ready": %q, "metrics": %q, "peer": %q, "advertise": %q, "store": %q, "peers": [%q], "bounds": {"grace": %d, "evacuation": %d}}`,
-		v.Name, v.Caller, v.readyAddress, v.Metrics, v.peerAddress, v.Peer.Address(), f.StoreRelay.Address(), f.VMs[0].Peer.Address(), stopTimeout, evacuationBound)
+	text := fmt.Sprintf(`{"name": %q, "domain": "hall", "caller": %q, "ready": %q, "metrics": %q, "peer": %q, "advertise": %q, "store": %q, "peers": [%q], %s "bounds": {"grace": %d, "evacuation": %d}}`,
+		v.Name, v.Caller, v.readyAddress, v.Metrics, v.peerAddress, v.Peer.Address(), f.StoreRelay.Address(), f.VMs[0].Peer.Address(), f.Settings, stopTimeout, evacuationBound)
 	return os.WriteFile(v.settingsPath, []byte(text), 0o600)
 }
 
