--- a/bench/fleet/deciders.go
+++ b/bench/fleet/deciders.go
@@ -44,8 +44,8 @@
 	burstLoad  = 1.3
 )
 
-// holdTime is the mean running time of a request at pace 1, that of a short request with its answer.
-const holdTime = clock.Second
+// serviceTime is the mean running time of a request at pace 1, that of a short request with its answer.
+const serviceTime = clock.Second
 
 // drainTime is the time after the last request in which all have to end.
 const drainTime = 2 * clock.Minute
@@ -213,21 +213,21 @@
 	for _, u := range s.upstreams {
 		capacity += float64(u.slots) / u.pace
 	}
-	return load * capacity / float64(holdTime)
+	return load * capacity / float64(serviceTime)
 }
 
 // advance ends the requests that end until an instant.
 func (s *deciderSimulation) advance(to float64) {
 	for len(s.running) > 0 && s.running[0].endedAt <= to {
 		r := heap.Pop(&s.running).(*simRequest)
-		s.pass(r.endedAt)
+		s.advanceClock(r.endedAt)
 		s.end(r)
 	}
-	s.pass(to)
+	s.advanceClock(to)
 }
 
-// pass lets time go by without events.
-func (s *deciderSimulation) pass(to float64) {
+// advanceClock lets time go by without events.
+func (s *deciderSimulation) advanceClock(to float64) {
 	if s.queueing > 0 && to > float64(warmTime) {
 		elapsed := to - max(s.now, float64(warmTime))
 		if s.idle > 0 {
@@ -271,7 +271,7 @@
 	d := s.decider()
 	s.readReports(d)
 	i := s.choose(d)
-	r := &simRequest{decider: d, upstream: i, sent: s.now, work: s.random.ExpFloat64() * float64(holdTime)}
+	r := &simRequest{decider: d, upstream: i, sent: s.now, work: s.random.ExpFloat64() * float64(serviceTime)}
 	if s.now >= float64(warmTime) {
 		s.arrived++
 	}
--- a/bench/fleet/policies.go
+++ b/bench/fleet/policies.go
@@ -45,14 +45,14 @@
 		return j
 	case Aged:
 		cs := s.candidates(d)
-		remaining, arrived := balance.Remaining(clock.Milli(s.now), holdTime, cs)
+		remaining, arrived := balance.Remaining(clock.Milli(s.now), serviceTime, cs)
 		return s.least(func(i int) float64 {
 			return s.upstreams[i].level(remaining[i] + arrived/float64(len(cs)))
 		})
 	case Interpret:
-		return balance.Draw(balance.Shares(clock.Milli(s.now), holdTime, s.candidates(d)), s.choices.Float64())
+		return balance.Draw(balance.Allocation(clock.Milli(s.now), serviceTime, s.candidates(d)), s.choices.Float64())
 	case Balanced:
-		return balance.Choose(clock.Milli(s.now), holdTime, s.candidates(d), s.choices.Float64())
+		return balance.Choose(clock.Milli(s.now), serviceTime, s.candidates(d), s.choices.Float64())
 	case Announced:
 		return s.chooseShare(d)
 	case JoinIdle:
--- a/daemon/config.go
+++ b/daemon/config.go
@@ -13,7 +13,8 @@
 // config holds the index of the configuration document in force and the upstreams that the
 // platform lists as leaving.
 type config struct {
-	index atomic.Pointer[document.Index]
+	index   atomic.Pointer[document.Index]
+	domains domainIndex[*document.Index]
 
 	mu      sync.RWMutex
 	leaving map[decide.UpstreamID]bool
@@ -44,20 +45,14 @@
 	if !ok {
 		return ""
 	}
-	var found peer.Domain
-	several := false
-	us := x.Document().Upstreams
-	for i := range us {
-		d := peer.Domain(us[i].Domain)
-		several = several || d != peer.Domain(us[0].Domain)
-		if us[i].Address == address {
-			found = d
+	return c.domains.domain(address, x, func(yield func(string, peer.Domain) bool) {
+		us := x.Document().Upstreams
+		for i := range us {
+			if !yield(us[i].Address, peer.Domain(us[i].Domain)) {
+				return
+			}
 		}
-	}
-	if !several {
-		return ""
-	}
-	return found
+	})
 }
 
 // Usable implements tunnel.Upstreams.
--- a/daemon/connections.go
+++ b/daemon/connections.go
@@ -37,7 +37,7 @@
 // upstreamLimit returns how many connections to upstreams may be open; zero for no bound. An owner polls thousands of
 // upstreams, while a VM with many clients needs few connections for each. clients is nil before the daemon has opened its
 // listener.
-func upstreamLimit(s listener.Shares, clients *listener.Listener) int {
+func upstreamLimit(s listener.Quotas, clients *listener.Listener) int {
 	if s.Upstreams == 0 || clients == nil {
 		return s.Upstreams
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -132,7 +132,7 @@
 	self := peer.Member{VM: s.Name, Incarnation: d.incarnation, Domain: s.Domain, Address: s.Advertise, Operator: s.Contact}
 	d.members = member.New(self, member.DefaultRules, d.dialer, member.NewSeedList(s.Peers, d.store), k)
 	d.directory = newDirectory(d.members, k, d.ring)
-	shares := listener.SharesOf(descriptors(s.Descriptors))
+	shares := listener.QuotasOf(descriptors(s.Descriptors))
 	d.accepts = accept.NewMonitor(k, d.reportAccept, d.shed)
 	d.upstreams = dial.NewBound(func() int { return upstreamLimit(shares, d.clients) }, func() { d.engines.CloseIdle() })
 	direct := (&net.Dialer{Timeout: dialTimeout, KeepAlive: upstreamKeepAlive}).DialContext
@@ -387,7 +387,7 @@
 func (d *daemon) shed() {
 	n := descriptors(d.settings.Descriptors)
 	d.clients.Shed(n)
-	d.peers.SetLimit(listener.SharesOf(n).Peers)
+	d.peers.SetLimit(listener.QuotasOf(n).Peers)
 }
 
 // clientServer returns the server of the listener for clients.
--- a/daemon/insight/bookings.go
+++ b/daemon/insight/bookings.go
@@ -9,7 +9,7 @@
 
 // bookingMetrics writes the bookings of the services that this VM owns.
 func (p *Page) bookingMetrics(w io.Writer) {
-	for _, b := range p.Owner.ServiceBookings() {
+	for _, b := range p.Owner.ListBookings() {
 		for _, x := range []struct {
 			result string
 			count  uint64
--- a/daemon/insight/metrics.go
+++ b/daemon/insight/metrics.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/http"
+	"slices"
 
 	vm "github.com/VictoriaMetrics/metrics"
 
@@ -38,8 +40,9 @@
 		gauge(fmt.Sprintf("snipeshift_service_epoch{service=%q}", x.Service), float64(x.Epoch))
 		gauge(fmt.Sprintf("snipeshift_service_held{service=%q}", x.Service), holds)
 	}
-	for s, ratio := range p.Owner.OverrunIdle() {
-		gauge(fmt.Sprintf("snipeshift_overrun_idle_ratio{service=%q}", s), ratio)
+	ratios := p.Owner.OverrunIdle()
+	for _, s := range slices.Sorted(maps.Keys(ratios)) {
+		gauge(fmt.Sprintf("snipeshift_overrun_idle_ratio{service=%q}", s), ratios[s])
 	}
 	p.Placer.Statements(func(s route.ServiceID, u decide.UpstreamID, st statement.Statement) {
 		labels := fmt.Sprintf("{service=%q,upstream=%q}", s, u)
--- a/daemon/listener/shares.go
+++ b/daemon/listener/shares.go
@@ -6,7 +6,8 @@
 )
 
 // Shares of a process's descriptors for connections other than those of clients, which get half. A tunnel takes one of the
-// share of peers and one of that of upstreams. Connections to upstreams may also use what clients leave of theirs. The rest is for listeners, the store, connections to peers and files.
+// share of peers and one of that of upstreams. Connections to upstreams may also use what clients leave of theirs. The rest
+// is for listeners, the store, connections to peers and files.
 const (
 	peerShare     = 3. / 16
 	upstreamShare = 1. / 4
@@ -15,20 +16,20 @@
 	minShare = 16
 )
 
-// Shares bounds the open connections of a process by kind; zero for no bound.
-type Shares struct {
+// Quotas bounds the open connections of a process by kind; zero for no bound.
+type Quotas struct {
 	// Peers are those that other VMs opened, tunnels included, Upstreams those to upstreams beside what clients leave of
 	// their share, and Tunnels those that this VM carries for others.
 	Peers, Upstreams, Tunnels int
 }
 
-// SharesOf returns the shares of a process that may open a number of descriptors; zero for an unknown number.
-func SharesOf(descriptors int) Shares {
+// QuotasOf returns the quotas of a process that may open a number of descriptors; zero for an unknown number.
+func QuotasOf(descriptors int) Quotas {
 	if descriptors == 0 {
-		return Shares{}
+		return Quotas{}
 	}
 	part := func(share float64) int { return max(int(share*float64(descriptors)), minShare) }
-	return Shares{Peers: part(peerShare), Upstreams: part(upstreamShare), Tunnels: part(tunnelShare)}
+	return Quotas{Peers: part(peerShare), Upstreams: part(upstreamShare), Tunnels: part(tunnelShare)}
 }
 
 // Descriptors returns the number of descriptors that this process may open now; zero if it is not known.
--- a/daemon/placer/bookings.go
+++ b/daemon/placer/bookings.go
@@ -22,9 +22,9 @@
 	Open int
 }
 
-// ServiceBookings lists the bookings of the services for which this VM has a pool. It is empty unless
+// ListBookings lists the bookings of the services for which this VM has a pool. It is empty unless
 // bookings are enabled.
-func (o *Owner) ServiceBookings() []ServiceBookings {
+func (o *Owner) ListBookings() []ServiceBookings {
 	var rows []ServiceBookings
 	for s, p := range o.allPools() {
 		p.mu.Lock()
--- a/daemon/placer/forecast.go
+++ b/daemon/placer/forecast.go
@@ -50,9 +50,7 @@
 	if !o.Forecast {
 		return
 	}
-	o.mu.Lock()
-	pools := maps.Clone(o.pools)
-	o.mu.Unlock()
+	pools := o.allPools()
 	for _, s := range slices.Sorted(maps.Keys(pools)) {
 		p := pools[s]
 		p.mu.Lock()
--- a/daemon/placer/forward.go
+++ b/daemon/placer/forward.go
@@ -87,8 +87,9 @@
 	return AskReply{}, err
 }
 
-// queryDirectly sends one query to the holder over this VM's own connections. If the holder does not answer soon, it is
-// checked; the check is returned if the holder does not answer that either.
+// queryDirectly sends one query to the holder over this VM's own connections. A holder that does not answer soon is checked.
+// If the check succeeds, the reply is empty, that is undecided. An error is returned together with the check, since
+// witnesses may still find a VM that reaches the holder.
 func (o *Owner) queryDirectly(to peer.Member, args *AskArgs) (AskReply, *holderCheck, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), forwardTimeout.Duration())
 	defer cancel()
--- a/daemon/placer/owner.go
+++ b/daemon/placer/owner.go
@@ -186,7 +186,7 @@
 		createdAt: o.Clock.Now(), budget: budget, alone: o.Alone(), pool: span.New(span.DefaultRules, budget), countedGates: map[decide.GateID]bool{},
 		waiters: map[decide.RequestID][]chan span.Decision{}, undelivered: map[decide.RequestID]span.Decision{},
 	}
-	p.pool.UseShares(o.Shares)
+	p.pool.SetShares(o.Shares)
 	p.pool.SetBookings(o.Bookings)
 	p.pool.SetForecast(o.Forecast)
 	budget.GrowFrom(o.floorStart(p.alone))
--- a/daemon/placer/shares.go
+++ b/daemon/placer/shares.go
@@ -45,9 +45,7 @@
 
 // ShareUsages calls f with what workspaces were granted by this VM, for each service.
 func (o *Owner) ShareUsages(f func(route.ServiceID, share.Usage)) {
-	o.mu.Lock()
-	pools := maps.Clone(o.pools)
-	o.mu.Unlock()
+	pools := o.allPools()
 	for _, s := range slices.Sorted(maps.Keys(pools)) {
 		p := pools[s]
 		p.mu.Lock()
--- a/daemon/placer/spread.go
+++ b/daemon/placer/spread.go
@@ -1,7 +1,6 @@
 package placer
 
 import (
-	"maps"
 	"math/rand/v2"
 
 	"snipeshift.example/lib/logline"
@@ -34,9 +33,7 @@
 // OverrunIdle returns, for each service that this VM owns, the share of intervals in which an upstream
 // queued while another one was idle.
 func (o *Owner) OverrunIdle() map[route.ServiceID]float64 {
-	o.mu.Lock()
-	pools := maps.Clone(o.pools)
-	o.mu.Unlock()
+	pools := o.allPools()
 	ratios := make(map[route.ServiceID]float64, len(pools))
 	for s, p := range pools {
 		p.mu.Lock()
--- a/daemon/placer/where.go
+++ b/daemon/placer/where.go
@@ -63,6 +63,7 @@
 	reply.DocumentAge, reply.ListAge = max(now-v.TableVerified, 0), max(now-v.UpstreamsVerified, 0)
 	pool, gathering := o.copyPool(s)
 	pool.SetLimitShare(now, o.limitShare(&args.Query))
+	pool.SetSpread(o.Spread && o.limitedKnowledge(&args.Query), globalRandom{})
 	for _, m := range args.Query.Statements {
 		pool.Learn(now, m.Upstream, m.Statement(now))
 	}
@@ -105,8 +106,8 @@
 }
 
 // Where asks the owner of a service where a request would be placed now, or what becomes of a queued one if its id is given.
-// If the owner gives no answer, this VM answers from its own pool, and notAsked tells why.
-func (c *Client) Where(ctx context.Context, s route.ServiceID, a span.Ask, queued decide.RequestID) (reply WhereReply, notAsked error) {
+// If the owner gives no answer, this VM answers from its own pool, and ownerErr tells why.
+func (c *Client) Where(ctx context.Context, s route.ServiceID, a span.Ask, queued decide.RequestID) (reply WhereReply, ownerErr error) {
 	ctx, cancel := context.WithTimeout(ctx, whereWait.Duration())
 	defer cancel()
 	args := &WhereArgs{Query: *c.newAskArgs(s, a, 0), Queued: queued}
--- a/daemon/relay.go
+++ b/daemon/relay.go
@@ -118,7 +118,7 @@
 	}
 	d.startedAt = d.clock.Now()
 	d.accepts = accept.NewMonitor(d.clock, d.reportAccept, d.shed)
-	connections := listener.SharesOf(descriptors(s.Descriptors))
+	connections := listener.QuotasOf(descriptors(s.Descriptors))
 	incarnation := peer.Incarnation(time.Now().UnixMilli())
 	self := peer.Member{VM: s.Name, Incarnation: incarnation, Domain: s.Domain, Address: s.Advertise, Cores: int(s.Cores * milliCoresPerCore), Link: int(s.Link)}
 	d.members = member.New(self, member.RelayRules, d.dialer, staticSeeds(s.Peers), d.clock)
@@ -137,7 +137,7 @@
 	var pooled *http.Transport
 	d.upstreams = dial.NewBound(func() int { return upstreamLimit(connections, d.clients) }, func() { pooled.CloseIdleConnections() })
 	d.paths = tunnel.NewDialer(tunnel.Needs{
-		Clock: d.clock, Log: d.log, Members: d.members, Upstreams: listedUpstreams{d.registry, d.binding},
+		Clock: d.clock, Log: d.log, Members: d.members, Upstreams: listedUpstreams{registry: d.registry, domains: &domainIndex[uint64]{}, binding: d.binding},
 		Direct: d.upstreams.Dial(directDial(s)), Peer: dialPeer,
 	})
 	d.tunnels = tunnel.NewServer(d.paths)
@@ -198,6 +198,8 @@
 // listedUpstreams implements tunnel.Upstreams.
 type listedUpstreams struct {
 	registry *registry.Registry
+	// domains is indexed by the generation of the view.
+	domains *domainIndex[uint64]
 	// binding returns a statement that forbids this VM to send to an upstream, if there is one.
 	binding func(route.ServiceID, span.Placement) (statement.Statement, bool)
 }
@@ -217,23 +219,16 @@
 
 // Domain implements tunnel.Upstreams.
 func (l listedUpstreams) Domain(address string) peer.Domain {
-	var first, found route.Domain
-	several := false
-	for _, us := range l.registry.View().Upstreams {
-		for i := range us {
-			if first == "" {
-				first = us[i].Domain
-			}
-			several = several || us[i].Domain != first
-			if us[i].Address == address {
-				found = us[i].Domain
+	v := l.registry.View()
+	return l.domains.domain(address, v.Generation, func(yield func(string, peer.Domain) bool) {
+		for _, us := range v.Upstreams {
+			for i := range us {
+				if !yield(us[i].Address, peer.Domain(us[i].Domain)) {
+					return
+				}
 			}
 		}
-	}
-	if !several {
-		return ""
-	}
-	return peer.Domain(found)
+	})
 }
 
 // Usable implements tunnel.Upstreams.
@@ -416,7 +411,7 @@
 func (d *relayDaemon) shed() {
 	n := descriptors(d.settings.Descriptors)
 	d.clients.Shed(n)
-	d.peers.SetLimit(listener.SharesOf(n).Peers)
+	d.peers.SetLimit(listener.QuotasOf(n).Peers)
 }
 
 // insight returns the page that the metrics address serves.
--- a/daemon/relay/body.go
+++ b/daemon/relay/body.go
@@ -29,20 +29,20 @@
 	if size < 0 || size > x.maxBody() {
 		size = x.maxBody()
 	}
-	if !x.hold(size) {
+	if !x.reserveBytes(size) {
 		return nil, fault.New(fault.Overloaded, "%d bytes of requests and responses are held here", x.gate.bodies.Load()).WithRetry(notReadyRetry)
 	}
-	return func() { x.gate.bodies.Add(-x.held) }, nil
+	return func() { x.gate.bodies.Add(-x.buffered) }, nil
 }
 
-// hold counts bytes that are buffered until the request ends. It returns false if there is no room for them.
-func (x *request) hold(size int64) bool {
+// reserveBytes counts bytes that are buffered until the request ends. It returns false if there is no room for them.
+func (x *request) reserveBytes(size int64) bool {
 	g := x.gate
 	if g.bodies.Add(size) > g.bounds.BodyBytes {
 		g.bodies.Add(-size)
 		return false
 	}
-	x.held += size
+	x.buffered += size
 	return true
 }
 
@@ -58,7 +58,7 @@
 	for {
 		if len(body) == cap(body) {
 			step := min(max(len(body), firstBuffer), bufferStep)
-			if len(body) >= bufferLimit || !x.hold(int64(step)) {
+			if len(body) >= bufferLimit || !x.reserveBytes(int64(step)) {
 				return body, false, nil
 			}
 			body = append(make([]byte, 0, len(body)+step), body...)
--- a/daemon/relay/gate.go
+++ b/daemon/relay/gate.go
@@ -162,8 +162,8 @@
 	workspace *route.Workspace
 	service   route.ServiceID
 	body      []byte
-	// held is the number of bytes of bodies that this request counts for.
-	held int64
+	// buffered is the number of bytes of bodies that this request counts for.
+	buffered int64
 	// keyRequired is set if clients authenticate by a key.
 	keyRequired bool
 	arrived     clock.Milli
--- a/lib/decide/booking/booking.go
+++ b/lib/decide/booking/booking.go
@@ -20,11 +20,13 @@
 	// expires.
 	Early clock.Milli = 100
 	Late  clock.Milli = 500
-	// Share is the fraction of the spare capacity that is booked. The other half is left for late
+	// MaxUtilization is the fraction of the spare capacity that is booked. The other half is left for late
 	// requests without a booking and for errors of the estimate.
-	Share = 0.5
-	// minLoad is the least free capacity of a slot, in milliseconds of prefill, with which a booking
-	// begins.
+	MaxUtilization = 0.5
+	// maxAhead is the longest time to a booking that is accepted from another VM.
+	maxAhead = 3600 * clock.Second
+	// minLoad is the least free capacity of a slot with which a booking begins, in the unit of
+	// Request.Load.
 	minLoad = 0.01
 )
 
@@ -59,12 +61,11 @@
 	// ID is the refused request. A repeated query for it is not its retry.
 	ID    decide.RequestID
 	Class Class
-	// Prefill is the prefill time in milliseconds on one engine.
-	Prefill float64
-	// Rate is the spare capacity for the class, in engines.
-	Rate float64
+	// Load is what the request takes of the capacity: one placement for Short, the prefill time in
+	// milliseconds on one engine for Long. Rate is the spare capacity per millisecond in that unit.
+	Load, Rate float64
 	// From and Until are the earliest and the latest time of the booking. Due is when the booked
-	// prefill has to be done; a booking lasts for the horizon of the table at most.
+	// load has to be done; a booking lasts for the horizon of the table at most.
 	From, Until, Due clock.Milli
 }
 
@@ -80,7 +81,7 @@
 	id    decide.RequestID
 	class Class
 	at    clock.Milli
-	// load is the booked prefill time in each slot, from that of at on.
+	// load is the booked load in each slot, from that of at on.
 	load []float64
 }
 
@@ -95,7 +96,7 @@
 type Table struct {
 	limits Limits
 	open   map[Key]*entry
-	// booked is the booked prefill time in milliseconds per slot. The slots of kept bookings stay
+	// booked is the booked load per slot. The slots of kept bookings stay
 	// booked, those of lapsed ones become free.
 	booked [classes]map[slot]float64
 	// swept is the slot in which expired bookings were last removed.
@@ -142,7 +143,7 @@
 // find returns a booking from the first slot on that has free capacity. A client that retries at
 // once must not find its booking open, so none is earlier than Early from now.
 func (t *Table) find(now clock.Milli, q Request) (*entry, bool) {
-	if len(t.open) >= t.limits.Most || q.Prefill <= 0 {
+	if len(t.open) >= t.limits.Most || q.Load <= 0 {
 		return nil, false
 	}
 	from, until := max(q.From, now+Early+1), min(q.Until, now+t.limits.Horizon)
@@ -157,15 +158,15 @@
 	return nil, false
 }
 
-// free returns the capacity of a slot that can still be booked, in milliseconds of prefill.
+// free returns the capacity of a slot that can still be booked, in the unit of the load.
 func (t *Table) free(s slot, q *Request) float64 {
-	return max(0, Share*q.Rate*float64(SlotLength)-t.booked[q.Class][s])
+	return max(0, MaxUtilization*q.Rate*float64(SlotLength)-t.booked[q.Class][s])
 }
 
-// fill distributes the prefill of a request over the free capacity of the slots from s on. It reports
+// fill distributes the load of a request over the free capacity of the slots from s on. It reports
 // whether that ends in time.
 func (t *Table) fill(s slot, q *Request) (load []float64, ok bool) {
-	for left := q.Prefill; left > 0; s++ {
+	for left := q.Load; left > 0; s++ {
 		if s.start() >= q.Due {
 			return nil, false
 		}
@@ -228,7 +229,7 @@
 	Class Class
 	// In is the time until the booking, negative once it has passed.
 	In clock.Milli
-	// Load is the booked prefill time in each slot from the time of the booking on.
+	// Load is the booked load in each slot from the time of the booking on.
 	Load []float64
 }
 
@@ -261,7 +262,7 @@
 			return false
 		}
 	}
-	return b.Class < classes && b.Key.Fingerprint != 0
+	return b.Class < classes && b.Key.Fingerprint != 0 && -Late <= b.In && b.In <= maxAhead
 }
 
 // Clone returns an independent copy of the table; nil for none.
--- a/lib/decide/forecast/supply.go
+++ b/lib/decide/forecast/supply.go
@@ -58,20 +58,6 @@
 	}
 }
 
-// Reserve takes units from the capacity of one interval, or from the next ones if it has too few.
-// Booked requests use up what others can't get.
-func (s *Supply) Reserve(at, n float64) {
-	i, ok := index(at)
-	for ; ok && n > 0 && i < intervals; i++ {
-		used := min(n, s.units[i])
-		s.units[i] -= used
-		n -= used
-		used = min(n, s.places[i])
-		s.places[i] -= used
-		n -= used
-	}
-}
-
 // index returns the interval of an instant; false if it is after the horizon.
 func index(at float64) (int, bool) {
 	if at >= Horizon {
@@ -82,9 +68,9 @@
 
 // Contention describes who else uses the capacity.
 type Contention struct {
-	// Hold is the time in milliseconds for which a request holds a place; zero if places are not
+	// Service is the time in milliseconds for which a request holds a place; zero if places are not
 	// available again within the horizon.
-	Hold float64
+	Service float64
 	// Rate is the number of units per millisecond that arriving requests take before the waiting
 	// ones, and Precedence how long in milliseconds an arriving request goes before them.
 	Rate, Precedence float64
@@ -103,11 +89,11 @@
 // available, since it is asked only for requests that wait.
 func (c *Curve) Compute(s *Supply, o Contention) {
 	places := s.places
-	again := max(1, int(o.Hold/Interval+0.5))
+	again := max(1, int(o.Service/Interval+0.5))
 	first, behind, waiting := 0.0, 0.0, 0.0
 	for i := range intervals {
 		n := places[i] + s.units[i]
-		if o.Hold > 0 && i+again < intervals {
+		if o.Service > 0 && i+again < intervals {
 			places[i+again] += places[i]
 		}
 		waiting = min(waiting+o.Rate*Interval, o.Rate*max(o.Precedence, Interval))
--- a/lib/decide/share/share.go
+++ b/lib/decide/share/share.go
@@ -140,8 +140,9 @@
 	}
 }
 
-// settle advances the current virtual time and bounds the leads of the given workspaces. A lead larger than the shares of all in what was granted within
-// leadWindow would have the workspace wait longer than that for capacity which no other could use.
+// settle advances the current virtual time and bounds the leads of the given workspaces. A lead larger
+// than the shares of all in what was granted within leadWindow would have the workspace wait longer
+// than that for capacity which no other could use.
 func (a *Account) settle(rows []*row) {
 	least, weights := math.Inf(1), 0.0
 	for _, r := range rows {
@@ -172,11 +173,16 @@
 
 // Charge records a grant of this many tokens.
 func (a *Account) Charge(now clock.Milli, id decide.WorkspaceID, tokens decide.Tokens) {
+	a.ChargePresented(now, id, tokens)
+	a.row(id).tokens += float64(tokens)
+}
+
+// ChargePresented records a grant that another account made and whose tokens that one has counted.
+func (a *Account) ChargePresented(now clock.Milli, id decide.WorkspaceID, tokens decide.Tokens) {
 	a.decay(now)
 	r := a.row(id)
 	r.lastLength = float64(tokens) / r.weight
 	r.virtual += r.lastLength
-	r.tokens += float64(tokens)
 	r.usedAt = now
 	r.decay(now)
 	r.used += float64(tokens)
@@ -193,7 +199,8 @@
 func (a *Account) Exceeds(id decide.WorkspaceID) bool { return a.lag(a.row(id)) < 0 }
 
 // Wait returns the time in milliseconds in which a workspace is granted this many tokens if it gets
-// its share of what all were granted within useWindow, and no more.
+// its share of what all were granted within useWindow, and no more. The result is +Inf if nothing
+// was granted.
 func (a *Account) Wait(id decide.WorkspaceID, tokens decide.Tokens) float64 {
 	r := a.row(id)
 	rate := a.used / useWindow * r.weight / max(a.weigh(), r.weight)
--- a/lib/decide/share/state.go
+++ b/lib/decide/share/state.go
@@ -53,8 +53,7 @@
 	Ahead, Used float64
 }
 
-// Snapshot returns the state for the next owner. Workspaces that are
-// not active are as if unknown.
+// Snapshot returns the state for the next owner. Workspaces that are not active are as if unknown.
 func (a *Account) Snapshot(now clock.Milli) Snapshot {
 	a.decay(now)
 	s := Snapshot{Recent: a.recent}
--- a/lib/decide/span/booking.go
+++ b/lib/decide/span/booking.go
@@ -20,22 +20,22 @@
 	// continued are requests that had taken their bookings and were queued at the previous owner, with
 	// the times until which their gates must have asked this one.
 	continued  map[decide.RequestID]clock.Milli
-	longDemand demand
+	longDemand arrivalRate
 }
 
-// demand is the prefill time of long prompts that arrive per millisecond, in engines, averaged over
+// arrivalRate is the prefill time of long prompts that arrive per millisecond, in engines, averaged over
 // headroomWindow. Prompts that were refused without a booking count again, since their clients retry.
-type demand struct {
+type arrivalRate struct {
 	rate float64
 	// at is the time of the last arrival.
 	at clock.Milli
 }
 
-func (d *demand) add(now clock.Milli, prefill float64) {
+func (d *arrivalRate) add(now clock.Milli, prefill float64) {
 	d.rate, d.at = d.rateAt(now)+prefill/headroomWindow, now
 }
 
-func (d *demand) rateAt(now clock.Milli) float64 {
+func (d *arrivalRate) rateAt(now clock.Milli) float64 {
 	return d.rate * math.Exp(-float64(now-d.at)/headroomWindow)
 }
 
@@ -71,8 +71,16 @@
 // with the time that it has left by then.
 const deliveryTime = 20 * clock.Milli(1)
 
-// patienceDivisor sets the part of the time left that a client waits before a retry: one third.
-const patienceDivisor = 3
+// maxRetryWaitDivisor sets the most that a client waits before a retry: one third of the time left.
+const maxRetryWaitDivisor = 3
+
+// noteLongArrival counts an arriving long prompt.
+func (p *Pool) noteLongArrival(now clock.Milli, w *queuedRequest) {
+	p.largeReserve.noteAsked(w.prefillTime)
+	if p.bookings.table != nil {
+		p.bookings.longDemand.add(now, w.prefillTime)
+	}
+}
 
 // takeBooking takes the booking of a request that has just arrived, if it is the retry for which there
 // is one.
@@ -81,9 +89,6 @@
 	if t == nil {
 		return
 	}
-	if w.long {
-		p.bookings.longDemand.add(now, w.prefillTime)
-	}
 	if _, w.booked = p.bookings.continued[w.ID]; w.booked {
 		delete(p.bookings.continued, w.ID)
 		return
@@ -131,29 +136,25 @@
 // bookingRequest describes the booking that a refused request needs behind the work ahead of it.
 func (p *Pool) bookingRequest(now clock.Milli, w *queuedRequest, ahead work) booking.Request {
 	q := booking.Request{
-		Key: w.bookingKey(), ID: w.ID, Class: booking.Short, Prefill: max(w.prefillTime, minBooked),
-		From: now + clock.Milli(p.roomAt(now, w, ahead)), Until: now + (w.Deadline-now)/patienceDivisor - deliveryTime,
+		Key: w.bookingKey(), ID: w.ID, Class: booking.Short, Load: 1, Rate: max(p.headroom.placeRate, p.headroom.recentPlaceRate),
+		From: now + clock.Milli(p.roomAt(now, w, ahead)), Until: now + (w.Deadline-now)/maxRetryWaitDivisor - deliveryTime,
 		Due: w.Deadline - minServiceTime,
 	}
-	q.Rate = max(p.headroom.placeRate, p.headroom.recentPlaceRate) * q.Prefill
 	if w.long {
 		// With a later end, the prompt would compete with others that arrive meanwhile.
-		q.Class, q.Rate, q.Due = booking.Long, p.spareForLong(now), min(q.Due, q.Until)
+		q.Class, q.Load, q.Rate, q.Due = booking.Long, w.prefillTime, p.spareForLong(now), min(q.Due, q.Until)
 	}
 	return q
 }
 
 // spareForLong returns the prefill capacity that long prompts leave, in engines, by the idle time of
-// engines and by what clients ask for. The retries of refused clients, which come back without a booking, take what
-// is idle now.
+// engines and by what clients ask for. The retries of refused clients without a booking take what is
+// idle now.
 func (p *Pool) spareForLong(now clock.Milli) float64 {
 	engines := float64(p.headroom.engines)
 	return max(0, min((1-p.headroom.busy)*engines, engines-p.bookings.longDemand.rateAt(now)))
 }
 
-// minBooked is the prefill time in milliseconds that is booked for a request without a prompt.
-const minBooked = 1.0
-
 // work is what is placed before a refused request or its retry.
 type work struct {
 	// lateShort is the number of late short requests. lateLong and longInTime are the prefill times in
--- a/lib/decide/span/explain.go
+++ b/lib/decide/span/explain.go
@@ -192,9 +192,10 @@
 		return others
 	}
 	leader := p.upstreams[g.Leader.Upstream]
-	before := leader.plainLoad() - 1/float64(max(leader.Slots, 1))
+	requests, slots := leader.plainLoad()
+	requests-- // the request itself
 	for i, x := range others {
-		if x.Against == ObstacleFree && p.upstreams[x.Upstream].plainLoad() <= before {
+		if n, of := p.upstreams[x.Upstream].plainLoad(); x.Against == ObstacleFree && n*slots <= requests*of {
 			others[i].Against = ObstacleEqual
 		}
 	}
--- a/lib/decide/span/forecast.go
+++ b/lib/decide/span/forecast.go
@@ -26,11 +26,11 @@
 	shortAim, longAim forecast.Ratio
 	// tokens is the average KV memory that a short request needs.
 	tokens forecast.Ratio
-	// knownHold and boundedHold correct the estimated times for which requests hold their places, for
+	// knownService and boundedService correct the estimated times for which requests hold their places, for
 	// requests whose likely output is known and for those of which only its bound is.
-	knownHold, boundedHold forecast.Ratio
-	// shortHold is the average time for which the arriving short requests will hold their places.
-	shortHold forecast.Ratio
+	knownService, boundedService forecast.Ratio
+	// shortService is the average time for which the arriving short requests will hold their places.
+	shortService forecast.Ratio
 	// short and long are the capacities for short requests and for long prompts, computed at the
 	// time at; valid is false before the first computation.
 	short, long forecast.Curve
@@ -40,22 +40,32 @@
 	// and longInTime and longLate are the prefill times of the long prompts that stay queued.
 	first                int
 	longInTime, longLate float64
-	// late lists the late short requests that stay queued, in the order of placing. previousLate is
-	// that list of the last scan.
-	late, previousLate []lateRank
+	// late lists the late short requests that stay queued. previousLate is that list of the last scan,
+	// sorted: shares of workspaces may have changed the order of placing.
+	late, previousLate []lateOrderKey
 	// errors are the errors of forecasts that nobody has taken yet.
 	errors []clock.Milli
 }
 
-// lateRank is what the order of late short requests depends on.
-type lateRank struct {
-	urgency   decide.Urgency
-	occupancy float64
+// lateOrderKey is what the order of late short requests depends on, apart from shares of workspaces.
+type lateOrderKey struct {
+	urgency    decide.Urgency
+	bookedRank int
+	occupancy  float64
+}
+
+// lateKey returns the key of a request once it is late.
+func (w *queuedRequest) lateKey() lateOrderKey {
+	rank := 1
+	if w.booked {
+		rank = 0
+	}
+	return lateOrderKey{w.Urgency, rank, w.occupancy()}
 }
 
 // compareLate orders late short requests as compare does.
-func compareLate(x, y lateRank) int {
-	return cmp.Or(cmp.Compare(x.urgency, y.urgency), cmp.Compare(x.occupancy, y.occupancy))
+func compareLate(x, y lateOrderKey) int {
+	return cmp.Or(cmp.Compare(x.urgency, y.urgency), cmp.Compare(x.bookedRank, y.bookedRank), cmp.Compare(x.occupancy, y.occupancy))
 }
 
 // maxForecastErrors bounds the errors kept for the metric.
@@ -91,7 +101,7 @@
 	f.shortDemand.Add(now, 1)
 	f.shortAim.Note(float64(w.Aim-now), 1)
 	f.tokens.Note(float64(w.Prompt+w.Output), 1)
-	f.shortHold.Note(f.holdRatio(&w.Ask).Apply(p.engine.DecodeTime(w.outputTokens(), w.Prompt)), 1)
+	f.shortService.Note(f.serviceRatio(&w.Ask).Apply(p.engine.DecodeTime(w.outputTokens(), w.Prompt)), 1)
 }
 
 // noteEnded learns from the time for which a complete response held its place.
@@ -99,15 +109,15 @@
 	if !f.on || o != Done || g.presented || len(g.upstreams) == 0 || g.upstreams[0].engine == nil {
 		return
 	}
-	f.holdRatio(&g.ask).Note(float64(now-g.grantedAt), g.plannedHold(g.upstreams[0]))
+	f.serviceRatio(&g.ask).Note(float64(now-g.grantedAt), g.plannedService(g.upstreams[0]))
 }
 
-// holdRatio returns the correction for the planned hold of a request.
-func (f *forecaster) holdRatio(a *Ask) *forecast.Ratio {
+// serviceRatio returns the correction for the planned service time of a request.
+func (f *forecaster) serviceRatio(a *Ask) *forecast.Ratio {
 	if a.Likely > 0 {
-		return &f.knownHold
+		return &f.knownService
 	}
-	return &f.boundedHold
+	return &f.boundedService
 }
 
 // outputTokens returns the expected length of the answer, or its bound if that is unknown.
@@ -118,8 +128,8 @@
 	return a.Output
 }
 
-// plannedHold returns the time in milliseconds for which a grant holds its place by the engine data.
-func (g *grantState) plannedHold(r *upstreamState) float64 {
+// plannedService returns the time in milliseconds for which a grant holds its place by the engine data.
+func (g *grantState) plannedService(r *upstreamState) float64 {
 	tokens := g.ask.outputTokens()
 	if tokens == 0 {
 		tokens = g.Grant.Output // another owner made the grant
@@ -131,6 +141,7 @@
 func (f *forecaster) beginRound() {
 	f.first, f.longInTime, f.longLate = 0, 0, 0
 	f.late, f.previousLate = f.previousLate[:0], f.late
+	slices.SortFunc(f.previousLate, compareLate)
 }
 
 // noteForecast records the result of one request in a scan: the error of its forecast if it was
@@ -151,7 +162,7 @@
 
 // noteExpected stores the forecast of a request in its first scan.
 func (p *Pool) noteExpected(now clock.Milli, w *queuedRequest) {
-	if w.expectedStart > 0 || w.queuedAt != w.askedAt {
+	if w.passedOver {
 		return
 	}
 	wait, ok := p.expectedWait(now, w)
@@ -168,7 +179,7 @@
 	case w.long:
 		f.longLate += w.prefillTime
 	case late && w.begunRank() > 0:
-		f.late = append(f.late, lateRank{w.Urgency, w.occupancy()})
+		f.late = append(f.late, w.lateKey())
 	default:
 		f.first++
 	}
@@ -217,8 +228,7 @@
 	case w.late(now):
 		return p.forecastWait(now, w, len(f.late))
 	}
-	rank := lateRank{w.Urgency, w.occupancy()}
-	ahead, _ := slices.BinarySearchFunc(f.previousLate, rank, compareLate)
+	ahead, _ := slices.BinarySearchFunc(f.previousLate, w.lateKey(), compareLate)
 	late, ok := p.forecastWait(now, w, ahead)
 	if !ok {
 		return 0, false
@@ -268,7 +278,7 @@
 		}
 	}
 	f.short.Compute(&short, forecast.Contention{
-		Hold: f.shortHold.Apply(1), Rate: f.shortDemand.Rate(now), Precedence: f.shortAim.Apply(1), LeastShare: minHeadroom,
+		Service: f.shortService.Apply(1), Rate: f.shortDemand.Rate(now), Precedence: f.shortAim.Apply(1), LeastShare: minHeadroom,
 	})
 	f.long.Compute(&long, forecast.Contention{Rate: f.longDemand.Rate(now), Precedence: f.longAim.Apply(1), LeastShare: minHeadroom})
 }
@@ -299,10 +309,10 @@
 // end. An upstream whose rate limit lets its places stay unused supplies places at that rate.
 func (p *Pool) addPlaces(now clock.Milli, r *upstreamState, s *forecast.Supply) {
 	f, from := &p.forecast, r.usableFrom(now)
-	hold := f.shortHold.Apply(1)
+	service := f.shortService.Apply(1)
 	if l := r.limiter(now); l != nil {
 		perMilli := float64(l.Rate(now)) / float64(clock.Second)
-		if perMilli*hold < float64(r.engine.Slots) {
+		if perMilli*service < float64(r.engine.Slots) {
 			s.AddUnits(from, max(0, l.Level(now)))
 			s.AddRate(from, perMilli)
 			return
@@ -311,12 +321,12 @@
 	free := float64(r.engine.Slots - r.streams - r.external)
 	free = min(free, float64(r.freeMemory())/max(f.tokens.Apply(1), 1))
 	s.AddPlaces(max(from, r.backlog(now)), max(0, free))
-	s.AddPlaces(max(from, hold), float64(r.external))
+	s.AddPlaces(max(from, service), float64(r.external))
 	for _, g := range r.grants {
 		if !g.leads(r) {
 			continue
 		}
-		estimate := f.holdRatio(&g.ask).Apply(g.plannedHold(r))
+		estimate := f.serviceRatio(&g.ask).Apply(g.plannedService(r))
 		s.AddPlaces(max(from, forecast.Remaining(estimate, float64(now-g.grantedAt))), 1)
 	}
 }
--- a/lib/decide/span/headroom.go
+++ b/lib/decide/span/headroom.go
@@ -51,6 +51,7 @@
 	for _, r := range p.packOrder {
 		if r.firstByteOverdue(now) {
 			r.reportWanted = true
+			r.record.Doubt()
 		}
 		if r.engine == nil || r.draining() || r.hasShortStreams() {
 			continue
--- a/lib/decide/span/obstacle.go
+++ b/lib/decide/span/obstacle.go
@@ -13,15 +13,20 @@
 const (
 	none Obstacle = ""
 	// ObstacleFull is an upstream without a free slot, or without room for the prefill within the aim and the tolerated pauses.
-	ObstacleFull   Obstacle = "full"
+	ObstacleFull Obstacle = "full"
+	// ObstacleMemory is an upstream without free KV memory for the prompt and its answer.
 	ObstacleMemory Obstacle = "memory"
-	ObstacleCold   Obstacle = "cold"
+	// ObstacleCold is an upstream that warms up and gets only what others have no room for.
+	ObstacleCold Obstacle = "cold"
 	// ObstacleExcluded is an upstream on which requests failed, or that declined to be a helper.
 	ObstacleExcluded Obstacle = "excluded"
-	ObstacleLeaving  Obstacle = "leaving"
+	// ObstacleLeaving is an upstream that is being drained.
+	ObstacleLeaving Obstacle = "leaving"
 	// ObstacleBackOff is an upstream that asked for a back-off, or one where a probe request is running after its end.
-	ObstacleBackOff    Obstacle = "back-off"
-	ObstacleLimit      Obstacle = "limit"
+	ObstacleBackOff Obstacle = "back-off"
+	// ObstacleLimit is an upstream whose declared rate limit is used up.
+	ObstacleLimit Obstacle = "limit"
+	// ObstacleUnverified is an engine whose load is not known until its next report.
 	ObstacleUnverified Obstacle = "unverified"
 	// ObstacleAvoided is an upstream that is slow, that the request has failed on, or that runs a request which may crash it as this
 	// one may.
@@ -60,9 +65,9 @@
 	return none
 }
 
-// plainLoad returns the ratio of requests to slots.
-func (r *upstreamState) plainLoad() float64 {
-	return float64(len(r.grants)+r.external) / float64(max(r.Slots, 1))
+// plainLoad returns the number of requests and that of slots.
+func (r *upstreamState) plainLoad() (requests, slots int) {
+	return len(r.grants) + r.external, max(r.Slots, 1)
 }
 
 // prefillObstacle returns why the upstream can't compute a part of a long prefill by itself, without other work beside it.
--- a/lib/decide/span/order.go
+++ b/lib/decide/span/order.go
@@ -16,8 +16,9 @@
 // orderedQueue returns the queue in the order of placing. Requests that can still meet their aims
 // come before late ones, since a late answer is worth a quarter of one in time, however late it is;
 // then by urgency; then late ones that have taken a booking; then those that occupy engines for the
-// shortest time, which serves most clients. Short requests that have begun come before all others. They are not refused for overload, so under
-// lasting overload they would wait behind new requests until their deadlines.
+// shortest time, which serves most clients. Short requests that have begun come before all others.
+// They are not refused for overload, so under lasting overload they would wait behind new requests
+// until their deadlines.
 // Large prompts in time are ordered by their aims, after all requests with a short prefill.
 func (p *Pool) orderedQueue(now clock.Milli) []*queuedRequest {
 	ws := make([]*queuedRequest, 0, len(p.queue))
@@ -79,8 +80,10 @@
 
 // compare orders queued requests as orderedQueue describes, before large prompts are deferred.
 func compare(x, y *queuedRequest, now clock.Milli) int {
-	first := cmp.Or(cmp.Compare(x.begunRank(), y.begunRank()), cmp.Compare(x.lateRank(now), y.lateRank(now)), cmp.Compare(x.Urgency, y.Urgency), cmp.Compare(x.class(now), y.class(now)),
-		cmp.Compare(x.bookedRank(now), y.bookedRank(now)))
+	first := cmp.Or(
+		cmp.Compare(x.begunRank(), y.begunRank()), cmp.Compare(x.lateRank(now), y.lateRank(now)), cmp.Compare(x.Urgency, y.Urgency),
+		cmp.Compare(x.class(now), y.class(now)), cmp.Compare(x.bookedRank(now), y.bookedRank(now)),
+	)
 	if first != 0 {
 		return first
 	}
--- a/lib/decide/span/overrun.go
+++ b/lib/decide/span/overrun.go
@@ -18,7 +18,7 @@
 	uneven, total float64
 }
 
-// observeOverrun counts the present interval.
+// observeOverrun counts the present interval, each at most once.
 func (p *Pool) observeOverrun(now clock.Milli) {
 	o := &p.overrun
 	if now-o.at < overrunInterval {
--- a/lib/decide/span/place.go
+++ b/lib/decide/span/place.go
@@ -75,7 +75,8 @@
 		if r.plainObstacle(now, a) != none {
 			continue
 		}
-		if load := r.plainLoad(); load < lowest {
+		requests, slots := r.plainLoad()
+		if load := float64(requests) / float64(slots); load < lowest {
 			best, lowest = r, load
 		}
 	}
--- a/lib/decide/span/pool.go
+++ b/lib/decide/span/pool.go
@@ -138,7 +138,7 @@
 	p.takeBooking(now, w)
 	p.queue[a.ID] = w
 	if w.long {
-		p.largeReserve.noteAsked(w.prefillTime)
+		p.noteLongArrival(now, w)
 	}
 	p.noteDemand(now, w)
 	return Grant{}, false
@@ -231,7 +231,7 @@
 		return x, false
 	}
 	p.endRun(now, g, o)
-	p.noteHeld(now, g)
+	p.noteServiceTime(now, g, o)
 	p.forecast.noteEnded(now, g, o)
 	if culprit == "" {
 		culprit = g.Grant.Leader.Upstream
--- a/lib/decide/span/shares.go
+++ b/lib/decide/span/shares.go
@@ -12,8 +12,8 @@
 // account orders requests of the same rank while some wait, and a workspace within its share is not
 // refused because of what others have waiting.
 
-// UseShares divides scarce capacity among workspaces. It must be called before the first request.
-func (p *Pool) UseShares(s share.Settings) {
+// SetShares divides scarce capacity among workspaces. It must be called before the first request.
+func (p *Pool) SetShares(s share.Settings) {
 	if s.Enabled {
 		p.shares = share.New(s.Weights)
 	}
@@ -24,7 +24,13 @@
 	if p.shares == nil {
 		return nil
 	}
-	return p.shares.Usages()
+	usages := p.shares.Usages()
+	if len(p.queue) == 0 {
+		for i := range usages {
+			usages[i].Lag = 0 // a scan of an empty queue does not update the account
+		}
+	}
+	return usages
 }
 
 // orderByShares reorders requests that have the same rank in the queue. While no request was left
@@ -55,7 +61,7 @@
 
 // sameRank reports whether only the shares of workspaces decide which of two requests goes first.
 func (w *queuedRequest) sameRank(x *queuedRequest, now clock.Milli) bool {
-	return w.begunRank() == x.begunRank() && w.Urgency == x.Urgency && w.class(now) == x.class(now)
+	return w.begunRank() == x.begunRank() && w.Urgency == x.Urgency && w.class(now) == x.class(now) && w.bookedRank(now) == x.bookedRank(now)
 }
 
 // predicted returns the workspace of a request and the tokens that it is charged.
@@ -78,7 +84,7 @@
 	if p.shares == nil || g.Workspace == "" {
 		return
 	}
-	p.shares.Charge(now, g.Workspace, share.Predicted(g.Prompt, g.Likely, g.Output))
+	p.shares.ChargePresented(now, g.Workspace, share.Predicted(g.Prompt, g.Likely, g.Output))
 }
 
 // snapshotShares returns the account for the next owner; nil if shares are not enabled.
--- a/lib/decide/span/spread.go
+++ b/lib/decide/span/spread.go
@@ -13,7 +13,7 @@
 // load addressed is that of short requests. Plain services are spread already, see placePlain, and
 // long prompts need whole engines.
 
-// Random is a source of random numbers in [0, 1).
+// Random is a source of random numbers in [0, 1). Several pools use it at the same time.
 type Random interface{ Float64() float64 }
 
 // spread is the state of spreading.
@@ -22,13 +22,13 @@
 	on bool
 	// random is shared by copies of the pool: a draw changes nothing else.
 	random Random
-	// held is the mean time in milliseconds from grant to end of the last short requests, at pace 1;
-	// zero if none has ended.
-	held float64
+	// service is the mean time in milliseconds from grant to complete response of the last short
+	// requests, at pace 1; zero if none has completed.
+	service float64
 }
 
-// heldWeight is the weight of one request in the mean of the time that requests are held.
-const heldWeight = 1.0 / 16
+// serviceTimeWeight is the weight of one request in the mean of the time that requests are held.
+const serviceTimeWeight = 1.0 / 16
 
 // SetSpread sets whether the owner spreads short requests because it does not know all grants, and
 // reports whether that is a change.
@@ -57,7 +57,7 @@
 	if len(plans) == 0 {
 		return plan{}, false
 	}
-	return plans[balance.Choose(now, p.holdTime(w), cs, p.spread.random.Float64())], true
+	return plans[balance.Choose(now, p.serviceTime(w), cs, p.spread.random.Float64())], true
 }
 
 // spreadCandidates lists engines that fit a short request, in the order of packing. Slow and cold
@@ -81,9 +81,6 @@
 			if !ok {
 				continue
 			}
-			if r.firstByteOverdue(now) {
-				r.record.Doubt()
-			}
 			plans = append(plans, plan{leader: r, partPrefill: w.prefillTime, first: first, reason: "balanced"})
 			cs = append(cs, balance.Candidate{Record: r.record, Slots: r.engine.Slots, Pace: r.pace, Own: len(r.grants)})
 		}
@@ -115,24 +112,25 @@
 	return 1 + int(math.Ceil(spreadMargin*all/float64(max(p.rules.PackedStreams, 1))))
 }
 
-// noteHeld includes a send that has ended in the mean of the time that short requests are held.
-func (p *Pool) noteHeld(now clock.Milli, g *grantState) {
+// noteServiceTime includes a complete response in the mean service time of short requests. Failed and canceled
+// ones end early, while their replacements take as long as others.
+func (p *Pool) noteServiceTime(now clock.Milli, g *grantState, o Outcome) {
 	long := len(g.Grant.Helpers) > 0 || g.Grant.Leader.Read > p.rules.MaxShortRead
-	if long || !g.Writing || g.presented || len(g.upstreams) == 0 {
+	if o != Done || long || !g.Writing || g.presented || len(g.upstreams) == 0 {
 		return
 	}
-	held := float64(now-g.grantedAt) / max(g.upstreams[0].pace, 1)
-	if p.spread.held == 0 {
-		p.spread.held = held
+	took := float64(now-g.grantedAt) / max(g.upstreams[0].pace, 1)
+	if p.spread.service == 0 {
+		p.spread.service = took
 	}
-	p.spread.held += heldWeight * (held - p.spread.held)
+	p.spread.service += serviceTimeWeight * (took - p.spread.service)
 }
 
-// holdTime returns the time that a short request usually occupies a slot. Until one has ended it is
+// serviceTime returns the time that a short request usually occupies a slot. Until one has ended it is
 // estimated from the length of the answer; half of the longest is assumed if no length is likely.
-func (p *Pool) holdTime(w *queuedRequest) clock.Milli {
-	if p.spread.held > 0 {
-		return clock.Milli(p.spread.held)
+func (p *Pool) serviceTime(w *queuedRequest) clock.Milli {
+	if p.spread.service > 0 {
+		return clock.Milli(p.spread.service)
 	}
 	likely := w.Likely
 	if likely == 0 {
