span, balance, forecast: service time, since a service is something else here

Cause: fields and parameters named service in these packages are times, and the same word is a pool of upstreams in the rest of the tree.

--- a/lib/decide/balance/balance.go
+++ b/lib/decide/balance/balance.go
@@ -87,13 +87,13 @@
 	return level * c.slots()
 }
 
-// Choose returns the index of the candidate that gets the next request, or -1 if there is none. Service
-// is the usual time that a request occupies a slot at pace 1, and random a random number in [0, 1).
-// Of the candidates that get a considerable share, those with the fewest own requests per slot come
+// Choose returns the index of the candidate that gets the next request, or -1 if there is none.
+// serviceTime is the usual time that a request occupies a slot at pace 1, and random a random number
+// in [0, 1). Of the candidates that get a considerable share, those with the fewest own requests per slot come
 // first: a decider can spread its own requests evenly without any report, and the sum of evenly spread
 // requests of many deciders varies less than that of random choices.
-func Choose(now, service clock.Milli, cs []Candidate, random float64) int {
-	shares := Allocation(now, service, cs)
+func Choose(now, serviceTime clock.Milli, cs []Candidate, random float64) int {
+	shares := Allocation(now, serviceTime, cs)
 	least := minShare * sum(shares) / float64(max(len(shares), 1))
 	fewest := math.Inf(1)
 	for i, s := range shares {
@@ -140,15 +140,15 @@
 
 // Allocation returns how much of the work that has arrived since the reports, and of the next request,
 // each candidate gets.
-func Allocation(now, service clock.Milli, cs []Candidate) []float64 {
-	remaining, arrived := Remaining(now, service, cs)
+func Allocation(now, serviceTime clock.Milli, cs []Candidate) []float64 {
+	remaining, arrived := Remaining(now, serviceTime, cs)
 	return fill(cs, remaining, arrived+1)
 }
 
 // Remaining returns the load of each candidate without the requests of others that have arrived since
 // the reports, and the number of those. Reports of different ages are brought to the mean age: what an
 // older one says moves toward the usual load.
-func Remaining(now, service clock.Milli, cs []Candidate) (remaining []float64, arrived float64) {
+func Remaining(now, serviceTime clock.Milli, cs []Candidate) (remaining []float64, arrived float64) {
 	usual, age := averages(now, cs)
 	remaining = make([]float64, len(cs))
 	for i := range cs {
@@ -156,9 +156,9 @@
 		others := usual * c.slots()
 		if c.Record.usable() {
 			older := float64(now-c.Record.at) - age
-			others += (c.Record.others - others) * c.kept(older, service, c.Record.others)
+			others += (c.Record.others - others) * c.kept(older, serviceTime, c.Record.others)
 		}
-		kept := others * c.kept(age, service, others)
+		kept := others * c.kept(age, serviceTime, others)
 		remaining[i] = float64(c.Own) + kept
 		arrived += others - kept
 	}
@@ -167,9 +167,9 @@
 
 // kept returns the share of the requests of others that have not ended after this many milliseconds.
 // Only requests in a slot end.
-func (c *Candidate) kept(age float64, service clock.Milli, others float64) float64 {
+func (c *Candidate) kept(age float64, serviceTime clock.Milli, others float64) float64 {
 	running := min(1, c.slots()/max(others+float64(c.Own), 1))
-	return math.Exp(-running * max(age, 0) / (float64(max(service, 1)) * max(c.Pace, 1)))
+	return math.Exp(-running * max(age, 0) / (float64(max(serviceTime, 1)) * max(c.Pace, 1)))
 }
 
 // averages returns the mean number of requests of others per slot and the mean age of the reports in
--- a/lib/decide/balance/balance_test.go
+++ b/lib/decide/balance/balance_test.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	now     = 100 * clock.Second
-	service = clock.Second
+	now         = 100 * clock.Second
+	serviceTime = clock.Second
 )
 
 // reported returns candidates of 16 slots with these loads of others, reported some time ago.
@@ -29,13 +29,13 @@
 	random := rand.New(rand.NewPCG(1, 0))
 	n := make([]int, len(cs))
 	for range 1000 {
-		n[Choose(now, service, cs, random.Float64())]++
+		n[Choose(now, serviceTime, cs, random.Float64())]++
 	}
 	return n
 }
 
 func TestNoCandidate(t *testing.T) {
-	require.Equal(t, -1, Choose(now, service, nil, 0.5))
+	require.Equal(t, -1, Choose(now, serviceTime, nil, 0.5))
 }
 
 // A decider that knows of no other requests has to behave like one that knows all.
@@ -110,7 +110,7 @@
 	}
 	cs := reported(500, loads...)
 	for b.Loop() {
-		Choose(now, service, cs, 0.5)
+		Choose(now, serviceTime, cs, 0.5)
 	}
 }
 
--- a/lib/decide/forecast/forecast_test.go
+++ b/lib/decide/forecast/forecast_test.go
@@ -14,7 +14,7 @@
 	s.AddPlaces(1000, 2)
 	s.AddPlaces(3000, 1)
 	var c Curve
-	c.Compute(&s, Contention{Service: 4000})
+	c.Compute(&s, Contention{ServiceTime: 4000})
 	for n, want := range map[float64]float64{1: 1025, 2: 1050, 3: 3050, 5: 5050, 6: 7050} {
 		wait, ok := c.WaitFirst(n)
 		require.True(t, ok)
--- a/lib/decide/forecast/supply.go
+++ b/lib/decide/forecast/supply.go
@@ -68,9 +68,9 @@
 
 // Contention describes who else uses the capacity.
 type Contention struct {
-	// Service is the time in milliseconds for which a request holds a place; zero if places are not
+	// ServiceTime is the time in milliseconds for which a request holds a place; zero if places are not
 	// available again within the horizon.
-	Service float64
+	ServiceTime float64
 	// Rate is the number of units per millisecond that arriving requests take before the waiting
 	// ones, and Precedence how long in milliseconds an arriving request goes before them.
 	Rate, Precedence float64
@@ -89,11 +89,11 @@
 // available, since it is asked only for requests that wait.
 func (c *Curve) Compute(s *Supply, o Contention) {
 	places := s.places
-	again := max(1, int(o.Service/Interval+0.5))
+	again := max(1, int(o.ServiceTime/Interval+0.5))
 	first, behind, waiting := 0.0, 0.0, 0.0
 	for i := range intervals {
 		n := places[i] + s.units[i]
-		if o.Service > 0 && i+again < intervals {
+		if o.ServiceTime > 0 && i+again < intervals {
 			places[i+again] += places[i]
 		}
 		waiting = min(waiting+o.Rate*Interval, o.Rate*max(o.Precedence, Interval))
--- a/lib/decide/span/forecast.go
+++ b/lib/decide/span/forecast.go
@@ -26,11 +26,11 @@
 	shortAim, longAim forecast.Ratio
 	// tokens is the average KV memory that a short request needs.
 	tokens forecast.Ratio
-	// knownService and boundedService correct the estimated times for which requests hold their places, for
-	// requests whose likely output is known and for those of which only its bound is.
-	knownService, boundedService forecast.Ratio
-	// shortService is the average time for which the arriving short requests will hold their places.
-	shortService forecast.Ratio
+	// knownServiceTime and boundedServiceTime correct the estimated times for which requests hold their
+	// places, for requests whose likely output is known and for those of which only its bound is.
+	knownServiceTime, boundedServiceTime forecast.Ratio
+	// shortServiceTime is the average time for which the arriving short requests will hold their places.
+	shortServiceTime forecast.Ratio
 	// short and long are the capacities for short requests and for long prompts, computed at the
 	// time at; valid is false before the first computation.
 	short, long forecast.Curve
@@ -101,7 +101,7 @@
 	f.shortDemand.Add(now, 1)
 	f.shortAim.Note(float64(w.Aim-now), 1)
 	f.tokens.Note(float64(w.Prompt+w.Output), 1)
-	f.shortService.Note(f.serviceRatio(&w.Ask).Apply(p.engine.DecodeTime(w.outputTokens(), w.Prompt)), 1)
+	f.shortServiceTime.Note(f.serviceTimeRatio(&w.Ask).Apply(p.engine.DecodeTime(w.outputTokens(), w.Prompt)), 1)
 }
 
 // noteEnded learns from the time for which a complete response held its place.
@@ -109,15 +109,15 @@
 	if !f.on || o != Done || g.presented || len(g.upstreams) == 0 || g.upstreams[0].engine == nil {
 		return
 	}
-	f.serviceRatio(&g.ask).Note(float64(now-g.grantedAt), g.plannedService(g.upstreams[0]))
+	f.serviceTimeRatio(&g.ask).Note(float64(now-g.grantedAt), g.plannedServiceTime(g.upstreams[0]))
 }
 
-// serviceRatio returns the correction for the planned service time of a request.
-func (f *forecaster) serviceRatio(a *Ask) *forecast.Ratio {
+// serviceTimeRatio returns the correction for the planned service time of a request.
+func (f *forecaster) serviceTimeRatio(a *Ask) *forecast.Ratio {
 	if a.Likely > 0 {
-		return &f.knownService
+		return &f.knownServiceTime
 	}
-	return &f.boundedService
+	return &f.boundedServiceTime
 }
 
 // outputTokens returns the expected length of the answer, or its bound if that is unknown.
@@ -128,8 +128,9 @@
 	return a.Output
 }
 
-// plannedService returns the time in milliseconds for which a grant holds its place by the engine data.
-func (g *grantState) plannedService(r *upstreamState) float64 {
+// plannedServiceTime returns the time in milliseconds for which a grant holds its place by the engine
+// data.
+func (g *grantState) plannedServiceTime(r *upstreamState) float64 {
 	tokens := g.ask.outputTokens()
 	if tokens == 0 {
 		tokens = g.Grant.Output // another owner made the grant
@@ -278,7 +279,7 @@
 		}
 	}
 	f.short.Compute(&short, forecast.Contention{
-		Service: f.shortService.Apply(1), Rate: f.shortDemand.Rate(now), Precedence: f.shortAim.Apply(1), LeastShare: minHeadroom,
+		ServiceTime: f.shortServiceTime.Apply(1), Rate: f.shortDemand.Rate(now), Precedence: f.shortAim.Apply(1), LeastShare: minHeadroom,
 	})
 	f.long.Compute(&long, forecast.Contention{Rate: f.longDemand.Rate(now), Precedence: f.longAim.Apply(1), LeastShare: minHeadroom})
 }
@@ -309,10 +310,10 @@
 // end. An upstream whose rate limit lets its places stay unused supplies places at that rate.
 func (p *Pool) addPlaces(now clock.Milli, r *upstreamState, s *forecast.Supply) {
 	f, from := &p.forecast, r.usableFrom(now)
-	service := f.shortService.Apply(1)
+	serviceTime := f.shortServiceTime.Apply(1)
 	if l := r.limiter(now); l != nil {
 		perMilli := float64(l.Rate(now)) / float64(clock.Second)
-		if perMilli*service < float64(r.engine.Slots) {
+		if perMilli*serviceTime < float64(r.engine.Slots) {
 			s.AddUnits(from, max(0, l.Level(now)))
 			s.AddRate(from, perMilli)
 			return
@@ -321,12 +322,12 @@
 	free := float64(r.engine.Slots - r.streams - r.external)
 	free = min(free, float64(r.freeMemory())/max(f.tokens.Apply(1), 1))
 	s.AddPlaces(max(from, r.backlog(now)), max(0, free))
-	s.AddPlaces(max(from, service), float64(r.external))
+	s.AddPlaces(max(from, serviceTime), float64(r.external))
 	for _, g := range r.grants {
 		if !g.leads(r) {
 			continue
 		}
-		estimate := f.serviceRatio(&g.ask).Apply(g.plannedService(r))
+		estimate := f.serviceTimeRatio(&g.ask).Apply(g.plannedServiceTime(r))
 		s.AddPlaces(max(from, forecast.Remaining(estimate, float64(now-g.grantedAt))), 1)
 	}
 }
--- a/lib/decide/span/overrun.go
+++ b/lib/decide/span/overrun.go
@@ -18,7 +18,7 @@
 	uneven, total float64
 }
 
-// observeOverrun counts the present interval, each at most once.
+// observeOverrun counts the present interval unless it is counted already.
 func (p *Pool) observeOverrun(now clock.Milli) {
 	o := &p.overrun
 	if now-o.at < overrunInterval {
--- a/lib/decide/span/spread.go
+++ b/lib/decide/span/spread.go
@@ -22,9 +22,9 @@
 	on bool
 	// random is shared by copies of the pool: a draw changes nothing else.
 	random Random
-	// service is the mean time in milliseconds from grant to complete response of the last short
+	// serviceTime is the mean time in milliseconds from grant to complete response of the last short
 	// requests, at pace 1; zero if none has completed.
-	service float64
+	serviceTime float64
 }
 
 // serviceTimeWeight is the weight of one request in the mean of the time that requests are held.
@@ -112,25 +112,25 @@
 	return 1 + int(math.Ceil(spreadMargin*all/float64(max(p.rules.PackedStreams, 1))))
 }
 
-// noteServiceTime includes a complete response in the mean service time of short requests. Failed and canceled
-// ones end early, while their replacements take as long as others.
+// noteServiceTime includes a complete response in the mean service time of short requests. Failed and
+// canceled ones end early, while their replacements take as long as others.
 func (p *Pool) noteServiceTime(now clock.Milli, g *grantState, o Outcome) {
 	long := len(g.Grant.Helpers) > 0 || g.Grant.Leader.Read > p.rules.MaxShortRead
 	if o != Done || long || !g.Writing || g.presented || len(g.upstreams) == 0 {
 		return
 	}
 	took := float64(now-g.grantedAt) / max(g.upstreams[0].pace, 1)
-	if p.spread.service == 0 {
-		p.spread.service = took
+	if p.spread.serviceTime == 0 {
+		p.spread.serviceTime = took
 	}
-	p.spread.service += serviceTimeWeight * (took - p.spread.service)
+	p.spread.serviceTime += serviceTimeWeight * (took - p.spread.serviceTime)
 }
 
 // serviceTime returns the time that a short request usually occupies a slot. Until one has ended it is
 // estimated from the length of the answer; half of the longest is assumed if no length is likely.
 func (p *Pool) serviceTime(w *queuedRequest) clock.Milli {
-	if p.spread.service > 0 {
-		return clock.Milli(p.spread.service)
+	if p.spread.serviceTime > 0 {
+		return clock.Milli(p.spread.serviceTime)
 	}
 	likely := w.Likely
 	if likely == 0 {
