registry: a paused VM's copy of a peer's list removes no upstreams elsewhere

Cause, by a trace of all lists: a VM was paused across a restore of the store. When it went on it removed entries whose hold had ended, learned of the new era, and copied a peer's list. It left out what it had removed in the earlier era, as it must while the copy may be old, but did not note these entries as unverified. Its own list then lacked them at the latest position. A VM that had seen them written again, at an earlier position, took that list for the newest and removed them; its watch was past their entries, so nothing brought them back, and the others copied it with the next change.

Change: such entries become unverified, as those of the VM's own list do. They are named to peers, which keep what they know, and are accepted when the time for writers to write again is over.

TestPeerListDoesNotRemoveUpstreamsRemovedInEarlierEra fails before (1 of 2 upstreams left). Tests of registry, readers and changes pass with -race.

--- a/daemon/registry/era_test.go
+++ b/daemon/registry/era_test.go
@@ -288,3 +288,31 @@
 	removedToo.commit(route.Position{}, 0)
 	require.Equal(t, 2, removedToo.upstreamCount(), "otherwise its entry would have expired")
 }
+
+// A VM that was paused had removed an upstream before it learned of the restore, and copies the list of a peer that has the
+// upstream. Its own list then has the latest position. If it lacked the upstream without naming it as unverified, a VM that
+// has seen the entry written again would remove the upstream, and no later change would bring it back.
+func TestPeerListDoesNotRemoveUpstreamsRemovedInEarlierEra(t *testing.T) {
+	current, paused, behind := newHarness(t), newHarness(t), newHarness(t)
+	paused.Registry.clock, behind.Registry.clock = current.clock, current.clock
+	paused.changeUpstreams(route.UpstreamUpdate{Removed: []decide.UpstreamID{"b"}}, mark(10), current.clock.Now())
+	current.restoreStore(document(1), upstreams("a", "b"))
+	current.list()
+	behind.restoreStore(document(1), upstreams("a", "b"))
+	behind.list()
+	current.store.at.Mark++
+	current.list()
+	paused.peers = localPeer{current.Registry}
+	require.True(t, paused.fetch(paused.ctx, peer.Member{VM: "current"}))
+	require.Equal(t, 1, paused.upstreamCount(), "the copy may list an upstream that has left")
+	behind.peers = localPeer{paused.Registry}
+	require.True(t, behind.fetch(behind.ctx, peer.Member{VM: "paused"}))
+	require.Equal(t, paused.position, behind.position)
+	current.clock.advance(outageHold)
+	behind.commit(route.Position{}, 0)
+	require.Equal(t, 2, behind.upstreamCount())
+	current.clock.advance(unverifiedTime)
+	paused.acceptUnverified()
+	paused.commit(route.Position{}, 0)
+	require.Equal(t, 2, paused.upstreamCount(), "otherwise its entry would have expired")
+}
--- a/daemon/registry/upstreams.go
+++ b/daemon/registry/upstreams.go
@@ -64,8 +64,8 @@
 // learnPeerUpstreams applies a whole list of a peer that was current at an instant and has a
 // position. It ignores a list of an earlier position than this VM's own, which a watch may have moved
 // on while the peer's answer was in transit: the list would remove upstreams that were listed since.
-// It does not restore upstreams that were removed at the list's position or later, or in an earlier era
-// of the store, whose copy may list them still. Upstreams that it
+// It does not restore upstreams that were removed at the list's position or later. Those that were removed
+// in an earlier era of the store, whose copy may list them still, become unverified. Upstreams that it
 // lacks are removed at once, even while this VM cannot reach the store, since a peer that retains
 // removed entries sends no list. But if no VM had current state for long, the store was down for
 // all, and a peer that has just started does not know which entries expired meanwhile. Then
@@ -80,6 +80,10 @@
 	kept := make([]route.Upstream, 0, len(update.Upstreams))
 	for _, u := range update.Upstreams {
 		if d, hasLeft := r.departed[u.ID]; hasLeft && u.Born <= d.born && !d.before(position) {
+			if d.position.Era < position.Era {
+				// Peers that copy this VM's list must not take the upstream for removed.
+				r.unverified[u.ID] = u
+			}
 			continue
 		}
 		if old := r.upstreams[u.ID]; u.Born <= old.Born {
