span, relay: requests run in the failure domain of their gate (setting locality)

Cause: bytes between failure domains are billed, and the owner placed requests without regard to the domain of their gate.

Change: a query names the domain of its gate. With locality.enabled, short requests are packed on the engines of that domain first, long prompts are spread over a group there if it gives the first byte within half of the time left, and plain requests use the least loaded upstream there unless one elsewhere is less loaded by a quarter of the slots. Without the setting, or without a domain, decisions are the same as before. Metric snipeshift_locality_total.

--- a/daemon/placer/owner.go
+++ b/daemon/placer/owner.go
@@ -85,6 +85,8 @@
 	Bookings booking.Limits
 	// Forecast is set if requests are refused by the forecast of their wait.
 	Forecast bool
+	// Locality is set if requests are preferably placed in the failure domain of their gate.
+	Locality bool
 }
 
 // Owner has the pools of all services for which gates query this VM. Any VM may become the owner of
@@ -189,6 +191,7 @@
 	p.pool.SetShares(o.Shares)
 	p.pool.SetBookings(o.Bookings)
 	p.pool.SetForecast(o.Forecast)
+	p.pool.SetLocality(o.Locality)
 	budget.GrowFrom(o.floorStart(p.alone))
 	return p
 }
--- a/daemon/relay.go
+++ b/daemon/relay.go
@@ -154,6 +154,7 @@
 		Shares:   share.Settings{Enabled: s.Shares.Enabled, Weights: s.Shares.Weights},
 		Bookings: booking.Limits{Horizon: s.Bookings.Horizon, Most: s.Bookings.Limit},
 		Forecast: s.Forecast.Enabled,
+		Locality: s.Locality.Enabled,
 	}, placer.Budget{
 		Share: ownerBudgetShare * s.Budget.Share, Floor: ownerBudgetShare * s.Budget.Floor, Window: s.Budget.Window,
 	})
@@ -161,7 +162,7 @@
 	unpooled := upstreamTransport(d.paths.Dial)
 	unpooled.DisableKeepAlives = true
 	d.gate = relay.New(relay.Dependencies{
-		Clock: d.clock, Log: d.log, Codec: platform.Codec{}, Placer: d.placer, Registry: d.registry,
+		Clock: d.clock, Log: d.log, Codec: platform.Codec{}, Placer: d.placer, Registry: d.registry, Domain: route.Domain(s.Domain),
 		Suspects: q, Memory: engines, Pooled: pooled, Unpooled: unpooled, Paths: d.paths,
 	}, relay.Bounds{Revoke: s.Bounds.Revoke, Config: s.Bounds.Config, BodyBytes: int64(bodyMemoryShare * float64(s.Memory) * (1 << 20))}, id)
 	var g errList
--- a/daemon/relay/gate.go
+++ b/daemon/relay/gate.go
@@ -108,6 +108,8 @@
 	// Pooled reuses connections to upstreams; Unpooled opens a connection for each request.
 	Pooled, Unpooled http.RoundTripper
 	Paths            Paths
+	// Domain is the failure domain of this VM.
+	Domain route.Domain
 }
 
 // Bounds are limits that the deployment sets. Times are in milliseconds.
--- a/daemon/relay/run.go
+++ b/daemon/relay/run.go
@@ -217,7 +217,7 @@
 		ID:   decide.RequestID(string(x.gate.id) + "#" + name),
 		Gate: x.gate.id, Workspace: x.workspaceID(), Urgency: route.Urgency(x.route, x.workspace),
 		Prompt: x.head.Prompt, Output: x.head.Output, Likely: x.likelyOutput(), Aim: x.firstByteTarget(now), Patience: x.patienceEnd(now), Deadline: x.deadline, Gap: x.route.Gap,
-		Stream: x.route.Stream, Avoid: x.avoid,
+		Stream: x.route.Stream, Avoid: x.avoid, Domain: x.gate.Domain,
 	}
 }
 
--- a/daemon/settings/relay.go
+++ b/daemon/settings/relay.go
@@ -47,6 +47,8 @@
 	Bookings Bookings `json:"bookings"`
 	// Forecast sets how owners estimate waits.
 	Forecast Forecast `json:"forecast"`
+	// Locality sets whether owners place requests in the failure domain of their gate.
+	Locality Locality `json:"locality"`
 }
 
 // Bookings bounds the bookings that the owner of a service makes.
@@ -62,6 +64,12 @@
 	Enabled bool `json:"enabled"`
 }
 
+// Locality sets whether owners prefer upstreams in the failure domain of the gate, and learn how
+// slowly upstreams work.
+type Locality struct {
+	Enabled bool `json:"enabled"`
+}
+
 // Bounds are times that the platform's operators promise to their users.
 type Bounds struct {
 	// Config is the time within which a new document is in force on all VMs.
@@ -119,6 +127,8 @@
 	"bookings.limit":    {Min: 1, Max: 4096, Default: 256, Description: "bookings that a service may have at a time"},
 	"forecast":          {Description: "refusals by a forecast of the wait"},
 	"forecast.enabled":  {Description: "refuse requests by a forecast of their wait from the work in progress, instead of by averages of the last seconds"},
+	"locality":          {Description: "placement by failure domain"},
+	"locality.enabled":  {Description: "place requests on upstreams in the failure domain of the VM that received them, while that costs no time"},
 }
 
 // ReadRelay reads a file and checks it.
--- a/lib/decide/span/copy.go
+++ b/lib/decide/span/copy.go
@@ -27,6 +27,7 @@
 	for i, r := range p.packOrder {
 		q.packOrder[i] = c.upstreamOf(r)
 	}
+	q.locality.orders = nil
 	return &q
 }
 
--- a/lib/decide/span/explain.go
+++ b/lib/decide/span/explain.go
@@ -195,7 +195,8 @@
 	requests, slots := leader.plainLoad()
 	requests-- // the request itself
 	for i, x := range others {
-		if n, of := p.upstreams[x.Upstream].plainLoad(); x.Against == ObstacleFree && n*slots <= requests*of {
+		u := p.upstreams[x.Upstream]
+		if n, of := u.plainLoad(); x.Against == ObstacleFree && n*slots <= requests*of && !p.otherDomain(g.Request, leader, u) {
 			others[i].Against = ObstacleEqual
 		}
 	}
--- a/lib/decide/span/place.go
+++ b/lib/decide/span/place.go
@@ -5,8 +5,6 @@
 	"math"
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
-
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
 	"snipeshift.example/lib/route"
@@ -57,30 +55,15 @@
 	}
 }
 
-// placePlain chooses the upstream with the lowest ratio of requests to slots. Requests are never
-// queued at an upstream: while they wait in the pool they can still go to another one. The search
-// starts at an upstream chosen by the hash of the request's ID; otherwise owners that don't know of
-// each other would all choose the first of several equal ones.
+// placePlain chooses an upstream of a plain service. Requests are never queued at an upstream: while
+// they wait in the pool they can still go to another one.
 func (p *Pool) placePlain(now clock.Milli, a *Ask) (plan, bool) {
 	for _, r := range p.packOrder {
 		if r.declared.limit.ProbeDue(now) && r.plainObstacle(now, a) == none {
 			return plan{leader: r, reason: "renewal"}, true
 		}
 	}
-	var best *upstreamState
-	lowest := math.Inf(1)
-	start := int(xxhash.Sum64String(string(a.ID)) % uint64(max(len(p.packOrder), 1)))
-	for i := range p.packOrder {
-		r := p.packOrder[(start+i)%len(p.packOrder)]
-		if r.plainObstacle(now, a) != none {
-			continue
-		}
-		requests, slots := r.plainLoad()
-		if load := float64(requests) / float64(slots); load < lowest {
-			best, lowest = r, load
-		}
-	}
-	return plan{leader: best, reason: "fewest"}, best != nil
+	return p.choosePlain(now, a)
 }
 
 // placeShort packs short requests on the first engines of a fixed order, so that the others stay
@@ -93,11 +76,8 @@
 	if pl, ok := p.placeRenewal(now, a, prefillTime); ok {
 		return pl, true
 	}
-	for _, attempt := range []struct {
-		maxStreams int
-		avoided    bool
-	}{{p.rules.PackedStreams, false}, {math.MaxInt, false}, {math.MaxInt, true}} {
-		for _, r := range p.packOrder {
+	for _, attempt := range p.attempts(a) {
+		for _, r := range attempt.ups {
 			if r.avoided(now) != attempt.avoided {
 				continue
 			}
@@ -175,8 +155,11 @@
 		return plan{}, false
 	}
 	free := p.largeReserve.availableTo(w, p.freeForPrefill(now, a))
+	if pl, ok := p.placeLongHome(now, w, free, need); ok {
+		return pl, true
+	}
 	for n := min(int(math.Ceil(prefillTime/p.rules.PartRead)), p.rules.MaxGroup, len(free)); n >= need; n-- {
-		if pl, ok := p.chooseGroup(now, a, prefillTime/float64(n), free, n); ok {
+		if pl, ok := p.chooseGroupNear(now, a, prefillTime/float64(n), free, n); ok {
 			return pl, true
 		}
 	}
@@ -202,7 +185,7 @@
 		}
 		fit, _ := slices.BinarySearchFunc(slacks, part, func(slack, part float64) int { return cmp.Compare(part, slack) })
 		fit = max(fit, n)
-		if pl, ok := p.chooseGroup(now, &w.Ask, part, ups[:fit], n); ok {
+		if pl, ok := p.chooseGroupNear(now, &w.Ask, part, ups[:fit], n); ok {
 			pl.first += pl.leader.pass(pl.leader.streams+1, pl.leader.context+w.Prompt)
 			pl.reason = "interleaved"
 			return pl, true
@@ -245,12 +228,11 @@
 // maxGroup returns the most engines over which one prefill can be spread.
 func (p *Pool) maxGroup() int { return max(1, min(p.rules.MaxGroup, len(p.packOrder))) }
 
-// freeForPrefill lists engines that can compute a long prefill, from the end of the fixed order.
+// freeForPrefill lists engines that can compute a long prefill, from the end of the order of packing.
 func (p *Pool) freeForPrefill(now clock.Milli, a *Ask) []*upstreamState {
 	var free []*upstreamState
 	avoidSlow := p.avoidsSlow(now)
-	for i := len(p.packOrder) - 1; i >= 0; i-- {
-		r := p.packOrder[i]
+	for _, r := range p.prefillOrder(a) {
 		if r.prefillObstacle(now, a, avoidSlow) == none {
 			free = append(free, r)
 		}
@@ -319,6 +301,7 @@
 	for _, r := range p.addGrant(now, LiveGrant{Grant: g}, *a).upstreams {
 		r.noteGranted(now, a.ID)
 	}
+	p.noteLocality(a, pl)
 	return g
 }
 
--- a/lib/decide/span/pool.go
+++ b/lib/decide/span/pool.go
@@ -61,6 +61,7 @@
 	// shares is nil unless capacity is divided among workspaces.
 	shares   *share.Account
 	bookings bookings
+	locality localityState
 }
 
 // New returns an empty pool that limits repeated sends by b.
@@ -112,6 +113,7 @@
 		p.packOrder = append(p.packOrder, r)
 	}
 	slices.SortFunc(p.packOrder, func(x, y *upstreamState) int { return cmp.Compare(x.ID, y.ID) })
+	p.locality.orders = nil
 	for _, w := range p.queue {
 		p.estimate(w)
 	}
--- a/lib/decide/span/span.go
+++ b/lib/decide/span/span.go
@@ -24,6 +24,7 @@
 	"snipeshift.example/lib/decide/blame"
 	"snipeshift.example/lib/decide/statement"
 	"snipeshift.example/lib/fault"
+	"snipeshift.example/lib/route"
 )
 
 // Ask describes one send of a request to be placed. It does not contain the prompt.
@@ -63,6 +64,8 @@
 	// Counted is set if nothing was sent under the previous grant of the request. The retry budget
 	// counted this send with that grant.
 	Counted bool
+	// Domain is the failure domain of the gate; empty if unknown.
+	Domain route.Domain
 	// Fingerprint identifies the request over the client's retries after refusals; zero if unknown.
 	Fingerprint uint64
 }
