span: recovery after a loss of VMs limits late requests

On 200 engines whose polls time out, nothing is placed on most of them for 2 s.

Change: setting recovery.enabled. Late short requests hold only the slots that requests in time leave, by their arrival rate, or are refused with retries spread over what clients honor; engines whose load is not known start with a quarter of their slots. Log line recovery, metrics snipeshift_recovery_active and _total.

--- a/daemon/insight/metrics.go
+++ b/daemon/insight/metrics.go
@@ -56,6 +56,7 @@
 		}
 	})
 	p.bookingMetrics(w)
+	p.recoveryMetrics(w)
 	for _, d := range v.Evacuated {
 		gauge(fmt.Sprintf("snipeshift_domain_evacuated{domain=%q}", d), 1)
 	}
--- a/daemon/placer/hold.go
+++ b/daemon/placer/hold.go
@@ -280,6 +280,9 @@
 // Run hands services over to VMs of higher capacity until ctx ends.
 func (o *Owner) Run(ctx context.Context) error {
 	go guard.Every(ctx, logBookingsEvery, o.logBookings)
+	if o.Recovery {
+		go guard.Every(ctx, logRecoveriesEvery, o.logRecoveries)
+	}
 	guard.Every(ctx, handOverCheckEvery, func() { o.HandOver(ctx) })
 	return nil
 }
--- a/daemon/placer/owner.go
+++ b/daemon/placer/owner.go
@@ -85,6 +85,8 @@
 	Bookings booking.Limits
 	// Forecast is set if requests are refused by the forecast of their wait.
 	Forecast bool
+	// Recovery is set if pools limit late requests after a loss, see span.Pool.SetRecovery.
+	Recovery bool
 }
 
 // Owner has the pools of all services for which gates query this VM. Any VM may become the owner of
@@ -142,6 +144,8 @@
 	gathering bool
 	// loggedBookings are the bookings as of the last log line on them.
 	loggedBookings booking.Counts
+	// loggedRecovery is the recovery as of the last log line on it.
+	loggedRecovery span.RecoveryStatus
 	// hasStandbys is set while goroutines send keepalives to the standbys.
 	hasStandbys bool
 }
@@ -189,6 +193,7 @@
 	p.pool.SetShares(o.Shares)
 	p.pool.SetBookings(o.Bookings)
 	p.pool.SetForecast(o.Forecast)
+	p.pool.SetRecovery(o.Recovery)
 	budget.GrowFrom(o.floorStart(p.alone))
 	return p
 }
--- a/daemon/relay.go
+++ b/daemon/relay.go
@@ -154,6 +154,7 @@
 		Shares:   share.Settings{Enabled: s.Shares.Enabled, Weights: s.Shares.Weights},
 		Bookings: booking.Limits{Horizon: s.Bookings.Horizon, Most: s.Bookings.Limit},
 		Forecast: s.Forecast.Enabled,
+		Recovery: s.Recovery.Enabled,
 	}, placer.Budget{
 		Share: ownerBudgetShare * s.Budget.Share, Floor: ownerBudgetShare * s.Budget.Floor, Window: s.Budget.Window,
 	})
--- a/daemon/settings/relay.go
+++ b/daemon/settings/relay.go
@@ -47,6 +47,8 @@
 	Bookings Bookings `json:"bookings"`
 	// Forecast sets how owners estimate waits.
 	Forecast Forecast `json:"forecast"`
+	// Recovery sets how owners serve the clients that return after a loss of VMs.
+	Recovery Recovery `json:"recovery"`
 }
 
 // Bookings bounds the bookings that the owner of a service makes.
@@ -62,6 +64,11 @@
 	Enabled bool `json:"enabled"`
 }
 
+// Recovery sets whether owners limit late requests after a loss of VMs.
+type Recovery struct {
+	Enabled bool `json:"enabled"`
+}
+
 // Bounds are times that the platform's operators promise to their users.
 type Bounds struct {
 	// Config is the time within which a new document is in force on all VMs.
@@ -119,6 +126,8 @@
 	"bookings.limit":    {Min: 1, Max: 4096, Default: 256, Description: "bookings that a service may have at a time"},
 	"forecast":          {Description: "refusals by a forecast of the wait"},
 	"forecast.enabled":  {Description: "refuse requests by a forecast of their wait from the work in progress, instead of by averages of the last seconds"},
+	"recovery":          {Description: "return of all clients after a loss of VMs"},
+	"recovery.enabled":  {Description: "after a loss of VMs, place late requests only in the slots that requests in time leave, and use engines before they have reported"},
 }
 
 // ReadRelay reads a file and checks it.
--- a/daemon/settings/relay_test.go
+++ b/daemon/settings/relay_test.go
@@ -21,12 +21,13 @@
 	require.Equal(t, Bookings{Horizon: 0, Limit: 256}, s.Bookings)
 	require.Equal(t, 256, s.Memory)
 	require.False(t, s.Forecast.Enabled)
+	require.False(t, s.Recovery.Enabled)
 }
 
 func TestAllRelayProblemsAreReportedTogether(t *testing.T) {
-	_, err := ParseRelay([]byte(`{"name":"VM 1","peers":["nowhere"],"peer":"0.0.0.0:3","metrics":"x","bounds":{"revoke":0},"budget":{"share":2},"bookings":{"horizon":10001,"limit":0},"forecast":{"enabled":1}}`), "vm.hujson")
+	_, err := ParseRelay([]byte(`{"name":"VM 1","peers":["nowhere"],"peer":"0.0.0.0:3","metrics":"x","bounds":{"revoke":0},"budget":{"share":2},"bookings":{"horizon":10001,"limit":0},"forecast":{"enabled":1},"recovery":{"enabled":1}}`), "vm.hujson")
 	require.Error(t, err)
-	for _, f := range []string{"name", "domain", "caller", "ready", "store", "peers[0]", "advertise: is needed, since peer", "metrics", "bounds.revoke", "budget.share", "bookings.horizon", "bookings.limit", "forecast.enabled"} {
+	for _, f := range []string{"name", "domain", "caller", "ready", "store", "peers[0]", "advertise: is needed, since peer", "metrics", "bounds.revoke", "budget.share", "bookings.horizon", "bookings.limit", "forecast.enabled", "recovery.enabled"} {
 		require.ErrorContains(t, err, f)
 	}
 }
--- a/lib/decide/span/engine.go
+++ b/lib/decide/span/engine.go
@@ -39,8 +39,8 @@
 	warmUp warmUp
 	// record is what the reports tell of the requests of other owners.
 	record balance.Record
-	// polledAt is when the upstream was last polled for its load.
-	polledAt clock.Milli
+	// polledAt is when the upstream was last polled for its load, and reportedAt when it last reported it.
+	polledAt, reportedAt clock.Milli
 }
 
 // grantState is a grant and what the pool records about it.
--- a/lib/decide/span/explain.go
+++ b/lib/decide/span/explain.go
@@ -63,6 +63,7 @@
 	}
 	p.expire(now)
 	p.observeLoad(now)
+	p.observeRecovery(now)
 	o := p.newRound(now)
 	ahead := 0
 	for _, w := range p.orderedQueue(now) {
--- a/lib/decide/span/external.go
+++ b/lib/decide/span/external.go
@@ -99,6 +99,7 @@
 
 // MarkUnverified marks the load of all upstreams as unverified, because the pool has a new owner.
 func (p *Pool) MarkUnverified() {
+	p.expectRecovery(true)
 	for _, r := range p.packOrder {
 		r.unverified = true
 	}
@@ -121,6 +122,7 @@
 		p.beginWarmUp(now, r, now+p.warmUpTime)
 	}
 	r.noteReport(now, l.Requests)
+	r.reportedAt = now
 	inQuestion := r.unverified || r.external > 0 || r.reportWanted
 	r.unverified, r.reportWanted, r.pace = false, false, max(1, l.Pace)
 	if !inQuestion {
--- a/lib/decide/span/headroom.go
+++ b/lib/decide/span/headroom.go
@@ -89,6 +89,9 @@
 // request is placed after this many others, at the average or the recent placing rate, whichever is
 // higher, or after the forecast wait. It reports whether it refused the request.
 func (p *Pool) refuseLateShort(now clock.Milli, w *queuedRequest, ahead int) (Decision, bool) {
+	if d, refused, active := p.refuseInRecovery(now, w, ahead); active {
+		return d, refused
+	}
 	if wait, ok := p.forecastWait(now, w, ahead); ok {
 		return p.refuseAfter(now, w, wait)
 	}
--- a/lib/decide/span/obstacle.go
+++ b/lib/decide/span/obstacle.go
@@ -35,12 +35,17 @@
 
 // obstacle returns why no new request may be placed on the upstream, whatever its free capacity.
 func (r *upstreamState) obstacle(now clock.Milli, a *Ask) Obstacle {
+	return r.obstacleIf(now, a, r.unverified && r.engine != nil)
+}
+
+// obstacleIf is obstacle for an upstream that is excluded because its load is unverified, or that is not.
+func (r *upstreamState) obstacleIf(now clock.Milli, a *Ask, unverified bool) Obstacle {
 	switch {
 	case r.draining():
 		return ObstacleLeaving
 	case !r.health.available(now):
 		return ObstacleExcluded
-	case r.unverified && r.engine != nil:
+	case unverified:
 		return ObstacleUnverified
 	case !r.declared.limit.Allows(now):
 		return ObstacleLimit
--- a/lib/decide/span/place.go
+++ b/lib/decide/span/place.go
@@ -131,11 +131,12 @@
 
 // tryShort is fitsShort with the reason why the request does not fit.
 func (p *Pool) tryShort(now clock.Milli, a *Ask, r *upstreamState, prefillTime float64, maxStreams int) (float64, Obstacle) {
-	if o := r.obstacle(now, a); o != none {
+	slots, slowStart := p.slotLimit(now, r)
+	if o := r.obstacleIf(now, a, r.unverified && !slowStart); o != none {
 		return 0, o
 	}
 	n := r.streams + r.external
-	if n >= min(maxStreams, r.engine.Slots) {
+	if n >= min(maxStreams, slots) {
 		return 0, ObstacleFull
 	}
 	if r.freeMemory() < a.Prompt+a.Output {
--- a/lib/decide/span/pool.go
+++ b/lib/decide/span/pool.go
@@ -61,6 +61,7 @@
 	// shares is nil unless capacity is divided among workspaces.
 	shares   *share.Account
 	bookings bookings
+	recovery recoverer
 }
 
 // New returns an empty pool that limits repeated sends by b.
@@ -141,6 +142,7 @@
 		p.noteLongArrival(now, w)
 	}
 	p.noteDemand(now, w)
+	p.noteRecoveryArrival(now, w)
 	return Grant{}, false
 }
 
@@ -166,6 +168,7 @@
 	p.grantsExpired = now
 	for id, g := range p.grants {
 		if now-g.namedAt > grantTTL {
+			p.noteLost(now)
 			p.dropGrant(now, id)
 		}
 	}
@@ -233,6 +236,9 @@
 	p.endRun(now, g, o)
 	p.noteServiceTime(now, g, o)
 	p.forecast.noteEnded(now, g, o)
+	if o.lossOutcome() {
+		p.noteLost(now)
+	}
 	if culprit == "" {
 		culprit = g.Grant.Leader.Upstream
 	}
--- a/lib/decide/span/queue.go
+++ b/lib/decide/span/queue.go
@@ -102,6 +102,7 @@
 	p.expire(now)
 	p.observeLoad(now)
 	p.observeOverrun(now)
+	p.observeRecovery(now)
 	if len(p.queue) == 0 {
 		return nil
 	}
@@ -228,7 +229,7 @@
 
 // place grants a request if there is room for it.
 func (o *round) place(w *queuedRequest, late bool) (Decision, bool) {
-	if o.full || late && o.fitsNowhere(w) {
+	if o.full || late && (o.fitsNowhere(w) || o.pool.heldBack(o.now, w)) {
 		return Decision{}, false
 	}
 	// Once a short request waits, long prompts are not interleaved: they would take the capacity
@@ -242,6 +243,7 @@
 	}
 	if late && !w.long {
 		o.pool.headroom.notePlaced()
+		o.pool.noteRecoveryPlaced(w)
 	}
 	return o.pool.admit(o.now, w, pl), true
 }
--- a/lib/decide/span/snapshot.go
+++ b/lib/decide/span/snapshot.go
@@ -141,6 +141,7 @@
 	p.parts.Merge(now, b.Crashes)
 	p.restoreShares(now, b.Shares)
 	p.restoreBookings(now, b.Bookings, b.Booked)
+	p.cancelRecovery()
 	p.headroom = headroom{busy: b.Busy, at: now, engines: p.headroom.engines, placeRate: b.Served}
 	p.largeReserve.savedPrefill, p.largeReserve.meanPrefill = b.Saved, b.Mean
 	p.largeReserve.large.refused, p.largeReserve.others.refused = b.LargeRefused, b.OthersRefused
@@ -149,6 +150,7 @@
 // RequestReports requests load reports of all engines and places requests on them meanwhile. It is
 // for a new owner whose predecessor was lost, perhaps together with gates whose requests still run.
 func (p *Pool) RequestReports() {
+	p.expectRecovery(false)
 	for _, r := range p.packOrder {
 		r.unverified, r.reportWanted = false, r.engine != nil
 	}
--- a/lib/logline/logline.go
+++ b/lib/logline/logline.go
@@ -58,6 +58,8 @@
 	Paths = "paths"
 	// Bookings summarizes the bookings of a service for the retries of refused clients.
 	Bookings = "bookings"
+	// Recovery is the beginning or the end of the time after a loss in which an owner limits late requests.
+	Recovery = "recovery"
 	// Reserve and Release are failed orders to reserve or free memory of an engine.
 	Reserve = "reserve"
 	Release = "release"
@@ -107,6 +109,7 @@
 	Blame:        "a part of prompts is blamed for crashes of upstreams and its requests are refused, or that has ended: by an answer (acquitted), after a long time without such requests (lapsed), by the operator (pardoned); with the crashes, and whether the part had been answered shortly before (familiar)",
 	Paths:        "the direct paths of this VM to upstreams, all of them or those of the failure domains named, are lost, so that it connects through other VMs, or work again",
 	Bookings:     "bookings of capacity for the retries of refused clients within the last ten seconds, if there were any: made, kept by the retry, lapsed, kept but refused again, and refusals for which there was nothing to book (full)",
+	Recovery:     "an owner begins (`on`) to limit late requests because all clients return after a loss of VMs, or ends to: how many late requests it placed and refused meanwhile, and how many requests are queued",
 	Reserve:      "memory for a part of a prompt could not be reserved",
 	Release:      "reserved memory could not be freed; the reservation expires by itself",
 	Limit:        "an upstream declares, changes or withdraws its rate limit, in requests per second from all VMs together; with the source of the information",
