--- a/daemon/placer/owner.go
+++ b/daemon/placer/owner.go
@@ -87,6 +87,8 @@
 	Forecast bool
 	// Locality is set if requests are preferably placed in the failure domain of their gate.
 	Locality bool
+	// Recovery is set if pools limit late requests after a loss, see span.Pool.SetRecovery.
+	Recovery bool
 }
 
 // Owner has the pools of all services for which gates query this VM. Any VM may become the owner of
@@ -144,6 +146,8 @@
 	gathering bool
 	// loggedBookings are the bookings as of the last log line on them.
 	loggedBookings booking.Counts
+	// loggedRecovery is the recovery as of the last log line on it.
+	loggedRecovery span.RecoveryStatus
 	// hasStandbys is set while goroutines send keepalives to the standbys.
 	hasStandbys bool
 }
@@ -192,6 +196,7 @@
 	p.pool.SetBookings(o.Bookings)
 	p.pool.SetForecast(o.Forecast)
 	p.pool.SetLocality(o.Locality)
+	p.pool.SetRecovery(o.Recovery)
 	budget.GrowFrom(o.floorStart(p.alone))
 	return p
 }
--- a/daemon/relay.go
+++ b/daemon/relay.go
@@ -155,6 +155,7 @@
 		Bookings: booking.Limits{Horizon: s.Bookings.Horizon, Most: s.Bookings.Limit},
 		Forecast: s.Forecast.Enabled,
 		Locality: s.Locality.Enabled,
+		Recovery: s.Recovery.Enabled,
 	}, placer.Budget{
 		Share: ownerBudgetShare * s.Budget.Share, Floor: ownerBudgetShare * s.Budget.Floor, Window: s.Budget.Window,
 	})
--- a/daemon/settings/relay.go
+++ b/daemon/settings/relay.go
@@ -49,6 +49,8 @@
 	Forecast Forecast `json:"forecast"`
 	// Locality sets whether owners place requests in the failure domain of their gate.
 	Locality Locality `json:"locality"`
+	// Recovery sets how owners serve the clients that return after a loss of VMs.
+	Recovery Recovery `json:"recovery"`
 }
 
 // Bookings bounds the bookings that the owner of a service makes.
@@ -70,6 +72,11 @@
 	Enabled bool `json:"enabled"`
 }
 
+// Recovery sets whether owners limit late requests after a loss of VMs.
+type Recovery struct {
+	Enabled bool `json:"enabled"`
+}
+
 // Bounds are times that the platform's operators promise to their users.
 type Bounds struct {
 	// Config is the time within which a new document is in force on all VMs.
@@ -129,6 +136,8 @@
 	"forecast.enabled":  {Description: "refuse requests by a forecast of their wait from the work in progress, instead of by averages of the last seconds"},
 	"locality":          {Description: "placement by failure domain"},
 	"locality.enabled":  {Description: "place requests on upstreams in the failure domain of the VM that received them, while that costs no time"},
+	"recovery":          {Description: "return of all clients after a loss of VMs"},
+	"recovery.enabled":  {Description: "after a loss of VMs, place late requests only in the slots that requests in time leave, and use engines before they have reported"},
 }
 
 // ReadRelay reads a file and checks it.
--- a/lib/decide/span/pool.go
+++ b/lib/decide/span/pool.go
@@ -62,6 +62,7 @@
 	shares   *share.Account
 	bookings bookings
 	locality localityState
+	recovery recoverer
 }
 
 // New returns an empty pool that limits repeated sends by b.
@@ -143,6 +144,7 @@
 		p.noteLongArrival(now, w)
 	}
 	p.noteDemand(now, w)
+	p.noteRecoveryArrival(now, w)
 	return Grant{}, false
 }
 
@@ -168,6 +170,7 @@
 	p.grantsExpired = now
 	for id, g := range p.grants {
 		if now-g.namedAt > grantTTL {
+			p.noteLost(now)
 			p.dropGrant(now, id)
 		}
 	}
@@ -235,6 +238,9 @@
 	p.endRun(now, g, o)
 	p.noteServiceTime(now, g, o)
 	p.forecast.noteEnded(now, g, o)
+	if o.lossOutcome() {
+		p.noteLost(now)
+	}
 	if culprit == "" {
 		culprit = g.Grant.Leader.Upstream
 	}
