lib/decide: explain what the next tick decides on a request

Change: Pool.Copy copies the tables of a pool, and Explain runs the next tick on the copy and names verdict, reason, place in the queue and what keeps the request from other upstreams. place records these obstacles at its last attempt, in a copy only. A property test compares the whole memory of the pool before and after, requires that a copy shares only what no method changes, and compares the explanation with the decision that follows.

--- a/lib/decide/place.go
+++ b/lib/decide/place.go
@@ -151,6 +151,9 @@
 
 // place finds upstreams for a queued request. It returns false if none can accept the request now.
 func (p *Pool) place(now clock.Milli, w *waiting) (*grant, bool) {
+	if p.attempt != nil && p.attempt.request == w.ID {
+		p.attempt.others = p.obstacles(now, w)
+	}
 	if w.Suspect && p.crashes.running[w.Fingerprint] > 0 {
 		return nil, false
 	}
--- a/lib/decide/pool.go
+++ b/lib/decide/pool.go
@@ -83,6 +83,9 @@
 	answerTime float64
 	slots      int
 
+	// attempt is set in a copy that explains a request, nil in all others.
+	attempt *placementAttempt
+
 	// spareGrants and spareWaiting are rows for reuse, so that a tick in steady state does not
 	// allocate.
 	spareGrants      []*grant
--- a/lib/decide/property_test.go
+++ b/lib/decide/property_test.go
@@ -27,7 +27,11 @@
 	// lapseDue contains failed or canceled grants for which exactly one Lapsed decision must
 	// follow.
 	lapseDue map[GrantID]bool
-	next     int
+	// decisions are those of the last tick.
+	decisions []Decision
+	next      int
+	// hints is the number of hints so far.
+	hints uint64
 }
 
 func newModel(t *rapid.T) *model {
@@ -96,11 +100,17 @@
 }
 
 func (m *model) submit(t *rapid.T) {
+	r := m.request(t)
+	m.undecided[r.ID] = true
+	m.pool.Submit(m.now, r)
+}
+
+// request returns a new request.
+func (m *model) request(t *rapid.T) Request {
 	m.next++
 	id := RequestID(fmt.Sprintf("r%d", m.next))
 	prompt := rapid.SampledFrom([]int{10, 2_000, 30_000, 150_000, 390_000, 900_000}).Draw(t, "prompt")
-	m.undecided[id] = true
-	m.pool.Submit(m.now, Request{
+	return Request{
 		ID:        id,
 		Workspace: WorkspaceID(fmt.Sprintf("w%d", rapid.IntRange(0, 3).Draw(t, "workspace"))),
 		Urgency:   Urgency(rapid.IntRange(0, 5).Draw(t, "urgency")),
@@ -110,12 +120,13 @@
 		Suspect:   rapid.IntRange(0, 9).Draw(t, "suspect") == 0,
 		// Few distinct fingerprints, so that requests share content and can become poison requests.
 		Fingerprint: uint64(rapid.IntRange(0, 40).Draw(t, "content")) % 8,
-	})
+	}
 }
 
 func (m *model) tick(_ *rapid.T) {
 	// report calls tick first, so the pool sees the current time before any report of that time.
-	for _, d := range m.pool.Tick(m.now) {
+	m.decisions = m.pool.Tick(m.now)
+	for _, d := range m.decisions {
 		switch d.Action {
 		case Granted:
 			m.granted(d)
