where: pools of OpenAI's API, from the owner to the command

Cause: snipeshift where asked only relaying VMs.

Change: owners answer Pool.Where from a copy of the pool's state; a pool that is not open is not opened for it. The rule for waiting for a back-off is split from place, so that both use it.

--- a/daemon/caller/backoff.go
+++ b/daemon/caller/backoff.go
@@ -68,17 +68,30 @@
 			g.returnGrant(pg, q, result{outcome: decide.Unused})
 			continue
 		}
-		if len(excluded) == 0 || e.Kind != fault.Unavailable || ctx.Err() != nil {
+		if ctx.Err() != nil {
 			return poolGrant{}, e
 		}
-		left := max(until-g.Clock.Now(), 0)
-		if until >= q.deadline {
-			return poolGrant{}, e.WithRetry(min(left, maxBackoffRetryAfter))
+		left, refused := g.waitForBackoff(q, excluded, until, e)
+		if refused != nil {
+			return poolGrant{}, refused
 		}
 		sleep(ctx, left.Duration())
 	}
 }
 
+// waitForBackoff returns how long a refused request waits for the end of the first back-off, or the refusal that its client
+// gets, if no back-off is the cause or none ends before the request's deadline.
+func (g *Gate) waitForBackoff(q *request, excluded []decide.UpstreamID, until clock.Milli, e *fault.Error) (clock.Milli, *fault.Error) {
+	if len(excluded) == 0 || e.Kind != fault.Unavailable {
+		return 0, e
+	}
+	left := max(until-g.Clock.Now(), 0)
+	if until >= q.deadline {
+		return 0, e.WithRetry(min(left, maxBackoffRetryAfter))
+	}
+	return left, nil
+}
+
 // excludedByBackoff reports whether an upstream of a grant asked this VM for a back-off while the
 // grant was being acquired.
 func (g *Gate) excludedByBackoff(target string, pg poolGrant) bool {
--- a/daemon/caller/gate.go
+++ b/daemon/caller/gate.go
@@ -107,6 +107,8 @@
 	// Suspects tracks requests that may have crashed upstreams.
 	Suspects Suspects
 	Limits   Limits
+	// Local explains placements by the pools of this VM, for an operator whose question no owner answers.
+	Local Explainer
 }
 
 // Gate serves the requests of clients on one VM.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -154,11 +154,11 @@
 	d.state = newState(d)
 	d.gate = caller.New(caller.Dependencies{
 		Clock: k, Log: d.log, Registry: d.config, Members: d.directory, Peers: d.dialer, Engines: d.engines,
-		Claims: d.state.claims, Meter: d.state, Events: d.ring, Retries: caller.NewRetryBudgets(k), Suspects: d.quarantine, Limits: d.limits,
+		Claims: d.state.claims, Meter: d.state, Events: d.ring, Retries: caller.NewRetryBudgets(k), Suspects: d.quarantine, Limits: d.limits, Local: d.owner,
 	}, s.Name, s.Domain, d.incarnation)
 	d.members.Add(d.directory, d.state.follower, d.state.counters, d.quarantine)
 	d.directory.summaries = d.owner.Summaries
-	d.owner.CrashesElsewhere = d.directory.Crashes
+	d.owner.CrashesElsewhere, d.owner.DocumentAge = d.directory.Crashes, d.state.follower.ContactAge
 	return d, d.register()
 }
 
--- a/daemon/follow/follow.go
+++ b/daemon/follow/follow.go
@@ -178,13 +178,25 @@
 // contact limit of its rules. A VM that is cut off from both may apply a document that is no longer
 // in force anywhere else, so it must not serve clients.
 func (f *Follower) Ready() bool {
+	revision, contact := f.lastContact()
+	return revision > 0 && contact > 0 && f.clock.Now()-contact <= f.rules.MaxContactAge
+}
+
+// ContactAge returns the time since the store or a peer was reached; the time since the epoch of the clock if neither was.
+func (f *Follower) ContactAge() clock.Milli {
+	_, contact := f.lastContact()
+	return f.clock.Now() - contact
+}
+
+// lastContact returns the revision in force and the time of the last contact with the store or a peer, zero if there was none.
+func (f *Follower) lastContact() (peer.Revision, clock.Milli) {
 	f.mu.Lock()
 	revision, contact, peers := f.revision, f.storeContact, f.peers
 	f.mu.Unlock()
 	if peers != nil {
 		contact = max(contact, peers.LastContact())
 	}
-	return revision > 0 && contact > 0 && f.clock.Now()-contact <= f.rules.MaxContactAge
+	return revision, contact
 }
 
 func (f *Follower) noteStoreContact() {
--- a/daemon/insight/where.go
+++ b/daemon/insight/where.go
@@ -59,6 +59,9 @@
 
 // describe returns the request of a query, as the gate of this VM would present it to the owner.
 func (p *Page) describe(q *answers.WhereQuery) (x described, err error) {
+	if q.Model != "" || q.Kind != "" {
+		return x, fmt.Errorf("this VM relays services: name one of them, a model or kind is for daemons of OpenAI's API")
+	}
 	table := p.Registry.View().Table
 	if table == nil {
 		return x, fmt.Errorf("no document is known yet")
--- a/daemon/operator/pages.go
+++ b/daemon/operator/pages.go
@@ -11,6 +11,7 @@
 	"net/url"
 	"slices"
 	"strconv"
+	"strings"
 	"sync/atomic"
 
 	"github.com/phuslu/log"
@@ -91,6 +92,23 @@
 	return clock.Milli(n), nil
 }
 
+// where tells where a request would be placed now, without sending it.
+func (s *Server) where(w http.ResponseWriter, r *http.Request) {
+	var q answers.WhereQuery
+	j := json.NewDecoder(strings.NewReader(r.URL.Query().Get(answers.ParamWhere)))
+	j.DisallowUnknownFields()
+	if err := j.Decode(&q); err != nil {
+		writeError(w, http.StatusBadRequest, fmt.Sprintf("the parameter %s does not describe a request: %v", answers.ParamWhere, err))
+		return
+	}
+	x, err := s.sources.Where.Where(r.Context(), &q)
+	if err != nil {
+		writeError(w, http.StatusNotFound, err.Error())
+		return
+	}
+	writeJSON(w, http.StatusOK, x)
+}
+
 // levels are the names of log levels, lowest first.
 var levels = []string{"trace", "debug", "info", "warn", "error"}
 
--- a/daemon/operator/server.go
+++ b/daemon/operator/server.go
@@ -6,6 +6,7 @@
 package operator
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -66,6 +67,12 @@
 	Counts() platform.Counts
 }
 
+// Where tells where a request would be placed now.
+type Where interface {
+	// Where returns an error if the query names something unknown.
+	Where(ctx context.Context, q *answers.WhereQuery) (answers.Where, error)
+}
+
 // Metrics writes metrics in the Prometheus text format.
 type Metrics interface {
 	WritePrometheus(w io.Writer)
@@ -81,6 +88,7 @@
 	Timeline  Timeline
 	Stopper   Stopper
 	Store     Store
+	Where     Where
 	Metrics   []Metrics
 }
 
@@ -105,6 +113,7 @@
 	m.HandleFunc("GET "+answers.PathUpstreams, listPage(func() []answers.Upstream { return src.Pools.Upstreams() }))
 	m.HandleFunc("GET "+answers.PathGrants, listPage(func() []answers.Grant { return src.Pools.Grants() }))
 	m.HandleFunc("GET "+answers.PathUsage, listPage(func() []answers.UsageCounter { return src.Usage.Usage() }))
+	m.HandleFunc("GET "+answers.PathWhere, s.where)
 	m.HandleFunc("GET "+answers.PathDocument, s.document)
 	m.HandleFunc("GET "+answers.PathTimeline, s.timeline)
 	m.HandleFunc("GET "+answers.PathLevel, s.level)
--- a/daemon/operator/server_test.go
+++ b/daemon/operator/server_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"net/url"
 	"os"
 	"strings"
 	"testing"
@@ -49,6 +52,13 @@
 func (f *fakeDaemon) Draining() (began bool, left int) { return f.draining, 2 }
 func (f *fakeDaemon) Counts() platform.Counts          { return platform.Counts{Reads: 5, Unknown: 1} }
 
+func (f *fakeDaemon) Where(_ context.Context, q *answers.WhereQuery) (answers.Where, error) {
+	if q.Model != "m" {
+		return answers.Where{}, errors.New("no model")
+	}
+	return answers.Where{Model: q.Model, Verdict: answers.Placed}, nil
+}
+
 type fixedClock struct{}
 
 func (fixedClock) Now() clock.Milli { return 1000 }
@@ -70,7 +80,7 @@
 	set.NewCounter("snipeshift_test_total").Inc()
 	f.handler = New(Sources{
 		Health: f.daemon, Members: f.daemon, Pools: f.daemon, Usage: f.daemon, Documents: f.daemon,
-		Timeline: f.ring, Stopper: f.daemon, Store: f.daemon, Metrics: []Metrics{set},
+		Timeline: f.ring, Stopper: f.daemon, Store: f.daemon, Where: f.daemon, Metrics: []Metrics{set},
 	}, f.log).Handler()
 	return f
 }
@@ -110,6 +120,19 @@
 	require.Contains(t, f.request(http.MethodGet, "/nothing", "").Body.String(), `"error"`)
 }
 
+// A query that the daemon does not understand must not be answered for another request: fields of later versions are errors.
+func TestWhereRejectsUnknownQueries(t *testing.T) {
+	f := newFixture(t)
+	page := func(query string) string {
+		return answers.PathWhere + "?" + url.Values{answers.ParamWhere: {query}}.Encode()
+	}
+	require.Equal(t, answers.Placed, get[answers.Where](f, page(`{"model":"m"}`)).Verdict)
+	require.Equal(t, http.StatusNotFound, f.request(http.MethodGet, page(`{"model":"x"}`), "").Code)
+	for _, query := range []string{`{"model":"m","tokens":5}`, ""} {
+		require.Equal(t, http.StatusBadRequest, f.request(http.MethodGet, page(query), "").Code)
+	}
+}
+
 func TestReadyReportsReasons(t *testing.T) {
 	f := newFixture(t)
 	require.True(t, get[answers.Readiness](f, "/ready").Ready)
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -14,7 +14,7 @@
 func (d *daemon) operatorHandler() http.Handler {
 	v := operatorViews{d}
 	s := operator.Sources{
-		Health: v, Members: v, Pools: v, Usage: v, Documents: d.state, Timeline: d.ring, Stopper: v, Store: d.store,
+		Health: v, Members: v, Pools: v, Usage: v, Documents: d.state, Timeline: d.ring, Stopper: v, Store: d.store, Where: d.gate,
 		Metrics: []operator.Metrics{d.gate.Metrics(), peerTraffic{d.dialer.Traffic(), d.peers.Traffic()}, connectionMetrics{d.accepts, d.peers, d.upstreams}},
 	}
 	return operator.New(s, d.log).Handler()
--- a/daemon/pool/owner.go
+++ b/daemon/pool/owner.go
@@ -97,6 +97,9 @@
 	// CrashesElsewhere returns the crashes that other owners know of a pool and of others of the same model or service;
 	// nil if there are no others. It must be set before the first call.
 	CrashesElsewhere func(id peer.PoolID) []blame.Crash
+	// DocumentAge returns the time since the configuration was known to be current; nil if that is not known. It must be set
+	// before the first call.
+	DocumentAge func() clock.Milli
 
 	mu sync.Mutex
 	// epoch is the epoch of the pool opened last. It starts as the incarnation of
--- a/daemon/pool/pool.go
+++ b/daemon/pool/pool.go
@@ -70,21 +70,31 @@
 		orphanSince: map[decide.RequestID]clock.Milli{},
 		missedPolls: map[decide.UpstreamID]int{},
 	}
-	p.scheduler = decide.New(decide.Config{Epoch: epoch, Lease: Lease, Recovery: rebuildPeriod, Seed: uint64(epoch), ProgressDelay: firstTokenDelay})
+	p.scheduler = newScheduler(epoch)
 	p.configure()
 	return p
 }
 
+func newScheduler(epoch decide.Epoch) *decide.Pool {
+	return decide.New(decide.Config{Epoch: epoch, Lease: Lease, Recovery: rebuildPeriod, Seed: uint64(epoch), ProgressDelay: firstTokenDelay})
+}
+
 // configure applies the current configuration to the scheduler.
 func (p *Pool) configure() {
 	c, ok := p.owner.registry.Index()
 	if !ok {
 		return
 	}
-	us := c.Upstreams(p.id)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.owner.clock.Now()
+	p.applyIndex(now, c)
+	p.tick(now)
+}
+
+// applyIndex passes the upstreams and workspaces of a configuration to the scheduler. The caller holds mu.
+func (p *Pool) applyIndex(now clock.Milli, c *document.Index) {
+	us := c.Upstreams(p.id)
 	next := make(map[decide.UpstreamID]document.Upstream, len(us))
 	for _, u := range us {
 		id := decide.UpstreamID(u.Name)
@@ -101,7 +111,6 @@
 	for _, w := range c.Document().Workspaces {
 		p.scheduler.SetWorkspace(now, decide.Workspace{ID: decide.WorkspaceID(w.Name), Weight: w.Weight})
 	}
-	p.tick(now)
 }
 
 // setUpstream passes an upstream to the scheduler. An upstream that has not answered its
--- a/lib/decide/explain.go
+++ b/lib/decide/explain.go
@@ -221,7 +221,10 @@
 	out := make([]Other, 0, len(p.upstreams))
 	for _, u := range p.upstreams {
 		x := p.commonObstacle(&w.Request, u, need)
-		if x == ObstacleFree && !inGroup && !s.admits(&p.tree.nodes[p.tree.base+u.index]) {
+		switch n := &p.tree.nodes[p.tree.base+u.index]; {
+		case x != ObstacleFree:
+		case inGroup && u.side == longSide && !w.Suspect && !p.canLead(n, s.now, need),
+			!inGroup && !s.admits(n):
 			x = p.sideObstacle(&s, u)
 		}
 		out = append(out, Other{u.spec.ID, x})
--- a/lib/decide/place.go
+++ b/lib/decide/place.go
@@ -268,7 +268,12 @@
 		return n.idle >= share
 	}
 	if len(p.groupBuffer) == 0 {
-		return n.long >= share && n.ready <= now+lookahead
+		return p.canLead(n, now, share)
 	}
 	return max(n.long, n.short, n.shortOnLong, n.urgent) >= share
 }
+
+// canLead reports whether an upstream can run the prefill of a group now.
+func (p *Pool) canLead(n *node, now float64, share Tokens) bool {
+	return n.long >= share && n.ready <= now+lookahead
+}
--- a/lib/operator/where.go
+++ b/lib/operator/where.go
@@ -9,7 +9,7 @@
 )
 
 // PathWhere is the path of the page that tells where a request would be placed now, on the metrics address of a VM in relay
-// mode. ParamWhere is the parameter that describes the request: a WhereQuery as JSON.
+// mode and on the operator address of the daemon of OpenAI's API. ParamWhere is the parameter that describes the request: a WhereQuery as JSON.
 const (
 	PathWhere  = "/where"
 	ParamWhere = "query"
@@ -19,8 +19,11 @@
 // service if only the service is named.
 type WhereQuery struct {
 	Service route.ServiceID `json:"service,omitempty"`
-	Host    string          `json:"host,omitempty"`
-	Path    string          `json:"path,omitempty"`
+	// Model is a model of OpenAI's API, and Kind the kind of the request; the first one of the document if it is empty.
+	Model string `json:"model,omitempty"`
+	Kind  string `json:"kind,omitempty"`
+	Host  string `json:"host,omitempty"`
+	Path  string `json:"path,omitempty"`
 	// Workspace is the id of a workspace, not a key.
 	Workspace decide.WorkspaceID `json:"workspace,omitempty"`
 	// Prompt is the length of the prompt, and Output the maximum length of the response, in tokens.
@@ -57,7 +60,10 @@
 	From       peer.VM         `json:"from"`
 	OwnerError string          `json:"owner_error,omitempty"`
 	Service    route.ServiceID `json:"service"`
-	Verdict    Verdict         `json:"verdict"`
+	// Model and Pool are set for OpenAI's API in place of the service: the model, and its pool that decides.
+	Model   string      `json:"model,omitempty"`
+	Pool    peer.PoolID `json:"pool,omitempty"`
+	Verdict Verdict     `json:"verdict"`
 	// Reason names the rule that decided, as the reason in the log line of a request, or why the request would be queued.
 	Reason   string              `json:"reason"`
 	Upstream decide.UpstreamID   `json:"upstream,omitempty"`
@@ -78,12 +84,15 @@
 	// current, in milliseconds.
 	DocumentAge clock.Milli `json:"document_age"`
 	ListAge     clock.Milli `json:"list_age"`
+	// ReportAge is the age of the oldest load report of the pool's engines in milliseconds, for OpenAI's API.
+	ReportAge clock.Milli `json:"report_age,omitempty"`
 }
 
 // WhereOther is an upstream on which the request would not be placed.
 type WhereOther struct {
 	Upstream decide.UpstreamID `json:"upstream"`
 	// Against is full, memory, cold, excluded, leaving, back-off, limit, unverified or avoided; free if the upstream could
-	// run the request but comes later in the order, equal if the id of the request would choose among several.
+	// run the request but comes later in the order, equal if the id of the request would choose among several, reserved if a
+	// pool of OpenAI's API keeps it for long or for urgent requests.
 	Against string `json:"against"`
 }
--- a/lib/peer/messages.go
+++ b/lib/peer/messages.go
@@ -116,6 +116,31 @@
 	Serial uint64
 }
 
+// WhereArgs asks the owner of a pool what would become of a request now. Nothing changes at the owner.
+type WhereArgs struct {
+	Pool PoolID
+	// Left is the remaining part of the request's allowed time.
+	Left    clock.Milli
+	Request decide.Request // Deadline is ignored: Left replaces it
+	// Queued is the request that the question is about, if it is queued already; empty for Request.
+	Queued decide.RequestID
+}
+
+// WhereReply is the answer to WhereArgs.
+type WhereReply struct {
+	// Fault is set if the owner hands its pools over; nothing else is set then.
+	Fault *Fault
+	// Epoch is that of the pool; zero if it is not open.
+	Epoch decide.Epoch
+	// Found is false if Queued is neither queued nor running; Waiting names some requests that are queued.
+	Found       bool
+	Waiting     []decide.RequestID
+	Explanation decide.Explanation // the times in its Decision are meaningless to others
+	// DocumentAge is the time since the document of the owner was known to be current, ReportAge the age of the oldest of
+	// the engines' last load reports; zero if there is none.
+	DocumentAge, ReportAge clock.Milli
+}
+
 // Empty is a message without content.
 type Empty struct{}
 
--- a/operator/commands/flags.go
+++ b/operator/commands/flags.go
@@ -79,11 +79,14 @@
 	return daemon.New(endpoint.Transport(), c.Duration(flagTimeout)), nil
 }
 
+// needDaemon advises to name a daemon of OpenAI's API.
+const needDaemon = "name the operator address of a daemon by --daemon or SNIPESHIFT_DAEMON, such as 10.0.0.7:7002"
+
 // newFleet lists all daemons by querying those named by --daemon.
 func newFleet(ctx context.Context, c *cli.Command) (*daemon.Fleet, error) {
 	addresses := c.StringSlice(flagDaemon)
 	if len(addresses) == 0 {
-		return nil, usageError("name the operator address of a daemon by --daemon or SNIPESHIFT_DAEMON, such as 10.0.0.7:7002")
+		return nil, usageError(needDaemon)
 	}
 	k, err := newClient(c)
 	if err != nil {
--- a/operator/commands/where.go
+++ b/operator/commands/where.go
@@ -24,6 +24,8 @@
 // Names of the flags of where.
 const (
 	flagService   = "service"
+	flagModel     = "model"
+	flagKind      = "kind"
 	flagHost      = "host"
 	flagPath      = "path"
 	flagWorkspace = "workspace"
@@ -45,11 +47,14 @@
 	return &cli.Command{
 		Name:  "where",
 		Usage: "tell where a request would be placed now, and why, without sending it",
-		Description: "Queries the metrics address of each VM in relay mode that --daemon names, which asks the owner of the service. The\n" +
-			"request is described by flags, or by a JSON file with fields of the same names; what is absent is that of the route.",
+		Description: "Queries the metrics address of each VM in relay mode that --daemon names, which asks the owner of the service; for a\n" +
+			"model of OpenAI's API the operator address of each daemon. The request is described by flags, or by a JSON file with\n" +
+			"fields of the same names; what is absent is that of the route, or of the kind.",
 		Action: runWhere,
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: flagService, Usage: "`NAME` of the service"},
+			&cli.StringFlag{Name: flagModel, Usage: "`NAME` of the model of OpenAI's API, in place of a service"},
+			&cli.StringFlag{Name: flagKind, Usage: "`KIND` of the request to a model; the document's first one if absent"},
 			&cli.StringFlag{Name: flagHost, Usage: "`HOST` of the route, in place of a service"},
 			&cli.StringFlag{Name: flagPath, Usage: "`PATH` of the route", Value: "/"},
 			&cli.StringFlag{Name: flagWorkspace, Usage: "`ID` of the workspace"},
@@ -74,6 +79,9 @@
 	if err != nil {
 		return err
 	}
+	if len(c.StringSlice(flagDaemon)) == 0 && c.IsSet(flagModel) {
+		return usageError(needDaemon)
+	}
 	rows, err := askRelays(c, func(k *daemon.Client, address string) (answers.Where, error) {
 		return daemon.Get[answers.Where](ctx, k, address, path)
 	})
@@ -104,8 +112,8 @@
 	if err != nil {
 		return "", err
 	}
-	if q.Service == "" && q.Host == "" {
-		return "", usageError("name a service by --%s, or a route by --%s and --%s", flagService, flagHost, flagPath)
+	if q.Service == "" && q.Host == "" && q.Model == "" {
+		return "", usageError("name a service by --%s, or a route by --%s and --%s, or a model by --%s", flagService, flagHost, flagPath, flagModel)
 	}
 	text, err := json.Marshal(q)
 	return answers.PathWhere + "?" + url.Values{answers.ParamWhere: {string(text)}}.Encode(), err
@@ -117,10 +125,13 @@
 		return readQuery(c)
 	}
 	q = answers.WhereQuery{
-		Service: route.ServiceID(c.String(flagService)), Host: c.String(flagHost), Path: c.String(flagPath), Workspace: decide.WorkspaceID(c.String(flagWorkspace)),
+		Service: route.ServiceID(c.String(flagService)), Model: c.String(flagModel), Kind: c.String(flagKind), Host: c.String(flagHost), Path: c.String(flagPath), Workspace: decide.WorkspaceID(c.String(flagWorkspace)),
 		Prompt: decide.Tokens(c.Int(flagPrompt)), Output: decide.Tokens(c.Int(flagTokens)), Parts: c.StringSlice(flagPart),
 		Deadline: clock.Milli(c.Int64(flagDeadline)), Aim: clock.Milli(c.Int64(flagAim)), ID: decide.RequestID(c.String(flagID)),
 	}
+	if q.Model != "" {
+		q.Path = ""
+	}
 	if c.IsSet(flagUrgency) {
 		u := decide.Urgency(c.Uint8(flagUrgency))
 		q.Urgency = &u
@@ -150,14 +161,20 @@
 	if err := d.Decode(&q); err != nil {
 		return q, usageError("%s does not describe a request: %v", name, err)
 	}
-	if q.Path == "" {
+	if q.Path == "" && q.Model == "" {
 		q.Path = "/"
 	}
 	return q, checkQuery(&q)
 }
 
-// checkQuery rejects numbers that no request has.
+// checkQuery rejects numbers that no request has, and what belongs to a request to another kind of daemon.
 func checkQuery(q *answers.WhereQuery) error {
+	if q.Model != "" && (q.Service != "" || q.Host != "" || q.Aim != 0) {
+		return usageError("--%s excludes --%s, --%s and --%s, which are for VMs in relay mode", flagModel, flagService, flagHost, flagAim)
+	}
+	if q.Model == "" && q.Kind != "" {
+		return usageError("--%s is for a --%s of OpenAI's API", flagKind, flagModel)
+	}
 	for name, n := range map[string]int64{flagPrompt: int64(q.Prompt), flagTokens: int64(q.Output), flagDeadline: int64(q.Deadline), flagAim: int64(q.Aim)} {
 		if n < 0 {
 			return usageError("%s %d: use a positive number", name, n)
@@ -171,7 +188,11 @@
 	if c.Bool(flagJSON) || c.Root().String(flagOutput) == outputJSON {
 		return showJSON(c, rows)
 	}
-	if err := table.Write(c.Root().Writer, rows, table.Where); err != nil {
+	columns := table.Where
+	if rows[0].Model != "" {
+		columns = table.WhereModel
+	}
+	if err := table.Write(c.Root().Writer, rows, columns); err != nil {
 		return err
 	}
 	var others []table.WhereOtherRow
@@ -191,13 +212,17 @@
 	return showOwnerErrors(c, rows)
 }
 
-// showOwnerErrors tells which VMs answered from their own records, and why.
+// showOwnerErrors tells which VMs answered in place of owners, and why.
 func showOwnerErrors(c *cli.Command, rows []answers.Where) error {
 	for _, r := range rows {
 		if r.OwnerError == "" {
 			continue
 		}
-		if err := printLine(c, "\n%s answers from its own records, since the owner gave no answer: %s", r.VM, r.OwnerError); err != nil {
+		text := "\n%s answers from its own records, since the owner gave no answer: %s"
+		if r.From != r.VM {
+			text = "\n%s answers in place of the owner, which gave no answer: %s"
+		}
+		if err := printLine(c, text, r.From, r.OwnerError); err != nil {
 			return err
 		}
 	}
--- a/operator/fleet_where_test.go
+++ b/operator/fleet_where_test.go
@@ -17,6 +17,10 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if q.Model != "" {
+		f.whereModel(i, w, &q)
+		return
+	}
 	if q.Service != "notice-writer" && q.Host != "hall.example" {
 		w.WriteHeader(http.StatusNotFound)
 		_ = json.NewEncoder(w).Encode(answers.Failure{Error: "no route leads to a service " + string(q.Service)})
@@ -40,3 +44,28 @@
 	}
 	_ = json.NewEncoder(w).Encode(x)
 }
+
+// whereModel answers like daemons of OpenAI's API. vm-2 gets its answer from the VM that answers in place of the owner.
+func (f *fleet) whereModel(i int, w http.ResponseWriter, q *answers.WhereQuery) {
+	if q.Model != "drafter" || q.Path != "" {
+		w.WriteHeader(http.StatusNotFound)
+		_ = json.NewEncoder(w).Encode(answers.Failure{Error: "no model " + q.Model})
+		return
+	}
+	x := answers.Where{
+		VM: "vm-1", Owner: "vm-1", Epoch: 9, From: "vm-1", Model: "drafter", Pool: "drafter@tvm-hall", DocumentAge: 900, ListAge: 900, ReportAge: 250,
+		Others: []answers.WhereOther{{Upstream: "u-3", Against: "reserved"}},
+	}
+	if i == 1 {
+		x.VM, x.From, x.OwnerError = "vm-2", "vm-3", "no answer"
+	}
+	switch {
+	case q.Kind == "send":
+		x.Verdict, x.Reason, x.Fault, x.RetryAfter = answers.Refused, "deadline", fault.Overloaded, 2000
+	case q.Prompt <= 10_000:
+		x.Verdict, x.Reason, x.Upstream, x.FirstByte = answers.Placed, "least-cost", "u-1", 120
+	default:
+		x.Verdict, x.Reason, x.Place, x.Queued = answers.Queued, "no-room", 1, 2
+	}
+	_ = json.NewEncoder(w).Encode(x)
+}
--- a/operator/table/where.go
+++ b/operator/table/where.go
@@ -1,6 +1,7 @@
 package table
 
 import (
+	"slices"
 	"strings"
 
 	"snipeshift.example/lib/clock"
@@ -31,6 +32,13 @@
 	{"LIST", func(r answers.Where) string { return r.ListAge.Duration().String() }},
 }
 
+// WhereModel are the columns of these answers for models of OpenAI's API.
+var WhereModel = append(slices.Insert(slices.Clone(Where), poolColumn, Column[answers.Where]{"POOL", func(r answers.Where) string { return string(r.Pool) }}),
+	Column[answers.Where]{"REPORT", func(r answers.Where) string { return span(r.ReportAge) }})
+
+// poolColumn is the place of the pool among the columns, before its owner.
+const poolColumn = 1
+
 // whereReason formats the reason, after the kind of a refusal.
 func whereReason(r answers.Where) string {
 	if r.Fault == "" {
