--- a/lib/decide/place.go
+++ b/lib/decide/place.go
@@ -151,6 +151,9 @@
 
 // place finds upstreams for a queued request. It returns false if none can accept the request now.
 func (p *Pool) place(now clock.Milli, w *waiting) (*grant, bool) {
+	if p.attempt != nil && p.attempt.request == w.ID {
+		p.attempt.others = p.obstacles(now, w)
+	}
 	if w.Suspect && p.crashes.running[w.Fingerprint] > 0 {
 		return nil, false
 	}
@@ -265,7 +268,12 @@
 		return n.idle >= share
 	}
 	if len(p.groupBuffer) == 0 {
-		return n.long >= share && n.ready <= now+lookahead
+		return p.canLead(n, now, share)
 	}
 	return max(n.long, n.short, n.shortOnLong, n.urgent) >= share
 }
+
+// canLead reports whether an upstream can run the prefill of a group now.
+func (p *Pool) canLead(n *node, now float64, share Tokens) bool {
+	return n.long >= share && n.ready <= now+lookahead
+}
