decide: cache events of a removed upstream attract no requests

Seen: the property test of explanations, in its first run with cache events in random order: a request was granted on an upstream that had been removed.

Cause: a removed upstream stays known until its last grants have ended. A cache event of it in that time was recorded, and a request with the cached prefix was compared with the tree of upstreams at a place that is not its own any more.

Change: such events are ignored. TestRemovedUpstreamWithCachedPrefixGetsNoRequests fails before; the property test passes with the sequence that failed.

--- a/lib/decide/fault_test.go
+++ b/lib/decide/fault_test.go
@@ -164,6 +164,22 @@
 	require.NotEqual(t, name(3), b.grant("s").Upstreams[0])
 }
 
+// An engine that has left ends its last streams and still reports its cache. A request with a cached prefix must not be
+// granted there.
+func TestRemovedUpstreamWithCachedPrefixGetsNoRequests(t *testing.T) {
+	b := newHarness(t, 2)
+	b.set(1, true)
+	b.submit(b.request("running"))
+	require.Equal(t, []UpstreamID{name(0)}, b.grant("running").Upstreams)
+	b.pool.RemoveUpstream(b.now, name(0))
+	b.set(1, false)
+	b.pool.Hint(b.now, name(0), Hint{Seq: 1, Prefix: 5})
+	r := b.request("next")
+	r.Prompt, r.Prefixes = 2*PrefixBlock, []PrefixHash{5}
+	b.submit(r)
+	require.Equal(t, []UpstreamID{name(1)}, b.grant("next").Upstreams)
+}
+
 // A request crashes each engine that runs it. Its client sends it through several VMs at once, so
 // that no gate sees the other copies.
 func TestCopiesOfAPoisonRequestCrashAtMostTwoUpstreams(t *testing.T) {
--- a/lib/decide/hint.go
+++ b/lib/decide/hint.go
@@ -29,7 +29,8 @@
 // no longer cached costs a whole prefill.
 func (p *Pool) Hint(_ clock.Milli, id UpstreamID, h Hint) {
 	u := p.byID[id]
-	if u == nil || (u.hints.seq > 0 && h.Seq <= u.hints.seq) {
+	// A removed upstream that still has grants reports its cache, but gets no new requests.
+	if u == nil || u.removed || (u.hints.seq > 0 && h.Seq <= u.hints.seq) {
 		return
 	}
 	if u.hints.seq > 0 && h.Seq > u.hints.seq+1 {
