share, span: reserve free slots for workspaces within their shares

Cause: a workspace beyond its share took each slot that became free between two arrivals of others. The next burst of the others found all engines full for longer than a request in time can wait, and late requests wait behind all in time.

Change: while a workspace clearly beyond its share waits, it leaves free slots to the others (trunk reservation). Their number follows from the arrivals of workspaces within their shares and the slots that become free, both within the time that these requests can wait. "Clearly" means by two standard deviations of its use: on four engines workspaces at 0.8 of their share exceed it by chance in the 4 s that are compared. At most two slots of an engine count as free, and while free slots are scarce short requests go to the engine with the most, since requests that find the free slots on one engine wait there for each other's prefills.

--- a/lib/decide/share/share.go
+++ b/lib/decide/share/share.go
@@ -4,8 +4,8 @@
 // Each workspace has a virtual time, which advances by the tokens of its grants divided by its
 // weight. The request of the workspace with the least virtual time goes first. A workspace that was
 // idle starts at the current virtual time, so what it did not use is lent to the others and not
-// owed to it. The package addresses the load of requests that wait; it orders them and never
-// refuses or delays any.
+// owed to it. While a workspace beyond its share waits, Reserve is the number of free slots that it
+// leaves to the others. The package addresses the load of requests that wait; it refuses none.
 package share
 
 import (
@@ -58,6 +58,9 @@
 	// activeWeight is the sum of the weights of the active workspaces in weighedRound.
 	activeWeight float64
 	weighedRound uint64
+	// freed counts the slots that became free. reserve is the result of the last Update.
+	freed   demand
+	reserve int
 }
 
 // row is the account of one workspace.
@@ -73,8 +76,11 @@
 	// used are the tokens granted within useWindow, as a decaying sum at the time at.
 	used float64
 	at   clock.Milli
+	// variance is that of used if grants are independent random events.
+	variance float64
 	// tokens is the total granted by this account.
 	tokens float64
+	demand demand
 }
 
 // New returns an empty account.
@@ -134,10 +140,13 @@
 		r.round, r.usedAt = a.round, now
 		rows = append(rows, r)
 	}
-	a.waiting = len(rows)
+	a.waiting, a.reserve = len(rows), 0
 	if len(rows) > 0 {
 		a.settle(rows)
 	}
+	if slices.ContainsFunc(rows, a.clearlyExceeds) {
+		a.reserve = a.slotsToReserve()
+	}
 }
 
 // settle advances the current virtual time and bounds the leads of the given workspaces. A lead larger
@@ -164,7 +173,9 @@
 
 // decay brings the use of a workspace up to date.
 func (r *row) decay(now clock.Milli) {
-	r.used *= math.Exp(-float64(max(now-r.at, 0)) / useWindow)
+	f := math.Exp(-float64(max(now-r.at, 0)) / useWindow)
+	r.used *= f
+	r.variance *= f * f
 	r.at = now
 }
 
@@ -186,6 +197,7 @@
 	r.usedAt = now
 	r.decay(now)
 	r.used += float64(tokens)
+	r.variance += float64(tokens) * float64(tokens)
 	a.recent += float64(tokens)
 	a.used += float64(tokens)
 }
--- a/lib/decide/share/state.go
+++ b/lib/decide/share/state.go
@@ -41,8 +41,9 @@
 // Snapshot is the state of an account for the next owner.
 type Snapshot struct {
 	Workspaces []State
-	// Recent is the number of tokens granted within the last second.
-	Recent float64
+	// Recent is the number of tokens granted, and Freed that of slots that became free, within the last
+	// second.
+	Recent, Freed float64
 }
 
 // State is the state of one workspace.
@@ -51,16 +52,23 @@
 	// Ahead is by how much its virtual time is ahead of the current one, Used what it was granted
 	// lately, in tokens.
 	Ahead, Used float64
+	// Variance is that of Used. Arrivals and Patience describe its requests of the last second.
+	Variance, Arrivals, Patience float64
 }
 
 // Snapshot returns the state for the next owner. Workspaces that are not active are as if unknown.
 func (a *Account) Snapshot(now clock.Milli) Snapshot {
 	a.decay(now)
-	s := Snapshot{Recent: a.recent}
+	a.freed.decay(now)
+	s := Snapshot{Recent: a.recent, Freed: a.freed.arrivals}
 	for _, id := range slices.Sorted(maps.Keys(a.rows)) {
 		r := a.rows[id]
 		if r.decay(now); r.active(now) {
-			s.Workspaces = append(s.Workspaces, State{Workspace: id, Ahead: max(0, r.virtual-a.current), Used: r.used})
+			r.demand.decay(now)
+			s.Workspaces = append(s.Workspaces, State{
+				Workspace: id, Ahead: max(0, r.virtual-a.current), Used: r.used,
+				Variance: r.variance, Arrivals: r.demand.arrivals, Patience: r.demand.patience,
+			})
 		}
 	}
 	return s
@@ -70,12 +78,15 @@
 // arrived is contained in it and is not added.
 func (a *Account) Restore(now clock.Milli, s Snapshot) {
 	for _, r := range a.rows {
-		r.virtual, r.used = a.current, 0
+		r.virtual, r.used, r.variance = a.current, 0, 0
 	}
 	a.recent, a.used, a.at = s.Recent, 0, now
+	a.freed = demand{arrivals: s.Freed, at: now}
 	for _, x := range s.Workspaces {
 		r := a.row(x.Workspace)
 		r.virtual, r.used, r.at, r.usedAt = a.current+x.Ahead, x.Used, now, now
+		r.variance = x.Variance
+		r.demand = demand{arrivals: x.Arrivals, patience: x.Patience, at: now}
 		a.used += x.Used
 	}
 }
--- a/lib/decide/span/pool.go
+++ b/lib/decide/span/pool.go
@@ -141,6 +141,7 @@
 		p.noteLongArrival(now, w)
 	}
 	p.noteDemand(now, w)
+	p.noteArrival(now, w)
 	return Grant{}, false
 }
 
@@ -311,6 +312,7 @@
 		return
 	}
 	delete(p.grants, id)
+	p.noteFreed(now)
 	p.parts.Ended(now, run(id))
 	for _, r := range g.upstreams {
 		delete(r.grants, id)
--- a/lib/decide/span/queue.go
+++ b/lib/decide/span/queue.go
@@ -94,6 +94,11 @@
 	// waiting are the predicted tokens of the requests that stayed queued, by workspace; nil if shares
 	// are not enabled.
 	waiting map[decide.WorkspaceID]decide.Tokens
+	// free is the number of free slots once freeCounted is set, see countFree. maxReserve is what it
+	// would be on idle upstreams: a reserve must be smaller, or it would exclude a workspace beyond its
+	// share from a few engines however idle they are.
+	free, maxReserve int
+	freeCounted      bool
 }
 
 // Tick places queued requests as far as there is room, refuses those that can no longer be served,
@@ -168,11 +173,12 @@
 
 // decide places one request, refuses it, or leaves it in the queue. It is called in the order of
 // placing. A request that can be placed now is never refused, however high the load of the last
-// seconds was: refusing it would leave an engine idle.
+// seconds was: refusing it would leave an engine idle. The exception is a request of a workspace
+// beyond its share while the last free slots are reserved for others.
 func (o *round) decide(w *queuedRequest) (Decision, bool) {
 	late := w.late(o.now)
 	yields := w.long && late && !w.Begun && o.longWaits && !w.nearDeadline(o.now)
-	if !yields {
+	if !yields && !o.leavesReserve(w) {
 		if d, placed := o.place(w, late); placed {
 			o.addBacklog(w, late)
 			return d, true
@@ -243,6 +249,8 @@
 	if late && !w.long {
 		o.pool.headroom.notePlaced()
 	}
+	pl = o.spreadFree(w, pl)
+	o.free--
 	return o.pool.admit(o.now, w, pl), true
 }
 
--- a/lib/decide/span/shares.go
+++ b/lib/decide/span/shares.go
@@ -1,6 +1,7 @@
 package span
 
 import (
+	"math"
 	"slices"
 
 	"snipeshift.example/lib/clock"
@@ -9,8 +10,9 @@
 )
 
 // This file applies the shares of workspaces (package share) to the queue, if they are enabled: the
-// account orders requests of the same rank while some wait, and a workspace within its share is not
-// refused because of what others have waiting.
+// account orders requests of the same rank while some wait, a workspace beyond its share leaves the
+// last free slots to others, and a workspace within its share is not refused because of what others
+// have waiting.
 
 // SetShares divides scarce capacity among workspaces. It must be called before the first request.
 func (p *Pool) SetShares(s share.Settings) {
@@ -129,3 +131,92 @@
 	wait := a.Wait(id, o.waiting[id]+tokens)
 	return float64(w.latestFirst-o.now) > wait+w.groupPrefillTime
 }
+
+// noteArrival records a new request in the demand of its workspace. It can wait for as long as it
+// would be in time on an engine without other prefills.
+func (p *Pool) noteArrival(now clock.Milli, w *queuedRequest) {
+	if p.shares != nil && !w.Again {
+		p.shares.Arrive(now, w.Workspace, float64(w.Aim-now)-startDelay-w.groupPrefillTime-firstPassTime)
+	}
+}
+
+// noteFreed records that the slot of a grant became free.
+func (p *Pool) noteFreed(now clock.Milli) {
+	if p.shares != nil {
+		p.shares.Free(now)
+	}
+}
+
+// ReservedSlots returns the number of free slots that workspaces beyond their shares leave to others
+// now; zero if shares are not enabled.
+func (p *Pool) ReservedSlots() int {
+	if p.shares == nil || len(p.queue) == 0 {
+		return 0 // a scan of an empty queue does not update the account
+	}
+	return p.shares.Reserve()
+}
+
+// leavesReserve reports whether a request leaves the remaining free slots to workspaces within their
+// shares. Requests that have begun and retries with a booking do not wait for fairness. While loads
+// are unverified, the number of free slots is not known.
+func (o *round) leavesReserve(w *queuedRequest) bool {
+	a := o.pool.shares
+	if a == nil || w.Begun || w.booked || o.unverified {
+		return false
+	}
+	n := a.Reserved(w.Workspace)
+	return n > 0 && o.countFree() <= min(n, o.maxReserve-1)
+}
+
+// usableSlots is how many free slots of one engine count as free for the reserve. Requests that find
+// more of them there wait for one prefill after the other, longer than a short request in time can.
+const usableSlots = 2
+
+// countFree returns the number of free slots that requests in time can use, on upstreams that accept
+// requests.
+func (o *round) countFree() int {
+	if o.freeCounted {
+		return o.free
+	}
+	o.freeCounted, o.free, o.maxReserve = true, 0, 0
+	for _, r := range o.pool.packOrder {
+		if r.draining() || !r.health.available(o.now) || !r.declared.limit.Allows(o.now) || r.unverified && r.engine != nil {
+			continue
+		}
+		if r.engine == nil {
+			o.free += max(0, freeStreams(r))
+			o.maxReserve += max(r.Slots, 1)
+			continue
+		}
+		o.free += min(max(0, freeStreams(r)), usableSlots)
+		o.maxReserve += usableSlots
+	}
+	return o.free
+}
+
+// spreadFree replaces the plan of a short request while free slots are scarce because of a reserve. It
+// chooses the upstream with the most free slots, so that those which remain are on many upstreams:
+// a burst that finds them on one engine waits there for one prefill after the other.
+func (o *round) spreadFree(w *queuedRequest, pl plan) plan {
+	p := o.pool
+	if p.shares == nil || pl.reason != "packed" || o.unverified {
+		return pl
+	}
+	if n := p.shares.Reserve(); n == 0 || o.countFree() > 2*n {
+		return pl
+	}
+	best := pl
+	for _, r := range p.packOrder {
+		more := freeStreams(r) > freeStreams(best.leader)
+		if !more && (freeStreams(r) < freeStreams(best.leader) || r.backlog(o.now) >= best.leader.backlog(o.now)) || r.avoided(o.now) {
+			continue
+		}
+		if first, fits := p.fitsShort(o.now, &w.Ask, r, w.prefillTime, math.MaxInt); fits {
+			best = plan{leader: r, partPrefill: w.prefillTime, first: first, reason: pl.reason}
+		}
+	}
+	return best
+}
+
+// freeStreams returns how many more streams an upstream has slots for.
+func freeStreams(r *upstreamState) int { return max(r.Slots, 1) - r.streams - r.external }
