--- a/daemon/placer/shares.go
+++ b/daemon/placer/shares.go
@@ -56,3 +56,19 @@
 		}
 	}
 }
+
+// ReservedSlots calls f with the number of free slots that workspaces beyond their shares leave to
+// others, for each service.
+func (o *Owner) ReservedSlots(f func(route.ServiceID, int)) {
+	if !o.Shares.Enabled {
+		return
+	}
+	pools := o.allPools()
+	for _, s := range slices.Sorted(maps.Keys(pools)) {
+		p := pools[s]
+		p.mu.Lock()
+		n := p.pool.ReservedSlots()
+		p.mu.Unlock()
+		f(s, n)
+	}
+}
