--- a/lib/decide/span/pool.go
+++ b/lib/decide/span/pool.go
@@ -145,6 +145,7 @@
 	}
 	p.noteDemand(now, w)
 	p.noteRecoveryArrival(now, w)
+	p.noteArrival(now, w)
 	return Grant{}, false
 }
 
@@ -319,6 +320,7 @@
 		return
 	}
 	delete(p.grants, id)
+	p.noteFreed(now)
 	p.parts.Ended(now, run(id))
 	for _, r := range g.upstreams {
 		delete(r.grants, id)
