span: the owner learns the pace of engines from its own requests (setting locality)

Cause: the pace of an engine was what it reports, and was asked for only after a late first byte. An engine that reports its pace late or wrongly, or is slow only when nearly full, got requests whose aims it could not meet.

Change: where locality is enabled, the time from a grant on one engine to its first byte is compared with the plan, with one moving average for each upstream and one for it when nearly full. A slow engine is tried again with one request at a time.

--- a/daemon/placer/locality_test.go
+++ b/daemon/placer/locality_test.go
@@ -1,11 +1,19 @@
 package placer
 
 import (
+	"bytes"
+	"fmt"
+	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
+	"github.com/phuslu/log"
 	"github.com/stretchr/testify/require"
 
+	"snipeshift.example/lib/decide"
 	"snipeshift.example/lib/decide/locality"
+	"snipeshift.example/lib/peer"
 )
 
 // A setting that does not reach the pools, or a domain that is lost on the way to the owner, would
@@ -19,9 +27,41 @@
 		a.Domain = "elsewhere"
 		var reply AskReply
 		require.NoError(t, o.Ask(&AskArgs{Service: "s", Ask: a, Wait: 50}, &reply))
-		require.Equal(t, on, len(o.ListLocality()) > 0)
+		rows := o.ListLocality()
+		require.Equal(t, on, len(rows) > 0)
 		if on {
-			require.Equal(t, []ServiceLocality{{Service: "s", Counts: locality.Counts{Away: 1}}}, o.ListLocality())
+			require.Equal(t, locality.Counts{Away: 1}, rows[0].Counts)
 		}
 	}
 }
+
+// A ratio that is counted in a wrong bucket, or twice, would hide slow engines from the operator.
+func TestPaceRatiosAreCounted(t *testing.T) {
+	var h ratioHistogram
+	h.add([]float64{0.2, 1, 1.4, 9})
+	s := h.sums()
+	require.Equal(t, []uint64{1, 1, 2, 2, 3, 3, 3, 3}, s.Below)
+	require.Equal(t, uint64(4), s.Count)
+	require.InDelta(t, 11.6, s.Sum, 1e-9)
+}
+
+// Without the log line an operator does not see which engine is slow.
+func TestSlowUpstreamIsLoggedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := newOwner(t, "e1")
+		o.Locality = true
+		var b bytes.Buffer
+		o.Log = &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: &b}}
+		for i := range 30 {
+			a := wireAsk(decide.RequestID(fmt.Sprint("r", i)))
+			a.Deadline = 20_000
+			require.NoError(t, o.Ask(&AskArgs{Service: "s", Ask: a, Wait: 50}, &AskReply{}))
+			time.Sleep(700 * time.Millisecond)
+			require.NoError(t, o.Note(&NoteArgs{Service: "s", Request: a.ID, Event: FirstByte}, &peer.Empty{}))
+			require.NoError(t, o.Note(&NoteArgs{Service: "s", Request: a.ID, Event: Ended}, &peer.Empty{}))
+		}
+		require.Equal(t, 1, strings.Count(b.String(), `"slow":true`), b.String())
+		require.Contains(t, b.String(), `"upstream":"e1"`)
+		time.Sleep(time.Minute) // keepalives to standbys end
+	})
+}
--- a/daemon/placer/owner.go
+++ b/daemon/placer/owner.go
@@ -128,6 +128,8 @@
 	generation uint64
 	// forecastErrors counts the errors of forecasts.
 	forecastErrors errorHistogram
+	// paceRatios counts the observed times to the first byte as multiples of the planned ones.
+	paceRatios ratioHistogram
 	// waiters are the channels of calls that wait for a decision, by request: one for the gate and
 	// one for each VM that forwards its query.
 	waiters map[decide.RequestID][]chan span.Decision
@@ -231,6 +233,7 @@
 	o.learnStatements(args.Service, p, now, args.Statements)
 	p.pool.Parts().Merge(now, args.Crashes)
 	p.lastAsk = now
+	o.notePaces(args.Service, p)
 	o.keepStandbys(args.Service, p)
 	o.pollReports(args.Service, p)
 	if d, ok := p.undelivered[a.ID]; ok {
--- a/daemon/settings/relay.go
+++ b/daemon/settings/relay.go
@@ -128,7 +128,7 @@
 	"forecast":          {Description: "refusals by a forecast of the wait"},
 	"forecast.enabled":  {Description: "refuse requests by a forecast of their wait from the work in progress, instead of by averages of the last seconds"},
 	"locality":          {Description: "placement by failure domain"},
-	"locality.enabled":  {Description: "place requests on upstreams in the failure domain of the VM that received them, while that costs no time"},
+	"locality.enabled":  {Description: "place requests on upstreams in the failure domain of the VM that received them, while that costs no time, and learn the pace of engines from the times of requests"},
 }
 
 // ReadRelay reads a file and checks it.
--- a/lib/decide/span/copy.go
+++ b/lib/decide/span/copy.go
@@ -27,7 +27,7 @@
 	for i, r := range p.packOrder {
 		q.packOrder[i] = c.upstreamOf(r)
 	}
-	q.locality.orders = nil
+	q.locality.orders, q.locality.ratios, q.locality.changes = nil, nil, nil
 	return &q
 }
 
--- a/lib/decide/span/engine.go
+++ b/lib/decide/span/engine.go
@@ -4,6 +4,7 @@
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
 	"snipeshift.example/lib/decide/balance"
+	"snipeshift.example/lib/decide/locality"
 	"snipeshift.example/lib/route"
 )
 
@@ -29,10 +30,12 @@
 	// recentEnds lists when requests ended here that a delayed report may still count, oldest
 	// first.
 	recentEnds []clock.Milli
-	// pace is the factor by which work takes longer than usual, by the last report; zero if the
-	// upstream never reported. reportWanted is set if the upstream should be polled for its pace.
+	// pace is the factor by which work takes longer than usual, by the last report or as learned for
+	// the present load; zero if the upstream never reported. reportWanted is set if the upstream should be polled for its pace.
 	pace         float64
 	reportWanted bool
+	// learned is the pace that the pool has learned from its own requests, where that is enabled.
+	learned locality.Pace
 	// declared is what the upstream declared about itself.
 	declared *declared
 	// warmUp limits the requests while the upstream is cold.
@@ -53,6 +56,8 @@
 	// namedAt is when the gate of the grant last named it.
 	namedAt   clock.Milli
 	upstreams []*upstreamState
+	// expected is the expectation against which the first byte is compared, see observePace.
+	expected expectation
 }
 
 // leads reports whether r is the leader of the grant, which writes the answer.
@@ -122,6 +127,7 @@
 			r.pause = g.Grant.Gap
 		}
 	}
+	r.applyLearned()
 }
 
 // reserved returns the KV memory in tokens that a grant reserves on a helper.
--- a/lib/decide/span/external.go
+++ b/lib/decide/span/external.go
@@ -39,7 +39,7 @@
 	var ups []*upstreamState
 	for _, r := range p.pollCandidates() {
 		switch {
-		case !r.unverified && r.external == 0 && !r.reportWanted && !r.slow():
+		case !r.unverified && r.external == 0 && !r.reportWanted && !r.reportsSlow():
 		case r.draining() || !r.pollable(now):
 		case now < r.declared.backOffUntil(gate):
 			p.AssumeVerified(r.ID)
@@ -123,6 +123,7 @@
 	r.noteReport(now, l.Requests)
 	inQuestion := r.unverified || r.external > 0 || r.reportWanted
 	r.unverified, r.reportWanted, r.pace = false, false, max(1, l.Pace)
+	p.noteReportedPace(now, r)
 	if !inQuestion {
 		// The upstream was polled for its pace only, and its load is not in question.
 		return
--- a/lib/decide/span/largereserve_test.go
+++ b/lib/decide/span/largereserve_test.go
@@ -22,6 +22,8 @@
 	scanEvery  clock.Milli
 	answerTime func() clock.Milli
 	onRefused  func(decide.RequestID)
+	// firstAfter is the time from a grant to its first byte; nil for the planned time.
+	firstAfter func(Grant) clock.Milli
 }
 
 func newFlood(t *testing.T, engines int) *flood {
@@ -61,7 +63,11 @@
 
 // serveGrant schedules the first byte and the end of a granted request.
 func (f *flood) serveGrant(g Grant) {
-	first := f.at + max(g.First, 1)
+	after := g.First
+	if f.firstAfter != nil {
+		after = f.firstAfter(g)
+	}
+	first := f.at + max(after, 1)
 	f.inTime[g.Request] = first <= f.grants[g.Request].ask.Aim
 	f.later(first, func() { f.First(first, g.Request) })
 	end := first + f.answerTime()
--- a/lib/decide/span/locality.go
+++ b/lib/decide/span/locality.go
@@ -25,6 +25,12 @@
 	// upstreams have changed.
 	orders map[route.Domain]*packing
 	counts locality.Counts
+	// ratios and changes are what was observed of paces and nobody has taken yet.
+	ratios  []float64
+	changes []PaceChange
+	// full is the pace of nearly full engines, of all together, compared with their usual pace. An
+	// engine that has not been nearly full yet is assumed to be like the others.
+	full locality.Pace
 }
 
 // packing is the order of packing for the requests of one home domain.
@@ -79,9 +85,10 @@
 
 func (r *upstreamState) domain() route.Domain { return r.Domain }
 
-// attempts returns the upstreams that are tried for a short request, in this order. An attempt at the
-// home domain uses all its slots before one elsewhere begins: the request is in time there, and no
-// engine that is free for long prompts is taken elsewhere.
+// attempts returns the upstreams that are tried for a short request, in this order. Engines of the
+// home domain are filled before others are tried: the request is in time there, and no engine that is
+// free for long prompts is taken elsewhere. If engines are slow when nearly full, all are packed
+// first, as without the setting.
 func (p *Pool) attempts(a *Ask) []attempt {
 	packed := p.rules.PackedStreams
 	if !p.prefersHome(a) {
@@ -89,6 +96,9 @@
 	}
 	x := p.packingFor(a.Domain)
 	home, away := x.ups[:x.home], x.ups[x.home:]
+	if p.slowWhenFull() {
+		return []attempt{{x.ups, packed, false}, {x.ups, math.MaxInt, false}, {x.ups, math.MaxInt, true}}
+	}
 	return []attempt{{home, packed, false}, {home, math.MaxInt, false}, {away, packed, false}, {away, math.MaxInt, false}, {x.ups, math.MaxInt, true}}
 }
 
@@ -176,8 +186,11 @@
 	return plan{leader: best[1], reason: "fewest"}, best[1] != nil
 }
 
-// noteLocality counts whether a grant runs in the home domain of its request only.
-func (p *Pool) noteLocality(a *Ask, pl plan) {
+// noteLocality records what is expected of a grant, and counts whether it runs in the home domain of
+// its request only.
+func (p *Pool) noteLocality(g *grantState, pl plan, e expectation) {
+	a := &g.ask
+	p.expect(g, e)
 	if !p.prefersHome(a) {
 		return
 	}
--- a/lib/decide/span/place.go
+++ b/lib/decide/span/place.go
@@ -76,6 +76,9 @@
 	if pl, ok := p.placeRenewal(now, a, prefillTime); ok {
 		return pl, true
 	}
+	if pl, ok := p.placeTrial(now, a, prefillTime); ok {
+		return pl, true
+	}
 	for _, attempt := range p.attempts(a) {
 		for _, r := range attempt.ups {
 			if r.avoided(now) != attempt.avoided {
@@ -298,10 +301,12 @@
 		excess -= reserve
 		g.Helpers = append(g.Helpers, Placement{Upstream: h.ID, Born: h.Born, Address: h.Address, Read: pl.partPrefill, Reserve: reserve})
 	}
-	for _, r := range p.addGrant(now, LiveGrant{Grant: g}, *a).upstreams {
+	expected := p.expectationOf(now, pl)
+	added := p.addGrant(now, LiveGrant{Grant: g}, *a)
+	for _, r := range added.upstreams {
 		r.noteGranted(now, a.ID)
 	}
-	p.noteLocality(a, pl)
+	p.noteLocality(added, pl, expected)
 	return g
 }
 
--- a/lib/decide/span/pool.go
+++ b/lib/decide/span/pool.go
@@ -198,6 +198,7 @@
 		return
 	}
 	g.suspectIfLate(now)
+	p.observePace(now, g)
 	g.Writing, g.namedAt = true, now
 	p.parts.Begun(now, run(id))
 	ups := g.upstreams
--- a/lib/decide/span/snapshot.go
+++ b/lib/decide/span/snapshot.go
@@ -6,6 +6,7 @@
 	"snipeshift.example/lib/decide/blame"
 	"snipeshift.example/lib/decide/booking"
 	"snipeshift.example/lib/decide/gate"
+	"snipeshift.example/lib/decide/locality"
 	"snipeshift.example/lib/decide/share"
 	"snipeshift.example/lib/decide/statement"
 )
@@ -34,6 +35,8 @@
 	// Bookings are those of refused clients. Booked are queued requests that have taken theirs.
 	Bookings []booking.Saved
 	Booked   []decide.RequestID
+	// LearnedFull is the learned pace of nearly full engines, of all together.
+	LearnedFull locality.Saved
 }
 
 // GrantSnapshot is one live grant in a snapshot.
@@ -73,6 +76,8 @@
 	Cold clock.Milli
 	// Shed is set if a probe request has to show whether the upstream accepts requests again.
 	Shed bool
+	// Learned is the learned pace.
+	Learned locality.Saved
 }
 
 // Snapshot returns the state for the next owner.
@@ -84,6 +89,7 @@
 		Budget: p.budget.Snapshot(now), Crashes: p.parts.Whole(now), Shares: p.snapshotShares(now),
 	}
 	b.Bookings, b.Booked = p.savedBookings(now)
+	b.LearnedFull = p.locality.full.Save(now)
 	for _, g := range p.grants {
 		b.Grants = append(b.Grants, GrantSnapshot{
 			Live: g.LiveGrant, Age: now - g.grantedAt, Unheard: now - g.namedAt, Workspace: g.ask.Workspace, Suspect: g.ask.Suspect, Parts: g.ask.Parts,
@@ -97,7 +103,7 @@
 			Foreign: r.external, ForeignUsed: r.externalUsed, Pace: r.pace, Doubtful: r.unverified, Suspected: r.reportWanted,
 		}
 		c.Statements, c.Allowed, c.Shed = r.declared.statements(now, r.ID), r.declared.limit.Level(now), r.declared.shedding
-		c.Cold = r.warmUp.left(now)
+		c.Cold, c.Learned = r.warmUp.left(now), r.learned.Save(now)
 		b.Upstreams = append(b.Upstreams, c)
 	}
 	return b
@@ -136,11 +142,13 @@
 		}
 		r.external, r.externalUsed, r.pace = c.Foreign, c.ForeignUsed, c.Pace
 		r.unverified, r.reportWanted = c.Doubtful, c.Suspected
+		p.restorePace(now, r, c.Learned)
 	}
 	p.budget.Restore(now, b.Budget)
 	p.parts.Merge(now, b.Crashes)
 	p.restoreShares(now, b.Shares)
 	p.restoreBookings(now, b.Bookings, b.Booked)
+	p.locality.full = locality.Restore(now, b.LearnedFull)
 	p.headroom = headroom{busy: b.Busy, at: now, engines: p.headroom.engines, placeRate: b.Served}
 	p.largeReserve.savedPrefill, p.largeReserve.meanPrefill = b.Saved, b.Mean
 	p.largeReserve.large.refused, p.largeReserve.others.refused = b.LargeRefused, b.OthersRefused
--- a/lib/logline/logline.go
+++ b/lib/logline/logline.go
@@ -75,6 +75,8 @@
 	Unknown    = "unknown"
 	// Era is a restart of the store from an older copy.
 	Era = "era"
+	// Pace is a change of the pace that an owner has learned for an upstream.
+	Pace = "pace"
 	// Shares is a weight of a workspace that the document in force does not contain.
 	Shares = "shares"
 )
@@ -116,5 +118,6 @@
 	Unreadable:   "a statement of an upstream is malformed and is ignored",
 	Unknown:      "responses have a header field that no adapter interprets; logged once for each name",
 	Era:          "the store was restored from an older copy: its new and previous era, the position and age of the data known before, and the source of the information",
+	Pace:         "the pace that an owner has learned for an upstream from its own requests has become slow (`slow`), from 1.5 times the planned time, or is usual again, below 1.25",
 	Shares:       "a workspace with a weight in the setting `shares` is not in the document in force; logged once for each",
 }
