span: where names late requests that are held back after a loss

Cause: a queued late request was explained as no-room although engines had free slots that it may not take. Result: TestHeldBackRequestIsExplained and the tests of explanations and copies pass.

--- a/lib/decide/span/recovery_test.go
+++ b/lib/decide/span/recovery_test.go
@@ -306,3 +306,20 @@
 		require.Equal(t, recoverer{}, off.recovery)
 	}
 }
+
+// Late requests are limited from the first one on, before the demand is known, and `snipeshift where` must not
+// say that engines with free slots have no room.
+func TestHeldBackRequestIsExplained(t *testing.T) {
+	b := newTestPool(t, 4)
+	b.SetRecovery(true)
+	b.MarkUnverified()
+	for range 40 {
+		a := b.shortAsk(now)
+		a.Aim = now - 100
+		b.Ask(now, a)
+	}
+	require.Len(t, b.Tick(now), 3)
+	e, ok := b.Copy().ExplainQueued(now, b.QueuedIDs(now, 1)[0])
+	require.True(t, ok)
+	require.Equal(t, HeldBack, e.Reason)
+}
