--- a/lib/decide/blame/judge.go
+++ b/lib/decide/blame/judge.go
@@ -55,7 +55,7 @@
 		t.clear(now, p, Lapsed)
 		return Judgment{}
 	}
-	blamed := len(s.crashes) >= s.crashesNeeded() && t.unexplained(s, parts) >= crashesOfItsOwn
+	blamed := len(s.crashes) >= s.crashesNeeded() && t.unexplained(s, parts) >= unexplainedToBlame
 	if blamed {
 		s.seenAt = now
 	}
--- a/lib/decide/blame/part.go
+++ b/lib/decide/blame/part.go
@@ -45,9 +45,9 @@
 	// crashesToBlame is the number of crashes from which a part is blamed, crashesToBlameFamiliar that of a part that
 	// was answered shortly before.
 	crashesToBlame, crashesToBlameFamiliar = 3, 4
-	// crashesOfItsOwn is the number of crashes that no other part explains from which a part is blamed: upstreams also crash
-	// by themselves, and one such crash under a sound part is a coincidence.
-	crashesOfItsOwn = 2
+	// unexplainedToBlame is how many of its crashes must have no other explanation before a part is blamed. Upstreams also
+	// crash by themselves, so one such crash under a sound part is a coincidence.
+	unexplainedToBlame = 2
 	// maxCrashes is the number of crashes from which no trial of a blamed part is allowed.
 	maxCrashes = 5
 	// firstTrialPause is the time from the crash that settled the blame to a trial. It grows by trialPauseFactor with each
--- a/lib/decide/share/reserve.go
+++ b/lib/decide/share/reserve.go
@@ -12,11 +12,11 @@
 // free only when its request ends, which takes longer than a request in time can wait.
 
 const (
-	// demandWindow is the time in milliseconds over which arrivals and freed slots are counted. Shares
-	// are returned within a second, so the demand of workspaces that become active again counts by then.
+	// demandWindow is the time in milliseconds over which arrivals and freed slots are counted: the time
+	// within which a workspace that becomes active again must get its share.
 	demandWindow = 1000.0
 	// reserveDeviations is the number of standard deviations that the reserve covers: arrivals exceed
-	// it in 1 of 50 cases. Callers accept 1 late request in 20. The rest is left for the free slots of
+	// it in 1 of 50 cases. The goal is at most 1 late request in 20; the difference is for free slots on
 	// engines that are busy with another prefill.
 	reserveDeviations = 2.05
 	// excessDeviations is by how many standard deviations of its use a workspace must exceed its share
