span: the property test of explanations covers placement by domain

Cause: a part whose decisions an explanation does not repeat, or that it changes, would go unnoticed.

Change: the twins of TestExplanationIsNextDecisionAndChangesNothing have domains and may have locality.

Result: passes with 3,000 checks.

--- a/lib/decide/span/explain_test.go
+++ b/lib/decide/span/explain_test.go
@@ -30,7 +30,7 @@
 func newTwins(engines int, e *route.Engine) *twins {
 	w := &twins{}
 	for i := range engines {
-		w.upstreams = append(w.upstreams, route.Upstream{ID: decide.UpstreamID(fmt.Sprint("e", i)), Slots: engine.Slots, Cold: clock.Milli(i * 300)})
+		w.upstreams = append(w.upstreams, route.Upstream{ID: decide.UpstreamID(fmt.Sprint("e", i)), Slots: engine.Slots, Cold: clock.Milli(i * 300), Domain: domains[i%2]})
 	}
 	w.explaining = New(DefaultRules, gate.NewBudget(0.2, 3, 10*clock.Second))
 	w.other = New(DefaultRules, gate.NewBudget(0.2, 3, 10*clock.Second))
@@ -70,11 +70,12 @@
 		if rapid.Bool().Draw(t, "plain") {
 			e = nil
 		}
-		forecasts := rapid.Bool().Draw(t, "forecasts")
+		forecasts, local := rapid.Bool().Draw(t, "forecasts"), rapid.Bool().Draw(t, "local")
 		shares, horizon := rapid.Bool().Draw(t, "shares"), clock.Milli(rapid.SampledFrom([]int{0, 4000}).Draw(t, "horizon"))
 		w := newTwins(rapid.IntRange(1, 5).Draw(t, "engines"), e)
 		w.both(func(p *Pool) { p.SetShares(share.Settings{Enabled: shares}) })
 		w.both(func(p *Pool) { p.SetForecast(forecasts) })
+		w.both(func(p *Pool) { p.SetLocality(local) })
 		w.both(func(p *Pool) { p.SetBookings(booking.Limits{Horizon: horizon, Most: 16}) })
 		at := now
 		for i := range rapid.IntRange(1, 60).Draw(t, "steps") {
@@ -111,7 +112,8 @@
 		Prompt: decide.Tokens(rapid.SampledFrom([]int{1000, 5000, 90_000, 400_000}).Draw(t, "prompt")), Output: 500,
 		Urgency: decide.Urgency(rapid.IntRange(0, 2).Draw(t, "urgency")), Again: rapid.Bool().Draw(t, "again"),
 		Fingerprint: uint64(rapid.IntRange(0, 4).Draw(t, "fingerprint")), Workspace: decide.WorkspaceID(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "workspace")),
-		Aim: at + clock.Milli(rapid.IntRange(50, 3000).Draw(t, "aim")), Gap: 200, Stream: true,
+		Domain: rapid.SampledFrom([]route.Domain{"", "a", "b"}).Draw(t, "domain"),
+		Aim:    at + clock.Milli(rapid.IntRange(50, 3000).Draw(t, "aim")), Gap: 200, Stream: true,
 	}
 	a.Deadline = a.Aim + clock.Milli(rapid.IntRange(100, 6000).Draw(t, "deadline"))
 	if rapid.Bool().Draw(t, "part") {
