forecast: keep the expected ends of grants as counts per interval

A full engine is passed over before the costlier checks when a short request is placed; the decision is the same.

--- a/lib/decide/forecast/forecast_test.go
+++ b/lib/decide/forecast/forecast_test.go
@@ -11,6 +11,7 @@
 // The wait is that until enough work in progress has ended, also after places were used again.
 func TestWaitFollowsTheEndsOfWorkInProgress(t *testing.T) {
 	var s Supply
+	s.Begin(0)
 	s.AddPlaces(1000, 2)
 	s.AddPlaces(3000, 1)
 	var c Curve
--- a/lib/decide/forecast/supply.go
+++ b/lib/decide/forecast/supply.go
@@ -9,7 +9,10 @@
 // was served before.
 package forecast
 
-import "sort"
+import (
+	"math"
+	"sort"
+)
 
 const (
 	// Interval is the length in milliseconds of the intervals into which a forecast is divided. It
@@ -22,48 +25,56 @@
 	Horizon = Interval * intervals
 )
 
-// Supply is the capacity that becomes available in each interval from now on.
+// Supply is the capacity that becomes available in each interval from now on. The first interval
+// contains the present time.
 type Supply struct {
+	// start is the number of the first interval, and offset the present time within it.
+	start  int64
+	offset float64
 	// places are held by a request for some time, and are available again after that. units are used
 	// up.
 	places, units [intervals]float64
 }
 
-// Reset removes all capacity.
-func (s *Supply) Reset() { *s = Supply{} }
+// Begin removes all capacity, and sets the present time of the caller's clock in milliseconds.
+func (s *Supply) Begin(now float64) {
+	start := math.Floor(now / Interval)
+	*s = Supply{start: int64(start), offset: now - start*Interval}
+}
 
 // AddPlaces adds places that are available from an instant on, in milliseconds from now.
 func (s *Supply) AddPlaces(at, n float64) {
-	if i, ok := index(at); ok {
+	if i, ok := s.index(at); ok && n > 0 {
 		s.places[i] += n
 	}
 }
 
 // AddUnits adds units that are available from an instant on.
 func (s *Supply) AddUnits(at, n float64) {
-	if i, ok := index(at); ok {
+	if i, ok := s.index(at); ok {
 		s.units[i] += n
 	}
 }
 
 // AddRate adds units that become available at a rate per millisecond from an instant on.
 func (s *Supply) AddRate(from, rate float64) {
-	first, ok := index(from)
+	first, ok := s.index(from)
 	if !ok {
 		return
 	}
-	s.units[first] += rate * (Interval*float64(first+1) - max(from, 0))
+	s.units[first] += rate * (Interval*float64(first+1) - max(from, 0) - s.offset)
 	for i := first + 1; i < intervals; i++ {
 		s.units[i] += rate * Interval
 	}
 }
 
 // index returns the interval of an instant; false if it is after the horizon.
-func index(at float64) (int, bool) {
+func (s *Supply) index(at float64) (int, bool) {
+	at = max(at, 0) + s.offset
 	if at >= Horizon {
 		return 0, false
 	}
-	return int(max(at, 0) / Interval), true
+	return int(at / Interval), true
 }
 
 // Contention describes who else uses the capacity.
@@ -83,21 +94,30 @@
 	// first is the capacity for requests that go before all arriving ones, behind that for requests
 	// that go behind them. Element i is the capacity up to the end of interval i.
 	first, behind [intervals]float64
+	// offset is the time of the computation within the first interval.
+	offset float64
 }
 
 // Compute derives the curve from the supply. All places are assumed to be taken as soon as they are
 // available, since it is asked only for requests that wait.
 func (c *Curve) Compute(s *Supply, o Contention) {
 	places := s.places
+	c.offset = s.offset
 	again := max(1, int(o.ServiceTime/Interval+0.5))
+	arriving, mostWaiting := o.Rate*Interval, o.Rate*max(o.Precedence, Interval)
 	first, behind, waiting := 0.0, 0.0, 0.0
 	for i := range intervals {
 		n := places[i] + s.units[i]
 		if o.ServiceTime > 0 && i+again < intervals {
 			places[i+again] += places[i]
 		}
-		waiting = min(waiting+o.Rate*Interval, o.Rate*max(o.Precedence, Interval))
-		taken := min(waiting, n*(1-o.LeastShare))
+		if waiting += arriving; waiting > mostWaiting {
+			waiting = mostWaiting
+		}
+		taken := n * (1 - o.LeastShare)
+		if taken > waiting {
+			taken = waiting
+		}
 		waiting -= taken
 		first += n
 		behind += n - taken
@@ -107,14 +127,14 @@
 
 // WaitFirst returns the time in milliseconds after which this many units have become available to
 // requests that go before all arriving ones; false if that is after the horizon.
-func (c *Curve) WaitFirst(n float64) (float64, bool) { return wait(&c.first, n) }
+func (c *Curve) WaitFirst(n float64) (float64, bool) { return c.wait(&c.first, n) }
 
 // Wait returns the time in milliseconds after which this many units have become available to
 // requests that go behind arriving ones; false if that is after the horizon.
-func (c *Curve) Wait(n float64) (float64, bool) { return wait(&c.behind, n) }
+func (c *Curve) Wait(n float64) (float64, bool) { return c.wait(&c.behind, n) }
 
 // wait interpolates within the interval in which the capacity reaches n.
-func wait(capacity *[intervals]float64, n float64) (float64, bool) {
+func (c *Curve) wait(capacity *[intervals]float64, n float64) (float64, bool) {
 	i := sort.SearchFloat64s(capacity[:], n)
 	if i == intervals {
 		return Horizon, false
@@ -127,5 +147,5 @@
 	if capacity[i] > before {
 		part = (n - before) / (capacity[i] - before)
 	}
-	return Interval * (float64(i) + part), true
+	return max(0, Interval*(float64(i)+part)-c.offset), true
 }
--- a/lib/decide/span/copy.go
+++ b/lib/decide/span/copy.go
@@ -45,6 +45,7 @@
 	c.upstreams[r] = &x
 	x.declared = c.declaredOf(r.declared)
 	x.recentEnds = slices.Clone(r.recentEnds)
+	x.holders, x.holderEnds = slices.Clone(r.holders), slices.Clone(r.holderEnds)
 	x.grants = mapValues(r.grants, c.grantOf)
 	return &x
 }
--- a/lib/decide/span/engine.go
+++ b/lib/decide/span/engine.go
@@ -4,6 +4,7 @@
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
 	"snipeshift.example/lib/decide/balance"
+	"snipeshift.example/lib/decide/forecast"
 	"snipeshift.example/lib/route"
 )
 
@@ -18,7 +19,12 @@
 	// grants holds every grant that uses the upstream, as leader or helper.
 	grants map[decide.RequestID]*grantState
 	totals
-	health health
+	// holders are the requests that hold places here, holderEnds the intervals in which the forecast
+	// expects their ends, estimated with these corrections. All are empty while it is off.
+	holders     []decide.RequestID
+	holderEnds  []forecast.End
+	corrections corrections
+	health      health
 	// external is the number of requests in the upstream's last report that no grant of this owner
 	// accounts for, and externalUsed is the KV memory in tokens that they use.
 	external     int
--- a/lib/decide/span/external.go
+++ b/lib/decide/span/external.go
@@ -117,12 +117,14 @@
 		return
 	}
 	if r.newIncarnation(l.Born) {
+		p.clearHolders(r)
 		r.restart(l.Born)
 		p.beginWarmUp(now, r, now+p.warmUpTime)
 	}
 	r.noteReport(now, l.Requests)
 	inQuestion := r.unverified || r.external > 0 || r.reportWanted
-	r.unverified, r.reportWanted, r.pace = false, false, max(1, l.Pace)
+	r.unverified, r.reportWanted = false, false
+	p.setPace(r, max(1, l.Pace))
 	if !inQuestion {
 		// The upstream was polled for its pace only, and its load is not in question.
 		return
--- a/lib/decide/span/forecast.go
+++ b/lib/decide/span/forecast.go
@@ -29,6 +29,8 @@
 	// knownServiceTime and boundedServiceTime correct the estimated times for which requests hold their
 	// places, for requests whose likely output is known and for those of which only its bound is.
 	knownServiceTime, boundedServiceTime forecast.Ratio
+	// ends counts the grants that hold places by their expected ends.
+	ends forecast.Ends
 	// shortServiceTime is the average time for which the arriving short requests will hold their places.
 	shortServiceTime forecast.Ratio
 	// short and long are the capacities for short requests and for long prompts, computed at the
@@ -76,6 +78,10 @@
 func (p *Pool) SetForecast(on bool) {
 	if p.forecast.on != on {
 		p.forecast = forecaster{on: on}
+		for _, r := range p.upstreams {
+			r.holders, r.holderEnds = nil, nil
+			p.listHolders(r)
+		}
 	}
 }
 
@@ -109,7 +115,8 @@
 	if !f.on || o != Done || g.presented || len(g.upstreams) == 0 || g.upstreams[0].engine == nil {
 		return
 	}
-	f.serviceTimeRatio(&g.ask).Note(float64(now-g.grantedAt), g.plannedServiceTime(g.upstreams[0]))
+	r := g.upstreams[0]
+	f.serviceTimeRatio(&g.ask).Note(float64(now-g.grantedAt), g.plannedServiceTime(r, max(r.pace, 1)))
 }
 
 // serviceTimeRatio returns the correction for the planned service time of a request.
@@ -128,16 +135,6 @@
 	return a.Output
 }
 
-// plannedServiceTime returns the time in milliseconds for which a grant holds its place by the engine
-// data.
-func (g *grantState) plannedServiceTime(r *upstreamState) float64 {
-	tokens := g.ask.outputTokens()
-	if tokens == 0 {
-		tokens = g.Grant.Output // another owner made the grant
-	}
-	return float64(g.Grant.First) + max(r.pace, 1)*r.engine.DecodeTime(tokens, g.Grant.Prompt)
-}
-
 // beginRound resets the counts of one scan of the queue.
 func (f *forecaster) beginRound() {
 	f.first, f.longInTime, f.longLate = 0, 0, 0
@@ -269,8 +266,15 @@
 	}
 	f.at, f.valid = now, true
 	var short, long forecast.Supply
+	short.Begin(float64(now))
+	long.Begin(float64(now))
+	short.AddEnds(&f.ends)
 	for _, r := range p.packOrder {
-		if r.engine == nil || r.draining() {
+		if r.engine == nil {
+			continue
+		}
+		if r.draining() {
+			short.PostponeEnds(r.holderEnds, forecast.Horizon)
 			continue
 		}
 		p.addPlaces(now, r, &short)
@@ -278,12 +282,18 @@
 			long.AddRate(r.usableFrom(now)+r.backlog(now), 1/max(r.pace, 1))
 		}
 	}
-	f.short.Compute(&short, forecast.Contention{
-		ServiceTime: f.shortServiceTime.Apply(1), Rate: f.shortDemand.Rate(now), Precedence: f.shortAim.Apply(1), LeastShare: minHeadroom,
-	})
+	f.short.Compute(&short, p.shortContention(now))
 	f.long.Compute(&long, forecast.Contention{Rate: f.longDemand.Rate(now), Precedence: f.longAim.Apply(1), LeastShare: minHeadroom})
 }
 
+// shortContention describes the arriving short requests.
+func (p *Pool) shortContention(now clock.Milli) forecast.Contention {
+	f := &p.forecast
+	return forecast.Contention{
+		ServiceTime: f.shortServiceTime.Apply(1), Rate: f.shortDemand.Rate(now), Precedence: f.shortAim.Apply(1), LeastShare: minHeadroom,
+	}
+}
+
 // usableFrom returns the time in milliseconds until an upstream accepts requests, apart from its
 // load.
 func (r *upstreamState) usableFrom(now clock.Milli) float64 {
@@ -314,6 +324,7 @@
 	if l := r.limiter(now); l != nil {
 		perMilli := float64(l.Rate(now)) / float64(clock.Second)
 		if perMilli*serviceTime < float64(r.engine.Slots) {
+			s.PostponeEnds(r.holderEnds, forecast.Horizon)
 			s.AddUnits(from, max(0, l.Level(now)))
 			s.AddRate(from, perMilli)
 			return
@@ -321,20 +332,21 @@
 	}
 	free := float64(r.engine.Slots - r.streams - r.external)
 	free = min(free, float64(r.freeMemory())/max(f.tokens.Apply(1), 1))
-	s.AddPlaces(max(from, r.backlog(now)), max(0, free))
-	s.AddPlaces(max(from, serviceTime), float64(r.external))
-	for _, g := range r.grants {
-		if !g.leads(r) {
-			continue
-		}
-		estimate := f.serviceTimeRatio(&g.ask).Apply(g.plannedServiceTime(r))
-		s.AddPlaces(max(from, forecast.Remaining(estimate, float64(now-g.grantedAt))), 1)
+	if free > 0 {
+		s.AddPlaces(max(from, r.backlog(now)), free)
+	}
+	if r.external > 0 {
+		s.AddPlaces(max(from, serviceTime), float64(r.external))
+	}
+	if from > 0 {
+		s.PostponeEnds(r.holderEnds, from)
 	}
 }
 
 // clone returns a copy that shares nothing with f.
 func (f *forecaster) clone() forecaster {
 	c := *f
+	c.ends = f.ends.Clone()
 	c.late, c.previousLate, c.errors = slices.Clone(f.late), slices.Clone(f.previousLate), slices.Clone(f.errors)
 	return c
 }
--- a/lib/decide/span/forecast_test.go
+++ b/lib/decide/span/forecast_test.go
@@ -148,12 +148,23 @@
 			require.Equal(b, waiting, p.Counts().Queued)
 		})
 	}
-	b.Run("refresh", func(b *testing.B) {
+	// A single arrival behind them, with the computation of the capacities.
+	b.Run("arrival", func(b *testing.B) {
 		p := fullForecastPool(true, 200, waiting)
+		p.scanAt(now + 400)
+		a := p.forecastAsk(0)
+		a.ID, a.Aim = "arrival", now+800
+		p.Ask(now+410, a)
+		o, w := p.newRound(now+410), p.queue["arrival"]
+		require.Len(b, p.forecast.previousLate, waiting)
 		b.ResetTimer()
 		for range b.N {
 			p.forecast.valid = false
-			p.refreshForecast(now)
+			single := o
+			_, decided := single.next(w)
+			if decided || p.forecast.at != now+410 {
+				b.Fatal("the arrival must wait, by a new computation")
+			}
 		}
 	})
 }
@@ -168,7 +179,7 @@
 	}
 	p.SetUpstreams(now, &route.Service{ID: "s", Engine: &engine}, us)
 	for i := range engines*engine.Slots + waiting {
-		_, _ = p.Ask(now, Ask{ID: decide.RequestID(fmt.Sprint(i)), Gate: "g", Prompt: decide.Tokens(2000 + i%100*50), Output: 1600, Aim: now + 300, Deadline: now + 1e9, Gap: 200})
+		_, _ = p.Ask(now, p.forecastAsk(i))
 		if i < engines*engine.Slots {
 			for _, d := range p.Tick(now) {
 				p.First(now, d.Request)
@@ -178,6 +189,14 @@
 	return p
 }
 
+// forecastAsk returns one of the requests of a full pool. Their expected ends are in 200 intervals.
+func (p *Pool) forecastAsk(i int) Ask {
+	return Ask{
+		ID: decide.RequestID(fmt.Sprint(i)), Gate: "g", Prompt: decide.Tokens(2000 + i%100*50), Output: decide.Tokens(1600 + i%400*20),
+		Aim: now + 300, Deadline: now + 1e9, Gap: 200,
+	}
+}
+
 // scanAt scans the queue after all gates have presented their grants and requests again.
 func (p *Pool) scanAt(at clock.Milli) {
 	for _, w := range p.queue {
--- a/lib/decide/span/place.go
+++ b/lib/decide/span/place.go
@@ -125,6 +125,10 @@
 // fitsShort reports whether a short request fits on r, and the expected time in milliseconds to its
 // first byte.
 func (p *Pool) fitsShort(now clock.Milli, a *Ask, r *upstreamState, prefillTime float64, maxStreams int) (float64, bool) {
+	// Under overload most engines are full, and this check costs less than those before it in tryShort.
+	if r.engine != nil && r.streams+r.external >= min(maxStreams, r.engine.Slots) {
+		return 0, false
+	}
 	first, o := p.tryShort(now, a, r, prefillTime, maxStreams)
 	return first, o == none
 }
--- a/lib/decide/span/pool.go
+++ b/lib/decide/span/pool.go
@@ -90,6 +90,7 @@
 		}
 		switch {
 		case r.newIncarnation(u.Born):
+			p.clearHolders(r)
 			r.restart(u.Born)
 			p.beginWarmUp(now, r, now+p.warmUpTime)
 		case r.pastIncarnation(u.Born):
@@ -98,6 +99,7 @@
 		}
 		p.noteEntry(now, r, &u)
 		r.Upstream, r.engine = u, p.engine
+		p.listHolders(r) // the engine data may have changed
 	}
 	for id, r := range p.upstreams {
 		if !seen[id] {
@@ -299,6 +301,7 @@
 			prefill = 0
 		}
 		r.addGrant(now, g, prefill)
+		p.addHolder(r, g)
 		g.upstreams = append(g.upstreams, r)
 	}
 	return g
@@ -314,6 +317,7 @@
 	p.parts.Ended(now, run(id))
 	for _, r := range g.upstreams {
 		delete(r.grants, id)
+		p.removeHolder(r, id)
 		r.noteEnded(now)
 		r.update(now)
 	}
--- a/lib/decide/span/snapshot.go
+++ b/lib/decide/span/snapshot.go
@@ -112,6 +112,10 @@
 			g = p.addGrant(now, l.Live, Ask{ID: l.Live.Grant.Request, Gate: l.Live.Grant.Gate, Workspace: l.Workspace, Suspect: l.Suspect, Parts: l.Parts})
 		}
 		g.grantedAt, g.namedAt = now-l.Age, now-l.Unheard
+		for _, r := range g.upstreams {
+			p.removeHolder(r, l.Live.Grant.Request)
+			p.addHolder(r, g)
+		}
 	}
 	for _, c := range b.Upstreams {
 		r := p.upstreams[c.Upstream]
@@ -134,7 +138,8 @@
 		if c.Helps > 0 {
 			r.health.helpsFrom = now + c.Helps
 		}
-		r.external, r.externalUsed, r.pace = c.Foreign, c.ForeignUsed, c.Pace
+		r.external, r.externalUsed = c.Foreign, c.ForeignUsed
+		p.setPace(r, c.Pace)
 		r.unverified, r.reportWanted = c.Doubtful, c.Suspected
 	}
 	p.budget.Restore(now, b.Budget)
