forecast: count interleaved prefill and lulls; look 15 s ahead

Cause: engines with short streams counted nothing for long prompts, though parts are interleaved there, and late short requests were taken to get a tenth of the capacity at most, so requests that would be served were refused. Clients of very long prompts wait 12 s, and were refused only after 2 s. Change: engines with short streams supply what interleaving leaves of a pass; the share of lulls is added for late short requests; the horizon is 15 s. Rates are added to the capacities in one step instead of one per interval.

--- a/lib/decide/forecast/supply.go
+++ b/lib/decide/forecast/supply.go
@@ -18,9 +18,10 @@
 	// Interval is the length in milliseconds of the intervals into which a forecast is divided. It
 	// is about the length of a pass of an engine, before which no place becomes available.
 	Interval = 50.0
-	// intervals is the number of intervals. Together they are the horizon, 10 s: requests with a
-	// deadline after that are not refused because of their wait.
-	intervals = 200
+	// intervals is the number of intervals. Together they are the horizon, 15 s: requests with a
+	// deadline after that are not refused because of their wait. Clients of very long prompts wait
+	// for 12 s; with a shorter horizon they are refused only after they have waited for the rest.
+	intervals = 300
 	// Horizon is the time in milliseconds up to which waits are estimated.
 	Horizon = Interval * intervals
 )
@@ -34,6 +35,8 @@
 	// places are held by a request for some time, and are available again after that. units are used
 	// up.
 	places, units [intervals]float64
+	// rising is the increase of the units per interval from each interval on.
+	rising [intervals + 1]float64
 }
 
 // Begin removes all capacity, and sets the present time of the caller's clock in milliseconds.
@@ -63,9 +66,7 @@
 		return
 	}
 	s.units[first] += rate * (Interval*float64(first+1) - max(from, 0) - s.offset)
-	for i := first + 1; i < intervals; i++ {
-		s.units[i] += rate * Interval
-	}
+	s.rising[first+1] += rate * Interval
 }
 
 // index returns the interval of an instant; false if it is after the horizon.
@@ -89,6 +90,15 @@
 	LeastShare float64
 }
 
+// LullShare returns the share of the capacity that waiting requests get in lulls while arriving requests
+// that go first need all of it on average. Both the arrivals and the ends of requests are taken to
+// vary as in a Poisson process. n is the number of arrivals while one of them goes first: what the
+// capacity is short of in that time is made up for later by them.
+func LullShare(n float64) float64 {
+	// The mean of the positive part of a normal variable is its standard deviation times 0.4.
+	return min(0.4*math.Sqrt(2/max(n, 1)), 0.5)
+}
+
 // Curve is the cumulative capacity over time.
 type Curve struct {
 	// first is the capacity for requests that go before all arriving ones, behind that for requests
@@ -105,9 +115,10 @@
 	c.offset = s.offset
 	again := max(1, int(o.ServiceTime/Interval+0.5))
 	arriving, mostWaiting := o.Rate*Interval, o.Rate*max(o.Precedence, Interval)
-	first, behind, waiting := 0.0, 0.0, 0.0
+	first, behind, waiting, steady := 0.0, 0.0, 0.0, 0.0
 	for i := range intervals {
-		n := places[i] + s.units[i]
+		steady += s.rising[i]
+		n := places[i] + s.units[i] + steady
 		if o.ServiceTime > 0 && i+again < intervals {
 			places[i+again] += places[i]
 		}
--- a/lib/decide/span/forecast.go
+++ b/lib/decide/span/forecast.go
@@ -278,9 +278,7 @@
 			continue
 		}
 		p.addPlaces(now, r, &short)
-		if !r.hasShortStreams() {
-			long.AddRate(r.usableFrom(now)+r.backlog(now), 1/max(r.pace, 1))
-		}
+		long.AddRate(r.usableFrom(now)+r.backlog(now), p.prefillShare(r)/max(r.pace, 1))
 	}
 	f.short.Compute(&short, p.shortContention(now))
 	f.long.Compute(&long, forecast.Contention{Rate: f.longDemand.Rate(now), Precedence: f.longAim.Apply(1), LeastShare: minHeadroom})
@@ -289,9 +287,23 @@
 // shortContention describes the arriving short requests.
 func (p *Pool) shortContention(now clock.Milli) forecast.Contention {
 	f := &p.forecast
+	rate, aim := f.shortDemand.Rate(now), f.shortAim.Apply(1)
 	return forecast.Contention{
-		ServiceTime: f.shortServiceTime.Apply(1), Rate: f.shortDemand.Rate(now), Precedence: f.shortAim.Apply(1), LeastShare: minHeadroom,
+		ServiceTime: f.shortServiceTime.Apply(1), Rate: rate, Precedence: aim, LeastShare: minHeadroom + forecast.LullShare(rate*aim),
+	}
+}
+
+// prefillShare returns the share of an engine's time that long prompts can have: all of it without
+// short streams, and otherwise what placeInterleaved leaves them of each pass.
+func (p *Pool) prefillShare(r *upstreamState) float64 {
+	switch {
+	case !r.hasShortStreams():
+		return 1
+	case r.external > 0:
+		return 0 // nothing is interleaved with streams whose pauses are unknown
 	}
+	longest := p.rules.InterleavedFraction * float64(r.pause)
+	return max(0, 1-r.pass(r.streams, r.context)/longest)
 }
 
 // usableFrom returns the time in milliseconds until an upstream accepts requests, apart from its
