forecast: fewer divisions for full engines

Cause: a computation divided the free memory of engines without a free slot. Change: it is read only where a slot is free.

--- a/lib/decide/forecast/supply.go
+++ b/lib/decide/forecast/supply.go
@@ -75,7 +75,7 @@
 	if at >= Horizon {
 		return 0, false
 	}
-	return int(at / Interval), true
+	return int(at * (1 / Interval)), true
 }
 
 // Contention describes who else uses the capacity.
--- a/lib/decide/span/forecast.go
+++ b/lib/decide/span/forecast.go
@@ -343,7 +343,9 @@
 		}
 	}
 	free := float64(r.engine.Slots - r.streams - r.external)
-	free = min(free, float64(r.freeMemory())/max(f.tokens.Apply(1), 1))
+	if free > 0 {
+		free = min(free, float64(r.freeMemory())/max(f.tokens.Apply(1), 1))
+	}
 	if free > 0 {
 		s.AddPlaces(max(from, r.backlog(now)), free)
 	}
