--- a/lib/decide/span/pool.go
+++ b/lib/decide/span/pool.go
@@ -92,6 +92,7 @@
 		}
 		switch {
 		case r.newIncarnation(u.Born):
+			p.clearHolders(r)
 			r.restart(u.Born)
 			p.beginWarmUp(now, r, now+p.warmUpTime)
 		case r.pastIncarnation(u.Born):
@@ -100,6 +101,7 @@
 		}
 		p.noteEntry(now, r, &u)
 		r.Upstream, r.engine = u, p.engine
+		p.listHolders(r) // the engine data may have changed
 	}
 	for id, r := range p.upstreams {
 		if !seen[id] {
@@ -243,6 +245,7 @@
 	if o.lossOutcome() {
 		p.noteLost(now)
 	}
+	p.noteHeld(now, g, o)
 	if culprit == "" {
 		culprit = g.Grant.Leader.Upstream
 	}
@@ -309,6 +312,7 @@
 			prefill = 0
 		}
 		r.addGrant(now, g, prefill)
+		p.addHolder(r, g)
 		g.upstreams = append(g.upstreams, r)
 	}
 	return g
@@ -325,6 +329,7 @@
 	p.parts.Ended(now, run(id))
 	for _, r := range g.upstreams {
 		delete(r.grants, id)
+		p.removeHolder(r, id)
 		r.noteEnded(now)
 		r.update(now)
 	}
