--- a/bench/fleet.go
+++ b/bench/fleet.go
@@ -33,6 +33,7 @@
 			&cli.IntSliceFlag{Name: "deciders", Usage: "simulate instead the choice of upstreams by these numbers of deciders that do not know of each other's requests"},
 			&cli.IntSliceFlag{Name: "ages", Value: []int{50, 500, 2000}, Usage: "mean ages of reports in milliseconds, with --deciders"},
 			&cli.StringFlag{Name: "case", Usage: "only this kind of load, with --deciders: steady, unequal, burst, false, stopped, changing or low"},
+			&cli.IntFlag{Name: "shares", Usage: "simulate instead an overloaded owner of this many engines, with and without shares of workspaces; --vms are gates then"},
 			&cli.BoolFlag{Name: "json", Usage: "print JSON in place of a table"},
 		},
 		Action: func(_ context.Context, c *cli.Command) error {
@@ -42,6 +43,9 @@
 			if cut := c.Float("partitioned"); cut > 0 {
 				return simulatePaths(c, cut)
 			}
+			if n := c.Int("shares"); n > 0 {
+				return simulateShares(c, n)
+			}
 			if n := c.Int("bad-parts"); n > 0 {
 				return simulateParts(c, n)
 			}
