span: a slot limit is not read from an upstream without an engine

An upstream that left the list while its service was a plain one has no engine. The limit of a recovery was read before the check that excludes such an upstream.

--- a/lib/decide/span/recovery.go
+++ b/lib/decide/span/recovery.go
@@ -178,6 +178,9 @@
 // requests although its load is unverified. An isolated owner uses few engines in any case.
 func (p *Pool) slotLimit(now clock.Milli, r *upstreamState) (slots int, slowStart bool) {
 	c := &p.recovery.state
+	if r.engine == nil {
+		return 0, false // it left the list while the service was a plain one, and gets no requests
+	}
 	if !c.Active() || !p.recovery.slowStart || p.isolation.on || r.reportedAt >= c.Began() {
 		return r.engine.Slots, false
 	}
