recovery, locality, span: mend what a reader of the whole diff found

Names (NormalPace, SavedPace, lateGrants, LateLimited, EndIfComplete), comments that lacked a reason, and log lines that said the same at the beginning and the end. Two changes of behavior, both with a setting on: an engine with work of other owners gets no trial of its pace, since the first byte would show nothing and trials would follow each other; and a learned pace of full engines is not restored where locality is off. The log line of a slow upstream names its worst learned pace. The soak of the optional parts has locality on.

--- a/daemon/insight/recovery.go
+++ b/daemon/insight/recovery.go
@@ -7,7 +7,7 @@
 	vm "github.com/VictoriaMetrics/metrics"
 )
 
-// recoveryMetrics writes the recoveries of the services that this VM owns.
+// recoveryMetrics writes the recoveries of the services for which this VM has a pool.
 func (p *Page) recoveryMetrics(w io.Writer) {
 	for _, r := range p.Owner.ListRecoveries() {
 		active := uint64(0)
--- a/daemon/placer/locality.go
+++ b/daemon/placer/locality.go
@@ -77,7 +77,11 @@
 	ratios, changes := p.pool.TakePaces()
 	p.paceRatios.add(ratios)
 	for _, c := range changes {
+		message := "upstream is slow by its learned pace"
+		if !c.Slow {
+			message = "upstream is no longer slow by its learned pace"
+		}
 		o.Log.Info().Str(logline.Key, logline.Pace).Str("service", string(s)).Str("upstream", string(c.Upstream)).Bool("slow", c.Slow).Float64("pace", c.Pace).
-			Msg("learned pace of an upstream")
+			Msg(message)
 	}
 }
--- a/daemon/placer/recovery.go
+++ b/daemon/placer/recovery.go
@@ -52,7 +52,11 @@
 		return
 	}
 	p.loggedRecovery = status
+	message := "recovery after a loss began: late requests are limited"
+	if !status.Active {
+		message = "recovery after a loss ended"
+	}
 	o.Log.Info().Str(logline.Key, logline.Recovery).Str("service", string(s)).Bool("on", status.Active).
 		Uint64("placed", status.Counts.Placed-before.Counts.Placed).Uint64("refused", status.Counts.Refused-before.Counts.Refused).
-		Int("queued", p.pool.Counts().Queued).Msg("late requests are limited after a loss")
+		Int("queued", p.pool.Counts().Queued).Msg(message)
 }
--- a/daemon/settings/relay.go
+++ b/daemon/settings/relay.go
@@ -47,7 +47,8 @@
 	Bookings Bookings `json:"bookings"`
 	// Forecast sets how owners estimate waits.
 	Forecast Forecast `json:"forecast"`
-	// Locality sets whether owners place requests in the failure domain of their gate.
+	// Locality sets whether owners place requests in the failure domain of their gate, and learn the pace of
+	// engines.
 	Locality Locality `json:"locality"`
 	// Recovery sets how owners serve the clients that return after a loss of VMs.
 	Recovery Recovery `json:"recovery"`
--- a/lib/decide/locality/locality_test.go
+++ b/lib/decide/locality/locality_test.go
@@ -66,7 +66,7 @@
 		p.Observe(now, Usual, p.Factor(Usual), 1/p.Factor(Usual))
 	}
 	p.Report(41, 3)
-	require.Less(t, p.Factor(Usual), FastPace)
+	require.Less(t, p.Factor(Usual), NormalPace)
 	p.Report(42, 5)
 	require.Equal(t, 5.0, p.Factor(Usual))
 	p.Report(42+staleAfter+1, 1)
--- a/lib/decide/locality/pace.go
+++ b/lib/decide/locality/pace.go
@@ -9,9 +9,9 @@
 const (
 	// SlowPace is the pace from which on an upstream counts as slow.
 	SlowPace = 1.5
-	// FastPace is the pace below which an upstream no longer counts as slow. The difference keeps an
-	// upstream near one of the two from changing all the time.
-	FastPace = 1.25
+	// NormalPace is the pace below which Slow no longer reports an upstream as slow. The difference keeps an
+	// upstream near one of the two from being logged again and again.
+	NormalPace = 1.25
 	// paceWeight is the weight of one request in the moving average, and maxStep the multiple of the
 	// average up to which its pace counts. One first byte that is late for another reason leaves an
 	// average of 1 below SlowPace; an upstream at half speed passes it within six.
@@ -57,7 +57,7 @@
 	averages [bands]average
 	// reported is the last pace that the upstream reported; zero for none.
 	reported float64
-	// slow is set from SlowPace until FastPace.
+	// slow is set from SlowPace until NormalPace.
 	slow bool
 	// pause is the time until the next trial after the last request.
 	pause clock.Milli
@@ -85,11 +85,11 @@
 	before, waited := p.Factor(b), now-p.averages[b].at
 	seen := min(max(planned*ratio, 1), maxStep*before)
 	switch {
-	case seen < FastPace:
+	case seen < NormalPace: // no trial is needed
 		p.pause = 0
-	case before >= SlowPace && p.averages[b].known && waited >= p.pause && p.pause > 0:
+	case before >= SlowPace && p.averages[b].known && waited >= p.pause && p.pause > 0: // a trial showed no change
 		p.pause = min(2*p.pause, maxTrial)
-	default:
+	default: // a first slow response, or one of a request that was granted before the trial
 		p.pause = max(p.pause, firstTrial)
 	}
 	p.averages[b] = average{pace: before + paceWeight*(seen-before), at: now, known: true}
@@ -98,13 +98,18 @@
 
 // updateSlow compares the averages with the thresholds and reports whether the result has changed.
 func (p *Pace) updateSlow() bool {
+	worst, before := p.Worst(), p.slow
+	p.slow = worst >= SlowPace || p.slow && worst >= NormalPace
+	return p.slow != before
+}
+
+// Worst returns the highest learned pace of all bands.
+func (p *Pace) Worst() float64 {
 	worst := 0.0
 	for _, a := range p.averages {
 		worst = max(worst, a.pace)
 	}
-	before := p.slow
-	p.slow = worst >= SlowPace || p.slow && worst >= FastPace
-	return p.slow != before
+	return worst
 }
 
 // Slow reports whether the upstream has become slow and is not fast again.
@@ -140,9 +145,9 @@
 	return 1 + (pace-1)*math.Exp2(-max(0, math.Floor(pauses)-1)), true
 }
 
-// Saved is what has been learned in the form in which an owner hands it over. Ages are in place of
+// SavedPace is what has been learned in the form in which an owner hands it over. Ages are in place of
 // times, because the clocks of two VMs differ.
-type Saved struct {
+type SavedPace struct {
 	// Paces and Ages have one element for each known band, in the order of Bands.
 	Bands []Band
 	Paces []float64
@@ -154,8 +159,8 @@
 }
 
 // Save returns what has been learned.
-func (p *Pace) Save(now clock.Milli) Saved {
-	s := Saved{Reported: p.reported, Slow: p.slow, Pause: p.pause}
+func (p *Pace) Save(now clock.Milli) SavedPace {
+	s := SavedPace{Reported: p.reported, Slow: p.slow, Pause: p.pause}
 	for b, a := range p.averages {
 		if a.known {
 			s.Bands, s.Paces, s.Ages = append(s.Bands, Band(b)), append(s.Paces, a.pace), append(s.Ages, now-a.at)
@@ -164,8 +169,8 @@
 	return s
 }
 
-// Restore returns what a previous owner has learned.
-func Restore(now clock.Milli, s Saved) Pace {
+// RestorePace returns what a previous owner has learned.
+func RestorePace(now clock.Milli, s SavedPace) Pace {
 	p := Pace{reported: s.Reported, slow: s.Slow, pause: s.Pause}
 	for i, b := range s.Bands {
 		if b < bands && i < len(s.Paces) && i < len(s.Ages) {
--- a/lib/decide/recovery/recovery.go
+++ b/lib/decide/recovery/recovery.go
@@ -27,21 +27,22 @@
 	slowStartTime = 2 * clock.Second
 	// minElapsed is the least time from which the number of returning clients is extrapolated.
 	minElapsed clock.Milli = 50
-	// leastShare is the share of the slots that late requests may hold under any demand, so that
+	// minShare is the share of the slots that late requests may hold under any demand, so that
 	// they are not starved.
-	leastShare = 0.05
+	minShare = 0.05
 	// margin is the share of the demand that is kept free in addition, because arrivals and ends
 	// fluctuate.
 	margin = 0.05
 	// minRetry and maxRetry bound the time after which a refused client is told to retry.
 	minRetry clock.Milli = 500
 	maxRetry             = 4 * clock.Second
-	// retryShare is the share of its remaining time that a client waits before a retry at most.
+	// retryShare is the share of its remaining time that a client waits before a retry at most. A client with
+	// less than three times minRetry left is told minRetry all the same, and does not retry.
 	retryShare = 1.0 / 3
 	// deliveryTime is the time in which a refusal reaches its client.
 	deliveryTime clock.Milli = 20
-	// minLost is the least number of grants that end by failures and count as a loss. Fewer end
-	// together when a single upstream fails.
+	// minLost is the least number of grants that end by failures and count as a loss. On a pool with few
+	// grants, most of them may end together by chance.
 	minLost = 8
 	// goldenRatio is the step by which successive retries are spread over an interval. Any number of
 	// successive multiples, without their integer parts, is spread evenly.
@@ -55,7 +56,7 @@
 type State struct {
 	active bool
 	began  clock.Milli
-	// returned counts the late requests that have arrived since, and returnedWork is the sum of their
+	// returned counts the late requests that have arrived since the recovery began, and returnedWork is the sum of their
 	// service times in milliseconds.
 	returned     int
 	returnedWork float64
@@ -101,8 +102,8 @@
 // Counts returns the late requests that were placed and refused.
 func (s *State) Counts() Counts { return s.counts }
 
-// NoteLost counts a grant that ended by a failure while this many grants were live, and reports
-// whether most grants have ended so within ReturnWindow.
+// NoteLost counts a grant that ended by a failure while this many grants were live. It reports whether
+// most of the grants that were live at the first such end have ended so within ReturnWindow of it.
 func (s *State) NoteLost(now clock.Milli, live int) bool {
 	l := &s.losses
 	if l.ended == 0 || now-l.since > ReturnWindow {
@@ -132,10 +133,10 @@
 	return s.demand * math.Exp(-float64(now-s.demandAt)/demandWindow)
 }
 
-// LateLimit returns how many of these slots late requests may hold, while this many are held by
-// others, including gone clients. The remaining slots are those that requests in time will hold by
-// their arrival rate. Until that is known, they are taken to hold as many as before the loss: as many
-// as clients return.
+// LateLimit returns how many of these slots late requests may hold: all but those that requests in
+// time will hold, with a margin. Requests in time hold their arrival rate times their service time. In
+// the first ReturnWindow that rate is not known; the number of clients that return, or of slots that
+// others hold, stands for it, since as many slots were in use before the loss.
 func (s *State) LateLimit(now clock.Milli, slots, othersHeld int) int {
 	elapsed := now - s.began
 	var inTime float64
@@ -145,11 +146,11 @@
 	} else {
 		inTime = s.decayedDemand(now) / (1 - math.Exp(-float64(elapsed)/demandWindow))
 	}
-	return int(max(leastShare*float64(slots), float64(slots)-(1+margin)*inTime))
+	return int(max(minShare*float64(slots), float64(slots)-(1+margin)*inTime))
 }
 
-// Wait returns the time in milliseconds in which a late request is placed behind this many others if
-// late requests may hold limit slots.
+// Wait returns the time in milliseconds until a late request behind this many others is placed, if late
+// requests may hold limit slots.
 func (s *State) Wait(ahead, limit int) float64 {
 	mean := s.returnedWork / float64(max(s.returned, 1))
 	return float64(ahead+1) * mean / float64(max(limit, 1))
@@ -168,9 +169,9 @@
 	return retry
 }
 
-// Observe ends the recovery if it is complete: all loads are verified, no late request waits, and no
+// EndIfComplete ends the recovery if it is complete: all loads are verified, no late request waits, and no
 // client has been told to retry later, or MaxLength has passed.
-func (s *State) Observe(now clock.Milli, unverified, lateWaits bool) {
+func (s *State) EndIfComplete(now clock.Milli, unverified, lateWaits bool) {
 	since := now - s.began
 	if since >= MaxLength || since >= ReturnWindow && !unverified && !lateWaits && now > s.retryUntil {
 		s.active = false
--- a/lib/decide/recovery/recovery_test.go
+++ b/lib/decide/recovery/recovery_test.go
@@ -41,8 +41,8 @@
 		}
 	}
 	require.InDelta(t, 47, s.LateLimit(1000, 100, 0), 3, "50 slots serve 25 requests a second")
-	s.Observe(1000, false, true)
+	s.EndIfComplete(1000, false, true)
 	require.True(t, s.Active(), "a late request waits")
-	s.Observe(MaxLength, true, true)
+	s.EndIfComplete(MaxLength, true, true)
 	require.False(t, s.Active())
 }
--- a/lib/decide/span/copy.go
+++ b/lib/decide/span/copy.go
@@ -14,7 +14,7 @@
 	q.budget, q.parts, q.shares = p.budget.Clone(), p.parts.Clone(), p.shares.Clone()
 	q.bookings.table, q.bookings.continued = p.bookings.table.Clone(), maps.Clone(p.bookings.continued)
 	q.forecast = p.forecast.clone()
-	q.recovery.held = maps.Clone(p.recovery.held)
+	q.recovery.lateGrants = maps.Clone(p.recovery.lateGrants)
 	q.finished = maps.Clone(p.finished)
 	q.queue = make(map[decide.RequestID]*queuedRequest, len(p.queue))
 	for id, w := range p.queue {
--- a/lib/decide/span/explain.go
+++ b/lib/decide/span/explain.go
@@ -14,7 +14,7 @@
 	// Decided is set if the request would be granted or refused now, by Decision. Otherwise it would be queued.
 	Decided  bool
 	Decision Decision
-	// Reason is that of the decision, or why the request would be queued: Held, HeldBack or NoRoom.
+	// Reason is that of the decision, or why the request would be queued: Held, LateLimited or NoRoom.
 	Reason string
 	// Place is the place in the queue from 1, zero for a decided request. Queued is the number of other requests in the
 	// queue that are not decided before it.
@@ -45,8 +45,8 @@
 	Held = "held"
 	// NoRoom is the reason if upstreams have no room for the request in the order of placing.
 	NoRoom = "no-room"
-	// HeldBack is the reason if the request is late and, after a loss, late requests hold as many slots as they may.
-	HeldBack = "recovery"
+	// LateLimited is the reason if the request is late and, after a loss, late requests hold as many slots as they may.
+	LateLimited = "recovery"
 	// Running is the reason for a request that has a grant already.
 	Running = "running"
 )
@@ -118,7 +118,7 @@
 		case held:
 			e.Reason = Held
 		case heldBack:
-			e.Reason = HeldBack
+			e.Reason = LateLimited
 		}
 	case e.Decision.Action == Granted:
 		others = p.withoutChosen(others, &e.Decision.Grant, w.prefillTime == 0)
--- a/lib/decide/span/explain_test.go
+++ b/lib/decide/span/explain_test.go
@@ -144,7 +144,7 @@
 		row    any
 		fields []string
 	}{
-		{Pool{}, []string{"engine", "upstreams", "packOrder", "queue", "grants", "finished", "declared.byUpstream", "budget", "parts", "shares", "bookings.table", "bookings.continued", "forecast.ends.counts", "forecast.late", "forecast.previousLate", "forecast.errors", "locality.orders", "locality.ratios", "locality.changes", "recovery.held", "spread.random"}},
+		{Pool{}, []string{"engine", "upstreams", "packOrder", "queue", "grants", "finished", "declared.byUpstream", "budget", "parts", "shares", "bookings.table", "bookings.continued", "forecast.ends.counts", "forecast.late", "forecast.previousLate", "forecast.errors", "locality.orders", "locality.ratios", "locality.changes", "recovery.lateGrants", "spread.random"}},
 		{upstreamState{}, []string{"engine", "grants", "holders", "holderEnds", "recentEnds", "declared"}},
 		{grantState{}, []string{"LiveGrant.Grant.Helpers", "ask.Avoid", "ask.Parts", "upstreams"}},
 		{queuedRequest{}, []string{"Ask.Avoid", "Ask.Parts"}},
--- a/lib/decide/span/locality.go
+++ b/lib/decide/span/locality.go
@@ -35,10 +35,10 @@
 
 // packing is the order of packing for the requests of one home domain.
 type packing struct {
-	// ups begins with the engines of the home domain, home of them.
+	// ups are all engines; the first home of them are in the home domain.
 	ups  []*upstreamState
 	home int
-	// free lists the same engines in the order in which long prompts use them: those of the home
+	// free are the same engines in the order in which long prompts use free ones: those of the home
 	// domain first, then those that short requests of their own domain would use last.
 	free []*upstreamState
 }
--- a/lib/decide/span/obstacle.go
+++ b/lib/decide/span/obstacle.go
@@ -38,7 +38,7 @@
 	return r.obstacleIf(now, a, r.unverified && r.engine != nil)
 }
 
-// obstacleIf is obstacle for an upstream that is excluded because its load is unverified, or that is not.
+// obstacleIf is obstacle with the decision of the caller whether an unverified load excludes the upstream.
 func (r *upstreamState) obstacleIf(now clock.Milli, a *Ask, unverified bool) Obstacle {
 	switch {
 	case r.draining():
--- a/lib/decide/span/pace.go
+++ b/lib/decide/span/pace.go
@@ -124,6 +124,7 @@
 		p.locality.ratios = append(p.locality.ratios, ratio)
 	}
 	if e.band == locality.NearlyFull {
+		// What slows a nearly full engine beyond its usual pace.
 		p.locality.full.Observe(now, e.band, e.pace/r.learned.Factor(locality.Usual), ratio)
 	}
 	if r.learned.Observe(now, e.band, e.pace, ratio) {
@@ -134,22 +135,22 @@
 
 // slowWhenFull reports whether the engines of the pool work more slowly when they are nearly full.
 func (p *Pool) slowWhenFull() bool {
-	return p.locality.full.Factor(locality.NearlyFull) >= locality.FastPace
+	return p.locality.full.Factor(locality.NearlyFull) >= locality.NormalPace
 }
 
 // notePaceChange records that an upstream has become slow or is no longer slow.
 func (p *Pool) notePaceChange(r *upstreamState) {
 	if len(p.locality.changes) < maxPaceRows {
-		p.locality.changes = append(p.locality.changes, PaceChange{Upstream: r.ID, Slow: r.learned.Slow(), Pace: r.learned.Factor(r.nextBand())})
+		p.locality.changes = append(p.locality.changes, PaceChange{Upstream: r.ID, Slow: r.learned.Slow(), Pace: r.learned.Worst()})
 	}
 }
 
 // restorePace continues the learned pace of the previous owner.
-func (p *Pool) restorePace(now clock.Milli, r *upstreamState, s locality.Saved) {
+func (p *Pool) restorePace(now clock.Milli, r *upstreamState, s locality.SavedPace) {
 	if !p.locality.on {
 		return
 	}
-	r.learned = locality.Restore(now, s)
+	r.learned = locality.RestorePace(now, s)
 	if !r.learned.Known() && r.pace > 0 {
 		r.learned.Report(now, r.pace) // an owner without the setting hands over reported paces only
 	}
@@ -164,11 +165,12 @@
 	}
 	for _, r := range p.packOrder {
 		pace, due := r.learned.Trial(now, r.nextBand())
-		if !due || r.prefills > 0 || p.prefersHome(a) && r.Domain != a.Domain {
+		// With work of other owners its first byte would show nothing, and the trial would be due again.
+		if !due || r.prefills > 0 || r.external > 0 || p.prefersHome(a) && r.Domain != a.Domain {
 			continue
 		}
 		learned := r.pace
-		r.pace = pace
+		r.pace = pace // the request has to fit at the pace that the trial assumes
 		first, ok := p.fitsShort(now, a, r, prefillTime, math.MaxInt)
 		r.pace = learned
 		if ok {
--- a/lib/decide/span/pool.go
+++ b/lib/decide/span/pool.go
@@ -62,7 +62,7 @@
 	shares   *share.Account
 	bookings bookings
 	locality localityState
-	recovery recoverer
+	recovery recoveryState
 }
 
 // New returns an empty pool that limits repeated sends by b.
--- a/lib/decide/span/recovery.go
+++ b/lib/decide/span/recovery.go
@@ -12,18 +12,18 @@
 // that of late short requests: they are placed only as far as they leave the slots that requests in
 // time need. Long prompts need whole engines, and plain services have no aims.
 
-// recoverer is what the pool knows of a recovery. It is empty while the setting is off.
-type recoverer struct {
+// recoveryState is what the pool knows of a recovery. It is empty while the setting is off.
+type recoveryState struct {
 	on bool
 	// pending is set for a new owner without a snapshot until the first request arrives.
 	pending bool
-	// slowStart is set if nothing is known of the engines' load. Gates present the grants of a lost
-	// owner, so that its successor need not wait for reports.
+	// slowStart is set if nothing is known of the engines' load. It is not set for the successor of a lost
+	// owner: gates present the grants, so it knows the load without reports.
 	slowStart bool
 	state     recovery.State
-	// held are the late requests granted during the recovery.
-	held map[decide.RequestID]bool
-	// limit is the number of held requests up to which late ones are placed, in the present scan.
+	// lateGrants are the late requests granted during the recovery.
+	lateGrants map[decide.RequestID]bool
+	// limit is the number of late grants up to which late requests are placed, in the present scan.
 	limit int
 	// scannedAt is when the limit was computed.
 	scannedAt clock.Milli
@@ -38,11 +38,12 @@
 // SetRecovery sets whether the pool limits late requests after a loss.
 func (p *Pool) SetRecovery(on bool) {
 	if p.recovery.on != on {
-		p.recovery = recoverer{on: on}
+		p.recovery = recoveryState{on: on}
 	}
 }
 
-// Recovery returns the state of the recovery and reports whether the setting is on.
+// Recovery returns the state of the recovery and reports whether the setting is on. It ends a recovery
+// that is complete, since no scan does so while no request waits.
 func (p *Pool) Recovery(now clock.Milli) (s RecoveryStatus, enabled bool) {
 	p.observeRecovery(now)
 	return RecoveryStatus{Active: p.recovery.state.Active(), Counts: p.recovery.state.Counts()}, p.recovery.on
@@ -106,7 +107,7 @@
 func (p *Pool) observeRecovery(now clock.Milli) {
 	c := &p.recovery
 	if !c.state.Active() {
-		c.held = nil
+		c.lateGrants = nil
 		return
 	}
 	if !scanDue(c.scannedAt, now, len(p.packOrder)+len(p.queue)) {
@@ -126,9 +127,9 @@
 	for _, w := range p.queue {
 		lateWaits = lateWaits || w.limitedInRecovery(now)
 	}
-	maps.DeleteFunc(c.held, func(id decide.RequestID, _ bool) bool { return p.grants[id] == nil })
-	c.limit = c.state.LateLimit(now, slots, used-len(c.held))
-	c.state.Observe(now, unverified, lateWaits)
+	maps.DeleteFunc(c.lateGrants, func(id decide.RequestID, _ bool) bool { return p.grants[id] == nil })
+	c.limit = c.state.LateLimit(now, slots, used-len(c.lateGrants))
+	c.state.EndIfComplete(now, unverified, lateWaits)
 }
 
 // limitedInRecovery reports whether the request is one of those that a recovery limits. Requests that
@@ -140,7 +141,7 @@
 // heldBack reports whether a request is not placed because late requests hold as many slots as they may.
 func (p *Pool) heldBack(now clock.Milli, w *queuedRequest) bool {
 	c := &p.recovery
-	return c.state.Active() && len(c.held) >= c.limit && w.limitedInRecovery(now)
+	return c.state.Active() && len(c.lateGrants) >= c.limit && w.limitedInRecovery(now)
 }
 
 // noteRecoveryPlaced records a late short request that was granted.
@@ -149,10 +150,10 @@
 	if !c.state.Active() {
 		return
 	}
-	if c.held == nil {
-		c.held = map[decide.RequestID]bool{}
+	if c.lateGrants == nil {
+		c.lateGrants = map[decide.RequestID]bool{}
 	}
-	c.held[w.ID] = true
+	c.lateGrants[w.ID] = true
 	c.state.NotePlaced()
 }
 
--- a/lib/decide/span/recovery_test.go
+++ b/lib/decide/span/recovery_test.go
@@ -303,7 +303,7 @@
 		off.SetRecovery(false)
 		off.expectRecovery(true)
 		require.Equal(t, never.randomLoad(seed), off.randomLoad(seed))
-		require.Equal(t, recoverer{}, off.recovery)
+		require.Equal(t, recoveryState{}, off.recovery)
 	}
 }
 
@@ -321,5 +321,5 @@
 	require.Len(t, b.Tick(now), 3)
 	e, ok := b.Copy().ExplainQueued(now, b.QueuedIDs(now, 1)[0])
 	require.True(t, ok)
-	require.Equal(t, HeldBack, e.Reason)
+	require.Equal(t, LateLimited, e.Reason)
 }
--- a/lib/decide/span/snapshot.go
+++ b/lib/decide/span/snapshot.go
@@ -36,7 +36,7 @@
 	Bookings []booking.Saved
 	Booked   []decide.RequestID
 	// LearnedFull is the learned pace of nearly full engines, of all together.
-	LearnedFull locality.Saved
+	LearnedFull locality.SavedPace
 }
 
 // GrantSnapshot is one live grant in a snapshot.
@@ -77,7 +77,7 @@
 	// Shed is set if a probe request has to show whether the upstream accepts requests again.
 	Shed bool
 	// Learned is the learned pace.
-	Learned locality.Saved
+	Learned locality.SavedPace
 }
 
 // Snapshot returns the state for the next owner.
@@ -154,7 +154,9 @@
 	p.restoreShares(now, b.Shares)
 	p.restoreBookings(now, b.Bookings, b.Booked)
 	p.cancelRecovery()
-	p.locality.full = locality.Restore(now, b.LearnedFull)
+	if p.locality.on {
+		p.locality.full = locality.RestorePace(now, b.LearnedFull)
+	}
 	p.headroom = headroom{busy: b.Busy, at: now, engines: p.headroom.engines, placeRate: b.Served}
 	p.largeReserve.savedPrefill, p.largeReserve.meanPrefill = b.Saved, b.Mean
 	p.largeReserve.large.refused, p.largeReserve.others.refused = b.LargeRefused, b.OthersRefused
--- a/scenarios/soak_test.go
+++ b/scenarios/soak_test.go
@@ -74,7 +74,7 @@
 }
 
 // optionalParts switches on what is off unless a deployment asks for it.
-const optionalParts = `"shares": {"enabled": true}, "bookings": {"horizon": 4000}, "forecast": {"enabled": true}, "recovery": {"enabled": true}, "spread": true,`
+const optionalParts = `"shares": {"enabled": true}, "bookings": {"horizon": 4000}, "forecast": {"enabled": true}, "recovery": {"enabled": true}, "locality": {"enabled": true}, "spread": true,`
 
 // optionalSeeds are the seeds of TestSoakOptionalParts that run in CI.
 var optionalSeeds = map[uint64]time.Duration{65: soakLength, 66: soakLength}
