caller, operator, decide: errors of where by kind; names of reasons

The page /where of OpenAI's daemon answered 404 for every error, also for a query that is wrong in itself or that no VM can answer now. The errors have kinds now: 400, 404 and 503. Reasons of explanations have names with a prefix, as obstacles have. The test of the page has one case more.

--- a/daemon/caller/where.go
+++ b/daemon/caller/where.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"slices"
 	"time"
 
@@ -34,7 +33,7 @@
 	reasonWorkspace = "workspace" // the workspace may not use the model or the kind
 )
 
-var errNoOwner = errors.New("no VM is known that owns the pool")
+var errNoOwner = errors.New("no VM is known to own the pool")
 
 // Explainer explains placements in the pools of this VM.
 type Explainer interface {
@@ -59,11 +58,12 @@
 	return fault.New(d.Fault, "refused").WithRan(fault.RanNo).WithRetry(d.Retry)
 }
 
-// Where tells where a request that arrives at this gate now would be placed, without sending it.
+// Where tells where a request that arrives at this gate now would be placed, without sending it. Its errors are of type
+// *fault.Error.
 func (g *Gate) Where(ctx context.Context, q *answers.WhereQuery) (answers.Where, error) {
 	c, ok := g.Registry.Index()
 	if !ok {
-		return answers.Where{}, errors.New("no configuration document is in force")
+		return answers.Where{}, fault.New(fault.Unavailable, "no configuration document is in force")
 	}
 	r, err := g.describe(c, q)
 	if err != nil {
@@ -85,24 +85,24 @@
 // describe returns the request of a query as this gate would describe it to owners, without id, key and prompt.
 func (g *Gate) describe(c *document.Index, q *answers.WhereQuery) (*request, error) {
 	if q.Model == "" {
-		return nil, errors.New("name a model: this VM serves OpenAI's API")
+		return nil, fault.New(fault.Malformed, "name a model: this VM serves OpenAI's API")
 	}
 	if q.Service != "" || q.Host != "" || q.Aim != 0 {
-		return nil, errors.New("a service, a host or an aim is for VMs that relay services")
+		return nil, fault.New(fault.Malformed, "a service, a host or an aim is for VMs that relay services")
 	}
 	m, ok := c.Model(q.Model)
 	if !ok {
-		return nil, fmt.Errorf("no model %q", q.Model)
+		return nil, fault.New(fault.Unknown, "no model %q", q.Model)
 	}
 	k, ok := c.Kind(q.Kind)
 	if !ok {
-		return nil, fmt.Errorf("no request kind %q", q.Kind)
+		return nil, fault.New(fault.Unknown, "no request kind %q", q.Kind)
 	}
 	r := &request{target: m.Name, kind: *k, arrived: g.Clock.Now(), prompt: q.Prompt, output: k.Output}
 	if q.Workspace != "" {
 		w, ok := c.Workspace(string(q.Workspace))
 		if !ok {
-			return nil, fmt.Errorf("no workspace %q", q.Workspace)
+			return nil, fault.New(fault.Unknown, "no workspace %q", q.Workspace)
 		}
 		r.workspace = *w
 	}
@@ -120,7 +120,7 @@
 	for _, text := range q.Parts {
 		p, err := blame.ParsePart(text)
 		if err != nil {
-			return nil, fmt.Errorf("%q is no part: use hexadecimal digits", text)
+			return nil, fault.New(fault.Malformed, "%q is no part: use hexadecimal digits", text)
 		}
 		r.parts = append(r.parts, p)
 	}
@@ -148,7 +148,7 @@
 func (g *Gate) askPools(ctx context.Context, c *document.Index, r *request, excluded []decide.UpstreamID, id decide.RequestID) (*whereAnswer, error) {
 	pools := g.rankPools(c, r)
 	if len(pools) == 0 {
-		return nil, fmt.Errorf("model %q has no upstreams", r.target)
+		return nil, fault.New(fault.Unknown, "model %q has no upstreams", r.target)
 	}
 	var refused, missing *whereAnswer
 	var lastErr error
@@ -175,11 +175,11 @@
 	case missing.reply.Found:
 		return missing, nil
 	case missing.reply.Fault != nil:
-		return nil, fmt.Errorf("this VM stops, and no owner answered: %w", lastErr)
+		return nil, fault.New(fault.Draining, "this VM is shutting down and no owner answered: %v", lastErr)
 	case lastErr != nil:
-		return nil, fmt.Errorf("no request %s is known at %s, and not all owners answered: %w", id, missing.from, lastErr)
+		return nil, fault.New(fault.Unavailable, "no request %s is known at %s, and not all owners answered: %v", id, missing.from, lastErr)
 	}
-	return nil, fmt.Errorf("no request %s is queued or runs at %s: queued are %q", id, missing.from, missing.reply.Waiting)
+	return nil, fault.New(fault.Unknown, "no request %s is queued or runs at %s; queued requests include %q", id, missing.from, missing.reply.Waiting)
 }
 
 // askOwners asks the owners of a pool in turn.
--- a/daemon/caller/where_test.go
+++ b/daemon/caller/where_test.go
@@ -209,5 +209,5 @@
 	x, err := f.gate.Where(t.Context(), &answers.WhereQuery{Model: "drafter", Prompt: 10})
 	require.NoError(t, err)
 	require.Equal(t, []any{answers.Queued, reasonBackOff}, []any{x.Verdict, x.Reason}, "the gate waits for the first back-off that ends in time")
-	require.Equal(t, []any{fault.Unavailable, string(decide.NoUpstream), 2 * clock.Second}, refused(answers.WhereQuery{Prompt: 10, Deadline: 1000}))
+	require.Equal(t, []any{fault.Unavailable, string(decide.ReasonNoUpstream), 2 * clock.Second}, refused(answers.WhereQuery{Prompt: 10, Deadline: 1000}))
 }
--- a/daemon/operator/pages.go
+++ b/daemon/operator/pages.go
@@ -18,6 +18,7 @@
 
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
+	"snipeshift.example/lib/fault"
 	answers "snipeshift.example/lib/operator"
 	"snipeshift.example/lib/timeline"
 )
@@ -103,7 +104,8 @@
 	}
 	x, err := s.sources.Where.Where(r.Context(), &q)
 	if err != nil {
-		writeError(w, http.StatusNotFound, err.Error())
+		f := fault.From(err)
+		writeError(w, fault.Lookup(f.Kind).Status, f.Text)
 		return
 	}
 	writeJSON(w, http.StatusOK, x)
--- a/daemon/operator/server.go
+++ b/daemon/operator/server.go
@@ -69,7 +69,7 @@
 
 // Where tells where a request would be placed now.
 type Where interface {
-	// Where returns an error if the query names something unknown.
+	// Where returns an error of type *fault.Error if there is no answer.
 	Where(ctx context.Context, q *answers.WhereQuery) (answers.Where, error)
 }
 
--- a/daemon/operator/server_test.go
+++ b/daemon/operator/server_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -19,6 +18,7 @@
 
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
+	"snipeshift.example/lib/fault"
 	answers "snipeshift.example/lib/operator"
 	"snipeshift.example/lib/peer"
 	"snipeshift.example/lib/platform"
@@ -53,8 +53,12 @@
 func (f *fakeDaemon) Counts() platform.Counts          { return platform.Counts{Reads: 5, Unknown: 1} }
 
 func (f *fakeDaemon) Where(_ context.Context, q *answers.WhereQuery) (answers.Where, error) {
-	if q.Model != "m" {
-		return answers.Where{}, errors.New("no model")
+	switch q.Model {
+	case "m":
+	case "unanswered":
+		return answers.Where{}, fault.New(fault.Unavailable, "no owner answered")
+	default:
+		return answers.Where{}, fault.New(fault.Unknown, "no model %q", q.Model)
 	}
 	return answers.Where{Model: q.Model, Verdict: answers.Placed}, nil
 }
@@ -128,6 +132,7 @@
 	}
 	require.Equal(t, answers.Placed, get[answers.Where](f, page(`{"model":"m"}`)).Verdict)
 	require.Equal(t, http.StatusNotFound, f.request(http.MethodGet, page(`{"model":"x"}`), "").Code)
+	require.Equal(t, http.StatusServiceUnavailable, f.request(http.MethodGet, page(`{"model":"unanswered"}`), "").Code)
 	for _, query := range []string{`{"model":"m","tokens":5}`, ""} {
 		require.Equal(t, http.StatusBadRequest, f.request(http.MethodGet, page(query), "").Code)
 	}
--- a/daemon/pool/where_test.go
+++ b/daemon/pool/where_test.go
@@ -52,7 +52,7 @@
 		require.NoError(t, o.Where(peer.WhereArgs{Pool: id, Left: 20 * clock.Second, Request: x, Queued: queued}, &r))
 		return r
 	}
-	require.Equal(t, decide.NoRoom, ask(testPool, 10, "").Explanation.Reason, "the engines of a pool that is opened now have not reported")
+	require.Equal(t, decide.ReasonNoRoom, ask(testPool, 10, "").Explanation.Reason, "the engines of a pool that is opened now have not reported")
 	require.Empty(t, o.Pools())
 
 	g := acquireWhenReported(t, o)
@@ -68,8 +68,8 @@
 		require.True(t, r.Found)
 		require.Equal(t, p.epoch, r.Epoch)
 	}
-	require.Equal(t, decide.TooLarge, ask(testPool, 300_000, "").Explanation.Reason)
-	require.Equal(t, decide.Running, ask(testPool, 0, g.Request).Explanation.Reason)
+	require.Equal(t, decide.ReasonTooLarge, ask(testPool, 300_000, "").Explanation.Reason)
+	require.Equal(t, decide.ReasonRunning, ask(testPool, 0, g.Request).Explanation.Reason)
 	require.False(t, ask(testPool, 0, "unknown").Found)
 	p.mu.Lock()
 	require.Equal(t, before, stateOf(o, p, now))
--- a/lib/decide/explain.go
+++ b/lib/decide/explain.go
@@ -28,30 +28,31 @@
 // Reason is why a request would be granted, queued or refused.
 type Reason string
 
-// Reasons.
+// The reasons of explanations.
 const (
-	// LeastCost is the reason for a grant on the upstream with the least time to first token and the least delay of others.
-	LeastCost Reason = "least-cost"
-	// Group is the reason for a grant on several engines, since the request exceeds the memory of one.
-	Group Reason = "group"
-	// Running is the reason for a request that has a grant already.
-	Running Reason = "running"
-	// NoRoom is the reason if no upstream can accept the request now, or others are served first.
-	NoRoom Reason = "no-room"
-	// Held is the reason if the request has to wait for the answer to another one with the same suspect part or content.
-	Held Reason = "held"
-	// Late is the reason for the refusal of a request that would not finish within its allowed time.
-	Late Reason = "deadline"
-	// TooLarge is the reason for the refusal of a request that fits no group of engines.
-	TooLarge Reason = "memory"
-	// NoUpstream is the reason for a refusal if no upstream that the request may use accepts work.
-	NoUpstream Reason = "no-upstream"
-	// Crashes is the reason for the refusal of a request whose content or part has crashed upstreams.
-	Crashes Reason = "crashes"
+	// ReasonLeastCost is the reason for a grant on the upstream with the least time to first token and the least delay of others.
+	ReasonLeastCost Reason = "least-cost"
+	// ReasonGroup is the reason for a grant on several engines, since the request exceeds the memory of one.
+	ReasonGroup Reason = "group"
+	// ReasonRunning is the reason for a request that has a grant already.
+	ReasonRunning Reason = "running"
+	// ReasonNoRoom is the reason if no upstream can accept the request now, or others are served first.
+	ReasonNoRoom Reason = "no-room"
+	// ReasonHeld is the reason if the request has to wait for the answer to another one with the same suspect part or content.
+	ReasonHeld Reason = "held"
+	// ReasonLate is the reason for the refusal of a request that would not finish within its allowed time.
+	ReasonLate Reason = "deadline"
+	// ReasonTooLarge is the reason for the refusal of a request that fits no group of engines.
+	ReasonTooLarge Reason = "memory"
+	// ReasonNoUpstream is the reason for a refusal if no upstream that the request may use accepts work.
+	ReasonNoUpstream Reason = "no-upstream"
+	// ReasonCrashes is the reason for the refusal of a request whose content or part has crashed upstreams.
+	ReasonCrashes Reason = "crashes"
 )
 
+// refusalReasons are the reasons of refusals by their kind.
 var refusalReasons = map[fault.Kind]Reason{
-	fault.Overloaded: Late, expiredKind: Late, fault.Oversize: TooLarge, fault.Unavailable: NoUpstream, fault.Quarantined: Crashes,
+	fault.Overloaded: ReasonLate, expiredKind: ReasonLate, fault.Oversize: ReasonTooLarge, fault.Unavailable: ReasonNoUpstream, fault.Quarantined: ReasonCrashes,
 }
 
 // Other is an upstream on which the request would not be placed.
@@ -63,7 +64,7 @@
 // Obstacle is the reason why a request is not placed on an upstream.
 type Obstacle string
 
-// Obstacles.
+// The obstacles.
 const (
 	// ObstacleFull is an upstream without a free slot, or with so much prefill ahead that it gets no further prompt yet.
 	ObstacleFull Obstacle = "full"
@@ -115,7 +116,7 @@
 // running explains a request that has a grant.
 func (p *Pool) running(g *grant) Explanation {
 	d := Decision{Action: Granted, Request: g.Request, Gate: g.Gate, Grant: g.Grant}
-	return Explanation{Decided: true, Decision: d, Reason: Running, Queued: len(p.queued)}
+	return Explanation{Decided: true, Decision: d, Reason: ReasonRunning, Queued: len(p.queued)}
 }
 
 // explain runs the next tick and tells what it decides on a request.
@@ -131,15 +132,15 @@
 	case e.Decided && e.Decision.Action == Refused:
 		e.Reason = refusalReasons[e.Decision.Fault]
 	case e.Decided:
-		e.Reason = LeastCost
+		e.Reason = ReasonLeastCost
 		if len(e.Decision.Grant.Upstreams) > 1 {
-			e.Reason = Group
+			e.Reason = ReasonGroup
 		}
 		e.First = p.expectedFirst(id)
 	case w != nil:
-		e.Reason = NoRoom
+		e.Reason = ReasonNoRoom
 		if w.aside && p.judge(now, w).Verdict == blame.Held {
-			e.Reason = Held
+			e.Reason = ReasonHeld
 		}
 		if p.attempt.others == nil {
 			p.attempt.others = p.obstacles(now, w) // others were served first, so placing it was not tried
--- a/lib/decide/explain_test.go
+++ b/lib/decide/explain_test.go
@@ -135,7 +135,7 @@
 	require.Equal(m.t, m.undecided[id] || running, ok)
 	switch {
 	case running:
-		require.Equal(m.t, Running, e.Reason)
+		require.Equal(m.t, ReasonRunning, e.Reason)
 		require.Equal(m.t, g.Grant, e.Decision.Grant)
 	case ok:
 		m.requireNext(t, id, &e)
@@ -197,7 +197,7 @@
 			r := b.request("r")
 			hinder(b, &r)
 			e := b.pool.Copy().Explain(b.now, r)
-			require.Equal(t, LeastCost, e.Reason)
+			require.Equal(t, ReasonLeastCost, e.Reason)
 			require.EqualValues(t, 1000, e.First, "20,000 tokens of prompt at 20,000 a second")
 			require.Equal(t, Other{name(0), against}, e.Others[0])
 			require.Equal(t, ObstacleFree, e.Others[1].Against)
@@ -222,11 +222,11 @@
 	r := b.request("r")
 	r.Deadline++
 	e := b.pool.Copy().Explain(b.now, r)
-	require.Equal(t, Explanation{Reason: NoRoom, Place: 3, Queued: 2, Others: []Other{{name(0), ObstacleFull}}}, e)
+	require.Equal(t, Explanation{Reason: ReasonNoRoom, Place: 3, Queued: 2, Others: []Other{{name(0), ObstacleFull}}}, e)
 	r.Workspace = "b"
 	require.Equal(t, 1, b.pool.Copy().Explain(b.now, r).Place, "a workspace that was idle goes before the burst of another one")
 	r.Deadline = b.now + 100
-	require.Equal(t, Late, b.pool.Copy().Explain(b.now, r).Reason)
+	require.Equal(t, ReasonLate, b.pool.Copy().Explain(b.now, r).Reason)
 }
 
 // BenchmarkExplain measures an explanation at 200 engines with 10 requests each, 1,000 queued ones and full tables of prefixes.
