balance: choice of upstreams by rank among the members

Change: a decider that knows its rank among the members, live and lost, has a place of its own in the sum of the shares. Of the upstreams with the fewest own requests it takes the first one from there on, in place of a random one. The rank reaches the pool through daemon/placer; an owner that knows no other VM chooses at random as before.

--- a/bench/deciders.go
+++ b/bench/deciders.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 
 	"github.com/urfave/cli/v3"
 
@@ -60,6 +61,9 @@
 func simulatePolicies(c *cli.Command, name string, l fleet.DeciderLoad) error {
 	w := c.Root().Writer
 	for _, p := range fleet.Policies {
+		if only := c.StringSlice("policy"); len(only) > 0 && !slices.Contains(only, string(p)) {
+			continue
+		}
 		l.Policy = p
 		r := fleet.RunDeciders(l)
 		if c.Bool("json") {
--- a/bench/fleet.go
+++ b/bench/fleet.go
@@ -32,6 +32,7 @@
 			&cli.FloatFlag{Name: "rate", Value: 14, Usage: "new connections to upstreams per second and VM, with --partitioned"},
 			&cli.IntSliceFlag{Name: "deciders", Usage: "simulate instead the choice of upstreams by these numbers of deciders that do not know of each other's requests"},
 			&cli.IntSliceFlag{Name: "ages", Value: []int{50, 500, 2000}, Usage: "mean ages of reports in milliseconds, with --deciders"},
+			&cli.StringSliceFlag{Name: "policy", Usage: "only these policies, with --deciders"},
 			&cli.StringFlag{Name: "case", Usage: "only this kind of load, with --deciders: steady, unequal, burst, false, stopped, changing or low"},
 			&cli.BoolFlag{Name: "json", Usage: "print JSON in place of a table"},
 		},
--- a/bench/fleet/deciders_test.go
+++ b/bench/fleet/deciders_test.go
@@ -22,3 +22,20 @@
 		require.Zero(t, balanced.Unserved)
 	}
 }
+
+// Deciders that know their ranks must wait at most 1.2 times as long as with an oracle, and an upstream
+// must queue while another one has a free slot for less than a tenth of the time under least known
+// load.
+func TestRankedDecidersMeetTheGoalsInSteadyLoad(t *testing.T) {
+	for seed := range uint64(3) {
+		for _, l := range []DeciderLoad{{}, {Unequal: true}, {Changing: true}} {
+			l.Deciders, l.Upstreams, l.Slots, l.Seed, l.For, l.Age, l.Load = 30, 30, 16, seed, clock.Minute, 500, 0.7
+			results := map[Policy]DeciderResult{}
+			for _, l.Policy = range []Policy{Least, Ranked, Oracle} {
+				results[l.Policy] = RunDeciders(l)
+			}
+			require.LessOrEqual(t, results[Ranked].P99, 1.2*results[Oracle].P99, "%+v", results)
+			require.Less(t, results[Ranked].Free, 0.1*results[Least].Free, "%+v", results)
+		}
+	}
+}
--- a/bench/fleet/policies.go
+++ b/bench/fleet/policies.go
@@ -20,10 +20,17 @@
 	Aged Policy = "aged"
 	// Interpret draws an upstream by the shares of lib/decide/balance.
 	Interpret Policy = "interpret"
-	// Balanced chooses as lib/decide/balance does: by these shares, and own requests are spread first.
+	// Balanced chooses as lib/decide/balance does without ranks: by these shares, and own requests are
+	// spread first.
 	Balanced Policy = "balanced"
 	// Announced divides all slots between the deciders; each uses its own.
 	Announced Policy = "shares"
+	// Subset divides the slots as Announced does. What does not fit in the decider's own slots is placed
+	// as Balanced does.
+	Subset Policy = "subset"
+	// Ranked chooses as lib/decide/balance does with ranks: as Balanced, but of the upstreams with the
+	// fewest own requests it takes the first one from the decider's place on.
+	Ranked Policy = "ranked"
 	// JoinIdle uses the slots that upstreams have announced, else a random upstream. It needs a
 	// message for each request.
 	JoinIdle Policy = "join-idle"
@@ -32,7 +39,7 @@
 )
 
 // Policies lists all policies.
-var Policies = []Policy{Least, Two, Aged, Interpret, Balanced, Announced, JoinIdle, Oracle}
+var Policies = []Policy{Least, Two, Aged, Interpret, Balanced, Announced, Subset, Ranked, JoinIdle, Oracle}
 
 // choose returns the upstream for the next request of a decider.
 func (s *deciderSimulation) choose(d int) int {
@@ -55,6 +62,13 @@
 		return balance.Choose(clock.Milli(s.now), serviceTime, s.candidates(d), s.choices.Float64())
 	case Announced:
 		return s.chooseShare(d)
+	case Subset:
+		if i, ok := s.ownSlot(d); ok {
+			return i
+		}
+		return balance.Choose(clock.Milli(s.now), serviceTime, s.candidates(d), s.choices.Float64())
+	case Ranked:
+		return balance.ChooseRanked(clock.Milli(s.now), serviceTime, s.candidates(d), d)
 	case JoinIdle:
 		if t := s.tokens[d]; len(t) > 0 {
 			s.tokens[d] = t[1:]
@@ -124,3 +138,17 @@
 		return float64(s.views[d][i].live(s.now)) / float64(last-first)
 	})
 }
+
+// ownSlot returns an upstream at which the decider has a free slot of its own.
+func (s *deciderSimulation) ownSlot(d int) (int, bool) {
+	slots := s.load.Upstreams * s.load.Slots
+	from, to := d*slots/s.load.Deciders, (d+1)*slots/s.load.Deciders
+	best, most := 0, 0
+	for i := range s.upstreams {
+		own := min(to, (i+1)*s.load.Slots) - max(from, i*s.load.Slots)
+		if free := own - s.views[d][i].live(s.now); own > 0 && free > most {
+			best, most = i, free
+		}
+	}
+	return best, most > 0
+}
--- a/daemon/member/members.go
+++ b/daemon/member/members.go
@@ -111,6 +111,10 @@
 // may still run on the other side of a network partition.
 func (m *Members) Lost() int { m.mu.Lock(); defer m.mu.Unlock(); return m.table.Lost() }
 
+// Position returns the number of members, live or lost, whose names sort before that of this one. It
+// is the same on both sides of a partition.
+func (m *Members) Position() int { m.mu.Lock(); defer m.mu.Unlock(); return m.table.Position() }
+
 // Owner returns the owner of a pool.
 func (m *Members) Owner(p peer.PoolID) (peer.Member, bool) { return Owner(p, m.Live()) }
 
--- a/daemon/member/table.go
+++ b/daemon/member/table.go
@@ -50,6 +50,8 @@
 	maxCores int
 	// gone counts members that are gone, lost those of them that had not announced a stop.
 	gone, lost int
+	// position counts live and lost members whose names sort before that of this one.
+	position int
 }
 
 // entry is the state of another member.
@@ -281,6 +283,9 @@
 // They may still run on the other side of a network partition.
 func (t *Table) Lost() int { return t.derive().lost }
 
+// Position returns the number of members, live or lost, whose names sort before that of this one.
+func (t *Table) Position() int { return t.derive().position }
+
 // View returns a digest of the members that count as live. It is equal for tables that agree on their names,
 // incarnations, Seqs and suspicions.
 func (t *Table) View() uint64 { return t.derive().view }
@@ -294,6 +299,9 @@
 		d.add(t.self, hashName(t.self.VM), digestOf(t.self))
 	}
 	for _, e := range t.entries {
+		if (e.member.Health != peer.Gone || !e.member.Stopping) && e.member.VM < t.self.VM {
+			d.position++
+		}
 		if e.member.Health != peer.Gone {
 			d.add(e.member, e.hash, e.digest)
 			continue
--- a/daemon/member/table_test.go
+++ b/daemon/member/table_test.go
@@ -162,6 +162,7 @@
 		require.Len(t, g.tables[vmName(n-1)].Live(), n-n/3)
 		require.Equal(t, n-n/3, g.tables[vmName(0)].Lost(), "they may still run on the other side of the partition")
 		require.Equal(t, n/3, g.tables[vmName(n-1)].Lost())
+		require.Equal(t, n-1, g.tables[vmName(n-1)].Position(), "owners of both sides would get the same rank")
 		g.lost = func(_, _ peer.VM) bool { return false }
 		// Seeds connect the sides: one heartbeat between them is enough.
 		g.exchange(g.tables[vmName(0)], vmName(n-1))
--- a/daemon/placer/client.go
+++ b/daemon/placer/client.go
@@ -26,6 +26,8 @@
 	// Lost counts the members that recently stopped responding without announcing that they stop.
 	// They may still be running on the other side of a network partition.
 	Lost() int
+	// Position returns the number of members, live or lost, whose names sort before that of this one.
+	Position() int
 }
 
 // Peers calls methods of other daemons.
--- a/daemon/placer/loss_test.go
+++ b/daemon/placer/loss_test.go
@@ -151,6 +151,9 @@
 	return s.fleet.membersOf(s.self.VM)
 }
 
+// Position implements Members.
+func (s vmView) Position() int { return 0 }
+
 // Lost implements Members.
 func (s vmView) Lost() int {
 	s.fleet.mu.Lock()
--- a/daemon/placer/placer_test.go
+++ b/daemon/placer/placer_test.go
@@ -143,6 +143,7 @@
 func (m members) Live() []peer.Member { return m }
 func (m members) Self() peer.Member   { return m[len(m)-1] }
 func (m members) Lost() int           { return 0 }
+func (m members) Position() int       { return len(m) - 1 }
 
 // viewOf is the member list as seen by one of the members.
 type viewOf struct {
--- a/daemon/placer/sends_test.go
+++ b/daemon/placer/sends_test.go
@@ -82,6 +82,7 @@
 func (c *changingMembers) Live() []peer.Member    { return *c.live.Load() }
 func (c *changingMembers) Self() peer.Member      { return c.self }
 func (c *changingMembers) Lost() int              { return 0 }
+func (c *changingMembers) Position() int          { return 0 }
 
 // The owner stops as planned just before an engine crashes. Its successor must allow the retries that
 // the owner would have allowed, and no more.
--- a/daemon/placer/spread.go
+++ b/daemon/placer/spread.go
@@ -17,6 +17,9 @@
 // pool's lock is held.
 func (o *Owner) setSpread(args *AskArgs, p *ownedPool) {
 	on := o.Spread && o.limitedKnowledge(args)
+	if on {
+		p.pool.SetRank(o.Members.Position(), !o.Alone())
+	}
 	if !p.pool.SetSpread(on, globalRandom{}) {
 		return
 	}
--- a/daemon/placer/spread_test.go
+++ b/daemon/placer/spread_test.go
@@ -1,9 +1,12 @@
 package placer
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"snipeshift.example/lib/decide"
 )
 
 // An owner that spreads although it knows all grants would take engines from long prompts; one that is
@@ -24,6 +27,31 @@
 	require.True(t, o.limitedKnowledge(args), "an owner that has lost members")
 }
 
+// VMs that all had the same rank would choose the same upstreams.
+func TestRankReachesThePool(t *testing.T) {
+	ids := make([]decide.UpstreamID, 8)
+	for i := range ids {
+		ids[i] = decide.UpstreamID(fmt.Sprintf("e%d", i))
+	}
+	first := func(rank int) decide.UpstreamID {
+		o := ownerAt(t, ranked{lossy{members{{VM: "self", Address: "self"}}}, rank}, &network{}, ids...)
+		o.Spread = true
+		var reply AskReply
+		require.NoError(t, o.Ask(&AskArgs{Service: "s", Ask: wireAsk("r1"), Wait: 200}, &reply))
+		return reply.Grant.Leader.Upstream
+	}
+	require.NotEqual(t, first(0), first(1))
+	require.Equal(t, first(1), first(1))
+}
+
+// ranked has a position of its own.
+type ranked struct {
+	Members
+	rank int
+}
+
+func (r ranked) Position() int { return r.rank }
+
 // lossy reports one lost member.
 type lossy struct{ Members }
 
--- a/lib/decide/balance/balance.go
+++ b/lib/decide/balance/balance.go
@@ -11,6 +11,8 @@
 // upstreams so that the loads become level. Of the upstreams that get a share, a request goes to one
 // with the fewest own requests, at random in proportion to the shares. A decider without others thus
 // chooses the least loaded upstream, and one whose reports have stopped spreads its requests evenly.
+// A decider that knows its rank prefers upstreams that differ from those of the other ranks, see
+// ChooseRanked.
 // The rule is known as load interpretation (Dahlin, "Interpreting Stale Load Information").
 //
 // The package uses no sockets, goroutines, clock or source of randomness.
@@ -93,22 +95,60 @@
 // first: a decider can spread its own requests evenly without any report, and the sum of evenly spread
 // requests of many deciders varies less than that of random choices.
 func Choose(now, serviceTime clock.Milli, cs []Candidate, random float64) int {
-	shares := Allocation(now, serviceTime, cs)
-	least := minShare * sum(shares) / float64(max(len(shares), 1))
+	shares := considerable(Allocation(now, serviceTime, cs))
 	fewest := math.Inf(1)
 	for i, s := range shares {
-		if s >= least {
+		if s > 0 {
 			fewest = min(fewest, cs[i].ownPerSlot())
 		}
 	}
-	for i, s := range shares {
-		if s < least || cs[i].ownPerSlot() > fewest {
+	for i := range shares {
+		if cs[i].ownPerSlot() > fewest {
 			shares[i] = 0
 		}
 	}
 	return Draw(shares, random)
 }
 
+// ChooseRanked is Choose for a decider that knows its rank among all deciders, by which it has a place
+// of its own in the sum of the shares. Of the candidates with the fewest own requests per slot, it
+// takes the first one from that place on. The load of a candidate varies less than under Choose, as
+// the deciders whose places are close to it almost always have a request there, and the others almost
+// never. Ranks need not be contiguous or unique.
+func ChooseRanked(now, serviceTime clock.Milli, cs []Candidate, rank int) int {
+	shares := considerable(Allocation(now, serviceTime, cs))
+	_, place := math.Modf(goldenRatio * float64(rank))
+	// Own requests are included, so that the place stays where it is while they use up shares.
+	places := make([]float64, len(cs))
+	for i, s := range shares {
+		places[i] = s + float64(cs[i].Own)
+	}
+	start := Draw(places, place)
+	best, fewest := -1, math.Inf(1)
+	for k := range cs {
+		i := (start + k) % len(cs)
+		if own := cs[i].ownPerSlot(); shares[i] > 0 && own < fewest {
+			best, fewest = i, own
+		}
+	}
+	return best
+}
+
+// goldenRatio is the fractional part of the golden ratio. The fractional parts of its multiples are
+// spread evenly, also those of any range of consecutive ranks.
+const goldenRatio = math.Phi - 1
+
+// considerable sets shares to zero that are not considerable.
+func considerable(shares []float64) []float64 {
+	least := minShare * sum(shares) / float64(max(len(shares), 1))
+	for i, s := range shares {
+		if s < least {
+			shares[i] = 0
+		}
+	}
+	return shares
+}
+
 // minShare is the fraction of the mean share from which on a share is considerable. A decider without
 // own requests at a loaded upstream would choose it for that reason alone.
 const minShare = 0.5
--- a/lib/decide/balance/balance_test.go
+++ b/lib/decide/balance/balance_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -36,6 +37,37 @@
 
 func TestNoCandidate(t *testing.T) {
 	require.Equal(t, -1, Choose(now, serviceTime, nil, 0.5))
+	require.Equal(t, -1, ChooseRanked(now, serviceTime, nil, 3))
+}
+
+// Deciders with ranks and without reports must load the candidates evenly, however their requests are
+// divided between them. Random choices exceed 16 requests at some candidates in this load.
+func TestRankedDecidersLoadEvenly(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 0))
+	for _, ranks := range [][2]int{{0, 30}, {0, 15}, {40, 50}, {0, 300}} {
+		own := make([][]Candidate, ranks[1]-ranks[0])
+		load := make([]int, 30)
+		for range 336 {
+			d := random.IntN(len(own))
+			if own[d] == nil {
+				own[d] = reported(clock.Minute, make([]int, 30)...)
+			}
+			i := ChooseRanked(now, serviceTime, own[d], ranks[0]+d)
+			own[d][i].Own++
+			load[i]++
+		}
+		require.LessOrEqual(t, slices.Max(load), 16, "%v %v", ranks, load)
+	}
+}
+
+// Ranks must not outweigh reports: an upstream that others fill gets nothing, and a free one most.
+func TestRankedDecidersFollowReports(t *testing.T) {
+	n := make([]int, 4)
+	for rank := range 100 {
+		n[ChooseRanked(now, serviceTime, reported(50, 12, 16, 4, 12), rank)]++
+	}
+	require.Zero(t, n[1], n)
+	require.Greater(t, n[2], 90, n)
 }
 
 // A decider that knows of no other requests has to behave like one that knows all.
--- a/lib/decide/span/spread.go
+++ b/lib/decide/span/spread.go
@@ -20,6 +20,9 @@
 type spread struct {
 	// on is set while the owner does not know all grants and is to spread short requests.
 	on bool
+	// rank is the rank of the owner among all that may decide; ranked is set if it is known.
+	rank   int
+	ranked bool
 	// random is shared by copies of the pool: a draw changes nothing else.
 	random Random
 	// serviceTime is the mean time in milliseconds from grant to complete response of the last short
@@ -38,6 +41,12 @@
 	return changed
 }
 
+// SetRank sets the rank of the owner among all VMs that may decide. An owner whose rank is unknown
+// chooses at random where one with a rank takes upstreams that differ from those of other ranks.
+func (p *Pool) SetRank(rank int, known bool) {
+	p.spread.rank, p.spread.ranked = rank, known
+}
+
 // noteReport records the load that an upstream reports.
 func (r *upstreamState) noteReport(now clock.Milli, requests int) {
 	at := now
@@ -57,6 +66,9 @@
 	if len(plans) == 0 {
 		return plan{}, false
 	}
+	if p.spread.ranked {
+		return plans[balance.ChooseRanked(now, p.serviceTime(w), cs, p.spread.rank)], true
+	}
 	return plans[balance.Choose(now, p.serviceTime(w), cs, p.spread.random.Float64())], true
 }
 
