balance: no ranks while only a few upstreams lack fresh reports

Cause: with one false report among fresh ones (30 deciders, 50 ms), choices by rank overloaded the upstream without a usable report: an upstream queued while another one had a free slot in 15 to 21 % of the time, 3 to 5 % without ranks.

Change: if at least seven of eight upstreams, but not all, have reports younger than a twelfth of the service time, the choice is the random one.

--- a/bench/fleet/policies.go
+++ b/bench/fleet/policies.go
@@ -68,7 +68,7 @@
 		}
 		return balance.Choose(clock.Milli(s.now), serviceTime, s.candidates(d), s.choices.Float64())
 	case Ranked:
-		return balance.ChooseRanked(clock.Milli(s.now), serviceTime, s.candidates(d), d)
+		return balance.ChooseRanked(clock.Milli(s.now), serviceTime, s.candidates(d), d, s.choices.Float64())
 	case JoinIdle:
 		if t := s.tokens[d]; len(t) > 0 {
 			s.tokens[d] = t[1:]
--- a/lib/decide/balance/balance.go
+++ b/lib/decide/balance/balance.go
@@ -114,8 +114,12 @@
 // of its own in the sum of the shares. Of the candidates with the fewest own requests per slot, it
 // takes the first one from that place on. The load of a candidate varies less than under Choose, as
 // the deciders whose places are close to it almost always have a request there, and the others almost
-// never. Ranks need not be contiguous or unique.
-func ChooseRanked(now, serviceTime clock.Milli, cs []Candidate, rank int) int {
+// never. Ranks need not be contiguous or unique. If all but a few reports are fresh, the choice
+// is that of Choose, see fewUnknown.
+func ChooseRanked(now, serviceTime clock.Milli, cs []Candidate, rank int, random float64) int {
+	if fewUnknown(now, serviceTime, cs) {
+		return Choose(now, serviceTime, cs, random)
+	}
 	shares := considerable(Allocation(now, serviceTime, cs))
 	_, place := math.Modf(goldenRatio * float64(rank))
 	// Own requests are included, so that the place stays where it is while they use up shares.
@@ -138,6 +142,27 @@
 // spread evenly, also those of any range of consecutive ranks.
 const goldenRatio = math.Phi - 1
 
+// freshPart is the part of the service time up to which reports count as fresh: few requests have been
+// replaced since.
+const freshPart = 1.0 / 12
+
+// freshCandidates is the part of the candidates that must have fresh reports for the others to be the
+// exception. With more others, ranks spread the requests between these better than chance does.
+const freshCandidates = 7.0 / 8
+
+// fewUnknown reports whether almost all candidates have fresh reports, and a few do not. Ranks then
+// concentrate requests: deciders that skip a candidate for the load that it reports all go on to the
+// next one, and if that is an unknown one, no report stops them.
+func fewUnknown(now, serviceTime clock.Milli, cs []Candidate) bool {
+	n := 0
+	for i := range cs {
+		if r := &cs[i].Record; r.usable() && float64(now-r.at) <= freshPart*float64(serviceTime) {
+			n++
+		}
+	}
+	return n < len(cs) && float64(n) >= freshCandidates*float64(len(cs))
+}
+
 // considerable sets shares to zero that are not considerable.
 func considerable(shares []float64) []float64 {
 	least := minShare * sum(shares) / float64(max(len(shares), 1))
--- a/lib/decide/span/spread.go
+++ b/lib/decide/span/spread.go
@@ -66,10 +66,11 @@
 	if len(plans) == 0 {
 		return plan{}, false
 	}
+	random := p.spread.random.Float64()
 	if p.spread.ranked {
-		return plans[balance.ChooseRanked(now, p.serviceTime(w), cs, p.spread.rank)], true
+		return plans[balance.ChooseRanked(now, p.serviceTime(w), cs, p.spread.rank, random)], true
 	}
-	return plans[balance.Choose(now, p.serviceTime(w), cs, p.spread.random.Float64())], true
+	return plans[balance.Choose(now, p.serviceTime(w), cs, random)], true
 }
 
 // spreadCandidates lists engines that fit a short request, in the order of packing. Slow and cold
