--- a/daemon/placer/spread.go
+++ b/daemon/placer/spread.go
@@ -18,7 +18,7 @@
 func (o *Owner) setSpread(args *AskArgs, p *ownedPool) {
 	on := o.Spread && o.limitedKnowledge(args)
 	if on {
-		p.pool.SetRank(o.Members.Position(), !o.Alone())
+		p.pool.SetRank(o.rank())
 	}
 	if !p.pool.SetSpread(on, globalRandom{}) {
 		return
@@ -27,6 +27,12 @@
 		Int("members", len(o.Members.Live())).Int("lost", o.Members.Lost()).Msg("short requests are spread while other owners may use the same upstreams")
 }
 
+// rank returns the rank of this VM among the members, and whether it knows any other. If VMs that know
+// of nobody all had the rank zero, all would prefer the same upstreams.
+func (o *Owner) rank() (rank int, known bool) {
+	return o.Members.Position(), !o.Alone() && len(o.Members.Live())+o.Members.Lost() > 1
+}
+
 // limitedKnowledge reports whether VMs that this one does not reach may grant requests at the same
 // upstreams.
 func (o *Owner) limitedKnowledge(args *AskArgs) bool {
--- a/daemon/placer/spread_test.go
+++ b/daemon/placer/spread_test.go
@@ -42,6 +42,8 @@
 	}
 	require.NotEqual(t, first(0), first(1))
 	require.Equal(t, first(1), first(1))
+	_, known := ownerAt(t, members{{VM: "self", Address: "self"}}, &network{}, ids...).rank()
+	require.False(t, known, "a VM whose members are all forgotten")
 }
 
 // ranked has a position of its own.
--- a/daemon/placer/where.go
+++ b/daemon/placer/where.go
@@ -64,7 +64,7 @@
 	pool, gathering := o.copyPool(s)
 	pool.SetLimitShare(now, o.limitShare(&args.Query))
 	pool.SetSpread(o.Spread && o.limitedKnowledge(&args.Query), globalRandom{})
-	pool.SetRank(o.Members.Position(), !o.Alone())
+	pool.SetRank(o.rank())
 	for _, m := range args.Query.Statements {
 		pool.Learn(now, m.Upstream, m.Statement(now))
 	}
