--- a/lib/decide/span/spread_test.go
+++ b/lib/decide/span/spread_test.go
@@ -90,6 +90,7 @@
 		ended := decide.RequestID(fmt.Sprintf("note%d", max(1, i-200)))
 		load := exchange.Load{Requests: random.IntN(10)}
 		with.SetSpread(false, nil)
+		with.SetRank(3, true)
 		var decisions [2][]Decision
 		for j, b := range []*testPool{with, without} {
 			b.Ask(at, a)
