--- a/bench/fleet/deciders_test.go
+++ b/bench/fleet/deciders_test.go
@@ -39,3 +39,15 @@
 		}
 	}
 }
+
+// In bursts, too, deciders that know their ranks must wait at most 1.2 times as long as with an oracle.
+func TestRankedDecidersMeetTheGoalInBursts(t *testing.T) {
+	for seed := range uint64(3) {
+		l := DeciderLoad{Deciders: 30, Upstreams: 30, Slots: 16, Seed: seed, For: clock.Minute, Age: 500, Load: 0.7, Burst: true}
+		results := map[Policy]DeciderResult{}
+		for _, l.Policy = range []Policy{Ranked, Oracle} {
+			results[l.Policy] = RunDeciders(l)
+		}
+		require.LessOrEqual(t, results[Ranked].P99, 1.2*results[Oracle].P99, "%+v", results)
+	}
+}
