--- a/review/stage/client.go
+++ b/review/stage/client.go
@@ -25,11 +25,11 @@
 	status    int
 	signature string
 	whole     bool
-	// closed is set if the channel ended without a complete answer.
-	closed bool
-	err    error
-	sent   time.Time
-	ended  time.Time
+	// closed is set if the channel ended without a complete answer, last if the answer asks to close the channel.
+	closed, last bool
+	err          error
+	sent         time.Time
+	ended        time.Time
 }
 
 func (a answer) String() string {
@@ -58,7 +58,7 @@
 }
 
 // send sends a request on the channel and waits for its answer until its time limit.
-func (c *channel) send(r *record, x call) answer {
+func (c *channel) send(x call) answer {
 	var b bytes.Buffer
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\nAuthorization: Token %s\r\n", x.method, x.path, host, x.id, x.limit.Milliseconds(), x.key)
 	if x.usage != "" {
@@ -89,7 +89,7 @@
 		return
 	}
 	defer resp.Body.Close()
-	a.status, a.signature = resp.StatusCode, resp.Header.Get("X-Response-Signature")
+	a.status, a.signature, a.last = resp.StatusCode, resp.Header.Get("X-Response-Signature"), resp.Close
 	body, err := io.ReadAll(resp.Body)
 	if err != nil {
 		var timeout net.Error
--- a/review/stage/queued.go
+++ b/review/stage/queued.go
@@ -118,7 +118,7 @@
 			}
 			defer c.close()
 			s.record.add("%s is sent to %s, %d tokens in", id, v.name, dossierPrompt)
-			a := c.send(s.record, call{
+			a := c.send(call{
 				id: id, method: "POST", path: "/dossier/1", key: "k-one", usage: fmt.Sprintf("%d,%d", dossierPrompt, output),
 				parts: fmt.Sprintf("5c1e07a2:40,%x:%d", len(id)*7919+int(id[len(id)-1]), dossierPrompt-40), limit: 15 * time.Second,
 			})
