--- a/review/stage/client.go
+++ b/review/stage/client.go
@@ -16,8 +16,8 @@
 
 // call is one request of a requester.
 type call struct {
-	id, method, path, key, usage, parts string
-	limit                               time.Duration
+	id, method, path, body, key, usage, parts string
+	limit                                     time.Duration
 }
 
 // answer is what the requester saw.
@@ -64,9 +64,11 @@
 	if x.usage != "" {
 		fmt.Fprintf(&b, "X-Model: m\r\nX-Token-Usage: %s\r\nX-Prompt-Prefix: %s\r\n", x.usage, x.parts)
 	}
-	body := ""
+	body := x.body
 	if x.method == http.MethodPost {
-		body = "body of " + x.id
+		if body == "" {
+			body = "body of " + x.id
+		}
 		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(body))
 	}
 	b.WriteString("\r\n" + body)
--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -25,6 +25,7 @@
 var cases = map[string]caseFunc{
 	"queued-at-stop":  playQueuedAtStop,
 	"stale-heartbeat": playStaleHeartbeat,
+	"late-poison":     playLatePoison,
 }
 
 // stage is the world of one case.
@@ -34,8 +35,12 @@
 	record    *record
 	store     *store
 	vms       []*vm
-	runners   []*runner
 	links     []*link
+	// crashes is nil unless a request crashes runners.
+	crashes *crashes
+
+	mu      sync.Mutex
+	runners []*runner
 }
 
 // record is the log of what was sent, answered and run.
@@ -108,6 +113,8 @@
 	for _, l := range s.links {
 		l.close()
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	for _, r := range s.runners {
 		r.close()
 	}
--- a/review/stage/queued.go
+++ b/review/stage/queued.go
@@ -27,6 +27,7 @@
 		"version": version,
 		"routes": []any{
 			route("dossier", "/dossier/", "streaming", "notice-llm", 15_000, 3000, 800, 2, false),
+			route("draft", "/draft/", "streaming", "notice-llm", 10_000, 300, 200, 2, true),
 			route("lookup", "/lookup/", "non_idempotent", "alert-desk", 1500, 100, 0, 1, false),
 			route("status", "/status/", "idempotent", "alert-desk", 1500, 100, 0, 2, false),
 		},
--- a/review/stage/runner.go
+++ b/review/stage/runner.go
@@ -29,6 +29,7 @@
 	work              time.Duration
 	slots             int
 	record            *record
+	stage             *stage
 	server            *http.Server
 	listener          net.Listener
 	born              int64
@@ -50,20 +51,27 @@
 var signatures atomic.Uint64
 
 func (s *stage) newRunner(id, service, zone string, engine bool, work time.Duration) (*runner, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	return s.newRunnerAt("127.0.0.1:0", id, service, zone, engine, work)
+}
+
+// newRunnerAt starts a runner at an address and registers it.
+func (s *stage) newRunnerAt(address, id, service, zone string, engine bool, work time.Duration) (*runner, error) {
+	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
 	r := &runner{
 		id: id, service: service, zone: zone, engine: engine, work: work, slots: 6, record: s.record, listener: l,
-		born: time.Now().UnixMilli(), tickets: map[string]*ticket{}, runs: map[string][]time.Time{},
+		stage: s, born: time.Now().UnixMilli(), tickets: map[string]*ticket{}, runs: map[string][]time.Time{},
 	}
 	if engine {
 		r.slots = engineSlots
 	}
 	r.server = &http.Server{Handler: r, ReadHeaderTimeout: 10 * time.Second}
 	go func() { _ = r.server.Serve(l) }()
+	s.mu.Lock()
 	s.runners = append(s.runners, r)
+	s.mu.Unlock()
 	s.register(r, "ready")
 	return r, nil
 }
@@ -150,6 +158,12 @@
 		return
 	}
 	_, _ = io.Copy(io.Discard, q.Body)
+	poison := q.URL.Path == poisonPath
+	if poison {
+		r.stage.crashes.mu.Lock()
+		r.stage.crashes.arrivals = append(r.stage.crashes.arrivals, time.Now())
+		r.stage.crashes.mu.Unlock()
+	}
 	prompt, output := tokens(q.Header.Get("X-Token-Usage"))
 	if !r.begin(prompt + output) {
 		r.record.add("%s rejects %s, full", r.id, id)
@@ -178,9 +192,14 @@
 		}
 		return
 	}
+	if poison {
+		t := time.AfterFunc(poisonRuns, func() { r.stage.crash(r) })
+		defer t.Stop()
+	}
 	w.Header().Set("Content-Type", "text/event-stream")
-	for i := 1; i <= max(1, output/eventTokens); i++ {
-		if i > 1 && !sleep(q, eventInterval) {
+	last, _ := strconv.Atoi(q.Header.Get("Last-Event-Id"))
+	for i := last + 1; i <= max(1, output/eventTokens); i++ {
+		if i > last+1 && !sleep(q, eventInterval) {
 			r.record.add("%s: the channel of %s was closed after %d events", r.id, id, i-1)
 			return
 		}
