--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -25,7 +25,7 @@
 var cases = map[string]caseFunc{
 	"queued-at-stop":  playQueuedAtStop,
 	"stale-heartbeat": playStaleHeartbeat,
-	"late-poison":     playLatePoison,
+	"dark-poison":     playDarkPoison,
 }
 
 // stage is the world of one case.
--- a/review/stage/poison.go
+++ b/review/stage/poison.go
@@ -11,8 +11,6 @@
 const (
 	// poisonPath is the path of the request that crashes each runner that runs it.
 	poisonPath = "/draft/poison"
-	// poisonRuns is how long a runner has run it before it crashes.
-	poisonRuns = 300 * time.Millisecond
 	// backAfter is when a crashed runner is back, as a new lifetime.
 	backAfter = 3 * time.Second
 	// poisonEvery is the time between two requests of the requester.
@@ -29,9 +27,9 @@
 	at       []time.Time
 }
 
-// playLatePoison lets a request crash each runner that runs it, some time after its first token, and come again with
-// the same path, caller and body.
-func playLatePoison(s *stage) (bool, string, error) {
+// playDarkPoison lets a request crash each runner that begins to run it: the runner goes dark right after its first
+// token. The request comes again with the same path, caller and body.
+func playDarkPoison(s *stage) (bool, string, error) {
 	s.crashes = &crashes{}
 	if err := s.open(6, 1, 3); err != nil {
 		return false, "", err
@@ -105,17 +103,21 @@
 	return late > 3, fmt.Sprintf("the request reached runners %d times later than %v after it had crashed the third; it crashed %d", late, contactWindow, len(s.crashes.at)), nil
 }
 
-// crash ends a runner: its listener and all its channels are closed. It is back after a while at its address, with a new
-// id; the entry of its earlier lifetime is removed after three heartbeat intervals of silence.
+// crash takes a runner's power: it sends nothing more, and connects to it get no answer. It is back after a while at its
+// address, with a new id; the entry of its earlier life is removed after three heartbeat intervals of silence.
 func (s *stage) crash(r *runner) {
+	if r.listener.isDark() {
+		return
+	}
+	r.listener.goDark()
 	s.crashes.mu.Lock()
 	s.crashes.at = append(s.crashes.at, time.Now())
 	s.crashes.mu.Unlock()
-	s.record.add("%s crashes", r.id)
+	s.record.add("%s goes dark", r.id)
 	address := r.address()
-	_ = r.server.Close()
 	time.AfterFunc(3600*time.Millisecond, func() { s.store.remove("servers", r.id) })
 	time.AfterFunc(backAfter, func() {
+		r.close()
 		n, err := s.newRunnerAt(address, fmt.Sprintf("%s.%d", r.id, signatures.Add(1)), r.service, r.zone, r.engine, r.work)
 		if err != nil {
 			s.record.add("%s is not back: %v", r.id, err)
--- a/review/stage/runner.go
+++ b/review/stage/runner.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -31,7 +30,7 @@
 	record            *record
 	stage             *stage
 	server            *http.Server
-	listener          net.Listener
+	listener          *darkListener
 	born              int64
 
 	mu      sync.Mutex
@@ -56,7 +55,7 @@
 
 // newRunnerAt starts a runner at an address and registers it.
 func (s *stage) newRunnerAt(address, id, service, zone string, engine bool, work time.Duration) (*runner, error) {
-	l, err := net.Listen("tcp", address)
+	l, err := listenDark(address)
 	if err != nil {
 		return nil, err
 	}
@@ -86,7 +85,10 @@
 
 func (r *runner) address() string { return r.listener.Addr().String() }
 
-func (r *runner) close() { _ = r.server.Close() }
+func (r *runner) close() {
+	r.listener.end()
+	_ = r.server.Close()
+}
 
 // reserved returns the tokens of all tickets. The lock must be held.
 func (r *runner) reserved() int {
@@ -103,6 +105,10 @@
 
 // ServeHTTP serves reports, orders, liveness checks and requests.
 func (r *runner) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+	if r.listener.isDark() {
+		<-q.Context().Done() // a machine without power reads nothing
+		panic(http.ErrAbortHandler)
+	}
 	switch q.URL.Path {
 	case "/api/report":
 		r.mu.Lock()
@@ -192,19 +198,22 @@
 		}
 		return
 	}
-	if poison {
-		t := time.AfterFunc(poisonRuns, func() { r.stage.crash(r) })
-		defer t.Stop()
-	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	last, _ := strconv.Atoi(q.Header.Get("Last-Event-Id"))
 	for i := last + 1; i <= max(1, output/eventTokens); i++ {
-		if i > last+1 && !sleep(q, eventInterval) {
+		if i > last+1 && !sleep(q, eventInterval) && !r.listener.isDark() {
 			r.record.add("%s: the channel of %s was closed after %d events", r.id, id, i-1)
 			return
 		}
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: piece %d of %s\n\n", i, i, id)
 		_ = http.NewResponseController(w).Flush()
+		if poison {
+			r.stage.crash(r)
+		}
+		if r.listener.isDark() {
+			<-q.Context().Done()
+			panic(http.ErrAbortHandler)
+		}
 	}
 	r.record.add("%s has done %s", r.id, id)
 }
