relay: requests without a response are refused before a planned stop ends

Cause: the end of the grace period bounded http.Server.Shutdown alone. Neither the gate, whose wait ended with the request's own deadline, nor the owner of the service knew that less time was left, and the process ended over them.

Change: Gate.Stop gets the instant at which the process may end. Requests that wait are asked for anew with that as their deadline, so the owner refuses at once what it cannot serve; 0.2 s before the end each request without a response gets its final one: 503 if nothing was sent, 504 if it may have run. Also: the grace counts from the signal, not from the end of the hand-over; a body that is still being read is refused; a send that ends before it has a connection counts as not run; responses to requests from before the signal ask to reconnect.

The OpenAI daemon waits for all requests without an end of its own and is not affected.

--- a/daemon/relay.go
+++ b/daemon/relay.go
@@ -332,22 +332,23 @@
 // stop stops the daemon gracefully. The VM reports that it is not ready and hands over its services,
 // and each response from then on asks the client to use another VM. Once the balancer has had time
 // to notice, the listener is closed, and stop waits until all requests have been served or the grace
-// period is almost over.
+// period is almost over. Requests without a response are refused before that.
 func (d *relayDaemon) stop(clients *http.Server) {
 	d.log.Info().Str(logline.Key, logline.Stopping).Msg("stopping")
+	balanced := d.clock.Now() + balancerDelay
+	end := max(d.clock.Now()+d.settings.Bounds.Grace-closingReserve, balanced)
 	close(d.stopping)
 	d.members.Stop()
 	d.owner.HandOver(context.Background())
-	d.gate.Stop()
+	d.gate.Stop(end)
 	d.tunnels.Stop()
-	time.Sleep(balancerDelay.Duration())
-	remaining := max(d.settings.Bounds.Grace-balancerDelay-closingReserve, 0)
-	ctx, cancel := context.WithTimeout(context.Background(), remaining.Duration())
+	time.Sleep((balanced - d.clock.Now()).Duration())
+	ctx, cancel := context.WithTimeout(context.Background(), (end - d.clock.Now()).Duration())
 	defer cancel()
 	defer d.tunnels.Drain(ctx)
 	d.clients.Drain()
 	if err := clients.Shutdown(ctx); err != nil {
-		d.log.Warn().Str(logline.Key, logline.Stopping).Err(err).Msg("the grace period ended before all responses were complete; the remaining ones are cut off")
+		d.log.Warn().Str(logline.Key, logline.Stopping).Err(err).Msg("the grace period ended before all responses that had begun were complete; the remaining ones are cut off")
 	}
 }
 
--- a/daemon/relay/body.go
+++ b/daemon/relay/body.go
@@ -91,11 +91,15 @@
 	// Without a deadline, a client that sends its body very slowly would occupy buffer space.
 	// Only connections in tests do not support deadlines.
 	_ = control.SetReadDeadline(x.runtimeDeadline())
+	endInterrupt := x.gate.stop.interrupt(func() { _ = control.SetReadDeadline(time.Now()) })
 	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
+	endInterrupt()
 	var large *http.MaxBytesError
 	switch {
 	case errors.As(err, &large):
 		return fault.New(fault.Large, "the body is over %d bytes", limit)
+	case errors.Is(err, os.ErrDeadlineExceeded) && x.gate.stop.final.Err() != nil:
+		return x.stopFault(false)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return fault.New(fault.Slow, "the body did not come whole within %d ms", x.deadline-x.arrived)
 	case err != nil:
--- a/daemon/relay/gate.go
+++ b/daemon/relay/gate.go
@@ -134,8 +134,7 @@
 	serial atomic.Uint64
 	// bodies is the total size of the bodies of requests and responses that are buffered, in bytes.
 	bodies atomic.Int64
-	// stopping makes each response close its connection, so that clients reconnect to another VM.
-	stopping atomic.Bool
+	stop   *stop
 	// unknown are the names of response header fields that the codec does not recognize, unreadable
 	// are fields whose values cannot be parsed. Each is logged once.
 	unknown, unreadable nameSet
@@ -144,12 +143,9 @@
 
 // New returns a gate. The id identifies this process: the VM and its incarnation.
 func New(n Dependencies, b Bounds, id decide.GateID) *Gate {
-	return &Gate{Dependencies: n, bounds: b, id: id, started: n.Clock.Now(), metrics: newMetrics()}
+	return &Gate{Dependencies: n, bounds: b, id: id, started: n.Clock.Now(), stop: newStop(), metrics: newMetrics()}
 }
 
-// Stop makes each further response close its connection, so that clients reconnect to another VM.
-func (g *Gate) Stop() { g.stopping.Store(true) }
-
 // keyAgeShare is the maximum age of the known keys as a share of Bounds.Revoke. The remainder is
 // the time that the request needs to reach its upstream.
 const keyAgeShare = 0.8
@@ -181,15 +177,14 @@
 	avoid       []decide.UpstreamID
 	// carrier is the VM through which the current send goes; nil for a direct connection.
 	carrier atomic.Pointer[peer.VM]
+	// outlastStop lets the request go on after the end of a stop; it is called as the response begins.
+	outlastStop func() bool
 }
 
 // ServeHTTP serves one request.
 func (g *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := &request{gate: g, w: w, r: r, arrived: g.Clock.Now()}
 	defer x.endWrites()
-	if g.stopping.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	err := x.serve()
 	if err != nil && !x.started {
 		x.refuse(err)
@@ -219,6 +214,8 @@
 	x.record.read = x.elapsed()
 	ctx, cancel := context.WithDeadlineCause(x.r.Context(), x.runtimeDeadline(), errDeadline)
 	defer cancel()
+	ctx, release = x.endAtStop(ctx)
+	defer release()
 	return x.run(ctx)
 }
 
--- a/daemon/relay/harness_test.go
+++ b/daemon/relay/harness_test.go
@@ -90,7 +90,9 @@
 	// again and counted record the fields Again and Counted of each Ask, parts its parts.
 	again, counted []bool
 	parts          [][]blame.Part
-	statements     *statement.Table
+	// deadlines records the field Deadline of each Ask.
+	deadlines  []clock.Milli
+	statements *statement.Table
 	// wait is how long each Ask takes; beforeAsk is called at its start.
 	wait      time.Duration
 	beforeAsk func()
@@ -113,6 +115,7 @@
 	p.again = append(p.again, a.Again)
 	p.counted = append(p.counted, a.Counted)
 	p.parts = append(p.parts, a.Parts)
+	p.deadlines = append(p.deadlines, a.Deadline)
 	p.fingerprints = append(p.fingerprints, a.Fingerprint)
 	p.mu.Unlock()
 	select {
--- a/daemon/relay/refuse.go
+++ b/daemon/relay/refuse.go
@@ -54,6 +54,7 @@
 	text := string(err.Kind) + ": " + err.Text + "\n"
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	h.Set("Content-Length", strconv.Itoa(len(text)))
+	x.closeAtStop()
 	x.w.WriteHeader(status(err))
 	_, _ = x.w.Write([]byte(text)) // an error means that the client has disconnected
 	x.record.status = status(err)
@@ -65,6 +66,9 @@
 	if !errors.Is(context.Cause(ctx), errDeadline) && x.r.Context().Err() != nil {
 		return fault.New(fault.Canceled, "the caller went away")
 	}
+	if errors.Is(context.Cause(ctx), errStopping) {
+		return x.stopFault(sent)
+	}
 	if sent {
 		return fault.New(fault.Expired, "no whole answer within %d ms", x.deadline-x.arrived)
 	}
--- a/daemon/relay/run.go
+++ b/daemon/relay/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"strconv"
 
+	"snipeshift.example/daemon/placer"
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
 	"snipeshift.example/lib/decide/gate"
@@ -198,25 +199,39 @@
 	a.Suspect, a.Parts = check == gate.Suspected, x.sharedParts()
 	a.Again, a.Begun, a.Counted = before.again, before.mayHaveRun, before.counted
 	a.Fingerprint = x.fingerprint
-	reply, err := g.Placer.Ask(ctx, x.service, a)
+	reply, again, err := x.askOwner(ctx, a)
 	x.record.queued += g.Clock.Now() - now
 	if err != nil {
 		g.Placer.Withdraw(x.service, a.ID)
+	}
+	switch {
+	case again:
+		return x.requestGrant(ctx, before)
+	case err != nil:
 		return span.Grant{}, x.endFault(ctx, before.mayHaveRun)
 	}
 	x.record.reason, x.record.waiting, x.record.running = reply.Reason, reply.Queued, reply.Granted
 	if reply.Fault != "" {
-		return span.Grant{}, fault.New(reply.Fault, "no place: %s", reply.Reason).WithRetry(RetryAfter(reply.Retry, reply.Booked))
+		return span.Grant{}, fault.New(reply.Fault, "no place: %s", reply.Reason).WithRetry(x.retryAfter(&a, &reply))
 	}
 	return reply.Grant, nil
 }
 
+// retryAfter returns the Retry-After of a request that the owner refuses. If this VM is stopping, the client need not wait:
+// other VMs have more time for the request.
+func (x *request) retryAfter(a *span.Ask, reply *placer.AskReply) clock.Milli {
+	if a.Deadline < x.deadline && !reply.Booked {
+		return notReadyRetry
+	}
+	return RetryAfter(reply.Retry, reply.Booked)
+}
+
 // newAsk describes the next send of the request to the owner. The name is unique among those of this gate.
 func (x *request) newAsk(now clock.Milli, name string) span.Ask {
 	return span.Ask{
 		ID:   decide.RequestID(string(x.gate.id) + "#" + name),
 		Gate: x.gate.id, Workspace: x.workspaceID(), Urgency: route.Urgency(x.route, x.workspace),
-		Prompt: x.head.Prompt, Output: x.head.Output, Likely: x.likelyOutput(), Aim: x.firstByteTarget(now), Patience: x.patienceEnd(now), Deadline: x.deadline, Gap: x.route.Gap,
+		Prompt: x.head.Prompt, Output: x.head.Output, Likely: x.likelyOutput(), Aim: x.firstByteTarget(now), Patience: x.patienceEnd(now), Deadline: x.gate.stop.limit(x.deadline), Gap: x.route.Gap,
 		Stream: x.route.Stream, Avoid: x.avoid, Domain: x.gate.Domain,
 	}
 }
--- a/daemon/relay/send.go
+++ b/daemon/relay/send.go
@@ -218,8 +218,10 @@
 // startResponse writes the header of an upstream's response to the client.
 func (x *request) startResponse(status int, from http.Header) {
 	x.started = true
+	x.outlastStop()
 	x.record.beginResponse(x.gate.Clock.Now()-x.arrived, status)
 	x.gate.Codec.Answer(x.w.Header(), from)
+	x.closeAtStop()
 	x.boundWrites()
 	x.w.WriteHeader(status)
 }
@@ -231,6 +233,8 @@
 	switch {
 	case errors.Is(context.Cause(ctx), errUnresponsive):
 		return result{verdict: mayHaveRun, outcome: span.Silent, err: errUnresponsive, suspicious: true}
+	case ctx.Err() != nil && !wrote:
+		return result{verdict: notRun, outcome: span.Left, err: context.Cause(ctx), unsent: true}
 	case ctx.Err() != nil:
 		return result{verdict: mayHaveRun, outcome: span.Left, err: context.Cause(ctx)}
 	case !wrote && dial.ErrNoPath.Has(err):
