placer: an answer of the VM's own does not change a question that was given up

TestWhereOfWholeFleetTakesUnderASecond ended once with a data race (go test -race ./..., 1 of 11 runs): whereLocal set a field of the arguments of a call that had been given up, which the test's network still held. net/rpc encodes arguments before Call waits, so processes were not affected; a Peers that reads them later would be.

--- a/daemon/placer/where.go
+++ b/daemon/placer/where.go
@@ -130,10 +130,11 @@
 	return c.whereLocal(args), errNoOwner
 }
 
-// whereLocal answers from the pool of this VM.
+// whereLocal answers from the pool of this VM. It leaves args as they are: a call that was given up may still read them.
 func (c *Client) whereLocal(args *WhereArgs) WhereReply {
-	args.Query.Local = true
+	local := *args
+	local.Query.Local = true
 	var reply WhereReply
-	_ = c.localOwner.Where(args, &reply) // Where returns no errors
+	_ = c.localOwner.Where(&local, &reply) // Where returns no errors
 	return reply
 }
