member, registry: a heartbeat counts from when it can have been written

Cause: the registry took a heartbeat for 500 ms old at most, since its sender gives it up by then. What was written is delivered all the same, once the cut heals, and the ages in it counted from the arrival. In fleets of more than twelve VMs a heartbeat may take a second without any cut.

Change: a message carries its sender's clock, and the next one in the other direction returns it with the time for which it was held. The receiver adds both on its own clock, which bounds when the message was written, whatever happened on the way. Ages count from there, for the document, the list of upstreams and evacuations. A message without such an echo verifies nothing.

Evidence: TestHeldUpHeartbeatDoesNotRefreshAge before the change: the document counts as verified at 1010500 where the heartbeat was written at 1001000. TestVMCutOffFromStoreLearnsFromPeers compares with the instant of writing in place of 500 ms before the arrival, which is stricter.

--- a/daemon/directory.go
+++ b/daemon/directory.go
@@ -165,7 +165,7 @@
 }
 
 // Learn implements member.Part.
-func (d *directory) Learn(b *peer.BeatArgs, _ bool) {
+func (d *directory) Learn(b *peer.BeatArgs, _ clock.Milli) {
 	d.ring.ReceiveStamp(b.Stamp)
 	d.storeSummaries(b.Pools)
 	d.mu.Lock()
--- a/daemon/follow/follow.go
+++ b/daemon/follow/follow.go
@@ -161,7 +161,7 @@
 
 // Learn implements member.Part. A higher revision in a peer's heartbeat starts a fetch from that
 // peer.
-func (f *Follower) Learn(b *peer.BeatArgs, _ bool) {
+func (f *Follower) Learn(b *peer.BeatArgs, _ clock.Milli) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if b.Revision <= f.revision || b.Revision <= f.rejected || b.Revision < f.peerRevision {
--- a/daemon/follow/follow_test.go
+++ b/daemon/follow/follow_test.go
@@ -98,7 +98,7 @@
 func sendHeartbeat(from, to *Follower, address string) {
 	b := peer.BeatArgs{From: peer.Member{VM: peer.VM(address), Address: address}}
 	from.Fill("", &b)
-	to.Learn(&b, false)
+	to.Learn(&b, 0)
 }
 
 func TestWatchDeliversDocument(t *testing.T) {
--- a/daemon/member/members.go
+++ b/daemon/member/members.go
@@ -37,9 +37,9 @@
 	// Fill sets fields of a heartbeat, or of the reply to one, for a member. The name is
 	// empty for a seed, of which only the address is known.
 	Fill(to peer.VM, b *peer.BeatArgs)
-	// Learn processes a heartbeat from b.From, or with reply set the reply to a heartbeat
-	// that this member sent.
-	Learn(b *peer.BeatArgs, reply bool)
+	// Learn processes a heartbeat from b.From, or the reply to a heartbeat that this member sent. It was written at the time
+	// written at the earliest; zero if nothing is known of that. Ages in it count back from then, never from its arrival.
+	Learn(b *peer.BeatArgs, written clock.Milli)
 }
 
 // AckedPart is a Part that needs to know which heartbeats were delivered. Fields that Load
@@ -289,7 +289,7 @@
 	var reply peer.BeatArgs
 	err := m.caller.Call(limited, to.Address, Name+".Beat", args, &reply)
 	if err == nil {
-		m.learn(&reply, true)
+		m.learn(&reply)
 		for _, c := range m.acked {
 			c.Arrived(to)
 		}
@@ -310,6 +310,10 @@
 func (m *Members) message(to peer.VM, reply bool) *peer.BeatArgs {
 	m.mu.Lock()
 	b := m.table.Message(to, reply)
+	// The parts are filled in afterwards: an age that was taken before Held would be too low for the receiver if the process
+	// stood still in between.
+	b.Sent = m.clock.Now()
+	b.Echo = m.table.echo(b.Sent, to)
 	m.mu.Unlock()
 	for _, p := range m.parts {
 		p.Fill(to, b)
@@ -318,14 +322,15 @@
 }
 
 // learn processes a heartbeat, or the reply to one.
-func (m *Members) learn(b *peer.BeatArgs, reply bool) {
+func (m *Members) learn(b *peer.BeatArgs) {
 	now := m.clock.Now()
 	m.mu.Lock()
+	written := m.table.writtenAt(now, b)
 	changed := m.table.Receive(now, b)
 	other := b.From.VM != m.table.Self().VM
 	m.mu.Unlock()
 	for _, p := range m.parts {
-		p.Learn(b, reply)
+		p.Learn(b, written)
 	}
 	if other {
 		m.recordContact(now)
@@ -358,7 +363,7 @@
 
 // Beat processes a heartbeat and replies with one.
 func (r *Receiver) Beat(args, reply *peer.BeatArgs) error {
-	r.members.learn(args, false)
+	r.members.learn(args)
 	*reply = *r.members.message(args.From.VM, true)
 	return nil
 }
--- a/daemon/member/table.go
+++ b/daemon/member/table.go
@@ -31,6 +31,9 @@
 	view uint64
 	// buckets are the digests of the parts of its table; empty if it did not send any.
 	buckets []uint32
+	// incarnation and sent identify the message, which arrived at the time at.
+	incarnation peer.Incarnation
+	sent, at    clock.Milli
 }
 
 // derived is computed once for each change of the table, not for each heartbeat.
@@ -101,11 +104,30 @@
 		changed = t.Learn(now, k) || changed
 	}
 	if b.From.VM != t.self.VM {
-		t.heard[b.From.VM] = heardView{b.View, b.Buckets}
+		t.heard[b.From.VM] = heardView{view: b.View, buckets: b.Buckets, incarnation: b.From.Incarnation, sent: b.Sent, at: now}
 	}
 	return changed
 }
 
+// echo returns the Echo for a message that is written to a member now.
+func (t *Table) echo(now clock.Milli, to peer.VM) peer.Echo {
+	h, ok := t.heard[to]
+	if !ok {
+		return peer.Echo{}
+	}
+	return peer.Echo{Incarnation: h.incarnation, Sent: h.sent, Held: now - h.at}
+}
+
+// writtenAt returns the earliest time at which a message to this member can have been written, or zero if the message
+// names none that this incarnation sent. The message was written Held after the arrival of that one, so at least Held
+// after it was sent, however long either was under way.
+func (t *Table) writtenAt(now clock.Milli, b *peer.BeatArgs) clock.Milli {
+	if b.Echo.Incarnation != t.self.Incarnation || b.Echo.Sent == 0 {
+		return 0
+	}
+	return min(b.Echo.Sent+b.Echo.Held, now)
+}
+
 // Self returns the description of this member.
 func (t *Table) Self() peer.Member { return t.self }
 
--- a/daemon/placer/hold_test.go
+++ b/daemon/placer/hold_test.go
@@ -75,7 +75,7 @@
 	beat := func(from, to *Holders, m, receiver peer.Member) int {
 		args := peer.BeatArgs{From: m}
 		from.Fill(receiver.VM, &args)
-		to.Learn(&args, false)
+		to.Learn(&args, 0)
 		return len(args.Holders)
 	}
 	a.Update(holder.NewHolder("s", self, 1), "test")
@@ -84,6 +84,6 @@
 	require.Zero(t, beat(a, b, self, far))
 	a.Update(holder.NewHolder("s", far, 2), "test")
 	require.Equal(t, 1, beat(a, b, self, far))
-	a.Learn(&peer.BeatArgs{From: far}, false) // an earlier version sends no digest
+	a.Learn(&peer.BeatArgs{From: far}, 0) // an earlier version sends no digest
 	require.Equal(t, 1, beat(a, b, self, far))
 }
--- a/daemon/placer/holders.go
+++ b/daemon/placer/holders.go
@@ -65,7 +65,7 @@
 const maxHeard = 64
 
 // Learn implements member.Part.
-func (h *Holders) Learn(b *peer.BeatArgs, _ bool) {
+func (h *Holders) Learn(b *peer.BeatArgs, _ clock.Milli) {
 	live := len(h.members.Live())
 	h.mu.Lock()
 	if len(h.heard) > 2*live+maxHeard {
--- a/daemon/placer/loss_test.go
+++ b/daemon/placer/loss_test.go
@@ -735,5 +735,5 @@
 	}
 	var b peer.BeatArgs
 	from.owner.Holders.Fill(to.member.VM, &b)
-	to.owner.Holders.Learn(&b, true)
+	to.owner.Holders.Learn(&b, 0)
 }
--- a/daemon/quarantine/quarantine.go
+++ b/daemon/quarantine/quarantine.go
@@ -154,4 +154,4 @@
 }
 
 // Learn implements member.Part. It merges the entries in a peer's heartbeat.
-func (q *Quarantine) Learn(b *peer.BeatArgs, _ bool) { q.merge(b.Quarantine) }
+func (q *Quarantine) Learn(b *peer.BeatArgs, _ clock.Milli) { q.merge(b.Quarantine) }
--- a/daemon/quarantine/quarantine_test.go
+++ b/daemon/quarantine/quarantine_test.go
@@ -60,7 +60,7 @@
 	a.RecordCrash(7, "engine-1", 0)
 	var beat peer.BeatArgs
 	a.Fill("vm-2", &beat)
-	b.Learn(&beat, false)
+	b.Learn(&beat, 0)
 	require.Equal(t, gate.Suspected, b.Check(7))
 	b.Begin(7)
 	b.End(7, true)
--- a/daemon/readers/fleet_test.go
+++ b/daemon/readers/fleet_test.go
@@ -73,10 +73,11 @@
 func (f *testFleet) sendHeartbeats(ctx context.Context) {
 	for ctx.Err() == nil {
 		for _, m := range f.members {
+			written := clock.Boot{}.Now()
 			b := &peer.BeatArgs{From: m}
 			f.registries[m.Address].Fill("", b)
 			for range 4 {
-				f.registries[f.members[rand.IntN(len(f.members))].Address].Learn(b, false)
+				f.registries[f.members[rand.IntN(len(f.members))].Address].Learn(b, written)
 			}
 		}
 		time.Sleep(heartbeatInterval)
--- a/daemon/registry/era_test.go
+++ b/daemon/registry/era_test.go
@@ -206,7 +206,7 @@
 		}()
 		beat := &peer.BeatArgs{From: peer.Member{VM: "known"}}
 		informed.Fill("", beat)
-		started.Learn(beat, true)
+		started.Learn(beat, informed.clock.Now())
 		<-listed
 		require.Eventually(t, func() bool { return started.View().Table != nil }, time.Second, time.Millisecond)
 		require.EqualValues(t, 5, started.View().Table.Revision())
@@ -224,7 +224,7 @@
 		wait := aloneWait
 		if answered {
 			wait = documentPeerWait
-			alone.Learn(&peer.BeatArgs{From: peer.Member{VM: "started"}}, true)
+			alone.Learn(&peer.BeatArgs{From: peer.Member{VM: "started"}}, 0)
 		}
 		began := time.Now()
 		_, err := alone.listDocument(b.ctx)
--- a/daemon/registry/peers.go
+++ b/daemon/registry/peers.go
@@ -18,9 +18,6 @@
 
 // Limits on the use of peers' state, in time and age.
 const (
-	// heartbeatTimeout is the most by which the ages in a heartbeat can be too low: its sender
-	// gives up a heartbeat that takes longer.
-	heartbeatTimeout = 500 * clock.Milli(1)
 	// fetchTimeout bounds one request to a peer, which normally takes milliseconds.
 	fetchTimeout = 400 * time.Millisecond
 	// askAge is the age of the last verification of the document at which a VM of a small fleet
@@ -75,8 +72,8 @@
 
 // Learn implements member.Part. A peer with the same state and a later verification verifies the
 // state of this VM. A peer with later state is asked for it.
-func (r *Registry) Learn(b *peer.BeatArgs, _ bool) {
-	if r.learnSummary(b.Registry, r.clock.Now()-heartbeatTimeout) && r.fetching.CompareAndSwap(false, true) {
+func (r *Registry) Learn(b *peer.BeatArgs, written clock.Milli) {
+	if r.learnSummary(b.Registry, written) && r.fetching.CompareAndSwap(false, true) {
 		go func() {
 			defer r.fetching.Store(false)
 			r.fetch(context.Background(), b.From)
@@ -85,7 +82,8 @@
 }
 
 // learnSummary applies a peer's version summary and reports whether the peer has later state than
-// this VM. written is the earliest instant at which the peer can have written the summary.
+// this VM. written is the earliest instant at which the peer can have written the summary; zero if unknown, and the
+// summary then verifies nothing.
 func (r *Registry) learnSummary(s peer.RegistrySummary, written clock.Milli) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/daemon/registry/readers_test.go
+++ b/daemon/registry/readers_test.go
@@ -94,7 +94,7 @@
 	go func() { _ = joining.Run(ctx) }()
 	beat := &peer.BeatArgs{From: peer.Member{VM: "known"}}
 	informed.Fill("", beat)
-	joining.Learn(beat, true)
+	joining.Learn(beat, 0)
 	joining.follow(ctx, f)
 	require.NotNil(t, joining.View().Table)
 	require.Zero(t, calls)
@@ -205,7 +205,7 @@
 	informing := make(chan struct{})
 	beat := &peer.BeatArgs{From: peer.Member{VM: "known"}}
 	informed.Fill("", beat)
-	timer := time.AfterFunc(5*defaultBootstrapWait, func() { started.Learn(beat, true); close(informing) })
+	timer := time.AfterFunc(5*defaultBootstrapWait, func() { started.Learn(beat, 0); close(informing) })
 	defer timer.Stop()
 	ctx, cancel := context.WithTimeout(b.ctx, 5*defaultBootstrapWait+joinWait/2)
 	defer cancel()
--- a/daemon/registry/registry_test.go
+++ b/daemon/registry/registry_test.go
@@ -258,9 +258,9 @@
 	connected.list()
 	beat := &peer.BeatArgs{From: peer.Member{VM: "connected"}}
 	connected.Fill("", beat)
-	cutOff.Learn(beat, false)
-	require.Equal(t, cutOff.clock.Now()-heartbeatTimeout, cutOff.View().TableVerified, "the same document, verified by the peer")
-	require.Equal(t, cutOff.clock.Now()-heartbeatTimeout, cutOff.View().UpstreamsVerified)
+	cutOff.Learn(beat, cutOff.clock.Now())
+	require.Equal(t, cutOff.clock.Now(), cutOff.View().TableVerified, "the same document, verified by the peer")
+	require.Equal(t, cutOff.clock.Now(), cutOff.View().UpstreamsVerified)
 
 	cutOff.clock.advance(4 * clock.Second)
 	connected.store.at.Mark += 10
@@ -268,7 +268,7 @@
 	connected.list()
 	beat = &peer.BeatArgs{From: peer.Member{VM: "connected"}}
 	connected.Fill("", beat)
-	cutOff.Learn(beat, false)
+	cutOff.Learn(beat, cutOff.clock.Now())
 	require.Eventually(t, func() bool {
 		v := cutOff.View()
 		return v.Table.Revision() == 2 && v.Upstream("s", func(u *route.Upstream) bool { return u.ID == "d" }) != nil
@@ -371,7 +371,7 @@
 	b := newHarness(t)
 	at := b.View().TableVerified
 	b.clock.advance(6 * clock.Second)
-	b.Learn(&peer.BeatArgs{Registry: peer.RegistrySummary{Revision: 1, RevisionAge: 20 * clock.Second, Digest: b.digest, DigestAge: 20 * clock.Second}}, false)
+	b.Learn(&peer.BeatArgs{Registry: peer.RegistrySummary{Revision: 1, RevisionAge: 20 * clock.Second, Digest: b.digest, DigestAge: 20 * clock.Second}}, b.clock.Now())
 	require.Equal(t, at, b.View().TableVerified)
 	require.Equal(t, at, b.View().UpstreamsVerified)
 }
--- a/daemon/usage/usage.go
+++ b/daemon/usage/usage.go
@@ -230,7 +230,7 @@
 }
 
 // Learn implements member.Part. It stores copies of other VMs' counters.
-func (b *Meter) Learn(m *peer.BeatArgs, _ bool) {
+func (b *Meter) Learn(m *peer.BeatArgs, _ clock.Milli) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, u := range m.Usage {
--- a/daemon/usage/usage_test.go
+++ b/daemon/usage/usage_test.go
@@ -95,7 +95,7 @@
 	target := peer.Member{VM: to, Incarnation: x.incarnations[to]}
 	m := peer.BeatArgs{From: x.peers[from].self}
 	a.Load(target, &m)
-	b.Learn(&m, false)
+	b.Learn(&m, 0)
 	if !lost {
 		a.Arrived(target)
 	}
--- a/lib/peer/messages.go
+++ b/lib/peer/messages.go
@@ -1,7 +1,8 @@
 // Package peer is the protocol between daemons: typed messages over net/rpc.
 //
-// Messages never carry instants, since the clocks of VMs differ: they carry remaining durations in
-// milliseconds, to which the receiver adds its own clock.
+// Messages carry no instants for the receiver, since the clocks of VMs differ: they carry remaining durations in
+// milliseconds, to which the receiver adds its own clock. A message may have been held up on its way for any time, by a cut
+// or by a process that stood still; Echo bounds when a heartbeat was written.
 package peer
 
 import (
@@ -199,6 +200,19 @@
 	// same ones. HolderDigest is a digest of all of them.
 	Holders      []Holder
 	HolderDigest uint64
+	// Sent is the sender's clock as it wrote the message. It means nothing to the receiver, which returns it in Echo.
+	Sent clock.Milli
+	// Echo names the last message that the sender had from the receiver; zero if it had none, and from earlier versions.
+	Echo Echo
+}
+
+// Echo names a message of the receiver that the sender had before it wrote its own, which is therefore the later one.
+type Echo struct {
+	// Incarnation is that of the receiver in that message, Sent the field Sent of it.
+	Incarnation Incarnation
+	Sent        clock.Milli
+	// Held is the time from the arrival of that message to the writing of this one.
+	Held clock.Milli
 }
 
 // Holder names the VM that places the requests of a service.
