follow: answers that were held up are no contact as of their arrival

Change: contact with the store counts from the instant at which the call was sent, contact with peers from when their messages can have been written.

TestHeldUpAnswersAreNoContact before the change: ready by an answer that was held up for longer than the contact limit. TestHeldUpHeartbeatIsNoContact tests the new method.

--- a/daemon/follow/follow.go
+++ b/daemon/follow/follow.go
@@ -40,7 +40,8 @@
 type Peers interface {
 	Self() peer.Member
 	Live() []peer.Member
-	LastContact() clock.Milli
+	// LastWritten returns the latest time at which another member can be shown to have written a message to this one.
+	LastWritten() clock.Milli
 	// BeatNow sends the next heartbeats at once.
 	BeatNow()
 }
@@ -98,7 +99,7 @@
 	rejected peer.Revision
 	// rejectError is the error that apply returned for the rejected revision.
 	rejectError error
-	// storeContact is when the store last answered.
+	// storeContact is when the latest call that the store answered was sent. The answer itself may have been held up.
 	storeContact clock.Milli
 	// peerRevision is the highest revision that a peer has announced, peerAddress the address of
 	// that peer.
@@ -194,13 +195,14 @@
 	revision, contact, peers := f.revision, f.storeContact, f.peers
 	f.mu.Unlock()
 	if peers != nil {
-		contact = max(contact, peers.LastContact())
+		contact = max(contact, peers.LastWritten())
 	}
 	return revision, contact
 }
 
-func (f *Follower) noteStoreContact() {
+// noteStoreContact records that the store answered a call that was sent at a time.
+func (f *Follower) noteStoreContact(sent clock.Milli) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.storeContact = f.clock.Now()
+	f.storeContact = max(f.storeContact, sent)
 }
--- a/daemon/follow/follow_test.go
+++ b/daemon/follow/follow_test.go
@@ -49,7 +49,7 @@
 func (p *fakePeers) Self() peer.Member        { return p.self }
 func (p *fakePeers) Live() []peer.Member      { return p.live }
 func (p *fakePeers) BeatNow()                 {}
-func (p *fakePeers) LastContact() clock.Milli { p.mu.Lock(); defer p.mu.Unlock(); return p.reached }
+func (p *fakePeers) LastWritten() clock.Milli { p.mu.Lock(); defer p.mu.Unlock(); return p.reached }
 
 var errParse = errors.New("does not parse")
 
@@ -138,6 +138,37 @@
 	require.True(t, b.Ready())
 }
 
+// slowStore is a store that holds each answer for a while of a test's clock.
+type slowStore struct {
+	Store
+	clock *manualClock
+	held  clock.Milli
+}
+
+func (s *slowStore) Get(ctx context.Context, k platform.Kind, n platform.Name) (platform.Object, error) {
+	o, err := s.Store.Get(ctx, k, n)
+	s.clock.at += s.held
+	return o, err
+}
+
+// manualClock is a clock that a test advances.
+type manualClock struct{ at clock.Milli }
+
+func (c *manualClock) Now() clock.Milli { return c.at }
+
+// An answer of the store is held up by a cut. The document may have changed since it was given, so the VM must not become
+// ready by it.
+func TestHeldUpAnswersAreNoContact(t *testing.T) {
+	x, c := newFixture(), &manualClock{at: 1000}
+	x.put(t, "one")
+	f := New(&slowStore{x.store, c, testRules.MaxContactAge + 1}, x.network, c, testRules, applyText)
+	f.readStore(t.Context())
+	revision, _ := f.Newest()
+	require.Positive(t, revision)
+	require.False(t, f.Ready())
+	require.Equal(t, testRules.MaxContactAge+1, f.ContactAge())
+}
+
 // A VM loses contact with the store and with all peers. It no longer knows which document is in
 // force elsewhere and must report that it is not ready.
 func TestVMWithoutStoreAndPeersIsNotReady(t *testing.T) {
--- a/daemon/follow/run.go
+++ b/daemon/follow/run.go
@@ -49,7 +49,7 @@
 // peer announces documents to it then.
 func (f *Follower) pollsAsWatcher() bool {
 	revision, _ := f.Newest()
-	alone := f.clock.Now()-f.peers.LastContact() > f.rules.MaxContactAge
+	alone := f.clock.Now()-f.peers.LastWritten() > f.rules.MaxContactAge
 	return revision == 0 || alone || IsWatcher(f.peers.Self(), f.peers.Live(), f.rules.Watchers)
 }
 
@@ -60,13 +60,13 @@
 			pause(ctx, f.rules.WatcherPoll)
 			continue
 		}
-		revision := f.highestSeen()
+		revision, sent := f.highestSeen(), f.clock.Now()
 		o, changed, err := f.store.Watch(ctx, DocumentKind, DocumentName, platform.Version(revision), f.rules.WatchWait)
 		switch {
 		case err != nil:
 			pause(ctx, f.rules.WatcherPoll)
 		case changed:
-			f.noteStoreContact()
+			f.noteStoreContact(sent)
 			f.Offer(peer.Revision(o.Version), o.Value)
 			if f.highestSeen() == revision {
 				// The store returned no newer revision, against its protocol. Pause to avoid a busy
@@ -108,14 +108,15 @@
 }
 
 func (f *Follower) readStore(ctx context.Context) {
+	sent := f.clock.Now()
 	o, err := f.store.Get(ctx, DocumentKind, DocumentName)
 	if errors.Is(err, platform.ErrNotFound) {
-		f.noteStoreContact()
+		f.noteStoreContact(sent)
 	}
 	if err != nil {
 		return
 	}
-	f.noteStoreContact()
+	f.noteStoreContact(sent)
 	f.Offer(peer.Revision(o.Version), o.Value)
 }
 
--- a/daemon/member/members.go
+++ b/daemon/member/members.go
@@ -77,6 +77,8 @@
 	inFlight map[string]bool
 	// lastContact is the time of the last message from any other member.
 	lastContact clock.Milli
+	// lastWritten is the latest time at which another member can be shown to have written a message to this one.
+	lastWritten clock.Milli
 	// heartbeats waits for the goroutines that send heartbeats.
 	heartbeats sync.WaitGroup
 }
@@ -128,6 +130,10 @@
 // LastContact returns the time of the last message from another member; zero if there was none.
 func (m *Members) LastContact() clock.Milli { m.mu.Lock(); defer m.mu.Unlock(); return m.lastContact }
 
+// LastWritten returns the latest time at which another member can be shown to have written a message to this one; zero if
+// there is none. A message may arrive long after that.
+func (m *Members) LastWritten() clock.Milli { m.mu.Lock(); defer m.mu.Unlock(); return m.lastWritten }
+
 // BeatNow starts the next round of heartbeats at once, to send an update without delay.
 func (m *Members) BeatNow() {
 	select {
@@ -333,7 +339,7 @@
 		p.Learn(b, written)
 	}
 	if other {
-		m.recordContact(now)
+		m.recordContact(now, written)
 	}
 	if changed {
 		m.BeatNow()
@@ -341,10 +347,11 @@
 }
 
 // recordContact records a message from another member. It is called after all parts have processed the message.
-func (m *Members) recordContact(now clock.Milli) {
+func (m *Members) recordContact(now, written clock.Milli) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.lastContact = max(m.lastContact, now)
+	m.lastWritten = max(m.lastWritten, written)
 }
 
 // Documents returns the newest document in force, with its revision.
--- a/daemon/member/members_test.go
+++ b/daemon/member/members_test.go
@@ -136,6 +136,29 @@
 	}, time.Minute, 10*time.Millisecond)
 }
 
+// A cut holds a heartbeat up. The VM that gets it as the cut heals has had no contact since it was written.
+func TestHeldUpHeartbeatIsNoContact(t *testing.T) {
+	var at clock.Milli = 1000
+	now := clockFunc(func() clock.Milli { return at })
+	a := New(peer.Member{VM: "a", Incarnation: 1}, DefaultRules, nil, nil, now)
+	b := New(peer.Member{VM: "b", Incarnation: 2}, DefaultRules, nil, nil, now)
+	var reply peer.BeatArgs
+	require.NoError(t, NewReceiver(b, nil).Beat(a.message("b", false), &reply))
+	a.learn(&reply)
+	require.EqualValues(t, 1000, a.LastWritten())
+	at += 500
+	held := b.message("a", false)
+	at += 9000
+	a.learn(held)
+	require.EqualValues(t, 10500, a.LastContact())
+	require.EqualValues(t, 1500, a.LastWritten())
+}
+
+// clockFunc is a Clock.
+type clockFunc func() clock.Milli
+
+func (f clockFunc) Now() clock.Milli { return f() }
+
 func TestMembersJoinLeaveAndReconnectOverNetRPC(t *testing.T) {
 	nodes := startNodes(t, 4)
 	require.Positive(t, nodes[1].LastContact())
