relay: bound the headers of upstreams' responses

Change: the transport for requests, reports and orders, now relay.NewTransport, reads 32 KiB of a header; a response beyond that has failed, and the request is sent elsewhere where it may be repeated.

--- a/daemon/relay.go
+++ b/daemon/relay.go
@@ -49,11 +49,6 @@
 	upstreamDialTimeout = 300 * time.Millisecond
 	// peerDialTimeout bounds a connect to a peer for the same reason.
 	peerDialTimeout = 300 * time.Millisecond
-	// upstreamIdleTimeout is how long an idle connection to an upstream stays open.
-	upstreamIdleTimeout = 20 * time.Second
-	// maxIdlePerUpstream bounds the idle connections of this VM to one upstream, which accepts only
-	// some hundred connections from all VMs together.
-	maxIdlePerUpstream = 16
 	// relayHeaderLimit bounds a request's header, in bytes; the document may set a lower limit.
 	relayHeaderLimit = 64 << 10
 	// closingReserve is the last part of the grace period, reserved for ending the process: all
@@ -144,7 +139,7 @@
 	d.tunnels.SetLimit(connections.Tunnels)
 	d.peers.ServeTunnels(d.tunnels.Serve)
 	d.peers.SetLimit(connections.Peers)
-	pooled = upstreamTransport(d.paths.Dial)
+	pooled = relay.NewTransport(d.paths.Dial)
 	d.paths.OnHang(pooled.CloseIdleConnections)
 	engines := platform.NewEngineClient(pooled)
 	id := peer.Gate(s.Name, incarnation)
@@ -160,7 +155,7 @@
 		Share: ownerBudgetShare * s.Budget.Share, Floor: ownerBudgetShare * s.Budget.Floor, Window: s.Budget.Window,
 	})
 	d.placer = placer.NewClient(d.clock, d.log, d.members, d.dialer, d.owner, id)
-	unpooled := upstreamTransport(d.paths.Dial)
+	unpooled := relay.NewTransport(d.paths.Dial)
 	unpooled.DisableKeepAlives = true
 	d.gate = relay.New(relay.Dependencies{
 		Clock: d.clock, Log: d.log, Codec: platform.Codec{}, Placer: d.placer, Registry: d.registry, Domain: route.Domain(s.Domain),
@@ -259,14 +254,6 @@
 	return dial.Hedged(injectFaults(s, (&net.Dialer{Timeout: upstreamDialTimeout}).DialContext), dial.HedgeDelay)
 }
 
-func upstreamTransport(open dial.Dial) *http.Transport {
-	return &http.Transport{
-		DialContext:        relay.DialPoolHost(open),
-		DisableCompression: true, MaxIdleConnsPerHost: maxIdlePerUpstream, IdleConnTimeout: upstreamIdleTimeout,
-		WriteBufferSize: 16 << 10,
-	}
-}
-
 // run opens the listeners and serves until ctx ends or a component fails.
 func (d *relayDaemon) run(ctx context.Context) error {
 	work, end := context.WithCancel(context.Background())
--- /dev/null
+++ b/daemon/relay/endless_test.go
@@ -0,0 +1,90 @@
+package relay
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// endless is a response that begins with begin and goes on with repeat until the gate closes the connection.
+type endless struct{ name, begin, repeat string }
+
+// validHead begins a response to the requests of call.
+const validHead = "HTTP/1.1 200 OK\r\nId: a1\r\nMark: m\r\n"
+
+// endlessHeads are responses whose header does not end.
+var endlessHeads = []endless{
+	{"garbage", "", "x"},
+	{"empty lines", "", "\r\n"},
+	{"status line", "HTTP/1.1 200 ", "x"},
+	{"field", validHead + "Long: ", "x"},
+	{"fields", validHead, "A: b\r\n"},
+	{"interim responses", "", "HTTP/1.1 102 Processing\r\nA: b\r\n\r\n"},
+}
+
+// respondEndlessly returns a handler that responds without end. pause is the time between two writes of some bytes, zero for
+// writes without a pause.
+func respondEndlessly(e endless, pause time.Duration) http.HandlerFunc {
+	block := []byte(e.repeat)
+	if pause == 0 {
+		block = bytes.Repeat(block, 1+(16<<10)/len(block))
+	}
+	return func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		_, err = io.WriteString(c, e.begin)
+		for err == nil {
+			_, err = c.Write(block)
+			time.Sleep(pause)
+		}
+	}
+}
+
+// readAhead is more than the gate reads of a response beyond what it uses of it.
+const readAhead = 64 << 10
+
+// A header without end, fast or a few bytes at a time, must end the send by the time limit and with little of it read. A
+// request that may be repeated is served by another upstream.
+func TestEndlessHeadIsCutOff(t *testing.T) {
+	for _, e := range endlessHeads {
+		for _, pause := range []time.Duration{0, 10 * time.Millisecond} {
+			t.Run(e.name+" "+pause.String(), func(t *testing.T) {
+				w := newFixture(t, respondEndlessly(e, pause), respond("fine"))
+				w.setDocument(600, "key")
+				began := time.Now()
+				resp, body, err := w.call(http.MethodPost, "/again/x", "")
+				require.NoError(t, err)
+				require.Equal(t, http.StatusOK, resp.StatusCode)
+				require.Equal(t, "fine", body)
+				resp, body, err = w.call(http.MethodPost, "/once/x", "")
+				require.NoError(t, err)
+				require.Contains(t, []int{http.StatusBadGateway, http.StatusGatewayTimeout}, resp.StatusCode)
+				require.NotContains(t, body, "xxx")
+				require.Less(t, time.Since(began), 2*time.Second)
+				require.LessOrEqual(t, w.paths.read.Load(), int64(2*(responseHeaderLimit+readAhead)))
+			})
+		}
+	}
+}
+
+// A kept connection carries bytes without end behind a complete response. They belong to no request, and must not be read.
+func TestEndlessBytesAfterResponseAreCutOff(t *testing.T) {
+	e := endless{"", validHead + "Content-Length: 4\r\n\r\nfine", strings.Repeat("x", 1<<10)}
+	w := newFixture(t, respondEndlessly(e, 0))
+	for range 3 {
+		resp, body, err := w.call(http.MethodPost, "/again/x", "")
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, resp.StatusCode)
+		require.Equal(t, "fine", body)
+	}
+	require.LessOrEqual(t, w.paths.read.Load(), int64(3*readAhead))
+}
--- a/daemon/relay/harness_test.go
+++ b/daemon/relay/harness_test.go
@@ -214,6 +214,8 @@
 	net.Dialer
 	fail    func(address string) error
 	carrier peer.VM
+	// read counts the bytes that were read from upstreams.
+	read atomic.Int64
 }
 
 func (p *testPaths) Dial(ctx context.Context, network, address string) (net.Conn, error) {
@@ -223,12 +225,28 @@
 		}
 	}
 	c, err := p.DialContext(ctx, network, address)
-	if err != nil || p.carrier == "" {
-		return c, err
+	if err != nil {
+		return nil, err
+	}
+	c = countedConn{c, &p.read}
+	if p.carrier == "" {
+		return c, nil
 	}
 	return carriedConn{c, p.carrier}, nil
 }
 
+// countedConn is a connection that counts the bytes read from it.
+type countedConn struct {
+	net.Conn
+	read *atomic.Int64
+}
+
+func (c countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.read.Add(int64(n))
+	return n, err
+}
+
 // carriedConn is a connection through another VM.
 type carriedConn struct {
 	net.Conn
@@ -282,12 +300,13 @@
 	}
 	w.setDocument(2*clock.Second, "key")
 	w.paths = &testPaths{}
-	transport := &http.Transport{DisableCompression: true, DialContext: DialPoolHost(w.paths.Dial)}
+	transport, unpooled := NewTransport(w.paths.Dial), NewTransport(w.paths.Dial)
+	unpooled.DisableKeepAlives = true
 	t.Cleanup(transport.CloseIdleConnections)
 	w.deps = Dependencies{
 		Paths: w.paths,
 		Clock: clock.Boot{}, Log: &log.Logger{Level: log.FatalLevel}, Codec: testCodec{}, Placer: w.placer, Registry: w.registry,
-		Suspects: testSuspects{}, Pooled: transport, Unpooled: &http.Transport{DisableKeepAlives: true, DisableCompression: true, DialContext: w.paths.Dial},
+		Suspects: testSuspects{}, Pooled: transport, Unpooled: unpooled,
 	}
 	w.start()
 	return w
