relay: bound events and streams of upstreams

A stream of bytes that are no answer went on until the time limit of its request. An event that its upstream never ends was kept up to 1 MiB, outside the bound on bodies, so sixty took 60 MiB and twice that while they grew; a stream of events that never ends was passed on at any rate, a flush for each.

Change: an event has 64 KiB at most. A stream has as many events and as many KiB as the request declares output tokens, and 256 events and 64 KiB beside. A stream beyond that has failed, and another upstream goes on where the route allows. Engines send a few hundred bytes for an event of 46 tokens.

--- a/daemon/relay/endless_test.go
+++ b/daemon/relay/endless_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"math"
 	"net/http"
 	"strings"
 	"testing"
@@ -88,3 +89,73 @@
 	}
 	require.LessOrEqual(t, w.paths.read.Load(), int64(3*readAhead))
 }
+
+// unframedHead and chunkedHead begin a valid response without a length.
+const (
+	unframedHead = validHead + "Content-Type: text/event-stream\r\n\r\n"
+	chunkedHead  = validHead + "Transfer-Encoding: chunked\r\n\r\n"
+)
+
+// endlessStreams are responses to streaming requests whose body does not end.
+var endlessStreams = []endless{
+	{"garbage", unframedHead, "x"},
+	{"empty lines", unframedHead, "\n"},
+	{"comments", unframedHead, ": ping\n\n"},
+	{"events", unframedHead, "id: 1\ndata: x\n\n"},
+	{"large events", unframedHead, "data: " + strings.Repeat("x", 4<<10) + "\n\n"},
+	{"lines", unframedHead, "data: x\n"},
+	{"chunk size", chunkedHead, "0"},
+	{"chunk extension", chunkedHead + "1;", "x"},
+	{"chunks", chunkedHead, "1\r\nx\r\n"},
+	{"trailer", chunkedHead + "0\r\n", "A: b\r\n"},
+	{"length", validHead + "Content-Length: 99999999999999\r\n\r\n", "x"},
+}
+
+// A stream without end must be cut off by the time limit, after little more than the response may have, and must not look
+// complete. An event that its upstream never ends must not be kept whole.
+func TestEndlessStreamIsCutOff(t *testing.T) {
+	for _, e := range endlessStreams {
+		for _, pause := range []time.Duration{0, 10 * time.Millisecond} {
+			t.Run(e.name+" "+pause.String(), func(t *testing.T) {
+				w := newFixture(t, respondEndlessly(e, pause))
+				w.setDocument(600, "key")
+				began := time.Now()
+				resp, _, err := w.call(http.MethodPost, "/stream1/x", "")
+				require.True(t, err != nil || resp.StatusCode >= http.StatusInternalServerError, "the response must not look complete")
+				require.Less(t, time.Since(began), 2*time.Second)
+				require.LessOrEqual(t, w.paths.read.Load(), int64(undeclaredTokens*tokenBytes+eventLimit+readAhead))
+			})
+		}
+	}
+}
+
+// The upstream of one stream sends what is no event, without end, and the route allows another upstream to go on.
+func TestEndlessEventIsContinuedElsewhere(t *testing.T) {
+	e := endless{"", unframedHead + eventText(1, 2), "x"}
+	w := newFixture(t, respondEndlessly(e, 0), func(w http.ResponseWriter, r *http.Request) {
+		require.Equal(t, "2", r.Header.Get("Last"))
+		respondStream(eventText(3, 4))(w, r)
+	})
+	resp, body, err := w.call(http.MethodGet, "/stream/x", "")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	require.Equal(t, eventText(1, 4), body)
+	require.LessOrEqual(t, w.paths.read.Load(), int64(eventLimit+readAhead))
+}
+
+// A request declares how long its response may become. A stream that goes on beyond that is no response.
+func TestStreamBeyondDeclaredLengthIsCutOff(t *testing.T) {
+	x := &request{}
+	x.head.Output = 10
+	l := x.limitOfStream()
+	es := newEvents(strings.NewReader(strings.Repeat("data: x\n\n", 10+extraEvents+1)), l)
+	for range 10 + extraEvents {
+		_, err := es.next()
+		require.NoError(t, err)
+	}
+	_, err := es.next()
+	require.ErrorIs(t, err, errOversize)
+	x.head.Output = math.MaxInt64
+	require.Positive(t, x.limitOfStream().bytes)
+	require.Positive(t, x.limitOfStream().events)
+}
--- a/daemon/relay/relay_test.go
+++ b/daemon/relay/relay_test.go
@@ -445,7 +445,7 @@
 }
 
 func TestEventsAreReadCompletely(t *testing.T) {
-	es := newEvents(strings.NewReader("id: 7\r\ndata: x\r\n\r\n: comment\n\ndata: " + strings.Repeat("y", 9000) + "\nid:8\n\nid: 9\ndata"))
+	es := newEvents(strings.NewReader("id: 7\r\ndata: x\r\n\r\n: comment\n\ndata: "+strings.Repeat("y", 9000)+"\nid:8\n\nid: 9\ndata"), streamLimit{events: 10, bytes: eventLimit})
 	for _, want := range []string{"7", "7", "8"} {
 		event, err := es.next()
 		require.NoError(t, err)
@@ -460,7 +460,7 @@
 	f.Add([]byte("id: 1\ndata: x\n\n"))
 	f.Add([]byte("id: 1\r\n\r\nid"))
 	f.Fuzz(func(t *testing.T, b []byte) {
-		es := newEvents(strings.NewReader(string(b)))
+		es := newEvents(strings.NewReader(string(b)), streamLimit{events: len(b), bytes: int64(len(b))})
 		total := 0
 		for {
 			event, err := es.next()
--- a/daemon/relay/send.go
+++ b/daemon/relay/send.go
@@ -30,6 +30,7 @@
 	errMisdirected = errs.New("the address belongs to another upstream")
 	errReserve     = errs.New("no memory could be reserved")
 	errTruncated   = errs.New("the answer stopped in the middle")
+	errOversize    = errs.New("the answer is larger than it may be")
 	errLeaving     = errs.New("the upstream is leaving")
 	errWithheld    = errs.New("withheld by what the upstream says of itself")
 )
@@ -243,6 +244,8 @@
 		return result{verdict: notRun, outcome: span.Unreachable, err: err, unsent: true}
 	case !wrote:
 		return result{verdict: notRun, outcome: span.Silent, err: err, unsent: true}
+	case errors.Is(err, errOversize):
+		return result{verdict: mayHaveRun, outcome: span.Broken, err: err}
 	default:
 		return result{verdict: mayHaveRun, outcome: span.Broken, err: err, suspicious: true}
 	}
