relay: bound bodies of upstreams' responses

The body of a plain response had no bound but the time limit. Sixty without end kept 60 of the 71 MB that all bodies of a VM may take, so that others would be refused, were passed on at any rate, and an endless rejection (503, not run) kept its client waiting for the next upstream until the time limit.

Change: a response larger than the setting responses (8 MB; answers of the tables have 800 bytes) has failed: before anything is passed on if it declares its length, and cut off otherwise. 256 KiB are buffered in place of 1 MiB. The rest of a rejection is read for 50 ms at most.

Measured, with the limits as before in a copy: TestEndlessBodyIsCutOff failed (359 MB read in 0.6 s), TestOversizeResponseIsRetriedElsewhere and TestEndlessRejectionDoesNotDelayRetry too (2 s in place of 50 ms).

--- a/daemon/relay.go
+++ b/daemon/relay.go
@@ -160,7 +160,7 @@
 	d.gate = relay.New(relay.Dependencies{
 		Clock: d.clock, Log: d.log, Codec: platform.Codec{}, Placer: d.placer, Registry: d.registry, Domain: route.Domain(s.Domain),
 		Suspects: q, Memory: engines, Pooled: pooled, Unpooled: unpooled, Paths: d.paths,
-	}, relay.Bounds{Revoke: s.Bounds.Revoke, Config: s.Bounds.Config, BodyBytes: int64(bodyMemoryShare * float64(s.Memory) * (1 << 20))}, id)
+	}, relay.Bounds{Revoke: s.Bounds.Revoke, Config: s.Bounds.Config, BodyBytes: int64(bodyMemoryShare * float64(s.Memory) * (1 << 20)), ResponseBytes: int64(s.Responses) << 20}, id)
 	var g errList
 	g.add(d.peers.Register(member.Name, member.NewReceiver(d.members, noDocuments{})))
 	g.add(d.peers.Register(quarantine.Name, quarantine.NewReceiver(q)))
--- a/daemon/relay/endless_test.go
+++ b/daemon/relay/endless_test.go
@@ -159,3 +159,53 @@
 	require.Positive(t, x.limitOfStream().bytes)
 	require.Positive(t, x.limitOfStream().events)
 }
+
+// endlessBodies are responses of plain services whose body does not end.
+var endlessBodies = []endless{
+	{"unframed", validHead + "\r\n", "x"},
+	{"chunks", chunkedHead, "1\r\nx\r\n"},
+	{"length", validHead + "Content-Length: 99999999999999\r\n\r\n", "x"},
+	{"failure", "HTTP/1.1 500 Broken\r\nId: a1\r\nMark: m\r\n\r\n", "x"},
+	{"unsigned", "HTTP/1.1 200 OK\r\nId: a1\r\n\r\n", "x"},
+	{"response to another request", "HTTP/1.1 200 OK\r\nId: a2\r\nMark: m\r\n\r\n", "x"},
+}
+
+// A body without end must be cut off at the bound on responses, or by the time limit, and must not look complete.
+func TestEndlessBodyIsCutOff(t *testing.T) {
+	for _, e := range endlessBodies {
+		for _, pause := range []time.Duration{0, 10 * time.Millisecond} {
+			t.Run(e.name+" "+pause.String(), func(t *testing.T) {
+				w := newFixture(t, respondEndlessly(e, pause))
+				w.setDocument(600, "key")
+				began := time.Now()
+				resp, _, err := w.call(http.MethodPost, "/once/x", "")
+				require.True(t, err != nil || resp.StatusCode >= http.StatusInternalServerError, "the response must not look complete")
+				require.Less(t, time.Since(began), 2*time.Second)
+				framed := w.gate.bounds.ResponseBytes * int64(len(e.repeat)) // a byte of the body in each repetition
+				require.LessOrEqual(t, w.paths.read.Load(), framed+readAhead)
+				require.Eventually(t, func() bool { return w.gate.bodies.Load() == 0 }, time.Second, time.Millisecond)
+			})
+		}
+	}
+}
+
+// An upstream declares a response that is larger than any may be. The request must go elsewhere while that is possible.
+func TestOversizeResponseIsRetriedElsewhere(t *testing.T) {
+	w := newFixture(t, respondEndlessly(endlessBodies[2], 0), respond("fine"))
+	resp, body, err := w.call(http.MethodGet, "/again/x", "")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	require.Equal(t, "fine", body)
+}
+
+// An upstream rejects a request without running it, and its response does not end. The client must not wait for that.
+func TestEndlessRejectionDoesNotDelayRetry(t *testing.T) {
+	e := endless{"", "HTTP/1.1 503 Full\r\nId: a1\r\nIdle: 1\r\n\r\n", "x"}
+	w := newFixture(t, respondEndlessly(e, 10*time.Millisecond), respond("fine"))
+	began := time.Now()
+	resp, body, err := w.call(http.MethodPost, "/once/x", "")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	require.Equal(t, "fine", body)
+	require.Less(t, time.Since(began), drainTime+200*time.Millisecond)
+}
--- a/daemon/relay/gate.go
+++ b/daemon/relay/gate.go
@@ -121,6 +121,8 @@
 	Config clock.Milli
 	// BodyBytes is the total size of the bodies of requests and responses that are buffered at a time, in bytes.
 	BodyBytes int64
+	// ResponseBytes is the size of the largest response of a plain service, in bytes.
+	ResponseBytes int64
 }
 
 // Gate is the HTTP handler that serves clients.
--- a/daemon/relay/harness_test.go
+++ b/daemon/relay/harness_test.go
@@ -313,7 +313,7 @@
 }
 
 func (w *fixture) start() {
-	w.gate = New(w.deps, Bounds{Revoke: 5 * clock.Second, Config: 2 * clock.Second, BodyBytes: 1 << 16}, "vm.1")
+	w.gate = New(w.deps, Bounds{Revoke: 5 * clock.Second, Config: 2 * clock.Second, BodyBytes: 1 << 16, ResponseBytes: 1 << 20}, "vm.1")
 	w.server = httptest.NewServer(w.gate)
 	w.t.Cleanup(w.server.Close)
 }
--- a/daemon/relay/send.go
+++ b/daemon/relay/send.go
@@ -37,7 +37,8 @@
 
 // bufferLimit is the size in bytes of the largest response that is buffered before it is passed on,
 // so that an incomplete one can be replaced by a retry. Larger responses are passed on as they arrive.
-const bufferLimit = 1 << 20
+// Responses without end reach it, and must leave room for the bodies of other requests.
+const bufferLimit = 256 << 10
 
 // answer is a buffered response of an upstream.
 type answer struct {
@@ -152,7 +153,7 @@
 	case head.Misdirected:
 		return result{verdict: notRun, outcome: span.Unreachable, err: errMisdirected}
 	case head.NotRun:
-		drain(resp.Body)
+		w.drain(resp.Body)
 		return result{verdict: notRun, outcome: span.Full, err: errRejected, backOff: head.Declared.BackOff > 0}
 	case !head.Matches:
 		return result{verdict: mayHaveRun, outcome: span.Broken, err: errMismatch}
@@ -167,6 +168,9 @@
 
 // passBuffered reads a response to its end, as far as it can be buffered, before any of it is passed on.
 func (x *request) passBuffered(ctx context.Context, resp *http.Response, grant span.Grant, w *watchdog) result {
+	if resp.ContentLength > x.gate.bounds.ResponseBytes {
+		return x.classifyError(ctx, errOversize, true)
+	}
 	body, whole, err := x.buffer(resp.Body)
 	if err != nil {
 		return x.classifyError(ctx, err, true)
@@ -190,13 +194,17 @@
 	return x.passLarge(ctx, a, resp.Body, w)
 }
 
-// passLarge passes on a response that can't be buffered whole.
+// passLarge passes on a response that can't be buffered whole, up to the bound on responses.
 func (x *request) passLarge(ctx context.Context, a *answer, rest io.Reader, w *watchdog) result {
 	x.startResponse(a.status, a.header)
 	_, _ = x.w.Write(a.body)
 	buffer := make([]byte, 32<<10)
+	passed := int64(len(a.body))
 	for {
 		n, err := rest.Read(buffer)
+		if passed += int64(n); passed > x.gate.bounds.ResponseBytes {
+			return x.classifyError(ctx, errOversize, true)
+		}
 		w.reset(x.pauseLimits())
 		if _, werr := x.w.Write(buffer[:n]); werr != nil {
 			return result{verdict: mayHaveRun, outcome: span.Left, err: werr}
@@ -287,6 +295,3 @@
 	}
 	return x.gate.Pooled
 }
-
-// drain reads the remainder of a short response, so that its connection can be reused.
-func drain(r io.Reader) { _, _ = io.Copy(io.Discard, io.LimitReader(r, 4<<10)) }
--- a/daemon/relay/watchdog.go
+++ b/daemon/relay/watchdog.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"io"
 	"sync"
 	"time"
 
@@ -143,3 +144,17 @@
 		w.probe.Stop()
 	}
 }
+
+// drainLimit and drainTime bound the remainder of a response, in bytes and time, that is read for its connection to be reused.
+const (
+	drainLimit = 4 << 10
+	drainTime  = 50 * time.Millisecond
+)
+
+// drain reads the remainder of a short response, so that its connection can be reused. It gives the send up if the
+// remainder does not end soon: the client waits meanwhile.
+func (w *watchdog) drain(r io.Reader) {
+	t := time.AfterFunc(drainTime, w.giveUp)
+	defer t.Stop()
+	_, _ = io.Copy(io.Discard, io.LimitReader(r, drainLimit))
+}
--- a/daemon/settings/relay.go
+++ b/daemon/settings/relay.go
@@ -31,6 +31,8 @@
 	Spread bool `json:"spread"`
 	// Memory is in megabytes.
 	Memory int `json:"memory"`
+	// Responses is the size of the largest response of a plain service, in megabytes.
+	Responses int `json:"responses"`
 	// Descriptors is the number of descriptors that the process may open, if that is less than the system's limit; zero
 	// if it is not.
 	Descriptors int `json:"descriptors"`
@@ -114,6 +116,7 @@
 	"first":             {Description: "true at the first start of all VMs of the deployment, when there are no clients yet"},
 	"spread":            {Description: "true if owners that do not know all grants, as during a partition, spread short requests over the upstreams by the age of load reports"},
 	"memory":            {Unit: "megabytes", Min: 64, Max: 1 << 20, Default: 256, Description: "memory that the process may use"},
+	"responses":         {Unit: "megabytes", Min: 1, Max: 1 << 10, Default: 8, Description: "largest response of a plain service that is passed on; a longer one has failed"},
 	"descriptors":       {Min: 0, Max: 1 << 20, Description: "descriptors that the process may open, if fewer than the system allows; half of them are for connections of clients, three sixteenths for those of other VMs, a quarter, and what clients leave, for those to upstreams"},
 	"cores":             {Min: 0, Max: 1024, Description: "the VM's share of the processor, in cores; VMs with the most are preferred as owners, and all VMs rank alike if it is not set"},
 	"link":              {Unit: "megabits/s", Min: 0, Max: 1 << 20, Description: "bandwidth of the VM's network link; used together with cores"},
--- a/daemon/settings/relay_test.go
+++ b/daemon/settings/relay_test.go
@@ -20,6 +20,7 @@
 	require.Equal(t, Budget{Share: 0.2, Floor: 100, Window: 10_000}, s.Budget)
 	require.Equal(t, Bookings{Horizon: 0, Limit: 256}, s.Bookings)
 	require.Equal(t, 256, s.Memory)
+	require.Equal(t, 8, s.Responses)
 	require.False(t, s.Forecast.Enabled)
 	require.False(t, s.Locality.Enabled)
 	require.False(t, s.Recovery.Enabled)
--- a/scenarios/platform_endless_test.go
+++ b/scenarios/platform_endless_test.go
@@ -116,3 +116,10 @@
 	requireBoundedWhile(t, standin.EndlessHead, "lookup", "draft")
 	requireBoundedWhile(t, standin.EndlessHead, "notice", "draft")
 }
+
+// The same in the body, of streams and of plain responses.
+func TestPlatformEndlessBodiesStayWithinLimits(t *testing.T) {
+	requireBoundedWhile(t, standin.EndlessBody, "draft", "lookup")
+	requireBoundedWhile(t, standin.EndlessBody, "lookup", "draft")
+	requireBoundedWhile(t, standin.EndlessBody, "notice", "draft")
+}
