dialtest: upstreams that respond without end, and counted connections

The tests of the relay, of the engine clients and the stand-in of the platform need the same handler. No change of behaviour; tests of daemon/relay pass with -race.

--- a/daemon/relay/harness_test.go
+++ b/daemon/relay/harness_test.go
@@ -27,6 +27,7 @@
 	"snipeshift.example/lib/decide/gate"
 	"snipeshift.example/lib/decide/span"
 	"snipeshift.example/lib/decide/statement"
+	"snipeshift.example/lib/dial/dialtest"
 	"snipeshift.example/lib/exchange"
 	"snipeshift.example/lib/fault"
 	"snipeshift.example/lib/peer"
@@ -224,29 +225,13 @@
 			return nil, err
 		}
 	}
-	c, err := p.DialContext(ctx, network, address)
-	if err != nil {
-		return nil, err
-	}
-	c = countedConn{c, &p.read}
-	if p.carrier == "" {
-		return c, nil
+	c, err := dialtest.Count(p.DialContext, &p.read)(ctx, network, address)
+	if err != nil || p.carrier == "" {
+		return c, err
 	}
 	return carriedConn{c, p.carrier}, nil
 }
 
-// countedConn is a connection that counts the bytes read from it.
-type countedConn struct {
-	net.Conn
-	read *atomic.Int64
-}
-
-func (c countedConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	c.read.Add(int64(n))
-	return n, err
-}
-
 // carriedConn is a connection through another VM.
 type carriedConn struct {
 	net.Conn
