engine: bound what is read of engines' responses

Engines that send without end had 10 MiB of a header read, 1 MiB of an event, 8 MiB of a report, and events of any number; the text of an error response was read until the request's time limit, since its watchdog had been stopped.

Change: 32 KiB, 128 KiB, 1 MiB, and twice as many events as the request may generate tokens; the watchdog runs until the text of an error has been read.

--- a/daemon/caller/generate.go
+++ b/daemon/caller/generate.go
@@ -131,7 +131,7 @@
 	}
 	call := engine.Call{
 		Address: u.Address, Path: x.path, Body: x.q.body, Once: !x.q.kind.Repeatable, Request: x.q.id,
-		Priority: pg.grant.Priority, Reserve: pg.grant.Reserved, Grant: pg.grant.ID, Group: pg.grant.Upstreams, IdempotencyKey: x.q.idempotencyKey,
+		Priority: pg.grant.Priority, Reserve: pg.grant.Reserved, Grant: pg.grant.ID, Group: pg.grant.Upstreams, IdempotencyKey: x.q.idempotencyKey, Output: x.q.output,
 	}
 	// During the prefill of a long prompt no tokens arrive, so a broken kept-alive connection would
 	// only be detected at the deadline. The cost of a new connection is negligible beside such a
--- a/lib/engine/client.go
+++ b/lib/engine/client.go
@@ -42,8 +42,15 @@
 	HeaderGroup    = "X-Group"
 )
 
-// maxResponseBytes bounds how much is read of responses that are not streams, in bytes.
-const maxResponseBytes = 8 << 20
+// Limits on the responses of engines, in bytes.
+const (
+	// maxHeaderBytes bounds the header of a response, which has some hundred bytes.
+	maxHeaderBytes = 32 << 10
+	// maxResponseBytes bounds how much is read of responses that are not streams: reports and cache events.
+	maxResponseBytes = 1 << 20
+	// maxErrorBytes bounds the part of an error response that is kept for its message.
+	maxErrorBytes = 512
+)
 
 // Client calls engines and plain services by address. It is safe for concurrent use.
 type Client struct {
@@ -63,8 +70,10 @@
 		MaxIdleConnsPerHost: 64,
 		IdleConnTimeout:     30 * time.Second,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
-	unpooled := &http.Transport{DialContext: open, DisableKeepAlives: true, DisableCompression: true}
+	unpooled := &http.Transport{DialContext: open, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes}
 	return &Client{open: open, pooled: &http.Client{Transport: pooled, CheckRedirect: noRedirect}, unpooled: &http.Client{Transport: unpooled, CheckRedirect: noRedirect}}
 }
 
@@ -122,6 +131,8 @@
 	Group []decide.UpstreamID
 	// IdempotencyKey is the client's idempotency key, if any.
 	IdempotencyKey string
+	// Output is the most tokens that the engine was asked to generate; zero for no bound.
+	Output decide.Tokens
 }
 
 // Start sends a generation request and returns its stream. The first event must arrive within first
@@ -145,12 +156,12 @@
 		return nil, err
 	}
 	if resp.StatusCode != http.StatusOK {
-		w.stop()
 		err := statusError(resp)
+		w.stop()
 		cancel(nil)
 		return nil, err
 	}
-	return &Stream{request: call.Request, body: resp.Body, ctx: sctx, cancel: cancel, watchdog: w, idle: idle}, nil
+	return &Stream{request: call.Request, body: resp.Body, ctx: sctx, cancel: cancel, watchdog: w, idle: idle, most: maxEvents(call.Output)}, nil
 }
 
 func setHeaders(req *http.Request, call Call) {
@@ -180,9 +191,9 @@
 	return err
 }
 
-// statusError closes the response and returns it as a StatusError.
+// statusError closes the response and returns it as a StatusError. The text may not end before the context of the request.
 func statusError(resp *http.Response) error {
-	b, _ := io.ReadAll(io.LimitReader(resp.Body, 512))
+	b, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
 	resp.Body.Close()
 	e := &StatusError{Status: resp.StatusCode, Text: strings.TrimSpace(string(b))}
 	if retryafter.IsRejection(e.Status) {
--- a/lib/engine/stream.go
+++ b/lib/engine/stream.go
@@ -17,7 +17,21 @@
 const endMark = "[DONE]"
 
 // maxEventBytes is the size limit of an event in bytes.
-const maxEventBytes = 1 << 20
+const maxEventBytes = 128 << 10
+
+// extraEvents is the number of events that a stream may have beside those of its tokens: a role, a finish reason, the usage.
+const extraEvents = 64
+
+// eventsPerToken allows for each event of a stream to be repeated once.
+const eventsPerToken = 2
+
+// maxEvents returns the number of events that a stream of up to output tokens may have; zero for no bound.
+func maxEvents(output decide.Tokens) uint64 {
+	if output <= 0 {
+		return 0
+	}
+	return eventsPerToken*uint64(output) + extraEvents
+}
 
 // Stream is the response of one generation. It yields only chunks that belong to the request, in order
 // and each once.
@@ -29,6 +43,8 @@
 	watchdog *watchdog
 	idle     time.Duration
 
+	// events counts the events so far, most is the number that there may be; zero for no bound.
+	events, most uint64
 	// next is the sequence number that the next event must carry.
 	next uint64
 	// last is the data of the newest event. A repetition of that event must have the same data.
@@ -88,6 +104,9 @@
 			return idleCauseOr(s.ctx, ErrBroken.Wrap(err))
 		}
 		s.watchdog.reset(s.idle)
+		if s.events++; s.most > 0 && s.events > s.most {
+			return ErrBroken.New("more than %d events", s.most)
+		}
 		if e.Data == endMark {
 			return s.end()
 		}
