caller: bound the responses of plain services

A response of a plain service of OpenAI's side without end was passed on until the time limit of its call, at any rate. It is cut off after 8 MiB, or refused as failed before anything is passed on if it declares more.

--- a/daemon/caller/service.go
+++ b/daemon/caller/service.go
@@ -165,6 +165,9 @@
 // repeats of the key.
 func (x *serviceCall) forwardResponse(ctx context.Context, u document.Upstream, resp *http.Response) result {
 	usage := usageOf(resp.StatusCode)
+	if resp.ContentLength > maxServiceResponse {
+		return result{outcome: decide.Failed, usage: usage, fault: fault.New(fault.Upstream, "the answer of upstream %s is too large", u.Name)}
+	}
 	h := x.w.Header()
 	for k, vs := range resp.Header {
 		h[k] = vs
@@ -179,8 +182,8 @@
 	x.w.WriteHeader(resp.StatusCode)
 	x.headersSent = true
 	var stored responseCopy
-	_, err := io.Copy(&clientWriter{call: x, rc: rc, stored: &stored}, resp.Body)
-	if err == nil {
+	n, err := io.Copy(&clientWriter{call: x, rc: rc, stored: &stored}, io.LimitReader(resp.Body, maxServiceResponse+1))
+	if err == nil && n <= maxServiceResponse {
 		x.gate.settleClaim(x.q, resp.StatusCode, stored.bytes())
 		return result{outcome: decide.Done, usage: usage}
 	}
@@ -191,6 +194,9 @@
 	return r
 }
 
+// maxServiceResponse is the size of the largest response of a plain service in bytes. A longer one is cut off.
+const maxServiceResponse = 8 << 20
+
 // usageOf returns the usage charged for a call that got a response. The statuses 503 and 429
 // declare that the service did not take the call, so nothing is charged for them.
 func usageOf(status int) peer.Usage {
