relay, logline: bytes of broken responses reach neither clients nor memory

The text of a 502, and the log lines of the request, quoted what an upstream had sent in place of a response: up to the whole of its header, now 32 KiB, and perhaps the response to another request. The queue of the log holds 4,096 such lines, 128 MB. net/http wrote bytes on idle connections to standard error.

Change: the client is told that the connection broke; the log keeps 200 bytes; the standard logger is redirected to the daemon's, with lines cut alike. TestBytesOfBrokenResponseAreNotPassedOn failed before.

--- a/daemon/relay.go
+++ b/daemon/relay.go
@@ -111,6 +111,7 @@
 		settings: s, logWriter: logWriter, log: relayLogger(s, logWriter), dialer: peer.NewDialer(dialPeer).WithOpenTimeout(peerDialTimeout), peers: peer.NewServer(),
 		store: platform.NewStore(s.Store), stopping: make(chan struct{}),
 	}
+	logline.RedirectStandard(d.log)
 	d.startedAt = d.clock.Now()
 	d.accepts = accept.NewMonitor(d.clock, d.reportAccept, d.shed)
 	connections := listener.QuotasOf(descriptors(s.Descriptors))
--- a/daemon/relay/endless_test.go
+++ b/daemon/relay/endless_test.go
@@ -1,12 +1,14 @@
 package relay
 
 import (
+	"bytes"
 	"math"
 	"net/http"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/phuslu/log"
 	"github.com/stretchr/testify/require"
 
 	"snipeshift.example/lib/dial/dialtest"
@@ -178,3 +180,17 @@
 	require.Equal(t, "fine", body)
 	require.Less(t, time.Since(began), drainTime+200*time.Millisecond)
 }
+
+// An upstream sends a long line that is no response. Neither the client nor the log may get it: it may belong to another
+// request, and many such lines would fill the memory.
+func TestBytesOfBrokenResponseAreNotPassedOn(t *testing.T) {
+	w := newFixture(t, dialtest.Endless{Begin: strings.Repeat("secret ", 1<<10) + "\r\n", Repeat: "x"}.ServeHTTP)
+	var out bytes.Buffer
+	w.gate.Log = &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: &out}}
+	resp, body, err := w.call(http.MethodPost, "/once/x", "")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusBadGateway, resp.StatusCode)
+	require.NotContains(t, body, "secret")
+	w.server.Close()
+	require.Less(t, strings.Count(out.String(), "secret"), 50)
+}
--- a/daemon/relay/record.go
+++ b/daemon/relay/record.go
@@ -85,7 +85,7 @@
 		text += " through " + string(*carrier)
 	}
 	if res.err != nil {
-		text += " " + res.err.Error()
+		text += " " + logline.Brief(res.err)
 	}
 	if res.culprit != "" {
 		text += " by " + string(res.culprit)
--- a/daemon/relay/run.go
+++ b/daemon/relay/run.go
@@ -61,6 +61,15 @@
 	unsent, backOff bool
 }
 
+// reason describes the failure for the client. The error of a broken connection is left out: net/http quotes what the
+// upstream sent, which may belong to another request.
+func (r *result) reason() string {
+	if r.suspicious && r.outcome == span.Broken {
+		return "the connection broke"
+	}
+	return r.err.Error()
+}
+
 // run sends the request until it is answered or must not be sent again.
 func (x *request) run(ctx context.Context) *fault.Error {
 	var failure *answer
@@ -158,7 +167,7 @@
 	if sent == 0 {
 		return fault.New(fault.Overloaded, "every upstream that was asked turned it away: %v", res.err).WithRetry(busyRetry)
 	}
-	return fault.New(fault.Upstream, "upstream failed: %v", res.err)
+	return fault.New(fault.Upstream, "upstream failed: %s", res.reason())
 }
 
 // correctRefusal replaces a refusal that claims that the request did not run, if the request may
--- a/daemon/relay/send.go
+++ b/daemon/relay/send.go
@@ -99,7 +99,7 @@
 	state, err := g.probe(address, min(probeTimeout, max(minProbeTimeout, x.timeLeft().Duration())))
 	switch {
 	case state == unreachable:
-		g.Log.Warn().Str(logline.Key, logline.Crashed).Str("id", x.head.ID).Str("upstream", string(u.ID)).Str("send", res.err.Error()).Err(err).
+		g.Log.Warn().Str(logline.Key, logline.Crashed).Str("id", x.head.ID).Str("upstream", string(u.ID)).Str("send", logline.Brief(res.err)).Err(err).
 			Bool("head", x.record.send.head).Int("events", x.record.send.events).Str("parts", partNames(x.head.Parts)).
 			Bool("suspected", suspected).Msg("upstream accepts no connection after it broke off a response")
 		if suspected {
--- a/lib/logline/logline.go
+++ b/lib/logline/logline.go
@@ -87,7 +87,7 @@
 var Descriptions = map[string]string{
 	Request:      "a request has ended: route, workspace, document with its age, parts of the prompt, placement with the queue at the decision, each send, outcome",
 	Started:      "a process accepts requests of clients",
-	Stopping:     "a planned stop has begun, or a response is cut off at the end of the stop",
+	Stopping:     "a planned stop has begun, or a response that had begun is cut off at the end of the stop; requests without a response are refused before that, as `draining`, or as `expired` if they were sent",
 	Stopped:      "a planned stop is complete",
 	Failed:       "a component of the process has failed; the process stops",
 	Accept:       "a listener cannot accept connections, for want of descriptors or of the kernel's memory; it tries again, and the VM is not ready meanwhile",
