--- a/daemon/relay/gate.go
+++ b/daemon/relay/gate.go
@@ -136,7 +136,8 @@
 	serial atomic.Uint64
 	// bodies is the total size of the bodies of requests and responses that are buffered, in bytes.
 	bodies atomic.Int64
-	stop   *stop
+	// stop is the state of a planned stop.
+	stop *stop
 	// unknown are the names of response header fields that the codec does not recognize, unreadable
 	// are fields whose values cannot be parsed. Each is logged once.
 	unknown, unreadable nameSet
--- a/daemon/relay/stop.go
+++ b/daemon/relay/stop.go
@@ -19,10 +19,10 @@
 
 // stop is the state of a planned stop of the VM.
 type stop struct {
-	// begun ends as the VM begins to stop, final at finalTime before its process ends.
+	// begun is done once the VM begins to stop, final once requests without a response must get their final ones.
 	begun, final  context.Context
 	begin, finish context.CancelFunc
-	// finalAt is the instant at which final ends. It is set before begun ends.
+	// finalAt is when final is done. It is set before begun is done.
 	finalAt clock.Milli
 }
 
