--- a/daemon/relay/gate.go
+++ b/daemon/relay/gate.go
@@ -217,8 +217,8 @@
 	x.record.read = x.elapsed()
 	ctx, cancel := context.WithDeadlineCause(x.r.Context(), x.runtimeDeadline(), errDeadline)
 	defer cancel()
-	ctx, release = x.endAtStop(ctx)
-	defer release()
+	ctx, end := x.endAtStop(ctx)
+	defer end()
 	return x.run(ctx)
 }
 
--- a/lib/engine/client.go
+++ b/lib/engine/client.go
@@ -66,11 +66,10 @@
 // NewClient returns a client that opens connections with open.
 func NewClient(open dial.Dial) *Client {
 	pooled := &http.Transport{
-		DialContext:         open,
-		MaxIdleConnsPerHost: 64,
-		IdleConnTimeout:     30 * time.Second,
-		DisableCompression:  true,
-
+		DialContext:            open,
+		MaxIdleConnsPerHost:    64,
+		IdleConnTimeout:        30 * time.Second,
+		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 	unpooled := &http.Transport{DialContext: open, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes}
@@ -191,7 +190,8 @@
 	return err
 }
 
-// statusError closes the response and returns it as a StatusError. The text may not end before the context of the request.
+// statusError closes the response and returns it as a StatusError. It waits for the text, which may not end before the
+// context of the request does.
 func statusError(resp *http.Response) error {
 	b, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
 	resp.Body.Close()
