caller: bound the responses that are collected; tunnel: a test of endless ones

A response of OpenAI's side that is collected for a client without a stream held whatever its engine sent: sixty that fill each event would take more memory than a VM has. Each may hold 1 MiB in any case, all together 64 MiB beyond that; one that finds no room has failed.

A carrier of another VM's connections keeps 8 KiB of each direction; sixty endless ones end with their readers: TestEndlessResponseThroughCarrierEndsWith- ItsReader.

--- a/daemon/caller/buffered.go
+++ b/daemon/caller/buffered.go
@@ -15,7 +15,9 @@
 	w    http.ResponseWriter
 	q    *request
 	// received is the part of the response that has arrived in this attempt.
-	received    openai.Collector
+	received openai.Collector
+	// size counts what received holds.
+	size        collected
 	body        []byte
 	headersSent bool
 }
@@ -23,12 +25,18 @@
 // reset discards the partial response of a failed upstream. The next upstream starts again at the
 // first token, and the client would otherwise get the beginning twice in a response that appears
 // complete.
-func (s *bufferedSink) reset() { s.received = openai.Collector{} }
+func (s *bufferedSink) reset() {
+	s.received = openai.Collector{}
+	s.size.release()
+}
 
 func (s *bufferedSink) started() bool        { return s.headersSent }
 func (s *bufferedSink) responseBody() []byte { return s.body }
 
 func (s *bufferedSink) writeChunk(c engine.Chunk) error {
+	if err := s.size.add(len(c.Data)); err != nil {
+		return err
+	}
 	return engine.ErrBroken.Wrap(s.received.Add(c.Data))
 }
 
--- a/daemon/caller/endless_test.go
+++ b/daemon/caller/endless_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -36,3 +37,39 @@
 		require.Less(t, time.Since(began), 5*time.Second)
 	}
 }
+
+// Sixty engines fill the events of responses that are collected, each as far as its request allows. All of them together must
+// leave room for others, and a response of usual size must not fail beside them.
+func TestCollectedResponsesAreBounded(t *testing.T) {
+	var all atomic.Int64
+	large := make([]collected, 60)
+	held := int64(0)
+	for i := range large {
+		large[i].all = &all
+		for large[i].add(64<<10) == nil {
+			held += 64 << 10
+		}
+	}
+	require.LessOrEqual(t, held, int64(len(large)*collectedEach+collectedBeyond))
+	usual := collected{all: &all}
+	require.NoError(t, usual.add(collectedEach))
+	for i := range large {
+		large[i].release()
+	}
+	usual.release()
+	require.Zero(t, all.Load())
+}
+
+// An engine sends proper events without end to a client that asked for no stream, while other responses hold all that there is
+// room for.
+func TestEndlessCollectedResponseFails(t *testing.T) {
+	b := newHarness(t, func(w http.ResponseWriter, r *http.Request) {
+		for n := 0; r.Context().Err() == nil; n++ {
+			writeChunk(w, r, n, strings.Repeat("x", 60<<10))
+		}
+	})
+	b.gate.collected.Store(collectedBeyond)
+	resp := b.post("/v1/chat/completions", strings.Replace(chatBody, `"stream":true`, `"stream":false,"max_tokens":4000`, 1))
+	require.Equal(t, http.StatusBadGateway, resp.status, resp.body)
+	require.EqualValues(t, collectedBeyond, b.gate.collected.Load())
+}
--- a/daemon/caller/gate.go
+++ b/daemon/caller/gate.go
@@ -121,6 +121,8 @@
 	// acquireSerial numbers the acquire messages, so that a withdrawal names the one it cancels.
 	acquireSerial atomic.Uint64
 	metrics       *metrics
+	// collected is what the responses that are collected hold beyond collectedEach, in bytes.
+	collected atomic.Int64
 	// statements holds the back-offs that upstreams have asked this VM for.
 	statements *statements.Cache
 
--- a/daemon/caller/generate.go
+++ b/daemon/caller/generate.go
@@ -57,6 +57,7 @@
 	defer cancel()
 	g.recordEvent(q, timeline.Arrived, "", q.kind.Name)
 	s := g.newSink(w, q)
+	defer s.reset()
 	x := &generation{gate: g, q: q, sink: s, path: r.URL.Path, idleTimeout: c.Document().Limits.Idle, index: c}
 	e = g.serve(ctx, c, q, x)
 	g.recordOutcome(q, e)
--- a/daemon/caller/sink.go
+++ b/daemon/caller/sink.go
@@ -29,7 +29,7 @@
 
 // sink forwards the chunks of a response to the client.
 type sink interface {
-	// reset discards what an earlier attempt left, before the chunks of the next attempt.
+	// reset discards what an earlier attempt left, before the chunks of the next attempt and at the end of the request.
 	reset()
 	writeChunk(c engine.Chunk) error
 	// finish ends a complete response.
@@ -45,7 +45,7 @@
 	if q.stream {
 		return &streamSink{gate: g, w: w, rc: http.NewResponseController(w), q: q}
 	}
-	return &bufferedSink{gate: g, w: w, q: q}
+	return &bufferedSink{gate: g, w: w, q: q, size: collected{all: &g.collected}}
 }
 
 // streamSink writes server-sent events. It buffers at most one chunk.
--- a/daemon/tunnel/tunnel_test.go
+++ b/daemon/tunnel/tunnel_test.go
@@ -21,6 +21,7 @@
 
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/dial"
+	"snipeshift.example/lib/dial/dialtest"
 	"snipeshift.example/lib/peer"
 )
 
@@ -403,3 +404,25 @@
 	require.NoError(t, err)
 	require.Equal(t, before, f.vms[1].direct.Load()+f.vms[2].direct.Load())
 }
+
+// The upstreams of connections through another VM send without end. Once the VM that asked has read enough, the carrier must
+// stop reading too.
+func TestEndlessResponseThroughCarrierEndsWithItsReader(t *testing.T) {
+	const read, many = 64 << 10, 60
+	f := newTestFleet(t, 2, 1)
+	endless := f.addUpstream(dialtest.Endless{Repeat: strings.Repeat("x", 4<<10), Pause: time.Millisecond})
+	var wg sync.WaitGroup
+	for range many {
+		c, err := f.vms[0].dialer.through(t.Context(), endless, 1)
+		require.NoError(t, err)
+		wg.Go(func() {
+			defer c.Close()
+			_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+			if _, err := io.CopyN(io.Discard, c, read); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	wg.Wait()
+	require.Eventually(t, func() bool { return f.vms[1].tunnel.Open() == 0 }, 5*time.Second, 10*time.Millisecond)
+}
