relay: an unfinished large response ends at its deadline, however slowly it is read

The gate waits for a slow client for 2 s beyond the deadline, also while the upstream has not ended its response, which cannot become complete then.

Change: writes of such a response fail once the request's time is over.

--- a/daemon/relay/body.go
+++ b/daemon/relay/body.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -83,6 +84,12 @@
 	_ = http.NewResponseController(x.w).SetWriteDeadline(x.runtimeDeadline().Add(writeGrace)) // only connections in tests do not support deadlines
 }
 
+// endWritesWith makes writes to the client fail once ctx is done, until the function that it returns is called: a response that
+// its upstream has not ended by then cannot become complete, however slowly the client reads.
+func (x *request) endWritesWith(ctx context.Context) (end func() bool) {
+	return context.AfterFunc(ctx, func() { _ = http.NewResponseController(x.w).SetWriteDeadline(time.Now()) })
+}
+
 // readBody buffers the whole request body. The request can then be sent again, and net/http can
 // detect that the client closes its connection.
 func (x *request) readBody() *fault.Error {
--- a/daemon/relay/endless_test.go
+++ b/daemon/relay/endless_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"io"
 	"math"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -194,3 +196,22 @@
 	w.server.Close()
 	require.Less(t, strings.Count(out.String(), "secret"), 50)
 }
+
+// A client reads a response without end slowly. The gate must not wait for it beyond the time limit.
+func TestEndlessBodyToSlowClientEndsInTime(t *testing.T) {
+	w := newFixture(t, endlessBodies[0].ServeHTTP)
+	w.gate.bounds.ResponseBytes = 1 << 30
+	w.setDocument(300, "key")
+	c, err := net.Dial("tcp", w.server.Listener.Addr().String())
+	require.NoError(t, err)
+	defer c.Close()
+	_, err = io.WriteString(c, "POST /once/x HTTP/1.1\r\nHost: team.example\r\nId: a1\r\nKey: key\r\nContent-Length: 0\r\n\r\n")
+	require.NoError(t, err)
+	began := time.Now()
+	require.Eventually(t, func() bool {
+		w.placer.mu.Lock()
+		defer w.placer.mu.Unlock()
+		return len(w.placer.outcomes) == 1
+	}, 5*time.Second, 5*time.Millisecond)
+	require.Less(t, time.Since(began), 800*time.Millisecond)
+}
--- a/daemon/relay/send.go
+++ b/daemon/relay/send.go
@@ -197,6 +197,7 @@
 // passLarge passes on a response that can't be buffered whole, up to the bound on responses.
 func (x *request) passLarge(ctx context.Context, a *answer, rest io.Reader, w *watchdog) result {
 	x.startResponse(a.status, a.header)
+	defer x.endWritesWith(ctx)()
 	_, _ = x.w.Write(a.body)
 	buffer := make([]byte, 32<<10)
 	passed := int64(len(a.body))
