dial: bound what the kernel holds of connections to upstreams and clients

What the kernel has received and nobody has read counts against the memory of a VM (the users' page on machines). Nothing bounded it: buffers grow with what is read, up to 32 MB each by the settings of this machine. While sixty responses without end waited for slow clients, the kernel held 142 MB for one VM beside its own 49, where it has 284.

Change: 128 KiB, which the kernel doubles, to receive from upstreams, directly or through another VM, and to send to clients and through a tunnel. At 6 ms of round trip a connection still carries 20 MB a second, by arithmetic.

Measured: TestPlatformEndlessBodiesStayWithinLimits with samples of the VM's sockets, before: 69 and 142 MB of the kernel (lookups, notices), after: 17 and 15. TestUnreadBytesAreBounded, what one connection holds 0.1 s after its reader has stopped: 194 to 260 KB at most, without the bound 0.15 to 1.2 MB in four runs.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -135,7 +135,7 @@
 	shares := listener.QuotasOf(descriptors(s.Descriptors))
 	d.accepts = accept.NewMonitor(k, d.reportAccept, d.shed)
 	d.upstreams = dial.NewBound(func() int { return upstreamLimit(shares, d.clients) }, func() { d.engines.CloseIdle() })
-	direct := (&net.Dialer{Timeout: dialTimeout, KeepAlive: upstreamKeepAlive}).DialContext
+	direct := dial.WithReceiveBuffer((&net.Dialer{Timeout: dialTimeout, KeepAlive: upstreamKeepAlive}).DialContext)
 	d.paths = tunnel.NewDialer(tunnel.Needs{
 		Clock: k, Log: l, Members: d.members, Upstreams: d.config, Direct: d.upstreams.Dial(direct), Peer: endpoint.Dial,
 	})
--- a/daemon/listener/listener.go
+++ b/daemon/listener/listener.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"snipeshift.example/lib/clock"
+	"snipeshift.example/lib/dial"
 )
 
 // Times of a listener that is full.
@@ -129,6 +130,7 @@
 			return nil, err
 		}
 		if x := l.admit(c); x != nil {
+			dial.BoundSendBuffer(c)
 			l.onAccept()
 			return x, nil
 		}
--- a/daemon/relay.go
+++ b/daemon/relay.go
@@ -252,7 +252,7 @@
 
 // directDial returns the function that opens connections from this VM to upstreams.
 func directDial(s *settings.Relay) dial.Dial {
-	return dial.Hedged(injectFaults(s, (&net.Dialer{Timeout: upstreamDialTimeout}).DialContext), dial.HedgeDelay)
+	return dial.WithReceiveBuffer(dial.Hedged(injectFaults(s, (&net.Dialer{Timeout: upstreamDialTimeout}).DialContext), dial.HedgeDelay))
 }
 
 // run opens the listeners and serves until ctx ends or a component fails.
--- a/daemon/tunnel/search.go
+++ b/daemon/tunnel/search.go
@@ -205,6 +205,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	dial.BoundReceiveBuffer(conn)
 	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
 	r := &http.Request{Method: http.MethodConnect, URL: &url.URL{Host: address}, Host: address, Header: http.Header{headerVM: {string(d.Members.Self().VM)}}}
--- a/daemon/tunnel/server.go
+++ b/daemon/tunnel/server.go
@@ -93,6 +93,7 @@
 		_ = up.Close()
 		return
 	}
+	dial.BoundSendBuffer(c)
 	t.splice(c, r, up, s.dialer.Clock)
 }
 
