relay, scenarios: a cut-off response ends at once; endless bodies judged by the VM

TestPlatformEndlessBodiesStayWithinLimits failed beside other work: 2.50 to 3.35 s where 2.5 s are allowed, in 3 of 3 and 4 of 5 runs beside 24 busy loops. Traced by the times at both ends of each late request: the VM ended it 1.66 to 2.05 s after the client had sent it, and the client, in a test process that also holds all upstreams and relays, read for another 0.4 to 1.5 s what had been written. The bound of 2.5 s is the same; it is now for the header at the client and for the end at the VM, from its log. The count of other requests within 2 s, which said how fast the machine is (4 where over 4 were wanted, once), is replaced by two requests of each client.

Found while tracing, by reading: after a response was cut off its last buffered bytes were written without a deadline, since the deadline had been lifted; a client that reads nothing could have kept the connection. They have none now.

--- a/daemon/relay/gate.go
+++ b/daemon/relay/gate.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/phuslu/log"
@@ -187,16 +188,18 @@
 // ServeHTTP serves one request.
 func (g *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := &request{gate: g, w: w, r: r, arrived: g.Clock.Now()}
-	defer x.endWrites()
 	err := x.serve()
 	if err != nil && !x.started {
 		x.refuse(err)
 	}
 	x.logEnd(err)
 	if err != nil && x.started {
-		// Only a broken connection shows the client that its response is incomplete.
+		// Only a broken connection shows the client that its response is incomplete. net/http first writes what it has
+		// buffered, which a client that does not read would hold up.
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Now())
 		panic(http.ErrAbortHandler)
 	}
+	x.endWrites()
 }
 
 // serve admits and runs the request. If it returns an error, the error has not been sent to the
--- a/scenarios/platform_endless_test.go
+++ b/scenarios/platform_endless_test.go
@@ -1,6 +1,7 @@
 package scenarios
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"os"
@@ -12,6 +13,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"snipeshift.example/lib/clock"
+	"snipeshift.example/lib/logline"
 	"snipeshift.example/platform/standin"
 	"snipeshift.example/scenarios/fleet"
 )
@@ -19,6 +22,7 @@
 // Sizes and times of the tests of responses without end.
 const (
 	// vmMemory is the memory of a VM in megabytes, as in its settings.
+	// What the kernel holds for its connections counts.
 	vmMemory = 284
 	// endlessResponses is how many clients get responses without end at the same time, all through one VM.
 	endlessResponses = 60
@@ -28,6 +32,8 @@
 	endlessSlots = 24
 	// endlessTime is how long each of the clients sends one such request after the other.
 	endlessTime = 2 * time.Second
+	// sampleInterval is the time between two samples of the VM's sockets.
+	sampleInterval = 20 * time.Millisecond
 	// endSlack is the time after a request's deadline within which it must have its final response.
 	endSlack = 500 * time.Millisecond
 )
@@ -35,6 +41,28 @@
 // deadlines are the times that requests may take: the time that the client waits, or the route's timeout if that is less.
 var deadlines = map[string]time.Duration{"draft": 8 * time.Second, "lookup": 2 * time.Second, "notice": 2 * time.Second}
 
+// watchSockets samples what the kernel holds for the connections of a VM. The function that it returns ends that and returns
+// the most, in megabytes.
+func watchSockets(v *fleet.VM) (end func() int) {
+	done, peak := make(chan struct{}), make(chan int64)
+	go func() {
+		var most int64
+		for {
+			held, err := v.Process.HeldByKernel()
+			if err == nil { // the process may be ending
+				most = max(most, held)
+			}
+			select {
+			case <-done:
+				peak <- most
+				return
+			case <-time.After(sampleInterval):
+			}
+		}
+	}()
+	return func() int { close(done); return int(<-peak >> 20) }
+}
+
 // peakMemory returns the largest resident memory that the process of a VM has had, in megabytes.
 func peakMemory(t *testing.T, v *fleet.VM) int {
 	t.Helper()
@@ -51,6 +79,29 @@
 	return 0
 }
 
+// timesAtVM returns how long a VM worked on each request, by the id of the attempt. Clients measure more: on a busy machine
+// they go on reading what the VM has written long after it has ended the response.
+func timesAtVM(t *testing.T, v *fleet.VM) map[string]time.Duration {
+	t.Helper()
+	text, err := v.Process.Log()
+	require.NoError(t, err)
+	times := map[string]time.Duration{}
+	for line := range strings.Lines(text) {
+		var x struct {
+			ID    string      `json:"id"`
+			Event string      `json:"event"`
+			Total clock.Milli `json:"total"`
+		}
+		if json.Unmarshal([]byte(line), &x) == nil && x.Event == logline.Request {
+			times[x.ID] = x.Total.Duration()
+		}
+	}
+	return times
+}
+
+// leastCalls is the number of requests that each client sends at least, however slow the machine is.
+const leastCalls = 2
+
 // keepCalling has clients send requests on a route to a VM, each one after the other for a while, and returns all responses.
 func keepCalling(v *fleet.VM, route string, clients int, d time.Duration) []standin.Response {
 	var mu sync.Mutex
@@ -60,7 +111,8 @@
 		wg.Go(func() {
 			c := standin.NewClient("ward")
 			defer c.Close()
-			for begun := time.Now(); time.Since(begun) < d; {
+			begun := time.Now()
+			for n := 0; n < leastCalls || time.Since(begun) < d; n++ {
 				r := c.Call(v.Caller, route)
 				mu.Lock()
 				responses = append(responses, r)
@@ -89,23 +141,29 @@
 	for _, r := range runners {
 		r.SetFault(fault)
 	}
+	endWatch := watchSockets(f.VMs[0])
 	var others []standin.Response
 	var wg sync.WaitGroup
 	wg.Go(func() { others = keepCalling(f.VMs[0], sound, otherClients, endlessTime) })
 	responses := keepCalling(f.VMs[0], flooded, endlessResponses, endlessTime)
 	wg.Wait()
+	held := endWatch()
+	limit := deadlines[flooded] + endSlack
+	served := timesAtVM(t, f.VMs[0])
 	for _, r := range responses {
 		require.False(t, r.Complete)
-		require.Less(t, r.Duration, deadlines[flooded]+endSlack, "status %d: %.100s", r.Status, r.Text)
+		require.Less(t, r.Head, limit, "status %d: %.100s", r.Status, r.Text)
+		require.Contains(t, served, r.ID)
+		require.Less(t, served[r.ID], limit, "status %d: %.100s", r.Status, r.Text)
 	}
-	require.Greater(t, len(others), otherClients)
+	require.GreaterOrEqual(t, len(others), leastCalls*otherClients)
 	for _, r := range others {
 		require.True(t, r.Complete, "status %d after %v: %.100s", r.Status, r.Duration, r.Text)
 		require.Less(t, r.Duration, deadlines[sound])
 	}
 	peak := peakMemory(t, f.VMs[0])
-	t.Logf("%s: %d MB at most; %d requests, %d others", flooded, peak, len(responses), len(others))
-	require.Less(t, peak, vmMemory)
+	t.Logf("%s: at most %d MB and %d MB of the kernel; %d requests, %d others", flooded, peak, held, len(responses), len(others))
+	require.Less(t, peak+held, vmMemory)
 	require.Equal(t, http.StatusOK, standin.NewClient("ward").Call(f.VMs[0].Caller, sound).Status)
 }
 
--- a/scenarios/process/process.go
+++ b/scenarios/process/process.go
@@ -14,6 +14,12 @@
 	"time"
 )
 
+// Log returns what the program has written so far.
+func (p *Process) Log() (string, error) {
+	text, err := os.ReadFile(p.logPath)
+	return string(text), err
+}
+
 // stopTimeout is how long a program may take over a graceful stop at the end of a scenario.
 const stopTimeout = 20 * time.Second
 
