--- a/review/stage-2/client.go
+++ b/review/stage-2/client.go
@@ -23,10 +23,13 @@
 // coldStart and coldPerSecond are cold_start_s and cold_per_s of the engines; zero where runners are never cold.
 var coldStart, coldPerSecond float64
 
+// engineSlots and engineMemory are the engines' slots and memory in tokens.
+var engineSlots, engineMemory = 16, 450_000
+
 // engineService is the definition of a service of engines.
 func engineService(name string) map[string]any {
 	return map[string]any{"name": name, "max_connections": 354, "cold_start_s": coldStart, "cold_per_s": coldPerSecond, "inference_engine": map[string]any{
-		"slots": 16, "kv_capacity_tokens": 450_000, "stride": 46, "step_ms": 0.925, "per_seq_ms": 0.00483, "context_per_k": 0.00254,
+		"slots": engineSlots, "kv_capacity_tokens": engineMemory, "stride": 46, "step_ms": 0.925, "per_seq_ms": 0.00483, "context_per_k": 0.00254,
 		"read_per_s": 256_000, "pairs_per_m": 0.0917, "hop_latency_ms": 0.1, "chunk": 2048, "report_lag_ms": 200,
 	}}
 }
--- a/review/stage-2/cold.go
+++ b/review/stage-2/cold.go
@@ -30,8 +30,9 @@
 // coldCase lets a zone's only runner come back cold while a VM is cut off from the others. Rule FAILBACK: all VMs together,
 // in touch or not, may send a cold runner cold_per_s x cold_overshoot + cold_slack requests in a second.
 func coldCase(r *run) int {
-	quiet = true
+	quiet, r.coulee = true, true
 	coldStart, coldPerSecond = coldTime.Seconds(), coldRate
+	engineSlots, engineMemory = coldSlots, 382_500
 	r.store = startStore()
 	r.finder = relay.NewFinder()
 	var mu sync.Mutex
--- a/review/stage-2/main.go
+++ b/review/stage-2/main.go
@@ -25,6 +25,8 @@
 	store   *store
 	vms     []*vm
 	trouble bool
+	// coulee is set for a case on coulee-rounds-grown; the others are on kwsd-notices.
+	coulee bool
 	// traffic is set once there are clients; runners that start then are cold.
 	traffic bool
 	began   time.Time
--- a/review/stage-2/retire.go
+++ b/review/stage-2/retire.go
@@ -16,8 +16,9 @@
 // Figures of the case "retire".
 const (
 	oldService, newService = "notice-llm", "notice-llm-2"
-	drafts, draftEvents    = 30, 85
-	dossiers               = 3
+	engines                = 9
+	drafts, draftEvents    = 60, 85
+	dossiers               = 6
 	dossierPrompt          = "400000,800"
 )
 
@@ -33,9 +34,9 @@
 func retireCase(r *run) int {
 	quiet = true
 	r.store = startStore()
-	for i := range 3 {
-		r.startRunner(fmt.Sprintf("i-old-%d", i+1), oldService, zones[i], 16, stream(draftEvents, 0))
-		r.startRunner(fmt.Sprintf("i-new-%d", i+1), newService, zones[i], 16, stream(draftEvents, 0))
+	for i := range engines {
+		r.startRunner(fmt.Sprintf("i-old-%d", i+1), oldService, zones[i%3], 16, stream(draftEvents, 0))
+		r.startRunner(fmt.Sprintf("i-new-%d", i+1), newService, zones[i%3], 16, stream(draftEvents, 0))
 	}
 	r.configure(3, oldService)
 	r.startVMs(3)
--- a/review/stage-2/slow.go
+++ b/review/stage-2/slow.go
@@ -34,6 +34,7 @@
 
 // slowCase stops a VM as planned while a client reads a long answer slowly.
 func slowCase(r *run) int {
+	r.coulee = true
 	r.store = startStore()
 	for i := range 3 {
 		r.startRunner([]string{"i-desk-1", "i-desk-2", "i-desk-3"}[i], "alert-desk", zones[i], 6, whole)
--- a/review/stage-2/vm.go
+++ b/review/stage-2/vm.go
@@ -51,20 +51,24 @@
 var zones = []string{"tvm-hall", "kollam-hall", "kochi-hall"}
 
 // start starts the process with the command and the template of the deploy file, and the settings of a machine of the site
-// kwsd-notices.
+// kwsd-notices, or the bounds of coulee-rounds-grown.
 func (v *vm) start(r *run, seeds []string) {
 	template, err := os.ReadFile("deploy/node.hujson")
 	if err != nil {
 		cannotRun("%v", err)
 	}
-	text := fill(string(template), fields{
+	f := fields{
 		"node_name": v.name, "zone": v.zone, "listen_addresses.frontend": v.caller, "listen_addresses.ready": v.ready,
 		"listen_addresses.control_plane": v.peer, "ip": v.metricsHost, "internal_port_range.0": v.metricsPort,
 		"platform.address": r.store.address, "seed_nodes": seeds, "is_first_start": true,
 		"limits.memory_mb": 284, "limits.file_descriptors": 4200, "limits.cpu_share": 0.4, "limits.link_mbps": 1000.0,
 		"bounds.config_propagation_ms": 2000, "bounds.revocation_ms": 5000, "bounds.grace_period_s": graceSeconds,
 		"bounds.retry_budget_ratio": 0.2, "bounds.retry_budget_slack": 100, "bounds.budget_window_s": 10,
-	})
+	}
+	if r.coulee {
+		f["bounds.config_propagation_ms"], f["bounds.retry_budget_slack"], f["bounds.evacuation_ms"] = 3000, 222, 5000
+	}
+	text := fill(string(template), f)
 	text = r.adjust(text, v)
 	v.settings = filepath.Join(r.dir, v.name+".hujson")
 	if err := os.WriteFile(v.settings, []byte(text), 0o600); err != nil {
