dial, tunnel: a reset that a write has got is no end of a response

What callers saw: an upstream answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the request was still being written. The client got that part as a complete response.

Cause: the kernel reports a reset once. While a request is being written two goroutines use the connection; if the write gets the error, the next read returns io.EOF, as after an orderly close, and a response that only its connection ends looks whole. So no check of the reader's error can tell. net/http closes the connection a moment after the failed write, which is why it happened by chance only.

Change: direct connections to upstreams report io.EOF only if no write has failed and none is under way; a read that reaches the end waits for the writes that it overlaps, two seconds at most. tunnel.NewDialer wraps its direct dial, so that the gate, the carrier of another VM's connection and the engines' client of the OpenAI-compatible daemon all have it. A connection through another VM has an explicit end already.

Why it works: only a read or a write takes the error. If the read gets it, it fails; if a write does, that write has failed, or is still counted as under way, whenever the read sees the end.

--- a/daemon/tunnel/dialer.go
+++ b/daemon/tunnel/dialer.go
@@ -45,6 +45,7 @@
 
 // NewDialer returns a dialer that connects directly until connects fail.
 func NewDialer(n Needs) *Dialer {
+	n.Direct = dial.WithCheckedEOF(n.Direct)
 	d := &Dialer{Needs: n, table: path.New(n.Members.Self()), onHang: func() {}, metrics: newMetrics()}
 	d.table.SetDomains(n.Upstreams.Domain)
 	return d
--- a/daemon/tunnel/tunnel_test.go
+++ b/daemon/tunnel/tunnel_test.go
@@ -426,3 +426,23 @@
 	wg.Wait()
 	require.Eventually(t, func() bool { return f.vms[1].tunnel.Open() == 0 }, 5*time.Second, 10*time.Millisecond)
 }
+
+// An upstream resets a response without a length while the carrier still writes the request to it. The asking VM must not take
+// that for the end of the response.
+func TestResetDuringUploadIsPassedOn(t *testing.T) {
+	f := newTestFleet(t, 2, 2)
+	a := f.addUpstream(dialtest.ResetDuringUpload("HTTP/1.1 200 OK\r\n\r\nhalf of "))
+	carrier := f.vms[1]
+	carrier.dialer.Needs.Direct = dialtest.LateWrites(1)
+	carrier.dialer = NewDialer(carrier.dialer.Needs)
+	carrier.tunnel.dialer = carrier.dialer
+	c, err := f.vms[0].dialer.through(t.Context(), a, 1)
+	require.NoError(t, err)
+	defer c.Close()
+	const upload = 3 << 20
+	go func() {
+		_, _ = fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", upload, strings.Repeat("x", upload))
+	}()
+	_, err = io.ReadAll(c)
+	require.Error(t, err)
+}
