http1: a response whose status is none is refused

What callers saw: an upstream in trouble answered with the status 000. The client got that as an answer or, here, a closed channel without a word: net/http takes 000, 099, +20 and -00 for numbers, and its server panics when a handler writes them. 101, 600 and 999 were passed on as they came.

Cause: net/http checks that a status has three characters and reads as a number, not that it is one. Where answers are read for ourselves a status below 300 was a success: Release of memory, orders, cancels and reservations of the OpenAI-compatible daemon counted as done, a write to its store as refused without effect.

Change: package http1 checks the lines of a head as they are read from the connection, before net/http sees them: the version is HTTP/1, the status three digits from 100 to 599 and not 101, which nobody asks for, and the status line holds no control byte. All clients use it: relay (buffered, large, streams, resumed streams), reports and orders, both stores, the engines' client. The gate's answer is a 502 that names the reason, after the retries that the route allows. The head of a store's response is bounded (64 KiB) as those of upstreams are. Where carriers answer each other (CONNECT), only 200, 502 and 503 mean something already.

Why it works: the error comes from the read itself, so that net/http never has such a head. A response that was read behind an earlier one on its connection, and so not checked, is refused as well.

--- a/daemon/relay.go
+++ b/daemon/relay.go
@@ -30,6 +30,7 @@
 	"snipeshift.example/lib/decide/span"
 	"snipeshift.example/lib/decide/statement"
 	"snipeshift.example/lib/dial"
+	"snipeshift.example/lib/http1"
 	"snipeshift.example/lib/logline"
 	"snipeshift.example/lib/peer"
 	"snipeshift.example/lib/route"
@@ -130,7 +131,7 @@
 	q := quarantine.New(d.clock, d.members, d.dialer)
 	d.holders = placer.NewHolders(d.members, d.clock, d.log)
 	d.members.Add(d.registry, q, d.holders)
-	var pooled *http.Transport
+	var pooled *http1.Transport
 	d.upstreams = dial.NewBound(func() int { return upstreamLimit(connections, d.clients) }, func() { pooled.CloseIdleConnections() })
 	d.paths = tunnel.NewDialer(tunnel.Needs{
 		Clock: d.clock, Log: d.log, Members: d.members, Upstreams: listedUpstreams{registry: d.registry, domains: &domainIndex[uint64]{}, binding: d.binding},
--- a/daemon/relay/paths.go
+++ b/daemon/relay/paths.go
@@ -68,6 +68,9 @@
 
 // noteCarrier records the VM through which a send goes.
 func (x *request) noteCarrier(c net.Conn) {
+	if checked, ok := c.(interface{ NetConn() net.Conn }); ok {
+		c = checked.NetConn()
+	}
 	through, ok := c.(carried)
 	if !ok {
 		x.carrier.Store(nil)
--- a/daemon/relay/run.go
+++ b/daemon/relay/run.go
@@ -11,6 +11,7 @@
 	"snipeshift.example/lib/decide/span"
 	"snipeshift.example/lib/dial"
 	"snipeshift.example/lib/fault"
+	"snipeshift.example/lib/http1"
 	"snipeshift.example/lib/route"
 )
 
@@ -64,6 +65,9 @@
 // reason describes the failure for the client. The error of a broken connection is left out: net/http quotes what the
 // upstream sent, which may belong to another request.
 func (r *result) reason() string {
+	if http1.ErrHead.Has(r.err) {
+		return "it sent a malformed response"
+	}
 	if r.suspicious && r.outcome == span.Broken {
 		return "the connection broke"
 	}
--- a/daemon/relay/transport.go
+++ b/daemon/relay/transport.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"snipeshift.example/lib/dial"
+	"snipeshift.example/lib/http1"
 )
 
 const (
@@ -21,10 +22,10 @@
 )
 
 // NewTransport returns a transport for requests to upstreams, whose connections open opens.
-func NewTransport(open dial.Dial) *http.Transport {
-	return &http.Transport{
+func NewTransport(open dial.Dial) *http1.Transport {
+	return http1.NewTransport(&http.Transport{
 		DialContext:        DialPoolHost(open),
 		DisableCompression: true, MaxIdleConnsPerHost: maxIdlePerUpstream, IdleConnTimeout: upstreamIdleTimeout,
 		MaxResponseHeaderBytes: responseHeaderLimit, WriteBufferSize: upstreamWriteBuffer,
-	}
+	})
 }
--- a/lib/engine/client.go
+++ b/lib/engine/client.go
@@ -18,6 +18,7 @@
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/decide"
 	"snipeshift.example/lib/dial"
+	"snipeshift.example/lib/http1"
 	"snipeshift.example/lib/retryafter"
 )
 
@@ -65,14 +66,14 @@
 
 // NewClient returns a client that opens connections with open.
 func NewClient(open dial.Dial) *Client {
-	pooled := &http.Transport{
+	pooled := http1.NewTransport(&http.Transport{
 		DialContext:            open,
 		MaxIdleConnsPerHost:    64,
 		IdleConnTimeout:        30 * time.Second,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxHeaderBytes,
-	}
-	unpooled := &http.Transport{DialContext: open, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes}
+	})
+	unpooled := http1.NewTransport(&http.Transport{DialContext: open, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes})
 	return &Client{open: open, pooled: &http.Client{Transport: pooled, CheckRedirect: noRedirect}, unpooled: &http.Client{Transport: unpooled, CheckRedirect: noRedirect}}
 }
 
--- /dev/null
+++ b/lib/http1/head.go
@@ -0,0 +1,107 @@
+package http1
+
+import (
+	"bytes"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/zeebo/errs"
+)
+
+// ErrHead is the class of errors of responses whose head is malformed. Their texts quote nothing of the head, which may belong
+// to another request.
+var ErrHead = errs.Class("malformed response head")
+
+// Errors of a head.
+var (
+	errVersion    = ErrHead.New("the version is not HTTP/1")
+	errStatus     = ErrHead.New("the status is not one of a response")
+	errReason     = ErrHead.New("a control byte in the status line")
+	errUnexpected = ErrHead.New("the response was there before its request")
+)
+
+// Parts of a status line.
+const (
+	versionPrefix = "HTTP/1."
+	// statusDigits is the number of digits of a status.
+	statusDigits = 3
+	// minStatus and maxStatus are the statuses that a response may have.
+	minStatus, maxStatus = 100, 599
+)
+
+// head checks the lines of the heads of one response: those of interim responses and that of the final one.
+type head struct {
+	// line is the part of the present line that has been read.
+	line []byte
+	// begun is set after a status line until the end of its head.
+	begun bool
+	// status is that of the present head.
+	status int
+	// done is set after the final head.
+	done bool
+}
+
+// check checks the next bytes that were read. Those behind the final head are not looked at.
+func (h *head) check(text []byte) error {
+	for !h.done {
+		end := bytes.IndexByte(text, '\n')
+		if end < 0 {
+			h.line = append(h.line, text...)
+			return nil
+		}
+		h.line = append(h.line, text[:end]...)
+		text = text[end+1:]
+		line := string(bytes.TrimSuffix(h.line, []byte{'\r'}))
+		h.line = h.line[:0]
+		if err := h.checkLine(line); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (h *head) checkLine(line string) error {
+	switch {
+	case !h.begun:
+		h.begun = true
+		return h.checkStatusLine(line)
+	case line == "":
+		return h.end()
+	default:
+		return nil // fields are checked by net/http
+	}
+}
+
+// checkStatusLine checks a line such as "HTTP/1.1 200 OK". The reason may be missing, with the blank before it.
+func (h *head) checkStatusLine(line string) error {
+	version, rest, _ := strings.Cut(line, " ")
+	minor, ok := strings.CutPrefix(version, versionPrefix)
+	if !ok || len(minor) != 1 || !isDigit(minor[0]) {
+		return errVersion
+	}
+	status, reason, _ := strings.Cut(rest, " ")
+	n, err := strconv.ParseUint(status, 10, 16)
+	if err != nil || len(status) != statusDigits || n < minStatus || n > maxStatus {
+		return errStatus
+	}
+	if n == http.StatusSwitchingProtocols {
+		return errStatus // no request asks for another protocol
+	}
+	if strings.ContainsFunc(reason, isControl) {
+		return errReason
+	}
+	h.status = int(n)
+	return nil
+}
+
+// end ends the present head.
+func (h *head) end() error {
+	interim := h.status < http.StatusOK
+	*h = head{line: h.line, done: !interim}
+	return nil
+}
+
+func isControl(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f }
+
+func isDigit(b byte) bool { return b >= '0' && b <= '9' }
--- /dev/null
+++ b/lib/http1/transport.go
@@ -0,0 +1,99 @@
+// Package http1 makes requests over HTTP/1 and takes only responses whose head is well formed. net/http takes several that are
+// not, such as one with a status of 000.
+package http1
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+)
+
+// Transport is a http.RoundTripper for requests without TLS. A response with a malformed head is an error of class ErrHead.
+type Transport struct{ *http.Transport }
+
+// maxHeadBytes bounds the head of a response unless the transport has a bound. Heads have some hundred bytes.
+const maxHeadBytes = 64 << 10
+
+// NewTransport returns a Transport that uses t, whose DialContext must be set and is replaced.
+func NewTransport(t *http.Transport) *Transport {
+	if t.MaxResponseHeaderBytes == 0 {
+		t.MaxResponseHeaderBytes = maxHeadBytes
+	}
+	open := t.DialContext
+	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := open(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &conn{Conn: c}, nil
+	}
+	return &Transport{t}
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	var used *conn
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		used = info.Conn.(*conn)
+		used.expectHead()
+	}}
+	resp, err := t.Transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+	if used == nil {
+		return nil, err
+	}
+	passed, headErr := used.checked()
+	switch {
+	case headErr != nil:
+		return nil, headErr // net/http may describe the line that this error cut off
+	case err != nil:
+		return nil, err
+	case !passed:
+		// The bytes had been read behind an earlier response on the connection, and were not checked.
+		resp.Body.Close()
+		return nil, errUnexpected
+	}
+	return resp, nil
+}
+
+// conn is a connection that checks the heads of the responses that are read from it.
+type conn struct {
+	net.Conn
+
+	mu   sync.Mutex
+	head head
+	// err is the error of the head. Nothing is read after it.
+	err error
+}
+
+// NetConn returns the connection under this one.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
+// expectHead makes the next bytes that are read those of a head.
+func (c *conn) expectHead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.head = head{line: c.head.line[:0]}
+}
+
+// checked reports whether a whole final head has been read, and the error of one that is malformed.
+func (c *conn) checked() (bool, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.head.done, c.err
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.err == nil {
+		c.err = c.head.check(b[:n])
+	}
+	if c.err != nil {
+		return 0, c.err
+	}
+	return n, err
+}
--- a/lib/platform/client.go
+++ b/lib/platform/client.go
@@ -16,6 +16,7 @@
 	"sync/atomic"
 
 	"snipeshift.example/lib/clock"
+	"snipeshift.example/lib/http1"
 )
 
 // Client is a client of the store at one address. It is safe for concurrent use.
@@ -23,12 +24,12 @@
 	baseURL  string
 	timeouts Timeouts
 	// reads reuses connections between calls.
-	reads *http.Transport
+	reads *http1.Transport
 	// writes opens a connection for each call. http.Transport retries some requests by itself when a
 	// reused connection turns out to be broken; whether the first attempt took effect would then be
 	// unknown. It never retries the first request on a connection. In addition, a write on a new
 	// connection can't hang on one that has stopped responding earlier.
-	writes *http.Transport
+	writes *http1.Transport
 
 	// Counters of calls and of calls that ended with ErrUnavailable or ErrUnknown.
 	readCalls, watchCalls, writeCalls atomic.Uint64
@@ -41,8 +42,8 @@
 	return &Client{
 		baseURL:  "http://" + address,
 		timeouts: t,
-		reads:    &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 8, IdleConnTimeout: (30 * clock.Second).Duration()},
-		writes:   &http.Transport{DialContext: dial, DisableKeepAlives: true},
+		reads:    http1.NewTransport(&http.Transport{DialContext: dial, MaxIdleConnsPerHost: 8, IdleConnTimeout: (30 * clock.Second).Duration()}),
+		writes:   http1.NewTransport(&http.Transport{DialContext: dial, DisableKeepAlives: true}),
 	}
 }
 
@@ -244,7 +245,7 @@
 
 // roundTrip sends a request and reads the response. It does not use http.Client, which would follow
 // redirects.
-func roundTrip(t *http.Transport, req *http.Request) (response, error) {
+func roundTrip(t *http1.Transport, req *http.Request) (response, error) {
 	res, err := t.RoundTrip(req)
 	if err != nil {
 		return response{}, err
