http1: a field whose name is no token makes a head malformed

What callers saw: an upstream in trouble sent a field whose name held a blank, or a blank before its colon. The client got the response as a 200, with that line passed on; where the name was that of the length or of the transfer coding, the body was read up to the end of the connection, in another framing than the upstream's.

Cause: net/http refuses control bytes in names and takes blanks, as part of the name: "Content-Length " is then a field of its own that frames nothing. A line that begins with a blank is joined to the value of the line before it, an obsolete form in which the same length disappears.

Change: a name must be a token, so without a blank before the colon, and no line may begin with a blank; also in the heads of interim responses, and for all clients that use package http1. Names in trailers, behind a complete body, are not checked: they are dropped.

Why it works: a token can't hold a blank or a control byte, so no reader can take the line for a field of another name.

Control bytes, NUL, tab, CR, DEL and a missing colon were refused before and are kept in the tests.

--- a/daemon/caller/malformed_test.go
+++ b/daemon/caller/malformed_test.go
@@ -28,3 +28,11 @@
 		requireRefused(t, "HTTP/1.1 "+status+" Broken\r\n")
 	}
 }
+
+// A plain service in trouble sends a field whose name holds a blank. The line would reach the client, or hide where the body
+// ends.
+func TestMalformedFieldNameIsRefused(t *testing.T) {
+	for _, field := range []string{"A B: c", "Content-Length : 2", "A: b\r\n Content-Length: 2"} {
+		requireRefused(t, "HTTP/1.1 200 OK\r\n"+field+"\r\n")
+	}
+}
--- a/daemon/relay/malformed_test.go
+++ b/daemon/relay/malformed_test.go
@@ -56,3 +56,13 @@
 		require.Equal(t, eventText(1, 2), text)
 	}
 }
+
+// An upstream in trouble sends a field whose name holds a blank or a control byte. The line would reach the client, or hide
+// where the body ends.
+func TestMalformedFieldNameIsRefused(t *testing.T) {
+	var heads []string
+	for _, field := range []string{"A B: c", "A : c", "Content-Length : 2", " Content-Length: 2", "A\x01B: c", "A\x00: c", "A\tB: c", "AB", ": c"} {
+		heads = append(heads, validHead+field+"\r\n")
+	}
+	requireRefused(t, heads)
+}
--- a/lib/http1/head.go
+++ b/lib/http1/head.go
@@ -18,6 +18,7 @@
 	errVersion    = ErrHead.New("the version is not HTTP/1")
 	errStatus     = ErrHead.New("the status is not one of a response")
 	errReason     = ErrHead.New("a control byte in the status line")
+	errName       = ErrHead.New("the name of a field is not a token")
 	errUnexpected = ErrHead.New("the response was there before its request")
 )
 
@@ -69,7 +70,7 @@
 	case line == "":
 		return h.end()
 	default:
-		return nil // fields are checked by net/http
+		return h.checkField(line)
 	}
 }
 
@@ -95,6 +96,16 @@
 	return nil
 }
 
+// checkField checks a line such as "Name: value". A line that begins with a blank continues the value of the line before it
+// in an obsolete form, which other readers take for a field of its own. Values are checked by net/http.
+func (h *head) checkField(line string) error {
+	name, _, ok := strings.Cut(line, ":")
+	if !ok || !isToken(name) {
+		return errName
+	}
+	return nil
+}
+
 // end ends the present head.
 func (h *head) end() error {
 	interim := h.status < http.StatusOK
@@ -102,6 +113,15 @@
 	return nil
 }
 
+// isToken reports whether a name is a token in the sense of RFC 9110.
+func isToken(name string) bool {
+	return name != "" && !strings.ContainsFunc(name, func(r rune) bool { return !isTokenByte(r) })
+}
+
+func isTokenByte(r rune) bool {
+	return r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9' || r > ' ' && strings.ContainsRune("!#$%&'*+-.^_`|~", r)
+}
+
 func isControl(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f }
 
 func isDigit(b byte) bool { return b >= '0' && b <= '9' }
--- a/lib/http1/transport_test.go
+++ b/lib/http1/transport_test.go
@@ -55,6 +55,23 @@
 	}
 }
 
+// An upstream in trouble sends a field whose name holds a blank or a control byte. net/http takes a blank: the line would be
+// passed on, and a length or a transfer coding in it be overlooked.
+func TestMalformedFieldNameIsRefused(t *testing.T) {
+	for _, field := range []string{
+		"Content-Length : 2", "Content Length: 2", " Content-Length: 2", "A: b\r\n Content-Length: 2", "A: b\r\n\tc", "Transfer-Encoding : chunked",
+		"A\tB: c", "A\x00B: c", "A\rB: c", "A\r: c", "\rA: c", "A\x7fB: c", "A\x01: c", "A\x0b: c", "A\x80B: c", "Ä: c", "A(B): c", "AB", ": c", " ", "\t",
+	} {
+		for _, before := range []string{"", "B: c\r\n"} {
+			head := "HTTP/1.1 200 OK\r\n" + before + field + "\r\n\r\n"
+			_, body, err := get(t, head+"ok or more")
+			require.True(t, ErrHead.Has(err), "%q: %q %v", head, body, err)
+			_, body, err = get(t, "HTTP/1.1 103 Early Hints\r\n"+before+field+"\r\n\r\nHTTP/1.1 200 OK\r\n\r\nok")
+			require.True(t, ErrHead.Has(err), "%q: %q %v", head, body, err)
+		}
+	}
+}
+
 // What net/http refuses by itself must stay refused: lengths that are signed or differ, values with control bytes, chunks that
 // are wrong, responses that end early.
 func TestOtherMalformedResponsesFail(t *testing.T) {
@@ -91,7 +108,7 @@
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		require.NoError(t, err)
 		defer l.Close()
-		responses := []string{"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "HTTP/1.1 204 No Content\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "HTTP/1.1 000 OK\r\n\r\n"}
+		responses := []string{"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "HTTP/1.1 204 No Content\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "HTTP/1.1 200 OK\r\nA B: c\r\n\r\n"}
 		go func() {
 			c, err := l.Accept()
 			if err != nil {
