http1: a head whose framing is ambiguous is malformed

Cause: net/http ignores a coding in HTTP/1.0, which has none, and reads up to the end of the connection. With a length and a coding in one head it follows the coding; others follow the length, and RFC 9112 asks to treat that as an error.

Change: both are refused as malformed. Signed, differing, empty and huge lengths, other or repeated codings and chunks that are wrong were refused by net/http before; TestOtherMalformedResponsesFail keeps that.

--- a/lib/http1/head.go
+++ b/lib/http1/head.go
@@ -19,9 +19,16 @@
 	errStatus     = ErrHead.New("the status is not one of a response")
 	errReason     = ErrHead.New("a control byte in the status line")
 	errName       = ErrHead.New("the name of a field is not a token")
+	errFraming    = ErrHead.New("the length of the body is ambiguous")
 	errUnexpected = ErrHead.New("the response was there before its request")
 )
 
+// Names of the fields that frame a body, in lower case.
+const (
+	lengthField = "content-length"
+	codingField = "transfer-encoding"
+)
+
 // Parts of a status line.
 const (
 	versionPrefix = "HTTP/1."
@@ -37,8 +44,11 @@
 	line []byte
 	// begun is set after a status line until the end of its head.
 	begun bool
-	// status is that of the present head.
-	status int
+	// version and status are those of the present head.
+	version string
+	status  int
+	// length and coding are set once the present head has a field of that meaning.
+	length, coding bool
 	// done is set after the final head.
 	done bool
 }
@@ -92,7 +102,7 @@
 	if strings.ContainsFunc(reason, isControl) {
 		return errReason
 	}
-	h.status = int(n)
+	h.version, h.status = version, int(n)
 	return nil
 }
 
@@ -103,11 +113,21 @@
 	if !ok || !isToken(name) {
 		return errName
 	}
+	switch strings.ToLower(name) {
+	case lengthField:
+		h.length = true
+	case codingField:
+		h.coding = true
+	}
 	return nil
 }
 
-// end ends the present head.
+// end ends the present head. Of a body with a length and a transfer coding, or with a coding that its version does not have,
+// readers disagree where it ends.
 func (h *head) end() error {
+	if h.coding && (h.length || h.version == versionPrefix+"0") {
+		return errFraming
+	}
 	interim := h.status < http.StatusOK
 	*h = head{line: h.line, done: !interim}
 	return nil
--- a/lib/http1/transport.go
+++ b/lib/http1/transport.go
@@ -1,6 +1,6 @@
 // Package http1 makes requests over HTTP/1 and takes only responses whose head is well formed. net/http takes several that are
 // not: a status of 000, a blank in the name of a field, which hides a length or a transfer coding, so that the body is read in
-// another framing than its sender's.
+// another framing than its sender's, a coding that the version lacks.
 package http1
 
 import (
--- a/lib/http1/transport_test.go
+++ b/lib/http1/transport_test.go
@@ -72,6 +72,19 @@
 	}
 }
 
+// Readers disagree where the body ends. The client would get bytes that are not the upstream's body.
+func TestAmbiguousFramingIsRefused(t *testing.T) {
+	const chunks = "\r\n4\r\nokok\r\n0\r\n\r\n"
+	for _, response := range []string{
+		"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n" + chunks,
+		"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\ncontent-length: 4\r\n" + chunks,
+		"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n" + chunks,
+	} {
+		_, body, err := get(t, response)
+		require.True(t, ErrHead.Has(err), "%q: %q %v", response, body, err)
+	}
+}
+
 // What net/http refuses by itself must stay refused: lengths that are signed or differ, values with control bytes, chunks that
 // are wrong, responses that end early.
 func TestOtherMalformedResponsesFail(t *testing.T) {
