--- a/scenarios/platform_test.go
+++ b/scenarios/platform_test.go
@@ -312,6 +312,11 @@
 	for _, v := range f.VMs {
 		require.Eventually(t, func() bool { return len(v.Process.Grep(`"upstream":"`+corrupted.ID()+`","reason"`)) > 0 }, startTimeout, 20*time.Millisecond, v.Name)
 	}
+	for _, v := range f.VMs {
+		for _, id := range f.Platform.InvalidEntries() {
+			require.Len(t, v.Process.Grep(`"upstream":"`+id+`","reason"`), 1, "%s: %s", v.Name, id)
+		}
+	}
 	l.awaitResponses(t)
 	corrupted.Register()
 	before := corrupted.AttemptsRun()
