lib/platform: an odd entry in the list of VMs does not hide the others

What users would see on the OpenAI-compatible daemon: one entry of the platform's list of VMs that is no VM, or nests too deeply, and no daemon follows the list any more: upstreams that leave go on getting requests, new VMs are not found.

Change: each entry is decoded by itself, odd ones are left out, counted (Counts.UnusableVMs) and logged once the number changes; all lists of that store are cut as those of the other one.

Result: TestOddVMDoesNotAffectOthers failed before ("unavailable: invalid character '[' exceeded max depth"); green with -race.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -92,6 +92,8 @@
 	engines   *engine.Client
 	leases    *lease.Leases
 	orders    *orders.Sender
+	// unusableVMs is the number of unusable entries of the list of VMs that was logged last. Only watchVMList uses it.
+	unusableVMs uint64
 	// state is the state shared with other daemons through the store and heartbeats.
 	state *sharedState
 	// work is canceled when the last request has been served.
--- a/daemon/leaving.go
+++ b/daemon/leaving.go
@@ -44,6 +44,7 @@
 	if err != nil {
 		return
 	}
+	d.logUnusableVMs()
 	leaving := map[decide.UpstreamID]bool{}
 	for _, v := range vms {
 		if v.Role == platform.Upstream && v.State == platform.Leaving {
@@ -55,3 +56,13 @@
 		d.owner.Reconfigure()
 	}
 }
+
+// logUnusableVMs logs the number of entries of the list that are no VMs once it has changed.
+func (d *daemon) logUnusableVMs() {
+	n := d.store.Counts().UnusableVMs
+	if n == d.unusableVMs {
+		return
+	}
+	d.unusableVMs = n
+	d.log.Warn().Uint64("unusable", n).Msg("entries of the platform's list of VMs are no VMs and are ignored")
+}
--- a/lib/platform/client.go
+++ b/lib/platform/client.go
@@ -17,6 +17,7 @@
 
 	"snipeshift.example/lib/clock"
 	"snipeshift.example/lib/http1"
+	"snipeshift.example/lib/nesting"
 )
 
 // Client is a client of the store at one address. It is safe for concurrent use.
@@ -34,6 +35,8 @@
 	// Counters of calls and of calls that ended with ErrUnavailable or ErrUnknown.
 	readCalls, watchCalls, writeCalls atomic.Uint64
 	unavailableCalls, unknownOutcomes atomic.Uint64
+	// unusableVMs is the number of entries of the last list of VMs that are no VMs.
+	unusableVMs atomic.Uint64
 }
 
 // NewClient returns a client of the store at address (host:port).
@@ -52,6 +55,7 @@
 	return Counts{
 		Reads: c.readCalls.Load(), Watches: c.watchCalls.Load(), Writes: c.writeCalls.Load(),
 		Unavailable: c.unavailableCalls.Load(), Unknown: c.unknownOutcomes.Load(),
+		UnusableVMs: c.unusableVMs.Load(),
 	}
 }
 
@@ -92,15 +96,31 @@
 	return os, c.decode(resp, &os)
 }
 
-// VMs reads the platform's list of VMs, which may be outdated.
+// VMs reads the platform's list of VMs, which may be outdated. It omits entries that are no VMs; Counts tells how many.
 func (c *Client) VMs(ctx context.Context) ([]VM, error) {
 	c.readCalls.Add(1)
 	resp, err := c.read(ctx, c.baseURL+"/vms", c.timeouts.Read)
 	if err != nil {
 		return nil, err
 	}
-	var vs []VM
-	return vs, c.decode(resp, &vs)
+	var entries []json.RawMessage
+	if err := c.decode(resp, &entries); err != nil {
+		return nil, err
+	}
+	return c.usableVMs(entries), nil
+}
+
+// usableVMs decodes each entry by itself, so that an odd one does not make the others unreadable.
+func (c *Client) usableVMs(entries []json.RawMessage) []VM {
+	vs := make([]VM, 0, len(entries))
+	for _, entry := range entries {
+		var v VM
+		if json.Unmarshal(entry, &v) == nil {
+			vs = append(vs, v)
+		}
+	}
+	c.unusableVMs.Store(uint64(len(entries) - len(vs)))
+	return vs
 }
 
 // Put writes an object if the condition holds, and returns its new version.
@@ -149,7 +169,7 @@
 }
 
 func (c *Client) decode(resp response, into any) error {
-	if err := json.Unmarshal(resp.body, into); err != nil {
+	if err := json.Unmarshal(nesting.Cut(resp.body, maxNesting), into); err != nil {
 		c.unavailableCalls.Add(1)
 		return Class.Wrap(fmt.Errorf("%w: %w", ErrUnavailable, err))
 	}
@@ -240,6 +260,10 @@
 	}
 }
 
+// maxNesting is the deepest nesting of a response that is decoded. What nests deeper is left out, as the decoder would fail on
+// the whole response.
+const maxNesting = 32
+
 // maxResponseSize is the largest accepted response body in bytes, which bounds the memory of a call.
 const maxResponseSize = 64 << 20
 
--- a/lib/platform/client_test.go
+++ b/lib/platform/client_test.go
@@ -135,6 +135,20 @@
 	require.False(t, changed)
 }
 
+// Another writer leaves odd entries in the list of VMs. A daemon that rejected the whole list would follow it no more.
+func TestOddVMDoesNotAffectOthers(t *testing.T) {
+	deep := strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000)
+	for _, odd := range []string{deep, `{"name":` + deep + `}`, `{"name":1e999}`, `7`, `"vm"`, `[]`} {
+		cl := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, `[`+odd+`,{"name":"a","role":"entry","state":"live"},`+odd+`]`)
+		})
+		vs, err := cl.VMs(t.Context())
+		require.NoError(t, err, "%.60s", odd)
+		require.Equal(t, []VM{{Name: "a", Role: Entry, State: Live}}, vs)
+		require.EqualValues(t, 2, cl.Counts().UnusableVMs)
+	}
+}
+
 func TestListAndVMs(t *testing.T) {
 	cl := serve(t, func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/vms" {
--- a/lib/platform/types.go
+++ b/lib/platform/types.go
@@ -117,4 +117,6 @@
 	Reads, Watches, Writes uint64
 	// Unavailable and Unknown are the numbers of calls that ended with ErrUnavailable and ErrUnknown.
 	Unavailable, Unknown uint64
+	// UnusableVMs is the number of entries of the last list of VMs that are no VMs.
+	UnusableVMs uint64
 }
