--- a/lib/http1/transport_test.go
+++ b/lib/http1/transport_test.go
@@ -5,11 +5,15 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"snipeshift.example/lib/dial/dialtest"
 )
 
 // get sends a request to a server that responds with raw bytes and closes the connection, and returns the body.
@@ -179,6 +183,21 @@
 	require.False(t, passed)
 }
 
+// An upstream sends a head without end. Lines are kept until they end, so their bytes must be bounded.
+func TestEndlessHeadIsCutOff(t *testing.T) {
+	for _, repeat := range []string{"x", "A: b\r\n"} {
+		s := httptest.NewServer(dialtest.Endless{Begin: "HTTP/1.1 200 OK\r\nA: ", Repeat: repeat})
+		var read atomic.Int64
+		tr := NewTransport(&http.Transport{DialContext: dialtest.Count((&net.Dialer{}).DialContext, &read), DisableKeepAlives: true})
+		r, err := http.NewRequest(http.MethodGet, s.URL, nil)
+		require.NoError(t, err)
+		_, err = tr.RoundTrip(r) //nolint:bodyclose // there is no response
+		require.Error(t, err)
+		require.LessOrEqual(t, read.Load(), int64(maxHeadBytes+dialtest.ReadAhead))
+		s.Close()
+	}
+}
+
 func FuzzHead(f *testing.F) {
 	f.Add([]byte("HTTP/1.1 200 OK\r\nA: b\r\n\r\n"), 3)
 	f.Add([]byte("HTTP/1.1 100 Continue\n\nHTTP/1.0 000\r\n"), 1)
