http1: a response without a body is not taken for one before its request

What callers would have seen since: beside other requests to the same upstream, 502s for responses without a body.

Cause: net/http puts a connection back into its pool before it hands over a response without a body. The next request then expected a new head on it, and the check of the first one found that head unfinished.

Change: each request has a head of its own, which stays as it is when the next one begins.

--- a/lib/http1/head.go
+++ b/lib/http1/head.go
@@ -49,13 +49,14 @@
 	status  int
 	// length and coding are set once the present head has a field of that meaning.
 	length, coding bool
-	// done is set after the final head.
+	// done is set after the final head, err once a line is malformed.
 	done bool
+	err  error
 }
 
-// check checks the next bytes that were read. Those behind the final head are not looked at.
+// check checks the next bytes that were read. Those behind the final head are not looked at. An error stays.
 func (h *head) check(text []byte) error {
-	for !h.done {
+	for !h.done && h.err == nil {
 		end := bytes.IndexByte(text, '\n')
 		if end < 0 {
 			h.line = append(h.line, text...)
@@ -65,11 +66,9 @@
 		text = text[end+1:]
 		line := string(bytes.TrimSuffix(h.line, []byte{'\r'}))
 		h.line = h.line[:0]
-		if err := h.checkLine(line); err != nil {
-			return err
-		}
+		h.err = h.checkLine(line)
 	}
-	return nil
+	return h.err
 }
 
 func (h *head) checkLine(line string) error {
--- a/lib/http1/transport.go
+++ b/lib/http1/transport.go
@@ -28,7 +28,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &conn{Conn: c}, nil
+		return &conn{Conn: c, head: &head{}}, nil
 	}
 	return &Transport{t}
 }
@@ -36,15 +36,16 @@
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	var used *conn
+	var expected *head
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		used = info.Conn.(*conn)
-		used.expectHead()
+		expected = used.expectHead()
 	}}
 	resp, err := t.Transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
 	if used == nil {
 		return nil, err
 	}
-	passed, headErr := used.checked()
+	passed, headErr := used.checked(expected)
 	switch {
 	case headErr != nil:
 		return nil, headErr // net/http may describe the line that this error cut off
@@ -62,27 +63,28 @@
 type conn struct {
 	net.Conn
 
-	mu   sync.Mutex
-	head head
-	// err is the error of the head. Nothing is read after it.
-	err error
+	mu sync.Mutex
+	// head is that of the present response, or of the last one if there is none.
+	head *head
 }
 
 // NetConn returns the connection under this one.
 func (c *conn) NetConn() net.Conn { return c.Conn }
 
-// expectHead makes the next bytes that are read those of a head.
-func (c *conn) expectHead() {
+// expectHead makes the next bytes that are read those of a new head, and returns it. If a response has no body, net/http may
+// do so for the next request before the present one has returned.
+func (c *conn) expectHead() *head {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.head = head{line: c.head.line[:0]}
+	c.head = &head{}
+	return c.head
 }
 
 // checked reports whether a whole final head has been read, and the error of one that is malformed.
-func (c *conn) checked() (bool, error) {
+func (c *conn) checked(h *head) (bool, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.head.done, c.err
+	return h.done, h.err
 }
 
 // Read implements net.Conn.
@@ -90,11 +92,8 @@
 	n, err := c.Conn.Read(b)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.err == nil {
-		c.err = c.head.check(b[:n])
-	}
-	if c.err != nil {
-		return 0, c.err
+	if headErr := c.head.check(b[:n]); headErr != nil {
+		return 0, headErr
 	}
 	return n, err
 }
--- a/lib/http1/transport_test.go
+++ b/lib/http1/transport_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -173,16 +174,41 @@
 // A second response follows the first one in the same packet. It belongs to no request, and must not answer the next one.
 func TestResponseBeforeItsRequestIsNotChecked(t *testing.T) {
 	c := &conn{}
-	c.expectHead()
+	first := c.expectHead()
 	require.NoError(t, c.head.check([]byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 000 X\r\n\r\n")))
-	passed, err := c.checked()
+	second := c.expectHead()
+	passed, err := c.checked(first)
 	require.NoError(t, err)
 	require.True(t, passed)
-	c.expectHead()
-	passed, _ = c.checked()
+	passed, _ = c.checked(second)
 	require.False(t, passed)
 }
 
+// A connection whose response has no body may carry the next request before the first one has returned. Neither may take the
+// other's response for one that was there before its request.
+func TestBodilessResponsesOnOneConnectionAreTaken(t *testing.T) {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }))
+	defer s.Close()
+	tr := NewTransport(&http.Transport{DialContext: (&net.Dialer{}).DialContext, MaxConnsPerHost: 1})
+	var failed atomic.Int64
+	var wg sync.WaitGroup
+	for range 8 {
+		wg.Go(func() {
+			for range 500 {
+				r, _ := http.NewRequest(http.MethodGet, s.URL, nil)
+				resp, err := tr.RoundTrip(r)
+				if err != nil {
+					failed.Add(1)
+					continue
+				}
+				resp.Body.Close()
+			}
+		})
+	}
+	wg.Wait()
+	require.Zero(t, failed.Load())
+}
+
 // An upstream sends a head without end. Lines are kept until they end, so their bytes must be bounded.
 func TestEndlessHeadIsCutOff(t *testing.T) {
 	for _, repeat := range []string{"x", "A: b\r\n"} {
