--- a/daemon/relay/paths.go
+++ b/daemon/relay/paths.go
@@ -68,8 +68,8 @@
 
 // noteCarrier records the VM through which a send goes.
 func (x *request) noteCarrier(c net.Conn) {
-	if checked, ok := c.(interface{ NetConn() net.Conn }); ok {
-		c = checked.NetConn()
+	if outer, ok := c.(interface{ NetConn() net.Conn }); ok {
+		c = outer.NetConn() // the transport checks what is read from it
 	}
 	through, ok := c.(carried)
 	if !ok {
--- a/lib/http1/head.go
+++ b/lib/http1/head.go
@@ -17,16 +17,16 @@
 var (
 	errVersion    = ErrHead.New("the version is not HTTP/1")
 	errStatus     = ErrHead.New("the status is not one of a response")
-	errReason     = ErrHead.New("a control byte in the status line")
+	errReason     = ErrHead.New("there is a control byte in the status line")
 	errName       = ErrHead.New("the name of a field is not a token")
 	errFraming    = ErrHead.New("the length of the body is ambiguous")
 	errUnexpected = ErrHead.New("the response was there before its request")
 )
 
-// Names of the fields that frame a body, in lower case.
+// Names of the fields that tell where a body ends.
 const (
-	lengthField = "content-length"
-	codingField = "transfer-encoding"
+	lengthField = "Content-Length"
+	codingField = "Transfer-Encoding"
 )
 
 // Parts of a status line.
@@ -38,6 +38,9 @@
 	minStatus, maxStatus = 100, 599
 )
 
+// tokenBytes are the bytes of a token in the sense of RFC 9110.
+const tokenBytes = "!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"
+
 // head checks the lines of the heads of one response: those of interim responses and that of the final one.
 type head struct {
 	// line is the part of the present line that has been read.
@@ -87,7 +90,7 @@
 func (h *head) checkStatusLine(line string) error {
 	version, rest, _ := strings.Cut(line, " ")
 	minor, ok := strings.CutPrefix(version, versionPrefix)
-	if !ok || len(minor) != 1 || !isDigit(minor[0]) {
+	if !ok || len(minor) != 1 || minor < "0" || minor > "9" {
 		return errVersion
 	}
 	status, reason, _ := strings.Cut(rest, " ")
@@ -112,12 +115,8 @@
 	if !ok || !isToken(name) {
 		return errName
 	}
-	switch strings.ToLower(name) {
-	case lengthField:
-		h.length = true
-	case codingField:
-		h.coding = true
-	}
+	h.length = h.length || strings.EqualFold(name, lengthField)
+	h.coding = h.coding || strings.EqualFold(name, codingField)
 	return nil
 }
 
@@ -132,15 +131,9 @@
 	return nil
 }
 
-// isToken reports whether a name is a token in the sense of RFC 9110.
+// isToken reports whether a name is a token. Trim takes away all bytes that a token may have, up to the first other one.
 func isToken(name string) bool {
-	return name != "" && !strings.ContainsFunc(name, func(r rune) bool { return !isTokenByte(r) })
-}
-
-func isTokenByte(r rune) bool {
-	return r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9' || r > ' ' && strings.ContainsRune("!#$%&'*+-.^_`|~", r)
+	return name != "" && strings.Trim(name, tokenBytes) == ""
 }
 
 func isControl(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f }
-
-func isDigit(b byte) bool { return b >= '0' && b <= '9' }
